Add tables, events, commands, control loop and one path end to end

Cause: all later modules share the core types, and the shape has to be visible from the start: tables, systems over them each tick, one control goroutine, traffic that reads an immutable plan. Change: packages table, event, command, system, control, plan, verdict, ledger, engine and platform messages, peer protocol with generated code, settings, and lavender-entry with the path host list -> membership -> plan -> traffic -> plain service.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+GO ?= go
+LINT_VERSION = v2.15.0
+PROTO_GEN_VERSION = v1.36.12
+BIN = bin
+
+.PHONY: build test lint vet format generate clean
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test:
+	$(GO) test -race ./...
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION) run ./...
+
+format:
+	gofmt -l . | tee /dev/stderr | wc -l | grep -qx 0
+
+# Needs buf, protoc-gen-go and protoc-gen-go-grpc on the PATH. The output is
+# committed, so a build does not need it.
+generate:
+	buf generate
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/command/training.go
@@ -0,0 +1,144 @@
+package command
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/engine"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/ledger"
+)
+
+// ReadLeases reads all lease rows.
+type ReadLeases struct{}
+
+// Name implements Command.
+func (ReadLeases) Name() string { return "read_leases" }
+
+// WriteLease acquires, renews or, with an empty Holder, releases a lease. It is
+// conditional on Row.RowVersion.
+type WriteLease struct{ Row event.LeaseRow }
+
+// Name implements Command.
+func (WriteLease) Name() string { return "write_lease" }
+
+// LoadTrainer reads all rows of a trainer.
+type LoadTrainer struct{ Trainer string }
+
+// Name implements Command.
+func (LoadTrainer) Name() string { return "load_trainer" }
+
+// RowWrite is one row of CommitRows. Exactly one of the records is set, or
+// Delete is.
+type RowWrite struct {
+	Key     string
+	Trainer *ledger.TrainerRecord
+	Group   *ledger.GroupRecord
+	Sample  *ledger.SampleRecord
+	Lot     *ledger.LotRecord
+	Delete  bool
+	// If is the required row version; Any writes whatever the version is.
+	If  uint64
+	Any bool
+}
+
+// CommitRows writes rows in one conditional transaction. The executor resolves
+// an unknown outcome by reading back; a Failure with verdict MayHaveRun means
+// that this was not possible either.
+type CommitRows struct {
+	ID   uint64
+	Rows []RowWrite
+}
+
+// Name implements Command.
+func (CommitRows) Name() string { return "commit_rows" }
+
+// DeleteObjects removes sample texts, best effort.
+type DeleteObjects struct{ Keys []string }
+
+// Name implements Command.
+func (DeleteObjects) Name() string { return "delete_objects" }
+
+// GenerateSample asks an entry host to generate one sample.
+type GenerateSample struct {
+	EntryID, Address string
+	Trainer          string
+	Class            string
+	Spec             ledger.GroupSpec
+	Index            int
+	Attempt          int
+	Urgent           bool // one of the last samples of its group
+	Hedge            bool
+	MinVersion       ledger.Version // older output would be too stale
+}
+
+// Name implements Command.
+func (GenerateSample) Name() string { return "generate_sample" }
+
+// ScoreGroup asks a scoring service for the scores of a finished group.
+type ScoreGroup struct {
+	Address string
+	Trainer string
+	Spec    ledger.GroupSpec
+	Attempt int
+	Samples []ledger.SampleRecord
+}
+
+// Name implements Command.
+func (ScoreGroup) Name() string { return "score_group" }
+
+// AnswerSubmit answers event.GroupsSubmitted.
+type AnswerSubmit struct {
+	RequestID string
+	Accepted  []string
+	Failure   *event.Failure
+}
+
+// Name implements Command.
+func (AnswerSubmit) Name() string { return "answer_submit" }
+
+// AnswerVersion answers event.VersionDeclared.
+type AnswerVersion struct {
+	RequestID string
+	Version   ledger.Version // in force after the call
+	Failure   *event.Failure
+}
+
+// Name implements Command.
+func (AnswerVersion) Name() string { return "answer_version" }
+
+// AnswerPull answers event.PullRequested with a frozen lot.
+type AnswerPull struct {
+	RequestID string
+	Lot       *ledger.LotRecord
+	Failure   *event.Failure
+}
+
+// Name implements Command.
+func (AnswerPull) Name() string { return "answer_pull" }
+
+// AnswerConfirm answers event.ConfirmRequested.
+type AnswerConfirm struct {
+	RequestID      string
+	CheckedVersion ledger.Version // the trainer's version at the check
+	Failure        *event.Failure // ReasonNotReady if the lot must be pulled again
+}
+
+// Name implements Command.
+func (AnswerConfirm) Name() string { return "answer_confirm" }
+
+// ReadWeights reads all wanted weight versions.
+type ReadWeights struct{}
+
+// Name implements Command.
+func (ReadWeights) Name() string { return "read_weights" }
+
+// OrderWeights sends a wanted state to an engine. The executor drops the order
+// when Deadline has passed before it is sent.
+type OrderWeights struct {
+	Backend, Address string
+	Wanted           engine.Wanted
+	Deadline         time.Duration // monotonic offset
+}
+
+// Name implements Command.
+func (OrderWeights) Name() string { return "order_weights" }
--- /dev/null
+++ b/control/inbox.go
@@ -0,0 +1,45 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/lavenderstand/lavenderstand/event"
+)
+
+// InboxSize is the number of events that may wait for the next tick.
+const InboxSize = 16384
+
+// Inbox carries events from edges, executors and traffic to the control loop.
+type Inbox struct {
+	events  chan event.Event
+	dropped atomic.Uint64
+}
+
+// NewInbox returns an inbox for size events.
+func NewInbox(size int) *Inbox { return &Inbox{events: make(chan event.Event, size)} }
+
+// Post adds an event without waiting. If the inbox is full the event is lost
+// and counted; use it only for reports that the next report supersedes.
+func (b *Inbox) Post(e event.Event) bool {
+	select {
+	case b.events <- e:
+		return true
+	default:
+		b.dropped.Add(1)
+		return false
+	}
+}
+
+// Deliver adds an event and waits for room. It fails only if ctx ends first.
+func (b *Inbox) Deliver(ctx context.Context, e event.Event) error {
+	select {
+	case b.events <- e:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Dropped returns the number of events lost by Post.
+func (b *Inbox) Dropped() uint64 { return b.dropped.Load() }
--- /dev/null
+++ b/event/training.go
@@ -0,0 +1,181 @@
+package event
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/ledger"
+)
+
+// LeaseRow is a lease row as read from the table service.
+type LeaseRow struct {
+	Partition  int
+	RowVersion uint64
+	Holder     string // host row id, empty if released
+	Address    string
+	Fence      uint64
+	Length     time.Duration
+}
+
+// LeasesRead is the answer to command.ReadLeases.
+type LeasesRead struct {
+	Rows    []LeaseRow
+	Failure *Failure
+}
+
+// Name implements Event.
+func (LeasesRead) Name() string { return "leases_read" }
+
+// LeaseWritten is the answer to command.WriteLease.
+type LeaseWritten struct {
+	Row       LeaseRow // as written, if Committed
+	Committed bool
+	// SentAt is the monotonic offset taken before the write was sent.
+	SentAt  time.Duration
+	Failure *Failure
+}
+
+// Name implements Event.
+func (LeaseWritten) Name() string { return "lease_written" }
+
+// TrainerRow, GroupRow and so on are rows with their versions.
+type (
+	// TrainerRow is a stored trainer.
+	TrainerRow struct {
+		Name       string
+		RowVersion uint64
+		Record     ledger.TrainerRecord
+	}
+	// GroupRow is a stored group.
+	GroupRow struct {
+		Trainer    string
+		RowVersion uint64
+		Record     ledger.GroupRecord
+	}
+	// SampleRow is a stored sample.
+	SampleRow struct {
+		Trainer string
+		Record  ledger.SampleRecord
+	}
+)
+
+// TrainerLoaded is the answer to command.LoadTrainer: all rows of a trainer.
+type TrainerLoaded struct {
+	Trainer TrainerRow // Name is set on failure too; RowVersion 0 if new
+	Groups  []GroupRow
+	Samples []SampleRow
+	Lots    []ledger.LotRecord
+	Failure *Failure
+}
+
+// Name implements Event.
+func (TrainerLoaded) Name() string { return "trainer_loaded" }
+
+// GroupsSubmitted is a trainer's submission.
+type GroupsSubmitted struct {
+	RequestID string
+	Trainer   string
+	Groups    []ledger.GroupSpec
+}
+
+// Name implements Event.
+func (GroupsSubmitted) Name() string { return "groups_submitted" }
+
+// VersionDeclared is a trainer's declaration of its current version.
+type VersionDeclared struct {
+	RequestID string
+	Trainer   string
+	Version   ledger.Version
+}
+
+// Name implements Event.
+func (VersionDeclared) Name() string { return "version_declared" }
+
+// PullRequested is a trainer's pull of a step's lot.
+type PullRequested struct {
+	RequestID string
+	Trainer   string
+	Step      int64
+	Version   ledger.Version
+	Groups    int
+	Wait      time.Duration
+}
+
+// Name implements Event.
+func (PullRequested) Name() string { return "pull_requested" }
+
+// ConfirmRequested asks whether a frozen lot may be handed over now.
+type ConfirmRequested struct {
+	RequestID string
+	Trainer   string
+	Step      int64
+	Attempt   int
+}
+
+// Name implements Event.
+func (ConfirmRequested) Name() string { return "confirm_requested" }
+
+// RequestAbandoned says that the sender of a waiting request has gone.
+type RequestAbandoned struct{ RequestID string }
+
+// Name implements Event.
+func (RequestAbandoned) Name() string { return "request_abandoned" }
+
+// SampleGenerated is the answer to command.GenerateSample.
+type SampleGenerated struct {
+	Trainer string
+	Record  ledger.SampleRecord // Group, Index and Attempt are set on failure too
+	Failure *Failure
+	Took    time.Duration
+}
+
+// Name implements Event.
+func (SampleGenerated) Name() string { return "sample_generated" }
+
+// RowsCommitted is the answer to command.CommitRows.
+type RowsCommitted struct {
+	ID        uint64 // of the command
+	Committed bool
+	Versions  map[string]uint64 // new versions by key, if Committed
+	Failure   *Failure
+}
+
+// Name implements Event.
+func (RowsCommitted) Name() string { return "rows_committed" }
+
+// GroupScored is the answer to command.ScoreGroup.
+type GroupScored struct {
+	Trainer string
+	Group   string
+	Attempt int
+	Scores  []float64
+	Failure *Failure
+}
+
+// Name implements Event.
+func (GroupScored) Name() string { return "group_scored" }
+
+// WeightsRow is a model's wanted version.
+type WeightsRow struct {
+	Model      string
+	RowVersion uint64
+	Version    ledger.Version
+}
+
+// WeightsRead is the answer to command.ReadWeights.
+type WeightsRead struct {
+	Rows    []WeightsRow
+	Failure *Failure
+}
+
+// Name implements Event.
+func (WeightsRead) Name() string { return "weights_read" }
+
+// OrderAnswered is the answer to command.OrderWeights.
+type OrderAnswered struct {
+	Backend string
+	Model   string
+	Failure *Failure
+}
+
+// Name implements Event.
+func (OrderAnswered) Name() string { return "order_answered" }
--- /dev/null
+++ b/peer/status.go
@@ -0,0 +1,78 @@
+// Package peer carries calls between the system's own processes over gRPC. It
+// converts messages to typed values and verdicts to status details; it decides
+// nothing.
+package peer
+
+import (
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/lavenderstand/lavenderstand/peer/peerpb"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// StatusOf returns a gRPC error that carries the verdict and reason of err.
+func StatusOf(err error) error {
+	if err == nil {
+		return nil
+	}
+	reason := verdict.ReasonOf(err)
+	s := status.New(codeOf(reason), err.Error())
+	detailed, detailErr := s.WithDetails(&peerpb.RefusalDetail{
+		Verdict: verdict.Of(err).String(),
+		Reason:  string(reason),
+	})
+	if detailErr != nil {
+		return s.Err()
+	}
+	return detailed.Err()
+}
+
+func codeOf(reason verdict.Reason) codes.Code {
+	switch reason {
+	case verdict.ReasonNotHolder:
+		return codes.FailedPrecondition
+	case verdict.ReasonUnauthenticated:
+		return codes.Unauthenticated
+	case verdict.ReasonForbidden:
+		return codes.PermissionDenied
+	case verdict.ReasonBadRequest:
+		return codes.InvalidArgument
+	case verdict.ReasonDeadline:
+		return codes.DeadlineExceeded
+	case verdict.ReasonCanceled:
+		return codes.Canceled
+	case verdict.ReasonOverload, verdict.ReasonRateLimited:
+		return codes.ResourceExhausted
+	case verdict.ReasonInternal:
+		return codes.Internal
+	default:
+		return codes.Unavailable
+	}
+}
+
+// ErrorOf returns the error that a peer sent with StatusOf. A failure of the
+// call itself carries MayHaveRun, because the peer may have acted on it.
+func ErrorOf(err error) error {
+	if err == nil {
+		return nil
+	}
+	s := status.Convert(err)
+	for _, d := range s.Details() {
+		if detail, ok := d.(*peerpb.RefusalDetail); ok {
+			return refusal(detail, s.Message())
+		}
+	}
+	if s.Code() == codes.DeadlineExceeded {
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonDeadline, "call peer")
+	}
+	return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonConnectionLost, "call peer")
+}
+
+func refusal(detail *peerpb.RefusalDetail, message string) error {
+	v := verdict.MayHaveRun
+	if err := v.UnmarshalText([]byte(detail.GetVerdict())); err != nil {
+		v = verdict.MayHaveRun
+	}
+	return verdict.New(v, verdict.Reason(detail.GetReason()), "%s", message)
+}
--- /dev/null
+++ b/system/membership.go
@@ -0,0 +1,59 @@
+package system
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// Membership keeps the backend rows in line with the platform's host list and
+// reads the list every period. A failed read changes no row: the list lags
+// anyway, and the servers' own reports tell of departures meanwhile.
+func Membership(period time.Duration) System {
+	var next time.Duration
+	var pending bool
+	return func(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+		for _, e := range in {
+			if read, ok := e.(event.HostListRead); ok {
+				pending = false
+				applyHostList(t, read)
+			}
+		}
+		if !pending && now >= next {
+			pending, next = true, now+period
+			out.Add(command.ReadHostList{})
+		}
+		out.WakeAt(next)
+	}
+}
+
+func applyHostList(t *table.Tables, read event.HostListRead) {
+	if read.Failure != nil {
+		return
+	}
+	for _, b := range t.Backends.All() {
+		b.ListMissing = true
+	}
+	for _, h := range read.Hosts {
+		if h.Kind != "entry" {
+			applyListedBackend(t, h)
+		}
+	}
+}
+
+func applyListedBackend(t *table.Tables, h platform.ListedHost) {
+	b, created := t.Backends.Upsert(h.Name)
+	if created {
+		b.Name = h.Name
+		b.Counters = new(plan.Counters)
+	}
+	b.Kind, b.Model = table.BackendKind(h.Kind), h.Model
+	b.Address, b.Zone = h.Address, h.Zone
+	b.ChecksFence, b.ChecksIdentity = h.ChecksFence, h.ChecksIdentity
+	b.ListMissing = false
+	b.ListLeaving = h.State != platform.StateLive
+}
--- /dev/null
+++ b/table/routing.go
@@ -0,0 +1,124 @@
+package table
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/plan"
+)
+
+// Role is the job of one of the system's own processes.
+type Role string
+
+// Roles of the system's own processes.
+const (
+	RoleEntry      Role = "entry"
+	RoleController Role = "controller"
+)
+
+// Self describes the process that owns the tables.
+type Self struct {
+	ID       string // host row id, unique per process start
+	Host     string
+	Zone     string
+	Role     Role
+	Address  string // gRPC address of this process
+	Draining bool   // a planned stop has begun
+}
+
+// Host is one of the system's own processes, learned from host rows.
+type Host struct {
+	ID      string
+	Host    string
+	Zone    string
+	Role    Role
+	Address string // gRPC address
+
+	RowVersion  uint64
+	RowSeen     time.Duration // when RowVersion last changed on our clock
+	LastContact time.Duration // last successful Contact, zero if none
+	// Config version and store state that the peer reported at LastContact.
+	ConfigVersion  uint64
+	StoreReachable bool
+	ContactPending bool
+}
+
+// BackendKind is the kind of a backend server.
+type BackendKind string
+
+// Kinds of backend servers in the platform's host list.
+const (
+	KindEngine  BackendKind = "engine"
+	KindService BackendKind = "service"
+	KindScoring BackendKind = "scoring"
+)
+
+// Backend is a backend server as this process sees it.
+type Backend struct {
+	Name           string
+	Kind           BackendKind
+	Model          string // model of an engine, service name of a service
+	Address        string
+	Zone           string
+	ChecksFence    bool
+	ChecksIdentity bool
+
+	// Each source that says the backend is leaving counts on its own.
+	ListLeaving    bool
+	ListMissing    bool // absent from the newest list
+	ReportLeaving  bool
+	RefusedLeaving bool // a refusal or connection shutdown said so
+
+	// Newest load report.
+	Report     plan.Report
+	ReportSeen time.Duration // on our clock, zero if none
+	BootID     string
+
+	// Weight state as the engine reported it.
+	Active       ledger.Version // active version, 0 if unknown
+	Loaded       []ledger.Version
+	Loading      ledger.Version
+	LoadFailures int
+	Fence        uint64
+
+	// Failure detection.
+	ConsecutiveFailures int
+	EjectedUntil        time.Duration
+	Ejections           int
+	Probing             bool
+
+	Counters *plan.Counters // shared with traffic; requests in flight and sent
+}
+
+// Class is a class of work with the operators' target and what is derived.
+type Class struct {
+	Name   string
+	Target plan.Target
+
+	Priority int     // derived: engine priority, higher runs first
+	Share    float64 // derived: share of engine slots that the class may fill, 0 to 1
+
+	// Outcomes reported by traffic since the last evaluation.
+	OnTime, Late, Failed, Refused uint64
+	LastEvaluated                 time.Duration
+	OnTimeShare                   float64 // of the last evaluated window
+}
+
+// Config is the newest accepted configuration known to this process.
+type Config struct {
+	Version     uint64
+	Body        plan.Config
+	ConfirmedAt time.Duration // when the row was last read, or confirmed by rule
+	StoreReadAt time.Duration // when the table service last answered a read of the row
+	ReadPending bool
+	NextRead    time.Duration
+	Confirmed   bool // this process may serve new requests
+}
+
+// Leaving reports whether any source says that the backend is leaving.
+func (b *Backend) Leaving() bool {
+	return b.ListLeaving || b.ListMissing || b.ReportLeaving || b.RefusedLeaving
+}
+
+// Routable reports whether the backend may receive new work.
+func (b *Backend) Routable() bool { return !b.Leaving() && b.EjectedUntil == 0 }
--- /dev/null
+++ b/table/tables.go
@@ -0,0 +1,22 @@
+package table
+
+// Tables is the whole control state of one process. An entry host fills the
+// tables of routing, a controller those of background work; both fill hosts,
+// backends and configuration.
+type Tables struct {
+	Self     Self
+	Config   Config
+	Hosts    Table[Host]    // keyed by host row id
+	Backends Table[Backend] // keyed by backend name
+	Classes  Table[Class]   // keyed by class name
+
+	Partitions Table[Partition] // keyed by PartitionKey
+	Trainers   Table[Trainer]   // keyed by trainer name
+	Groups     Table[Group]     // keyed by GroupKey
+	Samples    Table[Sample]    // keyed by SampleKey
+	Pulls      Table[Pull]      // keyed by request id
+	Weights    Table[Weights]   // keyed by model name
+}
+
+// New returns empty tables for the process described by self.
+func New(self Self) *Tables { return &Tables{Self: self} }
--- /dev/null
+++ b/verdict/error.go
@@ -0,0 +1,99 @@
+package verdict
+
+import (
+	"github.com/joomcode/errorx"
+)
+
+// Reason is the machine-readable cause of a refusal, a failure or a retry. It
+// is also the value of the "reason" tag of the counters.
+type Reason string
+
+// Reasons used on the request path.
+const (
+	ReasonBadRequest        Reason = "bad_request"
+	ReasonUnauthenticated   Reason = "unauthenticated"
+	ReasonForbidden         Reason = "forbidden"
+	ReasonUnknownRoute      Reason = "unknown_route"
+	ReasonUnknownClass      Reason = "unknown_class"
+	ReasonUnknownModel      Reason = "unknown_model"
+	ReasonBodyTooLarge      Reason = "body_too_large"
+	ReasonRateLimited       Reason = "rate_limited"
+	ReasonOverload          Reason = "overload"
+	ReasonNoBackend         Reason = "no_backend"
+	ReasonDraining          Reason = "draining"
+	ReasonConfigUnconfirmed Reason = "config_unconfirmed"
+	ReasonDeadline          Reason = "deadline_exceeded"
+	ReasonCanceled          Reason = "canceled"
+	ReasonDuplicateRequest  Reason = "duplicate_request"
+	ReasonMissingKey        Reason = "missing_idempotency_key"
+	ReasonStoreUnavailable  Reason = "store_unavailable"
+	ReasonConnectFailed     Reason = "connect_failed"
+	ReasonConnectionLost    Reason = "connection_lost"
+	ReasonBackendRefused    Reason = "backend_refused"
+	ReasonBackendFailed     Reason = "backend_failed"
+	ReasonBadAnswer         Reason = "bad_answer"
+	ReasonTruncatedAnswer   Reason = "truncated_answer"
+	ReasonForeignAnswer     Reason = "foreign_answer"
+	ReasonVersionChanged    Reason = "version_changed"
+	ReasonRetryBudget       Reason = "retry_budget_exhausted"
+	ReasonNotHolder         Reason = "not_holder"
+	ReasonNoMajority        Reason = "no_majority"
+	ReasonConflict          Reason = "conflict"
+	ReasonStaleFence        Reason = "stale_fence"
+	ReasonUnlabelled        Reason = "unlabelled"
+	ReasonNotReady          Reason = "not_ready"
+	ReasonInternal          Reason = "internal"
+	ReasonUnknown           Reason = "unknown"
+)
+
+// Errors is the errorx namespace of all errors that carry a verdict.
+var Errors = errorx.NewNamespace("lavenderstand")
+
+// Refusal is the type of errors that carry a verdict and a reason.
+var Refusal = Errors.NewType("refusal")
+
+var (
+	verdictProperty = errorx.RegisterProperty("verdict")
+	reasonProperty  = errorx.RegisterPrintableProperty("reason")
+)
+
+// New returns an error that carries a verdict and a reason.
+func New(v Verdict, reason Reason, format string, args ...any) *errorx.Error {
+	return Refusal.New(format, args...).
+		WithProperty(verdictProperty, v).
+		WithProperty(reasonProperty, reason)
+}
+
+// Wrap returns an error that carries a verdict, a reason and a cause.
+func Wrap(cause error, v Verdict, reason Reason, format string, args ...any) *errorx.Error {
+	return Refusal.Wrap(cause, format, args...).
+		WithProperty(verdictProperty, v).
+		WithProperty(reasonProperty, reason)
+}
+
+// Of returns the verdict of err: Ran for nil, MayHaveRun if err carries none.
+func Of(err error) Verdict {
+	if err == nil {
+		return Ran
+	}
+	if v, ok := property(err, verdictProperty).(Verdict); ok {
+		return v
+	}
+	return MayHaveRun
+}
+
+// ReasonOf returns the reason of err, ReasonUnknown if it carries none.
+func ReasonOf(err error) Reason {
+	if r, ok := property(err, reasonProperty).(Reason); ok {
+		return r
+	}
+	return ReasonUnknown
+}
+
+func property(err error, key errorx.Property) any {
+	value, ok := errorx.ExtractProperty(err, key)
+	if !ok {
+		return nil
+	}
+	return value
+}
