--- /dev/null
+++ b/ledger/rules_test.go
@@ -0,0 +1,66 @@
+package ledger
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a label that leaves tokens without a version or names none.
+func TestCheckRanges(t *testing.T) {
+	for name, c := range map[string]struct {
+		ranges []Range
+		tokens int
+		ok     bool
+	}{
+		"one version":    {[]Range{{0, 10, 3}}, 10, true},
+		"swap":           {[]Range{{0, 4, 3}, {4, 10, 4}}, 10, true},
+		"swap back":      {[]Range{{0, 4, 4}, {4, 10, 3}}, 10, true},
+		"gap":            {[]Range{{0, 4, 3}, {5, 10, 4}}, 10, false},
+		"overlap":        {[]Range{{0, 4, 3}, {3, 10, 4}}, 10, false},
+		"short":          {[]Range{{0, 9, 3}}, 10, false},
+		"long":           {[]Range{{0, 11, 3}}, 10, false},
+		"no version":     {[]Range{{0, 10, 0}}, 10, false},
+		"late start":     {[]Range{{1, 10, 3}}, 10, false},
+		"empty range":    {[]Range{{0, 0, 3}, {0, 10, 3}}, 10, false},
+		"no tokens":      {nil, 0, false},
+		"negative range": {[]Range{{0, 12, 3}, {12, 10, 3}}, 10, false},
+	} {
+		err := CheckRanges(c.ranges, c.tokens)
+		if c.ok {
+			require.NoError(t, err, name)
+			continue
+		}
+		require.ErrorIs(t, err, ErrUnlabelled, name)
+	}
+}
+
+// Guards against ranges built chunk by chunk that do not cover what was appended.
+func TestAppendRangeCoversAllTokens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var ranges []Range
+		total := 0
+		for range rapid.IntRange(1, 30).Draw(t, "chunks") {
+			count := rapid.IntRange(1, 9).Draw(t, "count")
+			version := Version(rapid.Int64Range(1, 3).Draw(t, "version"))
+			ranges = AppendRange(ranges, count, version)
+			total += count
+		}
+		require.NoError(t, CheckRanges(ranges, total))
+		for i := 1; i < len(ranges); i++ {
+			require.NotEqual(t, ranges[i-1].Version, ranges[i].Version)
+		}
+	})
+}
+
+// Guards against a lot that counts as fresh by its newest range only.
+func TestFreshUsesOldestRange(t *testing.T) {
+	lot := LotRecord{StalenessBound: 2, Samples: []LotSample{
+		{SampleRecord: SampleRecord{Ranges: []Range{{0, 5, 7}, {5, 9, 9}}}},
+		{SampleRecord: SampleRecord{Ranges: []Range{{0, 9, 9}}}},
+	}}
+	require.True(t, lot.Fresh(9))
+	require.False(t, lot.Fresh(10))
+	require.Equal(t, int64(0), Staleness(lot.Samples[1].Ranges, 3))
+}
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -1,6 +1,8 @@
 package verdict
 
 import (
+	"errors"
+
 	"github.com/joomcode/errorx"
 )
 
@@ -91,9 +93,10 @@
 }
 
 func property(err error, key errorx.Property) any {
-	value, ok := errorx.ExtractProperty(err, key)
-	if !ok {
+	var carrier *errorx.Error
+	if !errors.As(err, &carrier) {
 		return nil
 	}
+	value, _ := carrier.Property(key)
 	return value
 }
--- /dev/null
+++ b/verdict/verdict_test.go
@@ -0,0 +1,57 @@
+package verdict_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// Guards against an error of unknown origin being taken for "not run".
+func TestPlainErrorMayHaveRun(t *testing.T) {
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(errors.New("reset")))
+	require.Equal(t, verdict.ReasonUnknown, verdict.ReasonOf(errors.New("reset")))
+	require.Equal(t, verdict.Ran, verdict.Of(nil))
+	var zero verdict.Verdict
+	require.False(t, zero.Retryable(false))
+}
+
+// Guards against a verdict lost when an error is wrapped on its way up.
+func TestVerdictSurvivesWrapping(t *testing.T) {
+	err := verdict.New(verdict.NotRun, verdict.ReasonOverload, "queue is full")
+	wrapped := fmt.Errorf("class live: %w", err)
+	require.Equal(t, verdict.NotRun, verdict.Of(wrapped))
+	require.Equal(t, verdict.ReasonOverload, verdict.ReasonOf(wrapped))
+	outer := verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonConnectionLost, "attempt 2")
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(outer))
+}
+
+// Guards against a message with an unknown verdict being read as some verdict.
+func TestVerdictText(t *testing.T) {
+	for _, v := range []verdict.Verdict{verdict.NotRun, verdict.MayHaveRun, verdict.Ran} {
+		data, err := json.Marshal(v)
+		require.NoError(t, err)
+		var back verdict.Verdict
+		require.NoError(t, json.Unmarshal(data, &back))
+		require.Equal(t, v, back)
+	}
+	var v verdict.Verdict
+	require.Error(t, json.Unmarshal([]byte(`"maybe"`), &v))
+}
+
+// A claim that was refused before it left may be sent again; one whose answer
+// was lost may not.
+func Example() {
+	refused := verdict.New(verdict.NotRun, verdict.ReasonConnectFailed, "connection refused")
+	lost := verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, "connection reset")
+	const idempotent = false
+	fmt.Println(verdict.Of(refused), verdict.Of(refused).Retryable(idempotent))
+	fmt.Println(verdict.Of(lost), verdict.Of(lost).Retryable(idempotent))
+	// Output:
+	// not_run true
+	// may_have_run false
+}
