--- /dev/null
+++ b/handler/platform.go
@@ -0,0 +1,112 @@
+package handler
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/configstore"
+	"github.com/lavenderstand/lavenderstand/control"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// Counters of the platform's executors.
+const (
+	// CounterRetries counts repeated calls; tags command and reason.
+	CounterRetries = "platform_retries"
+	// CounterMalformed counts rows that were skipped; tag kind.
+	CounterMalformed = "malformed_rows"
+	// CounterObjectsKept counts objects that could not be deleted; tag reason.
+	CounterObjectsKept = "objects_not_deleted"
+)
+
+// Limits of the platform's executors.
+const (
+	// readTimeout limits a read: the next period repeats it.
+	readTimeout = 2 * time.Second
+	// writeTimeout limits a write with its read back. It is below the shortest
+	// time until a lease is taken over (8 s), so that no other holder deletes
+	// rows while copies of a write are still being sent.
+	writeTimeout = 5 * time.Second
+	// leaseTimeout is below the length of a lease (6 s): a later renewal is void.
+	leaseTimeout = 4 * time.Second
+	// deleteTimeout limits the removal of the objects of one command.
+	deleteTimeout = 30 * time.Second
+
+	readsAtOnce   = 1
+	commitsAtOnce = 16
+	leasesAtOnce  = 16
+	loadsAtOnce   = 4
+	deletesAtOnce = 2
+)
+
+// Platform is what the platform's executors need.
+type Platform struct {
+	Tables  platform.Tables
+	Objects platform.Objects
+	Hosts   platform.HostList
+	// Clock returns the monotonic offset from process start.
+	Clock func() time.Duration
+	// NewOp returns unique operation ids, see platform.OpIDs.
+	NewOp func() string
+	// Random returns numbers in [0, 1), safe for concurrent use.
+	Random func() float64
+	// Count, if set, adds 1 to a counter, safe for concurrent use.
+	Count func(counter string, tags map[string]string)
+}
+
+// RegisterPlatform registers the executors of all commands to the platform.
+func RegisterPlatform(pool *control.Pool, deps Platform) {
+	p := &deps
+	control.Handle(pool, readsAtOnce, p.readHostList)
+	control.Handle(pool, readsAtOnce, p.readHostRows)
+	control.Handle(pool, readsAtOnce, p.writeHostRow)
+	control.Handle(pool, readsAtOnce, p.readConfig)
+	control.Handle(pool, readsAtOnce, p.commitConfig)
+	control.Handle(pool, readsAtOnce, p.readLeases)
+	control.Handle(pool, leasesAtOnce, p.writeLease)
+	control.Handle(pool, loadsAtOnce, p.loadTrainer)
+	control.Handle(pool, commitsAtOnce, p.commitRows)
+	control.Handle(pool, deletesAtOnce, p.deleteObjects)
+	control.Handle(pool, readsAtOnce, p.readWeights)
+}
+
+func (p *Platform) count(counter string, tags map[string]string) {
+	if p.Count != nil {
+		p.Count(counter, tags)
+	}
+}
+
+// resolve returns the repetition of calls for a command.
+func (p *Platform) resolve(name string) platform.Resolve {
+	return platform.Resolve{
+		Random: p.Random,
+		Count: func(reason verdict.Reason) {
+			p.count(CounterRetries, map[string]string{"command": name, "reason": string(reason)})
+		},
+	}
+}
+
+func (p *Platform) readHostList(ctx context.Context, _ command.ReadHostList) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	list, err := p.Hosts.Hosts(ctx)
+	return event.HostListRead{Hosts: list, Failure: event.FailureOf(err)}
+}
+
+func (p *Platform) config(name string) *configstore.Store {
+	return &configstore.Store{Tables: p.Tables, NewOp: p.NewOp, Resolve: p.resolve(name)}
+}
+
+func (p *Platform) deleteObjects(ctx context.Context, c command.DeleteObjects) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, deleteTimeout)
+	defer cancel()
+	for _, key := range c.Keys {
+		if err := p.Objects.Delete(ctx, key); err != nil {
+			p.count(CounterObjectsKept, map[string]string{"reason": string(verdict.ReasonOf(err))})
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/handler/platform_hosts.go
@@ -0,0 +1,96 @@
+package handler
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+const hostPrefix = "host/"
+
+type hostValue struct {
+	Host    string `json:"host"`
+	Zone    string `json:"zone"`
+	Role    string `json:"role"`
+	Address string `json:"address"`
+}
+
+func decodeHost(row platform.Row) (event.HostRow, error) {
+	var v hostValue
+	if err := json.Unmarshal(row.Value, &v); err != nil {
+		return event.HostRow{}, err
+	}
+	id := strings.TrimPrefix(row.Key, hostPrefix)
+	if id == "" || v.Host == "" || v.Role == "" {
+		return event.HostRow{}, errorx.IllegalFormat.New("host row %s without host or role", row.Key)
+	}
+	return event.HostRow{
+		ID: id, Host: v.Host, Zone: v.Zone, Role: v.Role, Address: v.Address, RowVersion: row.Version,
+	}, nil
+}
+
+// decodeRows decodes all rows and counts and skips malformed ones.
+func decodeRows[T any](p *Platform, kind string, rows []platform.Row, decode func(platform.Row) (T, error)) []T {
+	decoded := make([]T, 0, len(rows))
+	for _, row := range rows {
+		v, err := decode(row)
+		if err != nil {
+			p.count(CounterMalformed, map[string]string{"kind": kind})
+			continue
+		}
+		decoded = append(decoded, v)
+	}
+	return decoded
+}
+
+func (p *Platform) readHostRows(ctx context.Context, _ command.ReadHostRows) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	rows, err := p.Tables.Scan(ctx, hostPrefix)
+	if err != nil {
+		return event.HostRowsRead{Failure: event.FailureOf(err)}
+	}
+	return event.HostRowsRead{Rows: decodeRows(p, "host", rows, decodeHost)}
+}
+
+// writeHostRow replaces or deletes the row as it is now. Only this process
+// writes it, but the write is conditional all the same: a late copy of a
+// renewal must not bring a deleted row back.
+func (p *Platform) writeHostRow(ctx context.Context, c command.WriteHostRow) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return event.HostRowWritten{Failure: event.FailureOf(p.putHostRow(ctx, c))}
+}
+
+func (p *Platform) putHostRow(ctx context.Context, c command.WriteHostRow) error {
+	key := hostPrefix + c.Row.ID
+	resolve := p.resolve(c.Name())
+	current, found, err := platform.GetRepeated(ctx, p.Tables, key, resolve)
+	if err != nil || (c.Delete && !found) {
+		return err
+	}
+	txn := platform.Txn{Op: p.NewOp(), If: []platform.Condition{{Key: key, Version: current.Version}}}
+	if c.Delete {
+		txn.Delete = []string{key}
+		resolve.AbsentIsCommitted = true
+	} else {
+		value, err := json.Marshal(hostValue{c.Row.Host, c.Row.Zone, c.Row.Role, c.Row.Address})
+		if err != nil {
+			return verdict.Wrap(err, verdict.NotRun, verdict.ReasonInternal, "encode host row")
+		}
+		txn.Put = []platform.Put{{Key: key, Value: value}}
+		resolve.CreatedRowsKept = true // until this process's planned stop
+	}
+	result, err := platform.CommitResolved(ctx, p.Tables, txn, resolve)
+	if err == nil && !result.Committed {
+		return verdict.New(verdict.NotRun, verdict.ReasonConflict, "host row %s was changed by another writer", key)
+	}
+	return err
+}
--- /dev/null
+++ b/handler/platform_lease.go
@@ -0,0 +1,55 @@
+package handler
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/lease"
+	"github.com/lavenderstand/lavenderstand/platform"
+)
+
+func decodeLease(row platform.Row) (event.LeaseRow, error) {
+	name, _ := lease.Name(row.Key)
+	partition, err := strconv.Atoi(name)
+	if err != nil || partition < 0 || strconv.Itoa(partition) != name {
+		return event.LeaseRow{}, errorx.IllegalFormat.New("lease row %s is of no partition", row.Key)
+	}
+	record, err := lease.Decode(row.Value)
+	if err != nil {
+		return event.LeaseRow{}, err
+	}
+	return event.LeaseRow{
+		Partition: partition, RowVersion: row.Version,
+		Holder: record.Holder, Address: record.Address, Fence: record.Fence, Length: record.Length,
+	}, nil
+}
+
+func (p *Platform) readLeases(ctx context.Context, _ command.ReadLeases) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	rows, err := p.Tables.Scan(ctx, lease.Prefix)
+	if err != nil {
+		return event.LeasesRead{Failure: event.FailureOf(err)}
+	}
+	return event.LeasesRead{Rows: decodeRows(p, "lease", rows, decodeLease)}
+}
+
+// writeLease takes SentAt before the first copy of the write is sent, which is
+// the earliest time at which an observer can have seen the new row version.
+func (p *Platform) writeLease(ctx context.Context, c command.WriteLease) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	answer := event.LeaseWritten{Row: c.Row, SentAt: p.Clock()}
+	record := lease.Record{Holder: c.Row.Holder, Address: c.Row.Address, Fence: c.Row.Fence, Length: c.Row.Length}
+	version, committed, err := lease.Write(ctx, p.Tables, strconv.Itoa(c.Row.Partition), c.Row.RowVersion,
+		record, p.NewOp(), p.resolve(c.Name()))
+	answer.Committed, answer.Failure = committed, event.FailureOf(err)
+	if committed {
+		answer.Row.RowVersion = version
+	}
+	return answer
+}
--- /dev/null
+++ b/handler/platform_rows.go
@@ -0,0 +1,191 @@
+package handler
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// Prefixes of the keys of a trainer's rows; the trainer's name follows.
+const (
+	trainerPrefix = "trainer/"
+	groupPrefix   = "group/"
+	samplePrefix  = "sample/"
+	lotPrefix     = "lot/"
+	weightsPrefix = "weights/"
+)
+
+// commitRows commits the rows in one transaction.
+func (p *Platform) commitRows(ctx context.Context, c command.CommitRows) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	txn, err := p.transaction(c.Rows)
+	if err != nil {
+		return event.RowsCommitted{ID: c.ID, Failure: event.FailureOf(err)}
+	}
+	resolve := p.resolve(c.Name())
+	// A holder deletes rows only after it knows the outcome of their creation,
+	// another holder only after takeover, which writeTimeout excludes.
+	resolve.CreatedRowsKept = true
+	resolve.AbsentIsCommitted = true // deletions are cleanup
+	result, err := platform.CommitResolved(ctx, p.Tables, txn, resolve)
+	return event.RowsCommitted{
+		ID: c.ID, Committed: result.Committed, Versions: result.Versions, Failure: event.FailureOf(err),
+	}
+}
+
+func (p *Platform) transaction(rows []command.RowWrite) (platform.Txn, error) {
+	txn := platform.Txn{Op: p.NewOp()}
+	for _, row := range rows {
+		if !row.Any {
+			txn.If = append(txn.If, platform.Condition{Key: row.Key, Version: row.If})
+		}
+		if row.Delete {
+			txn.Delete = append(txn.Delete, row.Key)
+			continue
+		}
+		value, err := encodeRow(row)
+		if err != nil {
+			return txn, err
+		}
+		txn.Put = append(txn.Put, platform.Put{Key: row.Key, Value: value})
+	}
+	return txn, txn.Check()
+}
+
+// encodeRow encodes the record that is set.
+func encodeRow(row command.RowWrite) (value json.RawMessage, err error) {
+	switch {
+	case row.Trainer != nil:
+		value, err = json.Marshal(row.Trainer)
+	case row.Group != nil:
+		value, err = json.Marshal(row.Group)
+	case row.Sample != nil:
+		value, err = json.Marshal(row.Sample)
+	case row.Lot != nil:
+		value, err = json.Marshal(row.Lot)
+	default:
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "row %s has no record", row.Key)
+	}
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, "encode row %s", row.Key)
+	}
+	return value, nil
+}
+
+// loadTrainer reads the trainer row first: a change after it makes the holder's
+// next write of that row fail, so an inconsistent view has no durable effect.
+func (p *Platform) loadTrainer(ctx context.Context, c command.LoadTrainer) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	loaded, err := p.load(ctx, c.Trainer)
+	if err != nil {
+		return event.TrainerLoaded{Trainer: event.TrainerRow{Name: c.Trainer}, Failure: event.FailureOf(err)}
+	}
+	return loaded
+}
+
+func (p *Platform) load(ctx context.Context, name string) (event.TrainerLoaded, error) {
+	loaded := event.TrainerLoaded{Trainer: event.TrainerRow{Name: name}}
+	row, found, err := p.Tables.Get(ctx, trainerPrefix+name)
+	if err != nil {
+		return loaded, err
+	}
+	if found {
+		if err := json.Unmarshal(row.Value, &loaded.Trainer.Record); err != nil {
+			// Without this row the trainer's progress is unknown, so it can't be skipped.
+			p.count(CounterMalformed, map[string]string{"kind": "trainer"})
+			return loaded, verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadAnswer, "trainer row %s", row.Key)
+		}
+		loaded.Trainer.RowVersion = row.Version
+	}
+	suffix := name + "/"
+	groups, err := p.Tables.Scan(ctx, groupPrefix+suffix)
+	if err != nil {
+		return loaded, err
+	}
+	samples, err := p.Tables.Scan(ctx, samplePrefix+suffix)
+	if err != nil {
+		return loaded, err
+	}
+	lots, err := p.Tables.Scan(ctx, lotPrefix+suffix)
+	if err != nil {
+		return loaded, err
+	}
+	loaded.Groups = decodeRows(p, "group", groups, groupDecoder(name))
+	loaded.Samples = decodeRows(p, "sample", samples, sampleDecoder(name))
+	loaded.Lots = decodeRows(p, "lot", lots, decodeLot)
+	return loaded, nil
+}
+
+func groupDecoder(trainer string) func(platform.Row) (event.GroupRow, error) {
+	return func(row platform.Row) (event.GroupRow, error) {
+		var r ledger.GroupRecord
+		if err := json.Unmarshal(row.Value, &r); err != nil {
+			return event.GroupRow{}, err
+		}
+		if r.Spec.ID == "" || r.Spec.Samples <= 0 || row.Key != groupPrefix+trainer+"/"+r.Spec.ID {
+			return event.GroupRow{}, errorx.IllegalFormat.New("group row %s has id %q", row.Key, r.Spec.ID)
+		}
+		return event.GroupRow{Trainer: trainer, RowVersion: row.Version, Record: r}, nil
+	}
+}
+
+func sampleDecoder(trainer string) func(platform.Row) (event.SampleRow, error) {
+	return func(row platform.Row) (event.SampleRow, error) {
+		var r ledger.SampleRecord
+		if err := json.Unmarshal(row.Value, &r); err != nil {
+			return event.SampleRow{}, err
+		}
+		if r.Group == "" || r.Index < 0 || !strings.HasPrefix(row.Key, samplePrefix+trainer+"/"+r.Group+"/") {
+			return event.SampleRow{}, errorx.IllegalFormat.New("sample row %s has group %q", row.Key, r.Group)
+		}
+		if err := ledger.CheckRanges(r.Ranges, r.Tokens); err != nil {
+			return event.SampleRow{}, err
+		}
+		return event.SampleRow{Trainer: trainer, Record: r}, nil
+	}
+}
+
+func decodeLot(row platform.Row) (ledger.LotRecord, error) {
+	var r ledger.LotRecord
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return r, err
+	}
+	if r.Step <= 0 || !strings.HasPrefix(row.Key, lotPrefix+r.Trainer+"/") {
+		return r, errorx.IllegalFormat.New("lot row %s has trainer %q and step %d", row.Key, r.Trainer, r.Step)
+	}
+	return r, nil
+}
+
+func decodeWeights(row platform.Row) (event.WeightsRow, error) {
+	var v struct {
+		Version ledger.Version `json:"version"`
+	}
+	if err := json.Unmarshal(row.Value, &v); err != nil {
+		return event.WeightsRow{}, err
+	}
+	model := strings.TrimPrefix(row.Key, weightsPrefix)
+	if model == "" || v.Version <= 0 {
+		return event.WeightsRow{}, errorx.IllegalFormat.New("weights row %s has version %d", row.Key, v.Version)
+	}
+	return event.WeightsRow{Model: model, RowVersion: row.Version, Version: v.Version}, nil
+}
+
+func (p *Platform) readWeights(ctx context.Context, _ command.ReadWeights) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	rows, err := p.Tables.Scan(ctx, weightsPrefix)
+	if err != nil {
+		return event.WeightsRead{Failure: event.FailureOf(err)}
+	}
+	return event.WeightsRead{Rows: decodeRows(p, "weights", rows, decodeWeights)}
+}
--- a/standin/hostlist.go
+++ b/standin/hostlist.go
@@ -5,18 +5,151 @@
 
 import (
 	"net/http"
+	"slices"
+	"sync"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
 	"github.com/lavenderstand/lavenderstand/platform"
 )
 
-// HostList serves a fixed host list.
-type HostList struct{ Listed []platform.ListedHost }
+// HostList serves a host list. Changes become visible after Lag.
+type HostList struct {
+	Listed   []platform.ListedHost // at the start
+	Lag      time.Duration
+	Injector *PlatformInjector // no faults if nil
+
+	mu      sync.Mutex
+	changes []hostChange
+	ledger  []HostListChange
+}
+
+type hostChange struct {
+	visible time.Time
+	hosts   []platform.ListedHost
+}
+
+// HostListChange is an entry of the host list's ledger.
+type HostListChange struct {
+	At      time.Time             `json:"at"`
+	Visible time.Time             `json:"visible"`
+	Hosts   []platform.ListedHost `json:"hosts"`
+}
+
+// Set replaces the list.
+func (h *HostList) Set(hosts []platform.ListedHost) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.set(hosts)
+}
+
+// SetState changes the state of a host; it reports false if there is none.
+func (h *HostList) SetState(name, state string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	hosts := slices.Clone(h.newest())
+	i := slices.IndexFunc(hosts, func(l platform.ListedHost) bool { return l.Name == name })
+	if i < 0 {
+		return false
+	}
+	hosts[i].State = state
+	h.set(hosts)
+	return true
+}
+
+// SetLag sets the delay of later changes.
+func (h *HostList) SetLag(lag time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Lag = lag
+}
+
+// Hosts returns the list as it is visible now.
+func (h *HostList) Hosts() []platform.ListedHost {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for len(h.changes) > 0 && !time.Now().Before(h.changes[0].visible) {
+		h.Listed, h.changes = h.changes[0].hosts, h.changes[1:]
+	}
+	return h.Listed
+}
+
+// Ledger returns all changes.
+func (h *HostList) Ledger() []HostListChange {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.ledger)
+}
+
+func (h *HostList) newest() []platform.ListedHost {
+	if n := len(h.changes); n > 0 {
+		return h.changes[n-1].hosts
+	}
+	return h.Listed
+}
+
+// set appends a change. A change is never visible before an earlier one.
+func (h *HostList) set(hosts []platform.ListedHost) {
+	now := time.Now()
+	visible := now.Add(h.Lag)
+	if n := len(h.changes); n > 0 && visible.Before(h.changes[n-1].visible) {
+		visible = h.changes[n-1].visible
+	}
+	h.changes = append(h.changes, hostChange{visible, hosts})
+	h.ledger = append(h.ledger, HostListChange{At: now, Visible: visible, Hosts: hosts})
+}
 
 // Register adds the host list's routes.
 func (h *HostList) Register(e *echo.Echo) {
+	if h.Injector == nil {
+		h.Injector = NewPlatformInjector(1)
+	}
+	g := newGate(h.Injector, PlatformRates{})
 	e.GET("/v1/hosts", func(c echo.Context) error {
-		return c.JSON(http.StatusOK, map[string]any{"hosts": h.Listed})
+		return g.read(c, func() error {
+			hosts := h.Hosts()
+			if hosts == nil {
+				hosts = []platform.ListedHost{}
+			}
+			return c.JSON(http.StatusOK, map[string]any{"hosts": hosts})
+		})
+	})
+	h.registerAdmin(e)
+}
+
+func (h *HostList) registerAdmin(e *echo.Echo) {
+	e.PUT("/admin/hosts", func(c echo.Context) error {
+		var body struct {
+			Hosts []platform.ListedHost `json:"hosts"`
+		}
+		if err := c.Bind(&body); err != nil {
+			return err
+		}
+		h.Set(body.Hosts)
+		return c.NoContent(http.StatusNoContent)
+	})
+	e.POST("/admin/hosts/state", func(c echo.Context) error {
+		var body struct{ Name, State string }
+		if err := c.Bind(&body); err != nil {
+			return err
+		}
+		if body.State != platform.StateLive && body.State != platform.StateLeaving {
+			return reject(c, http.StatusBadRequest, "state is neither live nor leaving")
+		}
+		if !h.SetState(body.Name, body.State) {
+			return reject(c, http.StatusNotFound, "no such host")
+		}
+		return c.NoContent(http.StatusNoContent)
+	})
+	e.POST("/admin/hosts/lag", func(c echo.Context) error {
+		var body struct {
+			LagMS int64 `json:"lag_ms"`
+		}
+		if err := c.Bind(&body); err != nil {
+			return err
+		}
+		h.SetLag(time.Duration(body.LagMS) * time.Millisecond)
+		return c.NoContent(http.StatusNoContent)
 	})
 }
--- /dev/null
+++ b/standin/platform_inprocess.go
@@ -0,0 +1,169 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// MemoryTables is the table service in memory, for unit tests. It has the same
+// faults as the one over HTTP, but a late write takes effect when LandLate is
+// called.
+type MemoryTables struct {
+	Store    *TableStore
+	Injector *PlatformInjector
+
+	mu   sync.Mutex
+	late []platform.Txn
+}
+
+// NewMemoryTables returns an empty table service without faults.
+func NewMemoryTables(seed uint64) *MemoryTables {
+	return &MemoryTables{Store: NewTableStore(), Injector: NewPlatformInjector(seed)}
+}
+
+// Commit implements platform.Tables.
+func (m *MemoryTables) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	if err := txn.Check(); err != nil {
+		return platform.TxnResult{}, err
+	}
+	d := m.Injector.decide(true)
+	if err := pauseOrRejected(ctx, d); err != nil {
+		return platform.TxnResult{}, err
+	}
+	lost := verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, "answer lost")
+	switch d.kind {
+	case faultRequestLost:
+		return platform.TxnResult{}, lost
+	case faultLate:
+		m.mu.Lock()
+		m.late = append(m.late, txn)
+		m.mu.Unlock()
+		return platform.TxnResult{}, lost
+	}
+	result := m.Store.Apply(txn)
+	if d.kind == faultAnswerLost {
+		return platform.TxnResult{}, lost
+	}
+	return result, nil
+}
+
+// LandLate lets all late writes take effect, if their conditions hold, and
+// returns the number that committed.
+func (m *MemoryTables) LandLate() int {
+	m.mu.Lock()
+	late := m.late
+	m.late = nil
+	m.mu.Unlock()
+	landed := 0
+	for _, txn := range late {
+		if m.Store.Apply(txn).Committed {
+			landed++
+		}
+	}
+	return landed
+}
+
+// Get implements platform.Tables.
+func (m *MemoryTables) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+	if err := pauseOrRejected(ctx, m.Injector.decide(false)); err != nil {
+		return platform.Row{}, false, err
+	}
+	row, found := m.Store.Read(key)
+	return row, found, nil
+}
+
+// Scan implements platform.Tables.
+func (m *MemoryTables) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+	if err := pauseOrRejected(ctx, m.Injector.decide(false)); err != nil {
+		return nil, err
+	}
+	rows, _ := m.Store.Page(prefix, "", int(^uint(0)>>1))
+	return rows, nil
+}
+
+// MemoryObjects is the object store in memory, for unit tests.
+type MemoryObjects struct {
+	Store    *ObjectStore
+	Injector *PlatformInjector
+}
+
+// NewMemoryObjects returns an empty object store without faults.
+func NewMemoryObjects(seed uint64) *MemoryObjects {
+	return &MemoryObjects{Store: NewObjectStore(), Injector: NewPlatformInjector(seed)}
+}
+
+// Put implements platform.Objects.
+func (m *MemoryObjects) Put(ctx context.Context, key string, data []byte) error {
+	return m.write(ctx, func() error {
+		if !m.Store.Write(key, data) {
+			return verdict.New(verdict.NotRun, verdict.ReasonConflict, "object %s exists with other bytes", key)
+		}
+		return nil
+	})
+}
+
+// Get implements platform.Objects.
+func (m *MemoryObjects) Get(ctx context.Context, key string) ([]byte, bool, error) {
+	if err := pauseOrRejected(ctx, m.Injector.decide(false)); err != nil {
+		return nil, false, err
+	}
+	data, found := m.Store.Read(key)
+	return data, found, nil
+}
+
+// Delete implements platform.Objects.
+func (m *MemoryObjects) Delete(ctx context.Context, key string) error {
+	return m.write(ctx, func() error { m.Store.Remove(key); return nil })
+}
+
+// write runs apply unless the request is lost. A late write is treated as a
+// lost request: objects are write-once, so a late copy shows nothing new.
+func (m *MemoryObjects) write(ctx context.Context, apply func() error) error {
+	d := m.Injector.decide(true)
+	if err := pauseOrRejected(ctx, d); err != nil {
+		return err
+	}
+	lost := verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, "answer lost")
+	switch d.kind {
+	case faultRequestLost, faultLate:
+		return lost
+	case faultAnswerLost:
+		_ = apply()
+		return lost
+	}
+	return apply()
+}
+
+// pauseOrRejected waits for a slow request and returns the error of a rejected
+// one. A request that is canceled while it waits was not run.
+func pauseOrRejected(ctx context.Context, d faultDecision) error {
+	if !sleep(ctx, d.delay) {
+		return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.ReasonStoreUnavailable, "request ended before it was run")
+	}
+	switch d.kind {
+	case faultDown:
+		return verdict.New(verdict.NotRun, verdict.ReasonStoreUnavailable, "down")
+	case faultRejected:
+		return verdict.New(verdict.NotRun, verdict.ReasonRateLimited, "rate exceeded")
+	}
+	return nil
+}
+
+// sleep pauses for d; it returns false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
