--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,191 @@
+package claim_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/claim"
+	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/standin"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+func store(tables platform.Tables) *claim.Store {
+	return &claim.Store{
+		Tables: tables, Entry: "e1", NewOp: platform.OpIDs(rand.Uint64), Now: time.Now,
+		Resolve: platform.Resolve{Random: func() float64 { return 0.1 }},
+	}
+}
+
+func within(t testing.TB, limit time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func ExampleStore() {
+	s := store(standin.NewMemoryTables(1))
+	ctx := context.Background()
+	first, _ := s.Claim(ctx, "app", "listing", "bundle-7", "hash")
+	second, _ := s.Claim(ctx, "app", "listing", "bundle-7", "hash")
+	fmt.Println(first.Status == claim.Claimed, second.Status == claim.InProgress)
+	// The holder of the claim sends the request and stores its outcome.
+	_ = s.Finish(ctx, first.Held, claim.Outcome{StatusCode: http.StatusOK, Body: []byte("yours")})
+	third, _ := s.Claim(ctx, "app", "listing", "bundle-7", "hash")
+	fmt.Println(third.Status == claim.Finished, string(third.Outcome.Body))
+	other, _ := s.Claim(ctx, "app", "listing", "bundle-7", "other hash")
+	fmt.Println(other.Status == claim.KeyReused)
+	// Output:
+	// true true
+	// true yours
+	// true
+}
+
+// TestLostAnswers guards against a claim that its own holder takes for
+// another's, and one that is granted twice.
+func TestLostAnswers(t *testing.T) {
+	for _, faults := range []standin.PlatformFaults{{LoseAnswers: 1}, {LoseRequests: 1}, {LateWrites: 1}} {
+		m := standin.NewMemoryTables(1)
+		m.Injector.Set(faults, 0)
+		s := store(m)
+		r, err := s.Claim(within(t, time.Second), "a", "r", "k", "h")
+		require.NoError(t, err)
+		require.Equal(t, claim.Claimed, r.Status)
+		m.LandLate()
+		m.Injector.Set(faults, 0)
+		require.NoError(t, s.Finish(within(t, time.Second), r.Held, claim.Outcome{StatusCode: 201}))
+		m.LandLate()
+		require.Equal(t, 2, m.Store.Ledger().RowsWritten)
+		r, err = s.Claim(within(t, time.Second), "a", "r", "k", "h")
+		require.NoError(t, err)
+		require.Equal(t, claim.Finished, r.Status)
+		require.Equal(t, 201, r.Outcome.StatusCode)
+	}
+}
+
+// TestConcurrentClaimsHaveOneWinner guards against a request that two entry
+// hosts send, over HTTP and with lost answers.
+func TestConcurrentClaimsHaveOneWinner(t *testing.T) {
+	p := standin.NewPlatform(3, standin.PlatformRates{})
+	server := httptest.NewServer(p.Echo(""))
+	defer server.Close()
+	p.Tables.Injector.Set(standin.PlatformFaults{LoseAnswerShare: 0.3, RejectRate: 0.1, JitterMS: 3}, 0)
+	for key := range 20 {
+		var claimed, other atomic.Int32
+		var wg sync.WaitGroup
+		for range 6 {
+			wg.Go(func() {
+				s := store(platform.NewTablesClient(server.URL, &http.Client{}))
+				r, err := s.Claim(within(t, 20*time.Second), "a", "r", fmt.Sprint(key), "h")
+				switch {
+				case err == nil && r.Status == claim.Claimed:
+					claimed.Add(1)
+				case err == nil && r.Status == claim.InProgress:
+					other.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		require.Equal(t, int32(1), claimed.Load())
+		require.Equal(t, int32(5), other.Load())
+	}
+	_, counts := p.Tables.Injector.Faults()
+	require.Positive(t, counts.AnswersLost)
+}
+
+// TestStoreDown guards against a request that is sent without a claim, and
+// against a rejection without the verdict that it was not run.
+func TestStoreDown(t *testing.T) {
+	m := standin.NewMemoryTables(1)
+	for _, first := range []standin.PlatformFaults{{Down: true}, {LoseRequests: 1 << 20}} {
+		m.Injector.Set(first, 0)
+		r, err := store(m).Claim(within(t, 50*time.Millisecond), "a", "r", "k", "h")
+		require.Equal(t, verdict.NotRun, verdict.Of(err))
+		require.Equal(t, verdict.ReasonStoreUnavailable, verdict.ReasonOf(err))
+		require.Zero(t, r.Status)
+	}
+}
+
+// TestRelease guards against a released claim that can't be claimed again, and
+// one that two calls claim.
+func TestRelease(t *testing.T) {
+	m := standin.NewMemoryTables(1)
+	s := store(m)
+	r, err := s.Claim(within(t, time.Second), "a", "r", "k", "h")
+	require.NoError(t, err)
+	require.NoError(t, s.Release(within(t, time.Second), r.Held))
+	old := r.Held
+	reused, err := s.Claim(within(t, time.Second), "a", "r", "k", "other")
+	require.NoError(t, err)
+	require.Equal(t, claim.KeyReused, reused.Status)
+	m.Injector.Set(standin.PlatformFaults{LoseAnswers: 1}, 0)
+	r, err = s.Claim(within(t, time.Second), "a", "r", "k", "h")
+	require.NoError(t, err)
+	require.Equal(t, claim.Claimed, r.Status)
+	second, err := s.Claim(within(t, time.Second), "a", "r", "k", "h")
+	require.NoError(t, err)
+	require.Equal(t, claim.InProgress, second.Status)
+	require.Error(t, s.Finish(within(t, time.Second), old, claim.Outcome{}), "claim from before the release")
+	require.NoError(t, s.Finish(within(t, time.Second), r.Held, claim.Outcome{StatusCode: 200}))
+}
+
+// TestRows guards against keys of different claims that meet, unbounded stored
+// bodies, rows without a retention stamp, and a malformed row that lets a
+// request run again.
+func TestRows(t *testing.T) {
+	require.NotEqual(t, claim.Key("a/b", "c", "d"), claim.Key("a", "b/c", "d"))
+	m := standin.NewMemoryTables(1)
+	s := store(m)
+	written := 0
+	s.RowsWritten = func(n int) { written += n }
+	r, err := s.Claim(within(t, time.Second), "a", "r", "k", "h")
+	require.NoError(t, err)
+	big := bytes.Repeat([]byte("x"), claim.MaxStoredBody+1)
+	require.NoError(t, s.Finish(within(t, time.Second), r.Held, claim.Outcome{StatusCode: 200, Body: big}))
+	r, err = s.Claim(within(t, time.Second), "a", "r", "k", "h")
+	require.NoError(t, err)
+	require.True(t, r.Outcome.BodyOmitted)
+	require.Empty(t, r.Outcome.Body)
+	require.Equal(t, 2, written)
+	row, _ := m.Store.Read(claim.Key("a", "r", "k"))
+	require.False(t, claim.Expired(row, time.Now().Add(claim.Retention-time.Minute)))
+	require.True(t, claim.Expired(row, time.Now().Add(claim.Retention+time.Minute)))
+
+	m.Store.Apply(platform.Txn{Put: []platform.Put{{Key: claim.Key("a", "r", "bad"), Value: []byte(`{"state":"x"}`)}}})
+	r, err = s.Claim(within(t, time.Second), "a", "r", "bad", "h")
+	require.NoError(t, err)
+	require.Equal(t, claim.InProgress, r.Status)
+}
+
+func FuzzExpired(f *testing.F) {
+	f.Add([]byte(`{"state":"finished","keep_until_unix_ms":1}`))
+	f.Add([]byte(`{"state":"claimed","keep_until_unix_ms":1,"newer":{}}`))
+	f.Add([]byte(`null`))
+	f.Fuzz(func(_ *testing.T, value []byte) {
+		claim.Expired(platform.Row{Value: value}, time.Now())
+	})
+}
+
+// BenchmarkClaim reports the table service's operations per finished claim.
+func BenchmarkClaim(b *testing.B) {
+	m := standin.NewMemoryTables(1)
+	s := store(m)
+	ctx := context.Background()
+	for i := 0; b.Loop(); i++ {
+		r, _ := s.Claim(ctx, "a", "r", fmt.Sprint(i), "h")
+		_ = s.Finish(ctx, r.Held, claim.Outcome{StatusCode: 200})
+	}
+	l := m.Store.Ledger()
+	b.ReportMetric(float64(l.RowsWritten)/float64(b.N), "rows-written/op")
+	b.ReportMetric(float64(l.Reads)/float64(b.N), "reads/op")
+}
--- a/control/executor.go
+++ b/control/executor.go
@@ -69,3 +69,9 @@
 	var zero C
 	p.handlers[zero.Name()] = func(c command.Command) { fn(c.(C)) }
 }
+
+// Registered reports whether a command of this name has a handler.
+func (p *Pool) Registered(name string) bool {
+	_, ok := p.handlers[name]
+	return ok
+}
--- a/handler/platform_rows.go
+++ b/handler/platform_rows.go
@@ -160,7 +160,7 @@
 	if err := json.Unmarshal(row.Value, &r); err != nil {
 		return r, err
 	}
-	if r.Step <= 0 || !strings.HasPrefix(row.Key, lotPrefix+r.Trainer+"/") {
+	if r.Step < 0 || !strings.HasPrefix(row.Key, lotPrefix+r.Trainer+"/") {
 		return r, errorx.IllegalFormat.New("lot row %s has trainer %q and step %d", row.Key, r.Trainer, r.Step)
 	}
 	return r, nil
