--- /dev/null
+++ b/event/hosts.go
@@ -0,0 +1,7 @@
+package event
+
+// DrainFinished says that all work of a draining process has ended.
+type DrainFinished struct{}
+
+// Name implements Event.
+func (DrainFinished) Name() string { return "drain_finished" }
--- /dev/null
+++ b/system/configuration_test.go
@@ -0,0 +1,186 @@
+package system_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/lavenderstand/lavenderstand/event"
+)
+
+// TestConfigurationSessions guards the rules of configuration in sessions of
+// several processes; the golden files show who serves which version when.
+func TestConfigurationSessions(t *testing.T) {
+	const settle = 20 * time.Second // prepares of an earlier start have lapsed
+	sessions := map[string]func(*world){
+		"change": func(w *world) { w.change(w.nodes[0], "anna", 1) },
+		// Service must go on when nobody reads the store.
+		"outage_for_all": func(w *world) { w.down = true; w.run(2 * time.Minute); w.down = false },
+		// A host cut from store and peers must stop.
+		"cut_one":      func(w *world) { cut(w, 1); w.change(w.nodes[2], "anna", 1) },
+		"cut_minority": func(w *world) { cut(w, 2); w.change(w.nodes[4], "anna", 1) },
+		// A majority without the store must not miss a change of the others.
+		"cut_majority": func(w *world) { cut(w, 3); w.change(w.nodes[4], "anna", 1) },
+		// A change prepared by a host just before it is cut off; without the
+		// pending version the cut majority would go on with the old one.
+		"contact_just_before_cut": func(w *world) {
+			outageEndsFor(w, 3)
+			w.change(w.nodes[4], "anna", 1)
+			w.run(3 * worldTick)
+			cut(w, 3)
+		},
+		// Only one host of the cut majority prepared the change; the others
+		// must stop because of what it reports.
+		"one_prepared_before_cut": func(w *world) {
+			outageEndsFor(w, 3)
+			w.nodes[1].frozen, w.nodes[2].frozen = true, true
+			w.change(w.nodes[4], "anna", 1)
+			w.run(3 * worldTick)
+			w.nodes[1].frozen, w.nodes[2].frozen = false, false
+			cut(w, 3)
+		},
+		// Hosts that restart between prepare and commit have forgotten the
+		// pending version and must not form a majority.
+		"restart_between_prepare_and_commit": func(w *world) {
+			w.change(w.nodes[4], "anna", 1)
+			w.run(2 * worldTick)
+			w.nodes[4].frozen = true
+			for range 3 {
+				restart(w, w.nodes[0])
+			}
+			w.run(time.Second)
+			for _, n := range w.nodes[2:] {
+				n.cutStore, n.side = true, 1
+			}
+			w.nodes[0].frozen, w.nodes[1].frozen = false, false
+			w.run(worldTick)
+		},
+		"late_old_row": func(w *world) {
+			w.change(w.nodes[0], "anna", 1)
+			w.run(time.Second)
+			w.send(w.nodes[1], 0, event.ConfigRead{Version: 1, Body: body(1)})
+			w.send(w.nodes[1], 0, event.ConfigAnnounced{Version: 1, Body: body(1)})
+		},
+		"start_during_outage": func(w *world) {
+			w.down = true
+			w.run(time.Second)
+			w.nodes[4].frozen = true
+			w.start("e5")
+			w.run(time.Minute)
+			w.down = false
+		},
+		"frozen_for_a_minute": func(w *world) {
+			w.nodes[0].frozen = true
+			w.change(w.nodes[1], "anna", 1)
+			w.run(time.Minute)
+			w.nodes[0].frozen = false
+		},
+		"racing_operators": func(w *world) {
+			for i := range 20 {
+				w.change(w.nodes[i%5], fmt.Sprintf("operator-%02d", i), 1)
+			}
+		},
+		"commit_outcome_unknown": func(w *world) { w.nodes[0].dropNext = true; w.change(w.nodes[0], "anna", 1) },
+		// A change that cannot be prepared must not commit.
+		"no_majority": func(w *world) {
+			for i, n := range w.nodes {
+				n.side = i
+			}
+			w.change(w.nodes[0], "anna", 1)
+		},
+	}
+	for name, session := range sessions {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(5)
+			w.version = 1
+			w.run(settle)
+			w.printf("session %s begins", name)
+			session(w)
+			w.run(30 * time.Second)
+			require.Empty(t, w.violation())
+			goldie.New(t, goldie.WithFixtureDir("testdata/configuration")).Assert(t, name, []byte(w.log.String()))
+		})
+	}
+}
+
+// cut separates the first n hosts from the store and from the other hosts.
+func cut(w *world, n int) {
+	for _, h := range w.nodes[:n] {
+		h.cutStore, h.side = true, 1
+	}
+}
+
+// outageEndsFor runs an outage of the store that ends for all but the first n
+// hosts.
+func outageEndsFor(w *world, n int) {
+	w.down = true
+	w.run(20 * time.Second)
+	for _, h := range w.nodes[:n] {
+		h.cutStore = true
+	}
+	w.down = false
+}
+
+// TestNoContactInNormalOperation guards against contacts that cost traffic at
+// every host while the store answers.
+func TestNoContactInNormalOperation(t *testing.T) {
+	w := newWorld(5)
+	w.version = 1
+	w.run(5 * time.Minute)
+	require.Zero(t, w.messages)
+}
+
+// TestNoOutdatedVersionBeyondBound guards invariant 9 under generated cuts,
+// outages, pauses, restarts, lost answers and racing changes.
+func TestNoOutdatedVersionBeyondBound(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rapid.IntRange(3, 5).Draw(rt, "hosts"))
+		w.version = 1
+		w.run(20 * time.Second)
+		for step := range rapid.IntRange(1, 20).Draw(rt, "steps") {
+			fault(rt, w, step)
+			for range rapid.IntRange(1, 120).Draw(rt, "ticks") {
+				w.run(worldTick)
+				if v := w.violation(); v != "" {
+					rt.Fatalf("%s\n%s", v, w.log.String())
+				}
+			}
+		}
+	})
+}
+
+func fault(rt *rapid.T, w *world, step int) {
+	n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(rt, "host")]
+	switch rapid.IntRange(0, 7).Draw(rt, "fault") {
+	case 0:
+		w.down = !w.down
+	case 1:
+		n.cutStore = !n.cutStore
+	case 2:
+		n.side = 1 - n.side
+	case 3:
+		n.frozen = !n.frozen
+	case 4:
+		n.dropNext = true
+	case 5:
+		restart(w, n)
+	default:
+		w.change(n, fmt.Sprintf("change-%d", step), w.version)
+	}
+}
+
+// restart replaces a process by a new one on the same host.
+func restart(w *world, old *node) {
+	for i, n := range w.nodes {
+		if n == old {
+			fresh := w.start(old.name)
+			fresh.cutStore, fresh.side = old.cutStore, old.side
+			w.nodes = append(w.nodes[:i], w.nodes[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/system/configuration_world_test.go
@@ -0,0 +1,277 @@
+package system_test
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/system"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+const (
+	worldTick    = 50 * time.Millisecond
+	worldLatency = 10 * time.Millisecond
+	worldTimeout = time.Second
+	// worldBound is the time after acceptance at which the old version may
+	// still be served, as the design states it.
+	worldBound = 10 * time.Second
+)
+
+var worldTiming = system.ConfigTiming{Poll: 2 * time.Second, Confirm: 8 * time.Second, ContactAfter: 3 * time.Second}
+
+type delivery struct {
+	at time.Duration
+	e  event.Event
+}
+
+// node is a process; its clock starts when it does.
+type node struct {
+	name     string
+	started  time.Duration
+	tables   *table.Tables
+	systems  []system.System
+	inbox    []delivery
+	cutStore bool
+	side     int // nodes on different sides do not reach each other
+	frozen   bool
+	serving  string
+	dropNext bool // the store's next answer to a commit is lost
+}
+
+// world exchanges messages between nodes and a store on one simulated clock.
+type world struct {
+	now      time.Duration
+	nodes    []*node
+	down     bool
+	version  uint64
+	author   string
+	accepted map[uint64]time.Duration
+	rows     map[string]event.HostRow
+	replies  map[string]func(command.Command)
+	calls    int
+	log      strings.Builder
+	messages int // contacts sent
+}
+
+func newWorld(n int) *world {
+	w := &world{accepted: map[uint64]time.Duration{}, rows: map[string]event.HostRow{}, replies: map[string]func(command.Command){}}
+	for i := range n {
+		w.start(fmt.Sprintf("e%d", i+1))
+	}
+	return w
+}
+
+func (w *world) start(name string) *node {
+	n := &node{name: name, started: w.now}
+	n.tables = table.New(table.Self{ID: fmt.Sprintf("%s-%d", name, w.now), Host: name, Role: table.RoleEntry, Address: name})
+	n.systems = []system.System{system.Hosts(15 * time.Second), system.Configuration(worldTiming)}
+	w.nodes = append(w.nodes, n)
+	return n
+}
+
+func (w *world) printf(format string, args ...any) {
+	fmt.Fprintf(&w.log, "%8.2f "+format+"\n", append([]any{w.now.Seconds()}, args...)...)
+}
+
+// run ticks every node until d has passed.
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; w.now += worldTick {
+		for _, n := range w.nodes {
+			if !n.frozen {
+				w.tick(n)
+			}
+		}
+	}
+}
+
+func (w *world) tick(n *node) {
+	sort.SliceStable(n.inbox, func(i, j int) bool { return n.inbox[i].at < n.inbox[j].at })
+	var in []event.Event
+	for len(n.inbox) > 0 && n.inbox[0].at <= w.now {
+		in, n.inbox = append(in, n.inbox[0].e), n.inbox[1:]
+	}
+	var out command.Outbox
+	for _, s := range n.systems {
+		s(w.now-n.started, n.tables, in, &out)
+	}
+	for _, c := range out.Take() {
+		w.execute(n, c)
+	}
+	c := &n.tables.Config
+	state := "refuses"
+	if c.Confirmed {
+		state = fmt.Sprintf("serves version %d", c.Version)
+	}
+	if state != n.serving {
+		w.printf("%s %s", n.name, state)
+		n.serving = state
+	}
+}
+
+func (w *world) send(n *node, after time.Duration, e event.Event) {
+	n.inbox = append(n.inbox, delivery{at: w.now + after, e: e})
+}
+
+var unreachable = &event.Failure{Verdict: verdict.NotRun, Reason: verdict.ReasonStoreUnavailable, Message: "not reachable"}
+
+func (w *world) execute(n *node, c command.Command) {
+	storeDown := w.down || n.cutStore
+	switch c := c.(type) {
+	case command.ReadConfig:
+		if storeDown {
+			w.send(n, worldTimeout, event.ConfigRead{Failure: unreachable})
+			return
+		}
+		w.send(n, worldLatency, event.ConfigRead{Version: w.version, Body: body(w.version)})
+	case command.ReadHostRows:
+		w.readRows(n, storeDown)
+	case command.WriteHostRow:
+		w.writeRow(n, c, storeDown)
+	case command.ContactHost:
+		w.messages++
+		w.call(n, c.Address, func(id string) event.Event { return event.ContactRequested{RequestID: id} },
+			func(answer command.Command) event.Event {
+				return event.ContactMade{HostID: c.HostID, Contact: answer.(command.AnswerContact).Contact}
+			}, event.ContactMade{HostID: c.HostID, Failure: unreachable})
+	case command.PrepareHost:
+		w.call(n, c.Address, func(id string) event.Event { return event.PrepareRequested{RequestID: id, Version: c.Version} },
+			func(answer command.Command) event.Event {
+				return event.PrepareAnswered{RequestID: c.RequestID, HostID: c.HostID, Failure: answer.(command.AnswerPrepare).Failure}
+			}, event.PrepareAnswered{RequestID: c.RequestID, HostID: c.HostID, Failure: unreachable})
+	case command.AnnounceConfig:
+		if to := w.find(c.Address); to != nil && to.side == n.side {
+			w.send(to, worldLatency, event.ConfigAnnounced{Version: c.Version, Body: c.Body})
+		}
+	case command.CommitConfig:
+		w.commit(n, c, storeDown)
+	case command.AnswerContact:
+		w.reply(c.RequestID, c)
+	case command.AnswerPrepare:
+		w.reply(c.RequestID, c)
+	case command.AnswerConfigChange:
+		w.answer(n, c)
+	}
+}
+
+func (w *world) answer(n *node, c command.AnswerConfigChange) {
+	switch {
+	case c.Failure != nil:
+		w.printf("%s answers %s: %s %s", n.name, c.RequestID, c.Failure.Verdict, c.Failure.Reason)
+	case c.Accepted:
+		w.printf("%s answers %s: accepted as version %d", n.name, c.RequestID, c.Version)
+	default:
+		w.printf("%s answers %s: lost to version %d of %s", n.name, c.RequestID, c.Version, c.Author)
+	}
+}
+
+func (w *world) readRows(n *node, storeDown bool) {
+	if storeDown {
+		w.send(n, worldTimeout, event.HostRowsRead{Failure: unreachable})
+		return
+	}
+	var rows []event.HostRow
+	for _, row := range w.rows {
+		rows = append(rows, row)
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].ID < rows[j].ID })
+	w.send(n, worldLatency, event.HostRowsRead{Rows: rows})
+}
+
+func (w *world) writeRow(n *node, c command.WriteHostRow, storeDown bool) {
+	if storeDown {
+		w.send(n, worldTimeout, event.HostRowWritten{Failure: unreachable})
+		return
+	}
+	row := c.Row
+	row.RowVersion = w.rows[row.ID].RowVersion + 1
+	w.rows[row.ID] = row
+	if c.Delete {
+		delete(w.rows, row.ID)
+	}
+	w.send(n, worldLatency, event.HostRowWritten{})
+}
+
+func (w *world) commit(n *node, c command.CommitConfig, storeDown bool) {
+	if storeDown {
+		w.send(n, worldTimeout, event.ConfigCommitted{RequestID: c.RequestID, Failure: unreachable})
+		return
+	}
+	committed := c.ExpectedVersion == w.version
+	if committed {
+		w.version++
+		w.author, w.accepted[w.version] = c.Author, w.now
+		w.printf("store accepts version %d of %s", w.version, c.Author)
+	}
+	if n.dropNext {
+		n.dropNext = false
+		w.send(n, worldTimeout, event.ConfigCommitted{RequestID: c.RequestID, Failure: &event.Failure{Reason: verdict.ReasonStoreUnavailable}})
+		return
+	}
+	w.send(n, worldLatency, event.ConfigCommitted{RequestID: c.RequestID, Committed: committed, Version: w.version, Author: w.author, Body: body(w.version)})
+}
+
+func (w *world) find(name string) *node {
+	for i := len(w.nodes) - 1; i >= 0; i-- {
+		if w.nodes[i].name == name {
+			return w.nodes[i]
+		}
+	}
+	return nil
+}
+
+// call sends a request to the node at an address and its answer, or failure
+// after a timeout, back to n.
+func (w *world) call(n *node, address string, request func(string) event.Event, result func(command.Command) event.Event, failure event.Event) {
+	to := w.find(address)
+	if to == nil || to.side != n.side || to.frozen {
+		w.send(n, worldTimeout, failure)
+		return
+	}
+	w.calls++
+	id := fmt.Sprintf("call-%d", w.calls)
+	w.replies[id] = func(answer command.Command) {
+		if to.side == n.side {
+			w.send(n, worldLatency, result(answer))
+		} else {
+			w.send(n, worldTimeout, failure)
+		}
+	}
+	w.send(to, worldLatency, request(id))
+}
+
+func (w *world) reply(id string, c command.Command) {
+	w.replies[id](c)
+	delete(w.replies, id)
+}
+
+// change sends an operator's change to a node.
+func (w *world) change(n *node, id string, expected uint64) {
+	w.send(n, 0, event.ConfigChangeRequested{RequestID: id, ExpectedVersion: expected, Author: id, Body: body(expected + 1)})
+}
+
+// violation describes a process that serves an outdated version too long.
+func (w *world) violation() string {
+	for _, n := range w.nodes {
+		c := &n.tables.Config
+		if n.frozen || !c.Confirmed || w.now-n.started >= c.ConfirmedAt+worldTiming.Confirm {
+			continue
+		}
+		for version, at := range w.accepted {
+			if version > c.Version && w.now-at > worldBound {
+				return fmt.Sprintf("%s serves version %d at %v, version %d was accepted at %v", n.name, c.Version, w.now, version, at)
+			}
+		}
+	}
+	return ""
+}
+
+// body marks a configuration with its version.
+func body(version uint64) plan.Config {
+	return plan.Config{Policy: plan.PolicyConfig{AheadGroups: int(version)}}
+}
--- /dev/null
+++ b/system/hosts.go
@@ -0,0 +1,125 @@
+package system
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+const (
+	// HostRowExpiry is the time without renewal after which a host is no
+	// longer known. It leaves room for three lost renewals at 15 s.
+	HostRowExpiry = 60 * time.Second
+	// hostRowRetry is the pause after a failed read or write.
+	hostRowRetry = time.Second
+	// hostRowsRead is the period of reading the host rows.
+	hostRowsRead = 5 * time.Second
+)
+
+// Hosts renews the row of this process every period and keeps t.Hosts in line
+// with the rows of the other processes.
+func Hosts(period time.Duration) System {
+	return func(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+		for _, e := range in {
+			applyHostEvent(now, t, e, period)
+		}
+		if d := &t.Directory; !d.ReadPending && now >= d.NextRead {
+			d.ReadPending, d.NextRead = true, now+min(period, hostRowsRead)
+			out.Add(command.ReadHostRows{})
+		}
+		writeOwnRow(now, t, period, out)
+		if d := &t.Directory; !d.ReadPending {
+			out.WakeAt(d.NextRead)
+		}
+	}
+}
+
+func applyHostEvent(now time.Duration, t *table.Tables, e event.Event, period time.Duration) {
+	d := &t.Directory
+	switch e := e.(type) {
+	case event.DrainRequested:
+		t.Self.Draining = true
+	case event.DrainFinished:
+		d.Leaving, d.NextWrite = true, now
+	case event.HostRowWritten:
+		d.WritePending = false
+		if e.Failure != nil {
+			d.NextWrite = now + hostRowRetry
+		} else if d.DeleteSent {
+			d.Deleted = true
+		}
+	case event.HostRowsRead:
+		d.ReadPending = false
+		if e.Failure != nil {
+			d.NextRead = now + hostRowRetry
+			return
+		}
+		applyHostRows(now, t, e.Rows, period)
+	}
+}
+
+// writeOwnRow renews the own row, or deletes it once the drain has ended.
+func writeOwnRow(now time.Duration, t *table.Tables, period time.Duration, out *command.Outbox) {
+	d := &t.Directory
+	if d.WritePending || d.Deleted || now < d.NextWrite {
+		return
+	}
+	d.WritePending, d.NextWrite, d.DeleteSent = true, now+period, d.Leaving
+	out.Add(command.WriteHostRow{Delete: d.Leaving, Row: event.HostRow{
+		ID: t.Self.ID, Host: t.Self.Host, Zone: t.Self.Zone,
+		Role: string(t.Self.Role), Address: t.Self.Address,
+	}})
+}
+
+func applyHostRows(now time.Duration, t *table.Tables, rows []event.HostRow, period time.Duration) {
+	elapsed := now - t.Directory.ReadAt
+	if elapsed > 2*period {
+		// After an outage of the store, or a pause of this process, no host
+		// can have been seen renewing.
+		elapsed = 0
+	}
+	listed := make(map[string]uint64, len(rows))
+	for _, row := range rows {
+		listed[row.ID] = row.RowVersion
+		if row.ID != t.Self.ID && !expired(t, row) {
+			applyHostRow(now, t, row, elapsed)
+		}
+	}
+	for id, h := range t.Hosts.All() {
+		_, present := listed[id]
+		if h.Unrenewed >= HostRowExpiry {
+			t.Directory.Expired = append(t.Directory.Expired, table.ExpiredHost{ID: id, RowVersion: h.RowVersion})
+		}
+		if !present || h.Unrenewed >= HostRowExpiry {
+			t.Hosts.Delete(id)
+		}
+	}
+	t.Directory.Expired = slices.DeleteFunc(t.Directory.Expired, func(x table.ExpiredHost) bool {
+		return listed[x.ID] != x.RowVersion
+	})
+	t.Directory.EverRead, t.Directory.ReadAt = true, now
+}
+
+// expired reports whether a row belongs to a host that has left by not renewing
+// it; a renewal makes the host known again.
+func expired(t *table.Tables, row event.HostRow) bool {
+	return slices.Contains(t.Directory.Expired, table.ExpiredHost{ID: row.ID, RowVersion: row.RowVersion})
+}
+
+func applyHostRow(now time.Duration, t *table.Tables, row event.HostRow, elapsed time.Duration) {
+	h := t.Hosts.Find(row.ID)
+	if h == nil {
+		h, _ = t.Hosts.Upsert(row.ID)
+		h.RowSeen = now
+	} else if h.RowVersion == row.RowVersion {
+		h.Unrenewed += elapsed
+	} else {
+		h.RowSeen, h.Unrenewed = now, 0
+	}
+	h.ID, h.Host, h.Zone = row.ID, row.Host, row.Zone
+	h.Role, h.Address = table.Role(row.Role), row.Address
+	h.RowVersion = row.RowVersion
+}
--- /dev/null
+++ b/system/hosts_test.go
@@ -0,0 +1,58 @@
+package system_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/event"
+)
+
+// TestHostsStayKnownDuringOutage guards against hosts that leave the known set
+// because nobody could renew or read a row for a long time.
+func TestHostsStayKnownDuringOutage(t *testing.T) {
+	w := newWorld(5)
+	w.version = 1
+	w.run(22 * time.Second) // the newest renewals, at 15 s, have been read
+	w.down = true
+	w.run(10 * time.Minute)
+	for _, n := range w.nodes[1:] {
+		n.frozen = true // until the rows have been read without a renewal
+	}
+	w.down = false
+	w.run(3 * time.Second)
+	require.Equal(t, 4, w.nodes[0].tables.Hosts.Len())
+}
+
+// TestSilentHostLeaves guards against a dead host that counts for ever.
+func TestSilentHostLeaves(t *testing.T) {
+	w := newWorld(5)
+	w.version = 1
+	w.run(20 * time.Second)
+	w.nodes[4].frozen = true
+	w.run(50 * time.Second)
+	require.Equal(t, 4, w.nodes[0].tables.Hosts.Len())
+	w.run(40 * time.Second)
+	require.Equal(t, 3, w.nodes[0].tables.Hosts.Len())
+}
+
+// TestDrainDeletesOwnRow guards against a drained host that stays known, also
+// when the store is down at the end of the drain.
+func TestDrainDeletesOwnRow(t *testing.T) {
+	w := newWorld(3)
+	w.version = 1
+	w.run(20 * time.Second)
+	w.send(w.nodes[2], 0, event.DrainRequested{})
+	w.run(time.Second)
+	require.False(t, w.nodes[2].tables.Config.Ready)
+	require.Len(t, w.rows, 3)
+	w.down = true
+	w.send(w.nodes[2], 0, event.DrainFinished{})
+	w.run(10 * time.Second)
+	w.down = false
+	w.run(10 * time.Second)
+	require.True(t, w.nodes[2].tables.Directory.Deleted)
+	require.Len(t, w.rows, 2)
+	require.Equal(t, 1, w.nodes[0].tables.Hosts.Len())
+}
--- a/table/routing.go
+++ b/table/routing.go
@@ -41,6 +41,14 @@
 	ConfigVersion  uint64
 	StoreReachable bool
 	ContactPending bool
+	ContactSentAt  time.Duration
+	NextContact    time.Duration
+	PendingVersion uint64 // prepared by the peer, outcome unknown
+	CountsVote     bool   // the peer counts towards a majority
+
+	// Unrenewed is the time without a renewal between reads of the host rows.
+	// Time in which the rows could not be read does not count.
+	Unrenewed time.Duration
 }
 
 // BackendKind is the kind of a backend server.
@@ -113,6 +121,15 @@
 	ReadPending bool
 	NextRead    time.Duration
 	Confirmed   bool // this process may serve new requests
+
+	Started      bool          // the fields below have their initial values
+	EverRead     bool          // the row was read since process start
+	CountsVote   bool          // the row was read after prepares of an earlier start lapsed
+	ReadSentAt   time.Duration // when the newest read was sent
+	Pending      uint64        // prepared version with unknown outcome, 0 if none
+	PendingSince time.Duration // when Pending was last prepared
+	ReadyKnown   bool          // readiness was reported
+	Ready        bool          // readiness as last reported
 }
 
 // Leaving reports whether any source says that the backend is leaving.
--- a/table/tables.go
+++ b/table/tables.go
@@ -10,6 +10,9 @@
 	Backends Table[Backend] // keyed by backend name
 	Classes  Table[Class]   // keyed by class name
 
+	Directory Directory
+	Changes   Table[ConfigChange] // keyed by request id
+
 	Partitions Table[Partition] // keyed by PartitionKey
 	Trainers   Table[Trainer]   // keyed by trainer name
 	Groups     Table[Group]     // keyed by GroupKey
