--- a/command/routing.go
+++ b/command/routing.go
@@ -92,6 +92,7 @@
 // AnnounceConfig sends an accepted configuration to a peer.
 type AnnounceConfig struct {
 	HostID, Address string
+	Controller      bool // the peer is a controller, not an entry host
 	Version         uint64
 	Body            plan.Config
 }
--- /dev/null
+++ b/event/failure.go
@@ -0,0 +1,12 @@
+package event
+
+import "github.com/lavenderstand/lavenderstand/verdict"
+
+// Err returns the failure as an error that carries its verdict and reason, nil
+// for a nil failure.
+func (f *Failure) Err() error {
+	if f == nil {
+		return nil
+	}
+	return verdict.New(f.Verdict, f.Reason, "%s", f.Message)
+}
--- /dev/null
+++ b/peer/config_server.go
@@ -0,0 +1,89 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/control"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/peer/peerpb"
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// ConfigServer is the half of the Entry service that concerns the
+// configuration. It passes each call to the control loop.
+type ConfigServer struct {
+	Inbox   *control.Inbox
+	Waiters *control.Waiters
+
+	calls atomic.Uint64
+}
+
+// Contact implements peerpb.EntryServer.
+func (s *ConfigServer) Contact(ctx context.Context, r *peerpb.ContactRequest) (*peerpb.ContactResponse, error) {
+	id := s.requestID("contact")
+	answer, err := call[command.AnswerContact](ctx, s, id, event.ContactRequested{RequestID: id, From: r.GetFrom()})
+	if err != nil {
+		return nil, StatusOf(err)
+	}
+	contact := answer.Contact
+	body, err := json.Marshal(contact.Body)
+	if err != nil {
+		return nil, StatusOf(verdict.Wrap(err, verdict.NotRun, verdict.ReasonInternal, "encode configuration"))
+	}
+	return &peerpb.ContactResponse{
+		Host:           contact.Host,
+		ConfigVersion:  contact.ConfigVersion,
+		PendingVersion: contact.PendingVersion,
+		StoreReadAgeMs: contact.StoreReadAge.Milliseconds(),
+		EverRead:       contact.EverRead,
+		Config:         body,
+	}, nil
+}
+
+// Prepare implements peerpb.EntryServer.
+func (s *ConfigServer) Prepare(ctx context.Context, r *peerpb.PrepareRequest) (*peerpb.PrepareResponse, error) {
+	id := s.requestID("prepare")
+	answer, err := call[command.AnswerPrepare](ctx, s, id, event.PrepareRequested{RequestID: id, Version: r.GetVersion()})
+	if err == nil {
+		err = answer.Failure.Err()
+	}
+	if err != nil {
+		return nil, StatusOf(err)
+	}
+	return &peerpb.PrepareResponse{}, nil
+}
+
+// Announce implements peerpb.EntryServer and peerpb.ControllerServer.
+func (s *ConfigServer) Announce(ctx context.Context, r *peerpb.AnnounceRequest) (*peerpb.AnnounceResponse, error) {
+	var body plan.Config
+	if err := json.Unmarshal(r.GetConfig(), &body); err != nil {
+		return nil, StatusOf(verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, "decode configuration"))
+	}
+	if err := s.Inbox.Deliver(ctx, event.ConfigAnnounced{Version: r.GetVersion(), Body: body}); err != nil {
+		return nil, StatusOf(verdict.Wrap(err, verdict.NotRun, verdict.ReasonCanceled, "deliver announcement"))
+	}
+	return &peerpb.AnnounceResponse{}, nil
+}
+
+func (s *ConfigServer) requestID(kind string) string {
+	return fmt.Sprintf("peer/%s/%d", kind, s.calls.Add(1))
+}
+
+// call passes an event to the control loop and waits for its answer.
+func call[A command.Command](ctx context.Context, s *ConfigServer, id string, e event.Event) (A, error) {
+	var none A
+	c, err := s.Waiters.Call(ctx, s.Inbox, id, e)
+	if err != nil {
+		return none, verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonDeadline, "wait for the control loop")
+	}
+	answer, ok := c.(A)
+	if !ok {
+		return none, verdict.New(verdict.MayHaveRun, verdict.ReasonInternal, "unexpected answer %s", c.Name())
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/peer/config_test.go
@@ -0,0 +1,105 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/control"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/peer"
+	"github.com/lavenderstand/lavenderstand/peer/peerpb"
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/system"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// startPeer serves the Entry service of a process whose only system is script.
+func startPeer(t *testing.T, script system.System) string {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	inbox, waiters := control.NewInbox(16), control.NewWaiters()
+	pool := control.NewPool(ctx, inbox, func(command.Command) {})
+	peer.RegisterConfigAnswers(pool, waiters)
+	start := time.Now()
+	loop := control.NewLoop(control.Options{
+		Tables: table.New(table.Self{}), Inbox: inbox, Executor: pool,
+		Systems: []system.Named{{Name: "script", Run: script}},
+		Clock:   func() time.Duration { return time.Since(start) },
+	})
+	done := make(chan struct{})
+	go func() { defer close(done); _ = loop.Run(ctx) }()
+	server := grpc.NewServer(grpc.UnaryInterceptor(peer.CheckToken(func(authorization string) error {
+		if authorization != "Bearer right" {
+			return verdict.New(verdict.NotRun, verdict.ReasonUnauthenticated, "token is not known")
+		}
+		return nil
+	})))
+	peerpb.RegisterEntryServer(server, &peer.EntryServer{Config: &peer.ConfigServer{Inbox: inbox, Waiters: waiters}})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Stop(); cancel(); <-done })
+	return listener.Addr().String()
+}
+
+// run executes a command and returns its event.
+func run(t *testing.T, token string, commands ...command.Command) []event.Event {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	inbox := control.NewInbox(16)
+	pool := control.NewPool(ctx, inbox, func(command.Command) {})
+	dialer := peer.NewDialer(token)
+	defer dialer.Close()
+	peer.RegisterConfig(pool, dialer, "e1")
+	for _, c := range commands {
+		pool.Execute(c)
+	}
+	pool.Wait()
+	return inbox.Drain()
+}
+
+// TestConfigCallsCarryAllFields guards against a field, verdict or token that
+// is lost between two processes.
+func TestConfigCallsCarryAllFields(t *testing.T) {
+	announced := make(chan event.ConfigAnnounced, 1)
+	contact := event.Contact{
+		Host: "e2", ConfigVersion: 7, PendingVersion: 8, StoreReadAge: 1500 * time.Millisecond, EverRead: true,
+		Body: plan.Config{Routes: map[string]plan.RouteConfig{"claims": {Service: "listing"}}},
+	}
+	address := startPeer(t, func(_ time.Duration, _ *table.Tables, in []event.Event, out *command.Outbox) {
+		for _, e := range in {
+			switch e := e.(type) {
+			case event.ContactRequested:
+				out.Add(command.AnswerContact{RequestID: e.RequestID, Contact: contact})
+			case event.PrepareRequested:
+				answer := command.AnswerPrepare{RequestID: e.RequestID}
+				if e.Version < 8 {
+					answer.Failure = &event.Failure{Verdict: verdict.NotRun, Reason: verdict.ReasonConflict, Message: "old"}
+				}
+				out.Add(answer)
+			case event.ConfigAnnounced:
+				announced <- e
+			}
+		}
+	})
+	require.Equal(t, []event.Event{event.ContactMade{HostID: "h2", Contact: contact}},
+		run(t, "right", command.ContactHost{HostID: "h2", Address: address}))
+	require.Equal(t, []event.Event{event.PrepareAnswered{RequestID: "r", HostID: "h2"}},
+		run(t, "right", command.PrepareHost{RequestID: "r", HostID: "h2", Address: address, Version: 8}))
+	refused := run(t, "right", command.PrepareHost{HostID: "h2", Address: address, Version: 7})
+	require.Equal(t, verdict.ReasonConflict, refused[0].(event.PrepareAnswered).Failure.Reason)
+	require.Equal(t, verdict.NotRun, refused[0].(event.PrepareAnswered).Failure.Verdict)
+	run(t, "right", command.AnnounceConfig{Address: address, Version: 9, Body: contact.Body})
+	require.Equal(t, event.ConfigAnnounced{Version: 9, Body: contact.Body}, <-announced)
+
+	foreign := run(t, "wrong", command.ContactHost{HostID: "h2", Address: address})
+	require.Equal(t, verdict.ReasonUnauthenticated, foreign[0].(event.ContactMade).Failure.Reason)
+}
--- a/system/configuration_change.go
+++ b/system/configuration_change.go
@@ -151,7 +151,10 @@
 func announce(t *table.Tables, e event.ConfigCommitted, out *command.Outbox) {
 	for id, h := range t.Hosts.All() {
 		if h.ID != t.Self.ID {
-			out.Add(command.AnnounceConfig{HostID: id, Address: h.Address, Version: e.Version, Body: e.Body})
+			out.Add(command.AnnounceConfig{
+				HostID: id, Address: h.Address, Controller: h.Role == table.RoleController,
+				Version: e.Version, Body: e.Body,
+			})
 		}
 	}
 }
