settings: check ranges, addresses, secrets and combinations

Cause: a wrong unit, a bad address or an impossible combination was found only in operation.

Change: Load checks each given value, LoadComplete also requires what a process in service needs. Each fault names file, line and key. lease_renew_seconds is a setting, so that the lease can be checked against three renewals.

--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,131 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// Bounds that combinations of timings must keep.
+const (
+	// MaxConfigSeconds is the longest time in which an accepted configuration
+	// may not yet be in effect: confirmation and one poll.
+	MaxConfigSeconds = 11
+	// renewalsPerLease is the number of renewals that fit into a lease, so
+	// that two lost ones do not end it.
+	renewalsPerLease = 3
+)
+
+// check returns the faults of the settings; complete also requires what a
+// process in service needs.
+func (p *Process) check(complete bool) []*Error {
+	faults := p.faults("validate")
+	if len(faults) == 0 {
+		faults = p.combinations()
+	}
+	if complete {
+		faults = append(faults, p.faults("require")...)
+	}
+	return faults
+}
+
+// faults checks each field by the rules of one struct tag.
+func (p *Process) faults(tag string) []*Error {
+	var found validator.ValidationErrors
+	if !errors.As(newValidator(tag).Struct(p), &found) {
+		return nil
+	}
+	faults := make([]*Error, len(found))
+	for i, f := range found {
+		_, key, _ := strings.Cut(f.Namespace(), ".")
+		faults[i] = &Error{Key: key, Message: describe(f)}
+	}
+	return faults
+}
+
+func newValidator(tag string) *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.SetTagName(tag)
+	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("toml") })
+	for name, ok := range map[string]func(string) bool{
+		"ip_port":     isAddress,
+		"ip_url":      isURL,
+		"secret_file": isSecretFile,
+	} {
+		if err := v.RegisterValidation(name, func(fl validator.FieldLevel) bool { return ok(fl.Field().String()) }); err != nil {
+			panic(err) // the names above are valid
+		}
+	}
+	return v
+}
+
+func isAddress(s string) bool {
+	address, err := netip.ParseAddrPort(s)
+	return err == nil && address.Port() != 0
+}
+
+func isURL(s string) bool {
+	u, err := url.Parse(s)
+	return err == nil && u.Scheme == "http" && isAddress(u.Host) && strings.Trim(u.Path, "/") == ""
+}
+
+func isSecretFile(path string) bool {
+	data, err := os.ReadFile(path)
+	return err == nil && strings.TrimSpace(string(data)) != ""
+}
+
+func describe(f validator.FieldError) string {
+	switch f.Tag() {
+	case "required":
+		return "is missing"
+	case "ip_port":
+		return fmt.Sprintf("%q is not an IP address and port", f.Value())
+	case "ip_url":
+		return fmt.Sprintf("%q is not a URL of the form http://IP:port", f.Value())
+	case "secret_file":
+		return fmt.Sprintf("file %q is empty or cannot be read", f.Value())
+	case "oneof":
+		return fmt.Sprintf("%q is not one of: %s", f.Value(), f.Param())
+	case "min":
+		return fmt.Sprintf("%v is below the minimum of %s", f.Value(), f.Param())
+	case "max":
+		return fmt.Sprintf("%v is above the maximum of %s", f.Value(), f.Param())
+	case "gt":
+		return fmt.Sprintf("%v is not above %s", f.Value(), f.Param())
+	default:
+		return "does not satisfy " + f.Tag()
+	}
+}
+
+// combinations checks values that are valid alone but not together.
+func (p *Process) combinations() []*Error {
+	t := p.Timing
+	var faults []*Error
+	reject := func(bad bool, key, format string, args ...any) {
+		if bad {
+			faults = append(faults, &Error{Key: key, Message: fmt.Sprintf(format, args...)})
+		}
+	}
+	reject(p.Listen.HTTP != "" && p.Listen.HTTP == p.Listen.GRPC, "listen.grpc", "is the same address as http")
+	reject(t.ContactAfterSeconds >= t.ConfigConfirmSeconds, "timing.contact_after_seconds",
+		"%v is not below config_confirm_seconds %v", t.ContactAfterSeconds, t.ConfigConfirmSeconds)
+	reject(t.ContactAfterSeconds <= t.ConfigPollSeconds, "timing.contact_after_seconds",
+		"%v is not above config_poll_seconds %v, so every poll would cause contacts", t.ContactAfterSeconds, t.ConfigPollSeconds)
+	reject(t.ConfigConfirmSeconds <= t.ConfigPollSeconds, "timing.config_confirm_seconds",
+		"%v is not above config_poll_seconds %v", t.ConfigConfirmSeconds, t.ConfigPollSeconds)
+	reject(t.ConfigConfirmSeconds+t.ConfigPollSeconds > MaxConfigSeconds, "timing.config_confirm_seconds",
+		"%v and config_poll_seconds %v exceed %d together", t.ConfigConfirmSeconds, t.ConfigPollSeconds, MaxConfigSeconds)
+	reject(t.LeaseSeconds < renewalsPerLease*t.LeaseRenewSeconds, "timing.lease_seconds",
+		"%v is shorter than %d renewals of lease_renew_seconds %v", t.LeaseSeconds, renewalsPerLease, t.LeaseRenewSeconds)
+	reject(t.OrderSeconds > t.LeaseSeconds, "timing.order_seconds",
+		"%v is longer than lease_seconds %v", t.OrderSeconds, t.LeaseSeconds)
+	reject(t.DrainDelaySeconds >= t.DrainLimitSeconds, "timing.drain_delay_seconds",
+		"%v is not below drain_limit_seconds %v", t.DrainDelaySeconds, t.DrainLimitSeconds)
+	return faults
+}
--- /dev/null
+++ b/settings/lines.go
@@ -0,0 +1,60 @@
+package settings
+
+import (
+	"bytes"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// lineIndex maps dotted keys and table names to the line that holds them.
+type lineIndex map[string]int
+
+// keyLines indexes a document that is known to be valid.
+func keyLines(data []byte) lineIndex {
+	index := make(lineIndex)
+	parser := unstable.Parser{}
+	parser.Reset(data)
+	table := ""
+	for parser.NextExpression() {
+		node := parser.Expression()
+		key, offset := dottedKey(node)
+		line := 1 + bytes.Count(data[:offset], []byte("\n"))
+		if node.Kind == unstable.Table || node.Kind == unstable.ArrayTable {
+			table = key
+			index[table] = line
+			continue
+		}
+		if table != "" {
+			key = table + "." + key
+		}
+		index[key] = line
+	}
+	return index
+}
+
+func dottedKey(node *unstable.Node) (key string, offset uint32) {
+	var parts []string
+	for it := node.Key(); it.Next(); {
+		part := it.Node()
+		if len(parts) == 0 {
+			offset = part.Raw.Offset
+		}
+		parts = append(parts, string(part.Data))
+	}
+	return strings.Join(parts, "."), offset
+}
+
+// of returns the line of a key, of its table if the key is absent, else 0.
+func (l lineIndex) of(key string) int {
+	for {
+		if line, ok := l[key]; ok {
+			return line
+		}
+		dot := strings.LastIndex(key, ".")
+		if dot < 0 {
+			return 0
+		}
+		key = key[:dot]
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,13 +3,6 @@
 // runs is configuration and lives in the table service.
 package settings
 
-import (
-	"fmt"
-	"os"
-
-	"github.com/pelletier/go-toml/v2"
-)
-
 // Process is the settings file of lavender-entry and lavender-controller.
 type Process struct {
 	Host     Host     `toml:"host"`
@@ -24,66 +17,68 @@
 
 // Host names the host and its availability zone.
 type Host struct {
-	Name string `toml:"name"`
-	Zone string `toml:"zone"`
+	Name string `toml:"name" require:"required"`
+	Zone string `toml:"zone" require:"required"`
 }
 
 // Listen holds the addresses of this process, each an IP number and a port.
 type Listen struct {
-	HTTP string `toml:"http"`
-	GRPC string `toml:"grpc"`
+	HTTP string `toml:"http" validate:"omitempty,ip_port" require:"required"`
+	GRPC string `toml:"grpc" validate:"omitempty,ip_port" require:"required"`
 }
 
 // Platform holds the base URLs of the platform's services.
 type Platform struct {
-	Tables  string `toml:"tables"`
-	Objects string `toml:"objects"`
-	Hosts   string `toml:"hosts"`
+	Tables  string `toml:"tables" validate:"omitempty,ip_url" require:"required"`
+	Objects string `toml:"objects" validate:"omitempty,ip_url" require:"required"`
+	Hosts   string `toml:"hosts" validate:"omitempty,ip_url" require:"required"`
 	// TokenFile holds the token that the platform expects, if any.
-	TokenFile string `toml:"token_file"`
+	TokenFile string `toml:"token_file" validate:"omitempty,secret_file"`
 }
 
 // Identity names the files that hold secrets.
 type Identity struct {
 	// PrincipalsFile lists the principals and their token files.
-	PrincipalsFile string `toml:"principals_file"`
+	PrincipalsFile string `toml:"principals_file" validate:"omitempty,secret_file" require:"required"`
 	// ProcessTokenFile holds the token that this process presents to others.
-	ProcessTokenFile string `toml:"process_token_file"`
+	ProcessTokenFile string `toml:"process_token_file" validate:"omitempty,secret_file" require:"required"`
 }
 
 // Limits bound what one request and one principal may use.
 type Limits struct {
-	BodyBytes         int64   `toml:"body_bytes"`
-	HeaderBytes       int     `toml:"header_bytes"`
-	RequestSeconds    float64 `toml:"request_seconds"`     // longest request
-	RequestsPerSecond float64 `toml:"requests_per_second"` // per principal
-	Burst             int     `toml:"burst"`               // per principal
+	BodyBytes         int64   `toml:"body_bytes" validate:"min=1024,max=67108864"`
+	HeaderBytes       int     `toml:"header_bytes" validate:"min=1024,max=1048576"`
+	RequestSeconds    float64 `toml:"request_seconds" validate:"gt=0,max=3600"`       // longest request
+	RequestsPerSecond float64 `toml:"requests_per_second" validate:"gt=0,max=100000"` // per principal
+	Burst             int     `toml:"burst" validate:"min=1,max=1000000"`             // per principal
 }
 
 // Timing holds the periods and bounds of the control loop.
 type Timing struct {
-	HostListSeconds      float64 `toml:"host_list_seconds"`
-	HostRowSeconds       float64 `toml:"host_row_seconds"`
-	StateReportSeconds   float64 `toml:"state_report_seconds"`
-	ConfigPollSeconds    float64 `toml:"config_poll_seconds"`
-	ConfigConfirmSeconds float64 `toml:"config_confirm_seconds"`
-	ContactAfterSeconds  float64 `toml:"contact_after_seconds"`
-	DrainDelaySeconds    float64 `toml:"drain_delay_seconds"`
-	DrainLimitSeconds    float64 `toml:"drain_limit_seconds"`
-	LeaseSeconds         float64 `toml:"lease_seconds"`
-	LeaseMarginSeconds   float64 `toml:"lease_margin_seconds"`
-	OrderSeconds         float64 `toml:"order_seconds"`
+	HostListSeconds      float64 `toml:"host_list_seconds" validate:"min=0.1,max=60"`
+	HostRowSeconds       float64 `toml:"host_row_seconds" validate:"min=1,max=20"`
+	StateReportSeconds   float64 `toml:"state_report_seconds" validate:"min=0.05,max=10"`
+	ConfigPollSeconds    float64 `toml:"config_poll_seconds" validate:"min=0.1,max=10"`
+	ConfigConfirmSeconds float64 `toml:"config_confirm_seconds" validate:"min=1,max=11"`
+	ContactAfterSeconds  float64 `toml:"contact_after_seconds" validate:"min=0.5,max=10"`
+	DrainDelaySeconds    float64 `toml:"drain_delay_seconds" validate:"min=0,max=300"`
+	DrainLimitSeconds    float64 `toml:"drain_limit_seconds" validate:"min=1,max=7200"`
+	LeaseSeconds         float64 `toml:"lease_seconds" validate:"min=1,max=60"`
+	// LeaseRenewSeconds is the period at which a holder renews its leases.
+	LeaseRenewSeconds  float64 `toml:"lease_renew_seconds" validate:"min=0.1,max=20"`
+	LeaseMarginSeconds float64 `toml:"lease_margin_seconds" validate:"min=0.5,max=30"`
+	OrderSeconds       float64 `toml:"order_seconds" validate:"min=0.1,max=30"`
 }
 
 // Training holds the controller's settings.
 type Training struct {
-	Partitions int `toml:"partitions"` // the same on every controller
+	Partitions int `toml:"partitions" validate:"min=1,max=1024"` // the same on every controller
 }
 
 // Log selects level and format of the log.
 type Log struct {
-	Level  string `toml:"level"`  // debug, info, warn or error
-	Format string `toml:"format"` // json or console
+	Level  string `toml:"level" validate:"oneof=debug info warn error"` // debug, info, warn or error
+	Format string `toml:"format" validate:"oneof=json console"`         // json or console
 }
 
 // Default returns the settings that a file overrides.
@@ -97,23 +92,9 @@
 			HostListSeconds: 1, HostRowSeconds: 15, StateReportSeconds: 0.5,
 			ConfigPollSeconds: 2, ConfigConfirmSeconds: 8, ContactAfterSeconds: 3,
 			DrainDelaySeconds: 5, DrainLimitSeconds: 600,
-			LeaseSeconds: 6, LeaseMarginSeconds: 2, OrderSeconds: 2,
+			LeaseSeconds: 6, LeaseRenewSeconds: 2, LeaseMarginSeconds: 2, OrderSeconds: 2,
 		},
 		Training: Training{Partitions: 16},
 		Log:      Log{Level: "info", Format: "json"},
 	}
 }
-
-// Load reads a settings file. An unknown key is an error that names its place.
-func Load(path string) (Process, error) {
-	p := Default()
-	f, err := os.Open(path)
-	if err != nil {
-		return p, err
-	}
-	defer func() { _ = f.Close() }()
-	if err := toml.NewDecoder(f).DisallowUnknownFields().Decode(&p); err != nil {
-		return p, fmt.Errorf("%s: %w", path, err)
-	}
-	return p, nil
-}
