Add log, metrics, counters by reason and lost reports by kind

Cause: refusals, retries, lost reports and tick durations were not visible.

Change: package telemetry sets up zap and tally with the Prometheus reporter, counts refusals and retries by class and reason, and registers the executors of Count and LogChange. Inbox counts lost reports by event kind.

Measured: go test -race ./telemetry passes.

--- a/control/inbox.go
+++ b/control/inbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 
 	"github.com/lavenderstand/lavenderstand/event"
@@ -14,6 +15,7 @@
 type Inbox struct {
 	events  chan event.Event
 	dropped atomic.Uint64
+	byKind  sync.Map // event name to *atomic.Uint64
 }
 
 // NewInbox returns an inbox for size events.
@@ -27,6 +29,8 @@
 		return true
 	default:
 		b.dropped.Add(1)
+		kind, _ := b.byKind.LoadOrStore(e.Name(), new(atomic.Uint64))
+		kind.(*atomic.Uint64).Add(1)
 		return false
 	}
 }
@@ -43,3 +47,13 @@
 
 // Dropped returns the number of events lost by Post.
 func (b *Inbox) Dropped() uint64 { return b.dropped.Load() }
+
+// DroppedByKind returns the number of events lost by Post for each event name.
+func (b *Inbox) DroppedByKind() map[string]uint64 {
+	counts := make(map[string]uint64)
+	b.byKind.Range(func(kind, n any) bool {
+		counts[kind.(string)] = n.(*atomic.Uint64).Load()
+		return true
+	})
+	return counts
+}
--- /dev/null
+++ b/telemetry/control.go
@@ -0,0 +1,64 @@
+package telemetry
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/control"
+)
+
+// inboxEvery is the period at which lost reports are counted.
+const inboxEvery = 5 * time.Second
+
+// Register adds the executors of command.Count and command.LogChange.
+func Register(pool *control.Pool, scope tally.Scope, log *zap.Logger) {
+	control.HandleNow(pool, func(c command.Count) {
+		scope.Tagged(c.Tags).Counter(c.Counter + "_total").Inc(c.Delta)
+	})
+	control.HandleNow(pool, func(c command.LogChange) {
+		fields := make([]zap.Field, len(c.Fields))
+		for i, f := range c.Fields {
+			fields[i] = zap.String(f.Key, f.Value)
+		}
+		log.Info(c.Message, fields...)
+	})
+}
+
+// ObserveTicks returns the control.Options.Observe that records durations.
+func ObserveTicks(scope tally.Scope) func(name string, took time.Duration) {
+	histograms := make(map[string]tally.Histogram) // used by the control goroutine only
+	return func(name string, took time.Duration) {
+		h := histograms[name]
+		if h == nil {
+			h = scope.Tagged(map[string]string{"step": name}).Histogram("tick_seconds", tickBuckets)
+			histograms[name] = h
+		}
+		h.RecordDuration(took)
+	}
+}
+
+// WatchInbox counts the reports that a full inbox lost, by kind, until ctx ends.
+func WatchInbox(ctx context.Context, scope tally.Scope, inbox *control.Inbox) error {
+	ticker := time.NewTicker(inboxEvery)
+	defer ticker.Stop()
+	counted := make(map[string]uint64)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			countDropped(scope, inbox.DroppedByKind(), counted)
+		}
+	}
+}
+
+func countDropped(scope tally.Scope, dropped, counted map[string]uint64) {
+	for kind, n := range dropped {
+		scope.Tagged(map[string]string{"event": kind}).Counter("inbox_dropped_total").Inc(int64(n - counted[kind]))
+		counted[kind] = n
+	}
+}
--- /dev/null
+++ b/telemetry/telemetry_test.go
@@ -0,0 +1,66 @@
+package telemetry
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/control"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/settings"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// TestMetricsAreServed guards against a counter that is kept but not shown, or
+// shown without the tag that names its cause.
+func TestMetricsAreServed(t *testing.T) {
+	m := NewMetrics(map[string]string{"host": "e1"}, func(err error) { t.Error(err) })
+	counters := NewCounters(m.Scope)
+	counters.Refused("live", verdict.ReasonOverload)
+	counters.Refused("live", verdict.ReasonOverload)
+	counters.Retried("live", verdict.ReasonConnectFailed)
+	counters.Answered("live", 3*time.Millisecond)
+	inbox := control.NewInbox(1)
+	for range 3 {
+		inbox.Post(event.AttemptEnded{})
+	}
+	counted := map[string]uint64{}
+	countDropped(m.Scope, inbox.DroppedByKind(), counted)
+	countDropped(m.Scope, inbox.DroppedByKind(), counted)
+	ObserveTicks(m.Scope)("tick", time.Millisecond)
+	core, logs := observer.New(zap.InfoLevel)
+	pool := control.NewPool(context.Background(), inbox, func(command.Command) { t.Error("no handler") })
+	Register(pool, m.Scope, zap.New(core))
+	pool.Execute(command.Count{Counter: "config_unconfirmed", Delta: 2})
+	pool.Execute(command.LogChange{Message: "readiness changed", Fields: []command.Field{{Key: "ready", Value: "true"}}})
+	require.NoError(t, m.Close())
+
+	w := httptest.NewRecorder()
+	m.Handler.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	for _, line := range []string{
+		`lavender_refused_total{class="live",host="e1",reason="overload"} 2`,
+		`lavender_retried_total{class="live",host="e1",reason="connect_failed"} 1`,
+		`lavender_answered_seconds_count{class="live",host="e1"} 1`,
+		`lavender_inbox_dropped_total{event="attempt_ended",host="e1"} 2`,
+		`lavender_tick_seconds_count{host="e1",step="tick"} 1`,
+		`lavender_config_unconfirmed_total{host="e1"} 2`,
+		"process_cpu_seconds_total", "process_resident_memory_bytes",
+	} {
+		require.Contains(t, w.Body.String(), line)
+	}
+	require.Equal(t, 1, logs.FilterField(zap.String("ready", "true")).Len())
+}
+
+// TestLoggerRefusesUnknownLevel guards against a silent default.
+func TestLoggerRefusesUnknownLevel(t *testing.T) {
+	_, err := NewLogger(settings.Log{Level: "loud"})
+	require.Error(t, err)
+	_, err = NewLogger(settings.Log{Level: "warn", Format: "console"})
+	require.NoError(t, err)
+}
