--- a/api/errors.go
+++ b/api/errors.go
@@ -9,9 +9,9 @@
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
-// ErrorHandler writes the error of a handler or middleware as an ErrorBody. It
+// HandleError writes the error of a handler or middleware as an ErrorBody. It
 // is set as echo.Echo.HTTPErrorHandler.
-func ErrorHandler(err error, c echo.Context) {
+func HandleError(err error, c echo.Context) {
 	if c.Response().Committed {
 		return
 	}
--- a/system/configuration.go
+++ b/system/configuration.go
@@ -84,8 +84,8 @@
 func applyConfigRead(now time.Duration, t *table.Tables, read event.ConfigRead, out *command.Outbox) {
 	c := &t.Config
 	c.ReadPending = false
-	if read.Failure != nil {
-		return
+	if read.Failure != nil || read.Version < c.Version {
+		return // a lower version is a read that was answered late
 	}
 	adopt(t, read.Version, read.Body, "table service", out)
 	c.EverRead, c.StoreReadAt = true, now
--- a/system/configuration_test.go
+++ b/system/configuration_test.go
@@ -184,3 +184,17 @@
 		}
 	}
 }
+
+// TestLateRowDoesNotConfirm guards against reads of an outdated row that keep a
+// process in service.
+func TestLateRowDoesNotConfirm(t *testing.T) {
+	w := newWorld(1)
+	w.version = 1
+	w.run(time.Second)
+	w.version = 2
+	w.run(3 * time.Second)
+	w.version = 1
+	w.run(9 * time.Second)
+	require.False(t, w.nodes[0].tables.Config.Confirmed)
+	require.Equal(t, uint64(2), w.nodes[0].tables.Config.Version)
+}
--- a/system/hosts.go
+++ b/system/hosts.go
@@ -40,8 +40,6 @@
 func applyHostEvent(now time.Duration, t *table.Tables, e event.Event, period time.Duration) {
 	d := &t.Directory
 	switch e := e.(type) {
-	case event.DrainRequested:
-		t.Self.Draining = true
 	case event.DrainFinished:
 		d.Leaving, d.NextWrite = true, now
 	case event.HostRowWritten:
--- a/table/configuration.go
+++ b/table/configuration.go
@@ -48,3 +48,12 @@
 	Acknowledged    map[string]bool // by host name
 	Refused         map[string]bool // by host name
 }
+
+// Status is what the newest published status snapshot was built from.
+type Status struct {
+	Published     bool
+	Next          time.Duration
+	ConfigVersion uint64
+	Ready         bool
+	Draining      bool
+}
--- a/table/tables.go
+++ b/table/tables.go
@@ -12,6 +12,7 @@
 
 	Directory Directory
 	Changes   Table[ConfigChange] // keyed by request id
+	Status    Status
 
 	Partitions Table[Partition] // keyed by PartitionKey
 	Trainers   Table[Trainer]   // keyed by trainer name
