--- /dev/null
+++ b/cmd/lavenderctl/class.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"github.com/lavenderstand/lavenderstand/plan"
+)
+
+func classCommand(o *options) *cobra.Command {
+	c := &cobra.Command{Use: "class", Short: "Show or change the targets of classes of work"}
+	c.AddCommand(classList(o), classSet(o))
+	return c
+}
+
+func classList(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "list", Short: "List the classes and their targets", Args: cobra.NoArgs, Example: "  lavenderctl class list",
+		RunE: func(c *cobra.Command, _ []string) error {
+			current, err := o.readConfig(c.Context())
+			if err != nil {
+				return err
+			}
+			classes := current.Body.Classes
+			var rows [][]any
+			for _, name := range slices.Sorted(maps.Keys(classes)) {
+				class := classes[name]
+				rows = append(rows, []any{name, class.LatencyMS, class.OnTimeShare, class.TokensPerSecond, class.StalenessBound})
+			}
+			return o.print(classes, "NAME LATENCY_MS ON_TIME_SHARE TOKENS_PER_SECOND STALENESS_BOUND", rows)
+		},
+	}
+}
+
+func classSet(o *options) *cobra.Command {
+	var given plan.ClassConfig
+	var author string
+	c := &cobra.Command{
+		Use: "set NAME", Short: "Change targets of a class, or add a class", Args: cobra.ExactArgs(1),
+		Long: "Change the given targets of a class and keep the others. The change applies to\n" +
+			"the version that was read; a change accepted meanwhile is a conflict (exit code 3).",
+		Example: "  lavenderctl class set live --latency-ms 500 --on-time-share 0.99",
+		RunE: func(c *cobra.Command, args []string) error {
+			current, err := o.readConfig(c.Context())
+			if err != nil {
+				return err
+			}
+			body := current.Body
+			body.Classes = maps.Clone(body.Classes)
+			if body.Classes == nil {
+				body.Classes = make(map[string]plan.ClassConfig)
+			}
+			body.Classes[args[0]] = merge(body.Classes[args[0]], given, c.Flags().Changed)
+			if err := body.Check(); err != nil {
+				return fail(exitError, "%w", err)
+			}
+			return o.changeConfig(c.Context(), current.Version, author, body)
+		},
+	}
+	c.Flags().Int64Var(&given.LatencyMS, "latency-ms", 0, "latency target in ms; 0 removes it")
+	c.Flags().Float64Var(&given.OnTimeShare, "on-time-share", 0, "share of requests within the latency target, 0 to 1")
+	c.Flags().Float64Var(&given.TokensPerSecond, "tokens-per-second", 0, "throughput target")
+	c.Flags().Int64Var(&given.StalenessBound, "staleness-bound", 0, "bound in weight versions")
+	c.Flags().StringVar(&author, "author", "", "name noted beside the principal")
+	c.MarkFlagsOneRequired("latency-ms", "on-time-share", "tokens-per-second", "staleness-bound")
+	return c
+}
+
+// merge takes the flags that were given and keeps the other targets.
+func merge(class, given plan.ClassConfig, changed func(flag string) bool) plan.ClassConfig {
+	if changed("latency-ms") {
+		class.LatencyMS = given.LatencyMS
+	}
+	if changed("on-time-share") {
+		class.OnTimeShare = given.OnTimeShare
+	}
+	if changed("tokens-per-second") {
+		class.TokensPerSecond = given.TokensPerSecond
+	}
+	if changed("staleness-bound") {
+		class.StalenessBound = given.StalenessBound
+	}
+	return class
+}
--- /dev/null
+++ b/cmd/lavenderctl/client.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/lavenderstand/lavenderstand/api"
+	"github.com/lavenderstand/lavenderstand/identity"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+const maxAnswer = 64 << 20
+
+// answer is a complete answer of a server.
+type answer struct {
+	status int
+	body   []byte
+}
+
+// call sends a request to the first server that runs it and decodes the result.
+// A conflict is returned as an answer with status 409 and no error.
+func (o *options) call(ctx context.Context, method, path string, in, out any) (answer, error) {
+	if len(o.servers) == 0 {
+		return answer{}, fail(exitUsage, "--server is missing")
+	}
+	token, err := identity.ReadSecret(o.tokenFile)
+	if err != nil {
+		return answer{}, fail(exitUsage, "--token-file: %w", err)
+	}
+	var body []byte
+	if in != nil {
+		if body, err = json.Marshal(in); err != nil {
+			return answer{}, fail(exitError, "encode request: %w", err)
+		}
+	}
+	a, err := o.tryServers(ctx, method, path, token, body)
+	if err != nil || a.status == http.StatusConflict {
+		return a, err
+	}
+	if a.status/100 != 2 {
+		return a, refusal(method, a)
+	}
+	if err := json.Unmarshal(a.body, out); err != nil {
+		return a, fail(exitError, "decode answer: %w", err)
+	}
+	return a, nil
+}
+
+// tryServers goes on to the next server only if the call did not run.
+func (o *options) tryServers(ctx context.Context, method, path, token string, body []byte) (a answer, err error) {
+	for i, server := range o.servers {
+		last := i == len(o.servers)-1
+		a, err = o.send(ctx, method, "http://"+server+path, token, body)
+		if err != nil {
+			if !last && (method == http.MethodGet || notSent(err)) {
+				continue
+			}
+			return a, fail(exitUnknown, "%s: %w", server, err)
+		}
+		if a.status != http.StatusServiceUnavailable || errorOf(a).Verdict != verdict.NotRun || last {
+			return a, nil
+		}
+	}
+	return a, err
+}
+
+func (o *options) send(ctx context.Context, method, url, token string, body []byte) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.timeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, url, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return answer{}, err
+	}
+	r.ContentLength = int64(len(body))
+	r.Header.Set("Authorization", "Bearer "+token)
+	r.Header.Set("Content-Type", "application/json")
+	// A new connection per call, so that no request is repeated on a stale one.
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(r)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	return answer{status: response.StatusCode, body: data}, err
+}
+
+// notSent reports whether the connection was never made.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func errorOf(a answer) api.ErrorDetail {
+	var body api.ErrorBody
+	if json.Unmarshal(a.body, &body) != nil {
+		return api.ErrorDetail{Message: http.StatusText(a.status)}
+	}
+	return body.Error
+}
+
+// refusal maps an error answer to an exit code.
+func refusal(method string, a answer) error {
+	detail := errorOf(a)
+	code := exitError
+	if method != http.MethodGet && detail.Verdict != verdict.NotRun {
+		code = exitUnknown
+	}
+	return fail(code, "%s (%s, %s)", detail.Message, detail.Reason, detail.Verdict)
+}
