Test configuration with staggered polls, a slow store and late commits

Cause: the sessions polled in step and no commit arrived after its sender had given it up, so the hold of prepared versions was not covered. With a poll of 5 s and a confirmation of 6 s an outage of the table service would stop every host: a peer's read may be one poll younger than the own.

Change: simulated processes start 400 ms apart; the store can be slow. Settings require config_confirm_seconds >= config_poll_seconds + 5.

--- a/api/operators_test.go
+++ b/api/operators_test.go
@@ -152,6 +152,25 @@
 	}, time.Second, 5*time.Millisecond)
 }
 
+// TestRacingOperators guards against two accepted changes of one version, and
+// against a loser without an answer.
+func TestRacingOperators(t *testing.T) {
+	e, _ := startOperators(t)
+	const operators = 20
+	codes := make(chan int, operators)
+	for i := range operators {
+		go func() {
+			code, _ := do(e, "PUT", "/v1/config", fmt.Sprintf(`{"expected_version":0,"author":"%d","config":{}}`, i))
+			codes <- code
+		}()
+	}
+	count := map[int]int{}
+	for range operators {
+		count[<-codes]++
+	}
+	require.Equal(t, map[int]int{http.StatusOK: 1, http.StatusConflict: operators - 1}, count)
+}
+
 // TestBadConfigIsRefused guards against a configuration that names things that
 // do not exist, and against silently ignored keys.
 func TestBadConfigIsRefused(t *testing.T) {
--- a/settings/check.go
+++ b/settings/check.go
@@ -17,6 +17,11 @@
 	// MaxConfigSeconds is the longest time in which an accepted configuration
 	// may not yet be in effect: confirmation and one poll.
 	MaxConfigSeconds = 11
+	// outageMarginSeconds is the age from which a peer's read of the row no
+	// longer shows that an outage is local. With a shorter confirmation every
+	// host would stop for some seconds in each outage of the table service,
+	// because its peers may have read the row up to one poll later.
+	outageMarginSeconds = 5
 	// renewalsPerLease is the number of renewals that fit into a lease, so
 	// that two lost ones do not end it.
 	renewalsPerLease = 3
@@ -117,8 +122,8 @@
 		"%v is not below config_confirm_seconds %v", t.ContactAfterSeconds, t.ConfigConfirmSeconds)
 	reject(t.ContactAfterSeconds <= t.ConfigPollSeconds, "timing.contact_after_seconds",
 		"%v is not above config_poll_seconds %v, so every poll would cause contacts", t.ContactAfterSeconds, t.ConfigPollSeconds)
-	reject(t.ConfigConfirmSeconds <= t.ConfigPollSeconds, "timing.config_confirm_seconds",
-		"%v is not above config_poll_seconds %v", t.ConfigConfirmSeconds, t.ConfigPollSeconds)
+	reject(t.ConfigConfirmSeconds < t.ConfigPollSeconds+outageMarginSeconds, "timing.config_confirm_seconds",
+		"%v is below config_poll_seconds %v + %d", t.ConfigConfirmSeconds, t.ConfigPollSeconds, outageMarginSeconds)
 	reject(t.ConfigConfirmSeconds+t.ConfigPollSeconds > MaxConfigSeconds, "timing.config_confirm_seconds",
 		"%v and config_poll_seconds %v exceed %d together", t.ConfigConfirmSeconds, t.ConfigPollSeconds, MaxConfigSeconds)
 	reject(t.LeaseSeconds < renewalsPerLease*t.LeaseRenewSeconds, "timing.lease_seconds",
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -18,7 +18,7 @@
 	"ranges":        {"2: limits.burst: 0 is below the minimum of 1", "3: limits.requests_per_second: 0 is not above 0", "6: timing.config_poll_seconds: 2000 is above the maximum of 10", `8: log.level: "verbose" is not one of`},
 	"addresses":     {"2: listen.http: ", "3: listen.grpc: ", "5: platform.tables: ", "6: platform.objects: "},
 	"combinations":  {"3: listen.grpc: is the same", "4: timing.config_confirm_seconds: 8 and", "4: timing.drain_delay_seconds: 5 is not below", "5: timing.contact_after_seconds: 9 is not below config_confirm_seconds 8", "7: timing.lease_seconds: 5 is shorter", "8: timing.order_seconds: 6 is longer"},
-	"short_confirm": {"2: timing.config_confirm_seconds: 1.5 is not above config_poll_seconds 2", "3: timing.contact_after_seconds: 1 is not above"},
+	"short_confirm": {"2: timing.config_confirm_seconds: 1.5 is below config_poll_seconds 2 + 5", "3: timing.contact_after_seconds: 1 is not above"},
 	"secrets":       {"2: platform.token_file: ", "4: identity.process_token_file: "},
 	"incomplete":    {"1: host.zone: is missing", " listen.http: is missing", " platform.tables: is missing", " identity.principals_file: is missing"},
 }
--- a/system/configuration_test.go
+++ b/system/configuration_test.go
@@ -85,6 +85,14 @@
 			}
 		},
 		"commit_outcome_unknown": func(w *world) { w.nodes[0].dropNext = true; w.change(w.nodes[0], "anna", 1) },
+		// A commit takes effect after its sender gave it up; the hosts that
+		// prepared it are cut off before and must have kept it pending.
+		"commit_arrives_late": func(w *world) {
+			w.slow = true
+			w.change(w.nodes[4], "anna", 1)
+			w.run(5 * time.Second)
+			cut(w, 3)
+		},
 		// A change that cannot be prepared must not commit.
 		"no_majority": func(w *world) {
 			for i, n := range w.nodes {
@@ -96,7 +104,6 @@
 	for name, session := range sessions {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(5)
-			w.version = 1
 			w.run(settle)
 			w.printf("session %s begins", name)
 			session(w)
@@ -129,7 +136,6 @@
 // every host while the store answers.
 func TestNoContactInNormalOperation(t *testing.T) {
 	w := newWorld(5)
-	w.version = 1
 	w.run(5 * time.Minute)
 	require.Zero(t, w.messages)
 }
@@ -139,7 +145,6 @@
 func TestNoOutdatedVersionBeyondBound(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newWorld(rapid.IntRange(3, 5).Draw(rt, "hosts"))
-		w.version = 1
 		w.run(20 * time.Second)
 		for step := range rapid.IntRange(1, 20).Draw(rt, "steps") {
 			fault(rt, w, step)
@@ -155,7 +160,7 @@
 
 func fault(rt *rapid.T, w *world, step int) {
 	n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(rt, "host")]
-	switch rapid.IntRange(0, 7).Draw(rt, "fault") {
+	switch rapid.IntRange(0, 8).Draw(rt, "fault") {
 	case 0:
 		w.down = !w.down
 	case 1:
@@ -168,6 +173,8 @@
 		n.dropNext = true
 	case 5:
 		restart(w, n)
+	case 6:
+		w.slow = !w.slow
 	default:
 		w.change(n, fmt.Sprintf("change-%d", step), w.version)
 	}
@@ -189,7 +196,6 @@
 // process in service.
 func TestLateRowDoesNotConfirm(t *testing.T) {
 	w := newWorld(1)
-	w.version = 1
 	w.run(time.Second)
 	w.version = 2
 	w.run(3 * time.Second)
--- a/system/configuration_world_test.go
+++ b/system/configuration_world_test.go
@@ -18,6 +18,12 @@
 	worldTick    = 50 * time.Millisecond
 	worldLatency = 10 * time.Millisecond
 	worldTimeout = time.Second
+	// slowRead and slowCommit are the delays of a slow store: of the answer to a
+	// read, and of a commit that its sender has given up meanwhile.
+	slowRead   = 1900 * time.Millisecond
+	slowCommit = 6 * time.Second
+	// startPause spreads the processes' polls over the poll period.
+	startPause = 400 * time.Millisecond
 	// worldBound is the time after acceptance at which the old version may
 	// still be served, as the design states it.
 	worldBound = 10 * time.Second
@@ -57,12 +63,16 @@
 	calls    int
 	log      strings.Builder
 	messages int // contacts sent
+	slow     bool
+	late     []func()        // commits under way to a slow store
+	lateAt   []time.Duration // when each arrives
 }
 
 func newWorld(n int) *world {
-	w := &world{accepted: map[uint64]time.Duration{}, rows: map[string]event.HostRow{}, replies: map[string]func(command.Command){}}
+	w := &world{version: 1, accepted: map[uint64]time.Duration{}, rows: map[string]event.HostRow{}, replies: map[string]func(command.Command){}}
 	for i := range n {
 		w.start(fmt.Sprintf("e%d", i+1))
+		w.run(startPause)
 	}
 	return w
 }
@@ -82,6 +92,10 @@
 // run ticks every node until d has passed.
 func (w *world) run(d time.Duration) {
 	for end := w.now + d; w.now < end; w.now += worldTick {
+		for len(w.late) > 0 && w.lateAt[0] <= w.now {
+			w.late[0]()
+			w.late, w.lateAt = w.late[1:], w.lateAt[1:]
+		}
 		for _, n := range w.nodes {
 			if !n.frozen {
 				w.tick(n)
@@ -128,7 +142,11 @@
 			w.send(n, worldTimeout, event.ConfigRead{Failure: unreachable})
 			return
 		}
-		w.send(n, worldLatency, event.ConfigRead{Version: w.version, Body: body(w.version)})
+		delay := worldLatency
+		if w.slow {
+			delay = slowRead
+		}
+		w.send(n, delay, event.ConfigRead{Version: w.version, Body: body(w.version)})
 	case command.ReadHostRows:
 		w.readRows(n, storeDown)
 	case command.WriteHostRow:
@@ -170,52 +188,6 @@
 	}
 }
 
-func (w *world) readRows(n *node, storeDown bool) {
-	if storeDown {
-		w.send(n, worldTimeout, event.HostRowsRead{Failure: unreachable})
-		return
-	}
-	var rows []event.HostRow
-	for _, row := range w.rows {
-		rows = append(rows, row)
-	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].ID < rows[j].ID })
-	w.send(n, worldLatency, event.HostRowsRead{Rows: rows})
-}
-
-func (w *world) writeRow(n *node, c command.WriteHostRow, storeDown bool) {
-	if storeDown {
-		w.send(n, worldTimeout, event.HostRowWritten{Failure: unreachable})
-		return
-	}
-	row := c.Row
-	row.RowVersion = w.rows[row.ID].RowVersion + 1
-	w.rows[row.ID] = row
-	if c.Delete {
-		delete(w.rows, row.ID)
-	}
-	w.send(n, worldLatency, event.HostRowWritten{})
-}
-
-func (w *world) commit(n *node, c command.CommitConfig, storeDown bool) {
-	if storeDown {
-		w.send(n, worldTimeout, event.ConfigCommitted{RequestID: c.RequestID, Failure: unreachable})
-		return
-	}
-	committed := c.ExpectedVersion == w.version
-	if committed {
-		w.version++
-		w.author, w.accepted[w.version] = c.Author, w.now
-		w.printf("store accepts version %d of %s", w.version, c.Author)
-	}
-	if n.dropNext {
-		n.dropNext = false
-		w.send(n, worldTimeout, event.ConfigCommitted{RequestID: c.RequestID, Failure: &event.Failure{Reason: verdict.ReasonStoreUnavailable}})
-		return
-	}
-	w.send(n, worldLatency, event.ConfigCommitted{RequestID: c.RequestID, Committed: committed, Version: w.version, Author: w.author, Body: body(w.version)})
-}
-
 func (w *world) find(name string) *node {
 	for i := len(w.nodes) - 1; i >= 0; i-- {
 		if w.nodes[i].name == name {
--- a/system/hosts_test.go
+++ b/system/hosts_test.go
@@ -13,7 +13,6 @@
 // because nobody could renew or read a row for a long time.
 func TestHostsStayKnownDuringOutage(t *testing.T) {
 	w := newWorld(5)
-	w.version = 1
 	w.run(22 * time.Second) // the newest renewals, at 15 s, have been read
 	w.down = true
 	w.run(10 * time.Minute)
@@ -28,7 +27,6 @@
 // TestSilentHostLeaves guards against a dead host that counts for ever.
 func TestSilentHostLeaves(t *testing.T) {
 	w := newWorld(5)
-	w.version = 1
 	w.run(20 * time.Second)
 	w.nodes[4].frozen = true
 	w.run(50 * time.Second)
@@ -41,7 +39,6 @@
 // when the store is down at the end of the drain.
 func TestDrainDeletesOwnRow(t *testing.T) {
 	w := newWorld(3)
-	w.version = 1
 	w.run(20 * time.Second)
 	w.nodes[2].tables.Self.Draining = true
 	w.run(time.Second)
