Add client of backend servers and stand-ins of engines and services

Cause: nothing spoke the engine protocol of design 7.5 and 7.7, and tests had no backend servers to run against. Change: engine.Client with verdicts of design 5.6 (a connection counts written bytes and is sealed when a request is reported as not run), event stream decoder, executors of backend commands, stand-ins of model engine, plain service, scoring service and load balancer with ledgers and faults, and their commands.

--- /dev/null
+++ b/engine/client_test.go
@@ -0,0 +1,109 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+func addressOf(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+func generate(address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	return NewClient("").Generate(ctx, address, GenerateRequest{RequestID: "r"}, func(Chunk) error { return nil })
+}
+
+// TestNotRunOnlyIfNothingSent guards against "not run" for a request that the
+// server received, and against "may have run" for one that never left.
+func TestNotRunOnlyIfNothingSent(t *testing.T) {
+	closed := httptest.NewServer(nil)
+	closed.Close()
+	require.Equal(t, verdict.NotRun, verdict.Of(generate(addressOf(closed))))
+
+	var calls atomic.Int32
+	cut := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		calls.Add(1)
+		panic(http.ErrAbortHandler)
+	}))
+	defer cut.Close()
+	err := generate(addressOf(cut))
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+	require.Equal(t, verdict.ReasonConnectionLost, verdict.ReasonOf(err))
+	require.EqualValues(t, 1, calls.Load(), "net/http repeated the request")
+}
+
+// TestNoRepeatOnReusedConnection guards against the replay that net/http does
+// when a kept connection turns out to be closed.
+func TestNoRepeatOnReusedConnection(t *testing.T) {
+	var calls atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "{}")
+	}))
+	defer server.Close()
+	c := NewClient("")
+	_, err := c.State(context.Background(), addressOf(server))
+	require.NoError(t, err)
+	_, err = c.State(context.Background(), addressOf(server))
+	require.Error(t, err)
+	require.EqualValues(t, 2, calls.Load())
+}
+
+// TestRefusals guards against a refusal whose verdict or cause is lost.
+func TestRefusals(t *testing.T) {
+	body, status := "", 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}))
+	defer server.Close()
+	status, body = 503, `{"verdict":"not_run","reason":"leaving"}`
+	err := generate(addressOf(server))
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+	require.Equal(t, verdict.ReasonBackendLeaving, verdict.ReasonOf(err))
+	body = `{"verdict":"may_have_run"}`
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(generate(addressOf(server))))
+	status = 409
+	err = NewClient("").SetWanted(context.Background(), addressOf(server), Wanted{})
+	require.Equal(t, verdict.ReasonStaleFence, verdict.ReasonOf(err))
+	status, body = 200, strings.Repeat("x", MaxAnswerBytes+1)
+	_, err = NewClient("").State(context.Background(), addressOf(server))
+	require.Equal(t, verdict.ReasonBadAnswer, verdict.ReasonOf(err))
+}
+
+// TestSealedConnection guards against bytes that leave after "not run" was
+// reported.
+func TestSealedConnection(t *testing.T) {
+	a, b := net.Pipe()
+	defer func() { _, _ = a.Close(), b.Close() }()
+	c := &countingConn{Conn: a}
+	require.True(t, c.seal(c.count()))
+	_, err := c.Write([]byte("x"))
+	require.True(t, errors.Is(err, errSealed))
+
+	d := &countingConn{Conn: discardConn{}}
+	base := d.count()
+	_, err = d.Write([]byte("x"))
+	require.NoError(t, err)
+	require.False(t, d.seal(base))
+}
+
+type discardConn struct{ net.Conn }
+
+func (discardConn) Write(p []byte) (int, error) { return new(bytes.Buffer).Write(p) }
--- /dev/null
+++ b/engine/stream.go
@@ -0,0 +1,86 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+// MaxEventBytes bounds one event of an event stream.
+const MaxEventBytes = 1 << 20
+
+// ErrEventTooLarge is returned for an event above the limit.
+var ErrEventTooLarge = errors.New("event is too large")
+
+// EventReader decodes the data of server-sent events.
+type EventReader struct {
+	reader *bufio.Reader
+	limit  int
+	data   []byte
+	size   int // bytes of the current event, other fields included
+}
+
+// NewEventReader returns a reader of events of at most limit bytes.
+func NewEventReader(r io.Reader, limit int) *EventReader {
+	return &EventReader{reader: bufio.NewReader(r), limit: limit}
+}
+
+// Next returns the data of the next event; it is valid until the next call. At
+// the end of the stream it returns io.EOF, or io.ErrUnexpectedEOF if the stream
+// ends within an event.
+func (e *EventReader) Next() ([]byte, error) {
+	e.data, e.size = e.data[:0], 0
+	hasData := false
+	for {
+		line, err := e.line()
+		if err != nil {
+			return nil, e.end(err)
+		}
+		if len(line) == 0 {
+			e.size = 0
+			if hasData {
+				return e.data, nil
+			}
+			continue
+		}
+		if field, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			if hasData {
+				e.data = append(e.data, '\n')
+			}
+			e.data = append(e.data, bytes.TrimPrefix(field, []byte(" "))...)
+			hasData = true
+		}
+	}
+}
+
+func (e *EventReader) end(err error) error {
+	if errors.Is(err, io.EOF) && e.size > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// line returns a line without its end. It may be longer than the buffer of the
+// reader but not than the limit.
+func (e *EventReader) line() ([]byte, error) {
+	var long []byte
+	for {
+		part, err := e.reader.ReadSlice('\n')
+		e.size += len(part)
+		if e.size > e.limit {
+			return nil, ErrEventTooLarge
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			long = append(long, part...)
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		if long != nil {
+			part = append(long, part...)
+		}
+		return bytes.TrimSuffix(part[:len(part)-1], []byte("\r")), nil
+	}
+}
--- a/engine/wire.go
+++ b/engine/wire.go
@@ -82,3 +82,32 @@
 
 // PrefixBlockBytes is the length of the prompt blocks whose hashes are chained.
 const PrefixBlockBytes = 64
+
+// CancelRequest stops a request.
+type CancelRequest struct {
+	RequestID string `json:"request_id"`
+}
+
+// KVRequest names the KV cache entry of a prompt.
+type KVRequest struct {
+	Model  string `json:"model"`
+	Prompt string `json:"prompt"`
+}
+
+// ScoreSample is one text to score.
+type ScoreSample struct {
+	Index int    `json:"index"`
+	Text  string `json:"text"`
+}
+
+// ScoreRequest asks a scoring service for the scores of a group.
+type ScoreRequest struct {
+	Group   string        `json:"group"`
+	Prompt  string        `json:"prompt"`
+	Samples []ScoreSample `json:"samples"`
+}
+
+// ScoreAnswer holds one score per sample, in the order of the request.
+type ScoreAnswer struct {
+	Scores []float64 `json:"scores"`
+}
--- /dev/null
+++ b/handler/backend.go
@@ -0,0 +1,117 @@
+package handler
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/control"
+	"github.com/lavenderstand/lavenderstand/engine"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+const (
+	readTimeout  = time.Second // of a state report or a page of cache events
+	scoreTimeout = 30 * time.Second
+
+	// Calls of each kind that run at once.
+	readLimit  = 64
+	orderLimit = 64
+	scoreLimit = 16
+)
+
+// Backends is what the executors of backend commands need. Objects may be nil
+// in a process that never scores. Clock returns the monotonic offset from
+// process start.
+type Backends struct {
+	Client  *engine.Client
+	Objects platform.Objects
+	Clock   func() time.Duration
+}
+
+// RegisterBackends adds the executors of commands to backend servers.
+func RegisterBackends(pool *control.Pool, deps Backends) {
+	control.Handle(pool, readLimit, deps.readState)
+	control.Handle(pool, readLimit, deps.readCacheEvents)
+	control.Handle(pool, orderLimit, deps.orderWeights)
+	if deps.Objects != nil {
+		control.Handle(pool, scoreLimit, deps.scoreGroup)
+	}
+}
+
+func (d Backends) readState(ctx context.Context, c command.ReadState) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	state, err := d.Client.State(ctx, c.Address)
+	if err == nil && state.Name != c.Backend {
+		// The address may have been given to another server since the list was read.
+		err = verdict.New(verdict.Ran, verdict.ReasonForeignAnswer, "report of %q instead of %q", state.Name, c.Backend)
+	}
+	if err != nil {
+		state = engine.State{}
+	}
+	return event.StateReported{Backend: c.Backend, State: state, Failure: event.FailureOf(err)}
+}
+
+func (d Backends) readCacheEvents(ctx context.Context, c command.ReadCacheEvents) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	page, err := d.Client.CacheEvents(ctx, c.Address, c.After)
+	return event.CacheReported{Backend: c.Backend, Events: page, Failure: event.FailureOf(err)}
+}
+
+// orderWeights sends an order unless its deadline has passed, because the
+// holder that issued it may have lost its lease by then.
+func (d Backends) orderWeights(ctx context.Context, c command.OrderWeights) event.Event {
+	left := c.Deadline - d.Clock()
+	answer := event.OrderAnswered{Backend: c.Backend, Model: c.Wanted.Model}
+	if left <= 0 {
+		answer.Failure = event.FailureOf(verdict.New(verdict.NotRun, verdict.ReasonDeadline, "order expired before it was sent"))
+		return answer
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	wanted := c.Wanted
+	wanted.DeadlineMS = max(1, left.Milliseconds()) // 0 would mean no deadline
+	answer.Failure = event.FailureOf(d.Client.SetWanted(ctx, c.Address, wanted))
+	return answer
+}
+
+func (d Backends) scoreGroup(ctx context.Context, c command.ScoreGroup) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, scoreTimeout)
+	defer cancel()
+	scores, err := d.score(ctx, c)
+	return event.GroupScored{
+		Trainer: c.Trainer, Group: c.Spec.ID, Attempt: c.Attempt,
+		Scores: scores, Failure: event.FailureOf(err),
+	}
+}
+
+// score returns the scores by sample index.
+func (d Backends) score(ctx context.Context, c command.ScoreGroup) ([]float64, error) {
+	request := engine.ScoreRequest{Group: c.Spec.ID, Prompt: c.Spec.Prompt}
+	for _, s := range c.Samples {
+		if s.Index < 0 || s.Index >= len(c.Samples) {
+			return nil, verdict.New(verdict.NotRun, verdict.ReasonInternal, "sample index %d of %d", s.Index, len(c.Samples))
+		}
+		text, found, err := d.Objects.Get(ctx, s.ObjectKey)
+		if err != nil {
+			return nil, err
+		}
+		if !found {
+			return nil, verdict.New(verdict.NotRun, verdict.ReasonInternal, "text of sample %s/%d is missing", s.Group, s.Index)
+		}
+		request.Samples = append(request.Samples, engine.ScoreSample{Index: s.Index, Text: string(text)})
+	}
+	inOrder, err := d.Client.Score(ctx, c.Address, request)
+	if err != nil {
+		return nil, err
+	}
+	scores := make([]float64, len(inOrder))
+	for i, s := range request.Samples {
+		scores[s.Index] = inOrder[i]
+	}
+	return scores, nil
+}
--- /dev/null
+++ b/standin/balancer.go
@@ -0,0 +1,159 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+)
+
+const (
+	balancerCheckTimeout = 500 * time.Millisecond
+	balancerBuffer       = 32 << 10
+)
+
+// BalancerOptions configure the platform's load balancer.
+type BalancerOptions struct {
+	Hosts  []string // HTTP addresses of entry hosts
+	Lag    time.Duration
+	Repeat bool // repeat a request on another host after a connection error
+}
+
+// Balancer passes requests round robin to the entry hosts that were ready at
+// its last check.
+type Balancer struct {
+	options BalancerOptions
+	client  *http.Client
+	ready   atomic.Pointer[[]string]
+	next    atomic.Uint64
+}
+
+// NewBalancer returns a balancer that checks readiness while Run does.
+func NewBalancer(o BalancerOptions) *Balancer {
+	setDefault(&o.Lag, time.Second)
+	b := &Balancer{options: o, client: &http.Client{
+		Transport:     &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+	b.ready.Store(&[]string{})
+	return b
+}
+
+// Run checks the entry hosts until ctx ends.
+func (b *Balancer) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		ready := b.check(ctx)
+		b.ready.Store(&ready)
+		pause(ctx, b.options.Lag)
+	}
+	return nil
+}
+
+// check asks all hosts at once, so that a paused host does not delay the rest.
+func (b *Balancer) check(ctx context.Context) []string {
+	ctx, cancel := context.WithTimeout(ctx, balancerCheckTimeout)
+	defer cancel()
+	answers := make([]bool, len(b.options.Hosts))
+	var wg sync.WaitGroup
+	for i, host := range b.options.Hosts {
+		wg.Go(func() { answers[i] = b.isReady(ctx, host) })
+	}
+	wg.Wait()
+	var ready []string
+	for i, ok := range answers {
+		if ok {
+			ready = append(ready, b.options.Hosts[i])
+		}
+	}
+	return ready
+}
+
+func (b *Balancer) isReady(ctx context.Context, host string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+host+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Register adds the pass-through of all requests.
+func (b *Balancer) Register(r *echo.Echo) { r.Any("/*", b.serve) }
+
+func (b *Balancer) serve(c echo.Context) error {
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxServiceBody))
+	if err != nil {
+		return echo.ErrStatusRequestEntityTooLarge
+	}
+	ready := *b.ready.Load()
+	if len(ready) == 0 {
+		return c.String(http.StatusServiceUnavailable, "no entry host is ready")
+	}
+	attempts := 1
+	if b.options.Repeat {
+		attempts = min(2, len(ready))
+	}
+	first := b.next.Add(1)
+	for i := range attempts {
+		host := ready[(first+uint64(i))%uint64(len(ready))]
+		if b.forward(c, host, body) {
+			return nil
+		}
+	}
+	// The client cannot know whether the request ran, as with a real balancer
+	// that resets the connection.
+	panic(http.ErrAbortHandler)
+}
+
+// forward passes a request to a host. It returns false if no answer began.
+func (b *Balancer) forward(c echo.Context, host string, body []byte) bool {
+	in := c.Request()
+	out, err := http.NewRequestWithContext(in.Context(), in.Method, "http://"+host+in.URL.RequestURI(), io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return false
+	}
+	out.ContentLength = int64(len(body))
+	out.Header = in.Header.Clone()
+	resp, err := b.client.Do(out)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	copyResponse(c, resp)
+	return true
+}
+
+// copyResponse passes an answer on as it arrives. A broken answer breaks the
+// client's connection too.
+func copyResponse(c echo.Context, resp *http.Response) {
+	for name, values := range resp.Header {
+		c.Response().Header()[name] = values
+	}
+	c.Response().WriteHeader(resp.StatusCode)
+	buffer := make([]byte, balancerBuffer)
+	for {
+		n, err := resp.Body.Read(buffer)
+		if n > 0 {
+			if _, err := c.Response().Write(buffer[:n]); err != nil {
+				return
+			}
+			c.Response().Flush()
+		}
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
--- /dev/null
+++ b/standin/engine_faults.go
@@ -0,0 +1,66 @@
+package standin
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/ledger"
+)
+
+// EngineFaults are the faults of an engine; a POST replaces all of them. The
+// stream faults strike the next Streams completions, or all if it is 0.
+type EngineFaults struct {
+	CrashAfterChunks int     `json:"crash_after_chunks"` // process exits, counted over all streams
+	LoadFailures     int     `json:"load_failures"`      // next loads that fail partway
+	Refuse           int     `json:"refuse"`             // next completions refused before running
+	Slow             float64 `json:"slow"`               // divides the speed
+	Hang             bool    `json:"hang"`               // produce nothing
+	FreezeReports    bool    `json:"freeze_reports"`
+	Leaving          bool    `json:"leaving"`
+
+	Streams          int            `json:"streams"`
+	CutAfterChunks   int            `json:"cut_after_chunks"` // close the connection
+	DelayMS          int64          `json:"delay_ms"`         // before each chunk
+	Double           bool           `json:"double"`
+	Reorder          bool           `json:"reorder"`  // swap neighbours
+	Truncate         bool           `json:"truncate"` // end normally without the last chunk
+	ForeignRequestID string         `json:"foreign_request_id"`
+	NoVersion        bool           `json:"no_version"`
+	LieVersion       ledger.Version `json:"lie_version"`
+}
+
+func (f *EngineFaults) speed() float64 {
+	if f.Slow > 0 {
+		return 1 / f.Slow
+	}
+	return 1
+}
+
+func (f *EngineFaults) takeRefusal() bool     { return take(&f.Refuse) }
+func (f *EngineFaults) takeLoadFailure() bool { return take(&f.LoadFailures) }
+
+func take(count *int) bool {
+	if *count <= 0 {
+		return false
+	}
+	*count--
+	return true
+}
+
+// takeStream returns the faults of the next stream.
+func (f *EngineFaults) takeStream() EngineFaults {
+	taken := *f
+	if f.Streams > 0 {
+		if f.Streams--; f.Streams == 0 {
+			f.clearStream()
+		}
+	}
+	return taken
+}
+
+func (f *EngineFaults) clearStream() {
+	f.CutAfterChunks, f.DelayMS = 0, 0
+	f.Double, f.Reorder, f.Truncate, f.NoVersion = false, false, false, false
+	f.ForeignRequestID, f.LieVersion = "", 0
+}
+
+func (f *EngineFaults) delay() time.Duration { return time.Duration(f.DelayMS) * time.Millisecond }
--- /dev/null
+++ b/standin/engine_stream.go
@@ -0,0 +1,118 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/engine"
+)
+
+// chunkWriter writes the chunks of one completion, with its faults.
+type chunkWriter struct {
+	engine *Engine
+	w      http.ResponseWriter
+	faults EngineFaults
+	sent   int
+	held   *engine.Chunk // waits for its successor to overtake it
+}
+
+// stream writes the chunks of a completion until it ends or ctx does.
+func (c *chunkWriter) stream(ctx context.Context, s *sequence) {
+	c.w.Header().Set("Content-Type", "text/event-stream")
+	c.w.WriteHeader(http.StatusOK)
+	flush(c.w)
+	for {
+		select {
+		case <-ctx.Done():
+			c.engine.cancel(s.request.RequestID)
+			return
+		case chunk, ok := <-s.out:
+			if !ok {
+				c.release()
+				return
+			}
+			c.next(ctx, chunk)
+		}
+	}
+}
+
+func (c *chunkWriter) next(ctx context.Context, chunk engine.Chunk) {
+	if c.faults.Truncate && chunk.Done {
+		return
+	}
+	if c.faults.Reorder && c.held == nil {
+		c.held = &chunk
+		return
+	}
+	c.write(ctx, chunk)
+	c.release()
+	if c.faults.Double {
+		c.write(ctx, chunk)
+	}
+}
+
+func (c *chunkWriter) release() {
+	if c.held != nil {
+		held := *c.held
+		c.held = nil
+		c.write(context.Background(), held)
+	}
+}
+
+func (c *chunkWriter) write(ctx context.Context, chunk engine.Chunk) {
+	if c.faults.CutAfterChunks > 0 && c.sent >= c.faults.CutAfterChunks {
+		panic(http.ErrAbortHandler) // closes the connection
+	}
+	pause(ctx, c.faults.delay())
+	data, _ := json.Marshal(c.alter(chunk))
+	_, _ = fmt.Fprintf(c.w, "data: %s\n\n", data)
+	flush(c.w)
+	c.sent++
+	c.engine.countChunk(ctx)
+}
+
+func (c *chunkWriter) alter(chunk engine.Chunk) engine.Chunk {
+	if c.faults.ForeignRequestID != "" {
+		chunk.RequestID = c.faults.ForeignRequestID
+	}
+	if c.faults.LieVersion != 0 {
+		chunk.Version = c.faults.LieVersion
+	}
+	if c.faults.NoVersion {
+		chunk.Version = 0
+	}
+	return chunk
+}
+
+// countChunk exits the process when the crash fault says so.
+func (e *Engine) countChunk(ctx context.Context) {
+	e.do(ctx, func(t *engineTables) {
+		if t.faults.CrashAfterChunks > 0 {
+			if t.faults.CrashAfterChunks--; t.faults.CrashAfterChunks == 0 {
+				e.options.Exit(1)
+			}
+		}
+	})
+}
+
+func flush(w http.ResponseWriter) {
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/standin/engine_systems.go
@@ -0,0 +1,181 @@
+package standin
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/engine"
+)
+
+// engineSystems run in this order each tick.
+var engineSystems = []func(e *Engine, now time.Duration, t *engineTables){
+	activateAndLoad, expire, admit, decode, removeEnded, renewReport,
+}
+
+// accept adds a completion to the queue, or says why it does not run.
+func (e *Engine) accept(t *engineTables, r engine.GenerateRequest) (*sequence, string) {
+	if reason := e.refuse(t, r); reason != "" {
+		return nil, reason
+	}
+	t.arrivals++
+	total, limited := Length(r.Prompt, r.MaxTokens)
+	s := &sequence{
+		run: e.boot + "/" + strconv.FormatUint(t.arrivals, 10), request: r, arrival: t.arrivals,
+		total: total, limited: limited, produced: len(r.PrefixTokens),
+		out: make(chan engine.Chunk, total+1),
+	}
+	if r.DeadlineMS > 0 {
+		s.deadline = time.Since(e.start) + time.Duration(r.DeadlineMS)*time.Millisecond
+	}
+	e.options.Journal.Add(Entry{
+		Kind: EntryStart, Run: s.run, RequestID: r.RequestID, Prompt: PromptID(r.Prompt), From: s.produced,
+	})
+	t.sequences = append(t.sequences, s)
+	return s, ""
+}
+
+func (e *Engine) refuse(t *engineTables, r engine.GenerateRequest) string {
+	switch {
+	case t.faults.takeRefusal():
+		return "fault"
+	case t.faults.Leaving:
+		return engine.ReasonLeaving
+	case r.Model != e.options.Model:
+		return "unknown_model"
+	case t.active == 0:
+		return "not_loaded"
+	case r.OnlyVersion != 0 && r.OnlyVersion != t.active:
+		return "version_mismatch"
+	case len(t.sequences) >= e.options.Slots+e.options.QueueLimit:
+		return "queue_full"
+	default:
+		return ""
+	}
+}
+
+// expire ends completions whose deadline has passed.
+func expire(e *Engine, now time.Duration, t *engineTables) {
+	for _, s := range t.sequences {
+		if s.deadline > 0 && now > s.deadline {
+			e.end(s, false, "deadline")
+		}
+	}
+}
+
+// admit gives free slots to the waiting completions of highest priority.
+func admit(e *Engine, now time.Duration, t *engineTables) {
+	free := e.options.Slots - t.running()
+	if free <= 0 {
+		return
+	}
+	slices.SortStableFunc(t.sequences, func(a, b *sequence) int {
+		if a.request.Priority != b.request.Priority {
+			return b.request.Priority - a.request.Priority
+		}
+		return int(a.arrival) - int(b.arrival)
+	})
+	for _, s := range t.sequences {
+		if free == 0 {
+			return
+		}
+		if !s.running && !s.ended {
+			s.running = true
+			s.readyAt = now + e.prefill(now, t, s.request.Prompt)
+			free--
+		}
+	}
+}
+
+// prefill returns the time for the part of the prompt that is not cached.
+func (e *Engine) prefill(now time.Duration, t *engineTables, prompt string) time.Duration {
+	hashes := engine.PrefixHashes(nil, prompt)
+	hit := t.cache.use(hashes, now, func() bool { return t.random.Float64() < e.options.EventLoss })
+	fresh := len(prompt) - hit*engine.PrefixBlockBytes
+	return time.Duration(float64(fresh) / e.options.PrefillBytes * float64(time.Second))
+}
+
+// decode produces the tokens of the time since the last tick.
+func decode(e *Engine, now time.Duration, t *engineTables) {
+	if t.faults.Hang {
+		return
+	}
+	for _, s := range t.sequences {
+		if !s.running || s.ended || now < s.readyAt {
+			continue
+		}
+		if s.request.OnlyVersion != 0 && s.request.OnlyVersion != t.active {
+			e.end(s, false, "version_changed")
+			continue
+		}
+		since := now - max(t.ticked, s.readyAt)
+		s.credit += e.options.TokensPerSecond * t.faults.speed() * since.Seconds()
+		e.produce(t, s)
+	}
+}
+
+// produce emits the chunks that the credit of a completion allows.
+func (e *Engine) produce(t *engineTables, s *sequence) {
+	for !s.ended {
+		count := min(e.options.ChunkTokens, s.total-s.produced)
+		if s.credit < float64(count) {
+			return
+		}
+		s.credit -= float64(count)
+		e.emit(t, s, count)
+	}
+}
+
+func (e *Engine) emit(t *engineTables, s *sequence, count int) {
+	chunk := engine.Chunk{
+		RequestID: s.request.RequestID, BootID: e.boot, Offset: s.produced,
+		Tokens: make([]int, count), Version: t.active,
+	}
+	for i := range chunk.Tokens {
+		chunk.Tokens[i] = Token(s.request.Prompt, s.produced+i)
+	}
+	chunk.Text = TextOf(chunk.Tokens)
+	s.produced += count
+	if chunk.Done = s.produced >= s.total; chunk.Done {
+		chunk.FinishReason = "stop"
+		if s.limited {
+			chunk.FinishReason = "length"
+		}
+	}
+	if count > 0 {
+		e.options.Journal.Add(Entry{Kind: EntryTokens, Run: s.run, From: chunk.Offset, To: s.produced, Version: t.active})
+	}
+	s.out <- chunk
+	if chunk.Done {
+		e.end(s, true, "")
+	}
+}
+
+func (e *Engine) end(s *sequence, completed bool, reason string) {
+	if s.ended {
+		return
+	}
+	s.ended = true
+	e.options.Journal.Add(Entry{Kind: EntryEnd, Run: s.run, Completed: completed, Reason: reason})
+	close(s.out)
+}
+
+func removeEnded(_ *Engine, _ time.Duration, t *engineTables) {
+	t.sequences = slices.DeleteFunc(t.sequences, func(s *sequence) bool { return s.ended })
+}
+
+// renewReport takes the report that GET /v1/state returns until the next one.
+func renewReport(e *Engine, now time.Duration, t *engineTables) {
+	if t.hasState && (t.faults.FreezeReports || now-t.reported < e.options.ReportLag) {
+		return
+	}
+	t.hasState, t.reported = true, now
+	running := t.running()
+	t.report = engine.State{
+		Name: e.options.Name, BootID: e.boot, Model: e.options.Model,
+		Active: t.active, Loaded: slices.Clone(t.loaded), Loading: t.loading, LoadFailures: t.loadFailures,
+		Fence: t.fence, Running: running, Queued: len(t.sequences) - running, Slots: e.options.Slots,
+		TokensPerSecond: e.options.TokensPerSecond * float64(e.options.Slots) * t.faults.speed(),
+		Leaving:         t.faults.Leaving,
+	}
+}
--- /dev/null
+++ b/standin/engine_weights.go
@@ -0,0 +1,149 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/engine"
+	"github.com/lavenderstand/lavenderstand/ledger"
+)
+
+const (
+	maxLoadedVersions = 3
+	failedLoadBytes   = 1024 // read before a load fault strikes
+)
+
+var errLoadFault = errors.New("load failed partway")
+
+// order applies an order and returns its status code and reason.
+func (e *Engine) order(t *engineTables, w engine.Wanted, token string) (int, string) {
+	status, reason := e.checkOrder(t, w, token)
+	obeyed := status == http.StatusAccepted
+	if obeyed {
+		t.wanted, t.fence = w, max(t.fence, w.Fence)
+	}
+	e.options.Journal.Add(Entry{
+		Kind: EntryOrder, OrderID: w.OrderID, Fence: w.Fence, Version: max(w.Active, w.Preload), Obeyed: obeyed, Reason: reason,
+	})
+	return status, reason
+}
+
+func (e *Engine) checkOrder(t *engineTables, w engine.Wanted, token string) (int, string) {
+	switch {
+	case e.options.IssuerToken != "" && token != "Bearer "+e.options.IssuerToken:
+		return http.StatusForbidden, "forbidden"
+	case e.options.ChecksFence && w.Fence < t.fence:
+		return http.StatusConflict, "stale_fence"
+	case w.Model != e.options.Model:
+		return http.StatusBadRequest, "unknown_model"
+	default:
+		return http.StatusAccepted, ""
+	}
+}
+
+// activateAndLoad moves the weights towards the wanted state. A swap takes
+// effect between two chunks, also of running completions.
+func activateAndLoad(e *Engine, _ time.Duration, t *engineTables) {
+	if t.wanted.Active != 0 && slices.Contains(t.loaded, t.wanted.Active) {
+		t.active = t.wanted.Active
+	}
+	next := t.missingVersion()
+	if t.loading != 0 && t.loading != t.wanted.Preload && t.loading != t.wanted.Active {
+		t.cancelLoad()
+		return
+	}
+	if next == 0 || t.loading != 0 || t.failedOrder == t.wanted.OrderID {
+		return
+	}
+	t.loading = next
+	ctx, cancel := context.WithCancel(t.ctx)
+	t.cancelLoad = cancel
+	fault := t.faults.takeLoadFailure()
+	go e.load(ctx, next, t.wanted.OrderID, fault)
+}
+
+func (t *engineTables) missingVersion() ledger.Version {
+	for _, v := range []ledger.Version{t.wanted.Active, t.wanted.Preload} {
+		if v != 0 && !slices.Contains(t.loaded, v) {
+			return v
+		}
+	}
+	return 0
+}
+
+// load fetches a version and reports the outcome to the owner of the tables.
+func (e *Engine) load(ctx context.Context, v ledger.Version, orderID string, fault bool) {
+	err := e.fetch(ctx, v, fault)
+	canceled := ctx.Err() != nil
+	e.do(context.WithoutCancel(ctx), func(t *engineTables) {
+		t.cancelLoad()
+		t.loading = 0
+		if err != nil {
+			if !canceled {
+				t.loadFailures++
+				t.failedOrder = orderID
+			}
+			return
+		}
+		t.addLoaded(v)
+	})
+}
+
+func (t *engineTables) addLoaded(v ledger.Version) {
+	t.loaded = append(t.loaded, v)
+	slices.Sort(t.loaded)
+	for i := 0; len(t.loaded) > maxLoadedVersions && i < len(t.loaded); {
+		if old := t.loaded[i]; old != t.active && old != t.wanted.Active && old != t.wanted.Preload {
+			t.loaded = slices.Delete(t.loaded, i, i+1)
+			continue
+		}
+		i++
+	}
+}
+
+func (e *Engine) fetch(ctx context.Context, v ledger.Version, fault bool) error {
+	if e.options.WeightStore == "" {
+		return waitLoad(ctx, e.options.LoadTime, fault)
+	}
+	url := fmt.Sprintf("%s/v1/weights?model=%s&version=%d", e.options.WeightStore, e.options.Model, v)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("weight store answered status %d", resp.StatusCode)
+	}
+	if fault {
+		_, _ = io.CopyN(io.Discard, resp.Body, failedLoadBytes)
+		return errLoadFault
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+func waitLoad(ctx context.Context, d time.Duration, fault bool) error {
+	if fault {
+		d /= 2
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+	}
+	if fault {
+		return errLoadFault
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/journal.go
@@ -0,0 +1,109 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sync"
+
+	"github.com/lavenderstand/lavenderstand/ledger"
+)
+
+// Kinds of journal entries.
+const (
+	EntryStart  = "start"  // an engine accepted a completion
+	EntryTokens = "tokens" // an engine produced tokens From to To
+	EntryEnd    = "end"    // a completion ended, Completed or not
+	EntryOrder  = "order"  // an engine obeyed or refused an order
+	EntryRun    = "run"    // a plain or scoring service executed a request
+)
+
+// Entry is one fact in the ledger of a stand-in. The judge takes it as true.
+type Entry struct {
+	Kind      string         `json:"kind"`
+	Run       string         `json:"run,omitempty"` // unique per accepted completion
+	RequestID string         `json:"request_id,omitempty"`
+	Key       string         `json:"key,omitempty"`    // Idempotency-Key
+	Route     string         `json:"route,omitempty"`  // method and path
+	Prompt    string         `json:"prompt,omitempty"` // PromptID
+	From      int            `json:"from,omitempty"`
+	To        int            `json:"to,omitempty"`
+	Version   ledger.Version `json:"version,omitempty"`
+	Completed bool           `json:"completed,omitempty"`
+	OrderID   string         `json:"order_id,omitempty"`
+	Fence     uint64         `json:"fence,omitempty"`
+	Obeyed    bool           `json:"obeyed,omitempty"`
+	Reason    string         `json:"reason,omitempty"`
+}
+
+// Journal is the ledger of a stand-in. With a file, each entry is written
+// before the work becomes visible, so that the ledger outlives a kill.
+type Journal struct {
+	mu      sync.Mutex
+	file    *os.File
+	entries []Entry
+}
+
+// OpenJournal returns a journal that appends to a file, or only keeps entries
+// in memory if path is empty.
+func OpenJournal(path string) (*Journal, error) {
+	j := new(Journal)
+	if path == "" {
+		return j, nil
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	// Ends a line that a killed process left unfinished.
+	if _, err := file.WriteString("\n"); err != nil {
+		return nil, err
+	}
+	j.file = file
+	return j, nil
+}
+
+// Add records an entry. A ledger that cannot be written would make the judge
+// wrong, so that failure ends the process.
+func (j *Journal) Add(e Entry) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.entries = append(j.entries, e)
+	if j.file == nil {
+		return
+	}
+	line, err := json.Marshal(e)
+	if err == nil {
+		_, err = j.file.Write(append(line, '\n'))
+	}
+	if err != nil {
+		panic(fmt.Sprintf("write ledger: %v", err))
+	}
+}
+
+// Entries returns a copy of all entries since process start.
+func (j *Journal) Entries() []Entry {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]Entry{}, j.entries...)
+}
+
+// ReadJournal reads a journal file. Lines that a killed process left
+// unfinished are skipped.
+func ReadJournal(path string) ([]Entry, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var entries []Entry
+	lines := bufio.NewScanner(bytes.NewReader(data))
+	for lines.Scan() {
+		var e Entry
+		if json.Unmarshal(lines.Bytes(), &e) == nil && e.Kind != "" {
+			entries = append(entries, e)
+		}
+	}
+	return entries, lines.Err()
+}
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,233 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/labstack/echo/v4"
+
+	"github.com/lavenderstand/lavenderstand/engine"
+)
+
+const maxServiceBody = 1 << 20
+
+// ServiceOptions configure a plain or scoring service.
+type ServiceOptions struct {
+	Name    string
+	Model   string // service name
+	Work    time.Duration
+	Journal *Journal
+	Exit    func(code int) // called by the crash fault
+}
+
+// ServiceFaults are the faults of a plain or scoring service; a POST replaces
+// all of them. The counts strike that many of the next requests.
+type ServiceFaults struct {
+	DieAfterAccept int   `json:"die_after_accept"` // process exits before running the n-th request
+	CutBeforeRun   int   `json:"cut_before_run"`   // close the connection, nothing ran
+	CutAfterRun    int   `json:"cut_after_run"`    // run, then close the connection
+	Refuse         int   `json:"refuse"`           // 503 with X-Verdict: not_run
+	Fail           int   `json:"fail"`             // run, then answer 500
+	SlowMS         int64 `json:"slow_ms"`          // added to each request
+	FreezeReports  bool  `json:"freeze_reports"`
+	Leaving        bool  `json:"leaving"`
+}
+
+// service is what plain and scoring services have in common: state report,
+// ledger and faults.
+type service struct {
+	options ServiceOptions
+	boot    string
+
+	mu      sync.Mutex
+	faults  ServiceFaults
+	running int
+	report  engine.State
+	taken   time.Time
+}
+
+func newService(o ServiceOptions) *service {
+	if o.Journal == nil {
+		o.Journal = new(Journal)
+	}
+	setExit(&o.Exit)
+	return &service{options: o, boot: newBootID()}
+}
+
+func (s *service) register(r *echo.Echo) {
+	r.GET("/v1/state", s.state)
+	r.GET("/admin/ledger", func(c echo.Context) error {
+		return c.JSON(http.StatusOK, map[string]any{"entries": s.options.Journal.Entries()})
+	})
+	r.POST("/admin/faults", s.setFaults)
+}
+
+func (s *service) setFaults(c echo.Context) error {
+	var faults ServiceFaults
+	if err := c.Bind(&faults); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+	return c.JSON(http.StatusOK, faults)
+}
+
+// serviceReportLag is the age that a report reaches before it is renewed.
+const serviceReportLag = 250 * time.Millisecond
+
+func (s *service) state(c echo.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.taken.IsZero() || (!s.faults.FreezeReports && time.Since(s.taken) > serviceReportLag) {
+		s.taken = time.Now()
+		s.report = engine.State{
+			Name: s.options.Name, BootID: s.boot, Model: s.options.Model,
+			Running: s.running, Slots: serviceSlots, Leaving: s.faults.Leaving,
+		}
+	}
+	report := s.report
+	report.AgeMS = time.Since(s.taken).Milliseconds()
+	return c.JSON(http.StatusOK, report)
+}
+
+// serviceSlots is the parallelism that a service reports.
+const serviceSlots = 64
+
+// outcome is what the faults make of one request.
+type outcome struct {
+	die, cutBefore, cutAfter, refuse, fail bool
+	leaving                                bool
+	work                                   time.Duration
+}
+
+func (s *service) begin() outcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := &s.faults
+	o := outcome{leaving: f.Leaving, work: s.options.Work + time.Duration(f.SlowMS)*time.Millisecond}
+	switch {
+	case f.Leaving:
+	case take(&f.Refuse):
+		o.refuse = true
+	case take(&f.DieAfterAccept):
+		o.die = f.DieAfterAccept == 0
+	case take(&f.CutBeforeRun):
+		o.cutBefore = true
+	case take(&f.CutAfterRun):
+		o.cutAfter = true
+	case take(&f.Fail):
+		o.fail = true
+	}
+	s.running++
+	return o
+}
+
+func (s *service) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+// run passes a request through the faults and records its execution. answer
+// computes the response.
+func (s *service) run(c echo.Context, entry Entry, answer func() error) error {
+	o := s.begin()
+	defer s.end()
+	switch {
+	case o.leaving:
+		return refuse(c, engine.ReasonLeaving)
+	case o.refuse:
+		return refuse(c, "fault")
+	case o.die:
+		s.options.Exit(1)
+	case o.cutBefore:
+		panic(http.ErrAbortHandler)
+	}
+	// A plain service goes on when its client has gone, so that an execution
+	// without an answer occurs in tests.
+	pause(context.WithoutCancel(c.Request().Context()), o.work)
+	entry.Kind, entry.Completed = EntryRun, true
+	s.options.Journal.Add(entry)
+	switch {
+	case o.cutAfter:
+		panic(http.ErrAbortHandler)
+	case o.fail:
+		return c.String(http.StatusInternalServerError, "fault")
+	}
+	return answer()
+}
+
+func refuse(c echo.Context, reason string) error {
+	c.Response().Header().Set("X-Verdict", "not_run")
+	return c.JSON(http.StatusServiceUnavailable, engine.Refusal{Verdict: "not_run", Reason: reason})
+}
+
+// Plain is a plain service. It executes every request it accepts, also a
+// repeated one: whether a request ran twice is for the judge to see.
+type Plain struct{ *service }
+
+// NewPlain returns a plain service.
+func NewPlain(o ServiceOptions) *Plain { return &Plain{service: newService(o)} }
+
+// Register adds the service's routes.
+func (p *Plain) Register(r *echo.Echo) {
+	p.register(r)
+	r.Any("/*", p.serve)
+}
+
+func (p *Plain) serve(c echo.Context) error {
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxServiceBody))
+	if err != nil {
+		return echo.ErrStatusRequestEntityTooLarge
+	}
+	r := c.Request()
+	entry := Entry{
+		RequestID: r.Header.Get("X-Request-Id"), Key: r.Header.Get("Idempotency-Key"),
+		Route: r.Method + " " + r.URL.Path,
+	}
+	return p.run(c, entry, func() error {
+		c.Response().Header().Set("X-Request-Id", entry.RequestID)
+		return c.String(http.StatusOK, ServiceAnswer(r.Method, r.URL.Path, body))
+	})
+}
+
+// ServiceAnswer returns the plain service's answer to a request, so that a
+// client can verify it.
+func ServiceAnswer(method, path string, body []byte) string {
+	h := xxhash.New()
+	_, _ = h.WriteString(method + " " + path + "\n")
+	_, _ = h.Write(body)
+	return "done " + strconv.FormatUint(h.Sum64(), 16)
+}
+
+// Scoring is a scoring service.
+type Scoring struct{ *service }
+
+// NewScoring returns a scoring service.
+func NewScoring(o ServiceOptions) *Scoring { return &Scoring{service: newService(o)} }
+
+// Register adds the service's routes.
+func (s *Scoring) Register(r *echo.Echo) {
+	s.register(r)
+	r.POST("/v1/score", s.score)
+}
+
+func (s *Scoring) score(c echo.Context) error {
+	var request engine.ScoreRequest
+	if err := c.Bind(&request); err != nil {
+		return err
+	}
+	return s.run(c, Entry{Key: request.Group, Route: "POST /v1/score"}, func() error {
+		answer := engine.ScoreAnswer{Scores: make([]float64, len(request.Samples))}
+		for i, sample := range request.Samples {
+			answer.Scores[i] = ScoreOf(sample.Text)
+		}
+		return c.JSON(http.StatusOK, answer)
+	})
+}
--- /dev/null
+++ b/standin/tokens.go
@@ -0,0 +1,69 @@
+package standin
+
+import (
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	vocabulary = 50021
+	// Lengths follow a Pareto distribution: a few completions are much longer
+	// than the rest, as in training rollouts.
+	shortestTokens = 8
+	tailExponent   = 1.2
+)
+
+// PromptID identifies a prompt in ledgers.
+func PromptID(prompt string) string { return strconv.FormatUint(xxhash.Sum64String(prompt), 16) }
+
+// Token returns token i of the completion of a prompt. It depends on nothing
+// else, so that a client can verify an answer whatever server or version ran.
+func Token(prompt string, i int) int {
+	return int(xxhash.Sum64String(prompt+"#"+strconv.Itoa(i)) % vocabulary)
+}
+
+// TokenText returns the text of a token.
+func TokenText(token int) string { return strconv.Itoa(token) + " " }
+
+// TextOf returns the text of tokens.
+func TextOf(tokens []int) string {
+	var b strings.Builder
+	for _, token := range tokens {
+		b.WriteString(TokenText(token))
+	}
+	return b.String()
+}
+
+// Length returns the number of tokens of the completion of a prompt and whether
+// it was limited by maxTokens.
+func Length(prompt string, maxTokens int) (tokens int, limited bool) {
+	uniform := (float64(xxhash.Sum64String("length#"+prompt)>>11) + 1) / (1 << 53)
+	natural := shortestTokens * math.Pow(uniform, -1/tailExponent)
+	if natural >= float64(maxTokens) {
+		return maxTokens, true
+	}
+	return int(natural), false
+}
+
+// Completion returns the whole completion of a prompt.
+func Completion(prompt string, maxTokens int) []int {
+	count, _ := Length(prompt, maxTokens)
+	tokens := make([]int, count)
+	for i := range tokens {
+		tokens[i] = Token(prompt, i)
+	}
+	return tokens
+}
+
+// CompletionText returns the text of the whole completion of a prompt.
+func CompletionText(prompt string, maxTokens int) string {
+	return TextOf(Completion(prompt, maxTokens))
+}
+
+// ScoreOf returns the score that the scoring service gives a text, 0 to 1.
+func ScoreOf(text string) float64 {
+	return float64(xxhash.Sum64String("score#"+text)>>11) / (1 << 53)
+}
