Add demo: clients, load, judge and plan of a run

Cause: nothing compared what clients receive with what backend servers really ran. Change: stand-in callers, trainers and judge; lavender-demo with plan, load and judge; demo/run.sh, which alone starts and stops processes. The judge test plants 16 faults one by one and each is found; a fake that relabels samples and a service that runs a retried claim again make the run fail.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PROTO_GEN_VERSION = v1.36.12
 BIN = bin
 
-.PHONY: build test lint vet format generate clean
+.PHONY: build test lint vet format generate demo clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -20,6 +20,10 @@
 format:
 	gofmt -l . | tee /dev/stderr | wc -l | grep -qx 0
 
+# Runs everything as separate processes; DEMO_ARGS go to demo/run.sh.
+demo: build
+	demo/run.sh $(DEMO_ARGS)
+
 # Needs buf, protoc-gen-go and protoc-gen-go-grpc on the PATH. The output is
 # committed, so a build does not need it.
 generate:
--- /dev/null
+++ b/cmd/lavender-demo/load.go
@@ -0,0 +1,208 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/lavenderstand/lavenderstand/standin"
+)
+
+const (
+	setupLimit   = 10 * time.Second // until every entry host is ready
+	setupPoll    = 100 * time.Millisecond
+	callTimeout  = 2 * time.Second
+	minRollouts  = 2
+	demoBound    = 2 // staleness of samples, in weight versions
+	callersInAll = 6
+
+	// Together with setupLimit and the planned stop these keep a run below 60 s.
+	defaultDuration = 12 * time.Second
+	defaultLimit    = 13 * time.Second
+	callerDeadline  = 10 * time.Second
+)
+
+type loadOptions struct {
+	dir             string
+	duration, limit time.Duration
+	faults          []string
+}
+
+func loadCommand() *cobra.Command {
+	var o loadOptions
+	c := &cobra.Command{Use: "load", Short: "Drive callers and trainers of a run", RunE: func(*cobra.Command, []string) error {
+		return load(o)
+	}}
+	c.Flags().StringVar(&o.dir, "dir", "", "directory of the run")
+	c.Flags().DurationVar(&o.duration, "duration", defaultDuration, "time in which new work is submitted")
+	c.Flags().DurationVar(&o.limit, "limit", defaultLimit, "time in which trainers receive the rest afterwards")
+	c.Flags().StringArrayVar(&o.faults, "fault", nil, `fault of a stand-in: TIME,PROCESS,JSON, such as 3s,engine-1,{"hang":true}`)
+	_ = c.MarkFlagRequired("dir")
+	return c
+}
+
+func load(o loadOptions) error {
+	p, err := readPlan(o.dir)
+	if err != nil {
+		return err
+	}
+	faults, err := parseFaults(o.faults, p)
+	if err != nil {
+		return err
+	}
+	tokens, err := readTokens(o.dir)
+	if err != nil {
+		return err
+	}
+	if err := setUp(p, tokens["operator"]); err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(o.dir, "loading"), nil, 0o600); err != nil {
+		return err
+	}
+	received := drive(o, p, tokens, faults)
+	data, err := json.Marshal(received)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(o.dir, "received.json"), data, 0o600)
+}
+
+// drive runs all clients and faults at once and returns what was received.
+func drive(o loadOptions, p demoPlan, tokens map[string]string, faults []timedFault) standin.Received {
+	ends := time.Now().Add(o.duration)
+	run, release := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer release()
+	submitting, stop := context.WithDeadline(run, ends)
+	defer stop()
+	receiving, cancel := context.WithDeadline(run, ends.Add(o.limit))
+	defer cancel()
+	received := standin.Received{Trainers: make([]standin.TrainerLog, len(models))}
+	answers := make([][]standin.Answer, callersInAll)
+	var wg sync.WaitGroup
+	for i := range answers {
+		caller := newCaller(p, tokens["app"], i)
+		wg.Go(func() { answers[i] = caller.Run(submitting) })
+	}
+	for i, model := range models {
+		trainer := newTrainer(p, tokens, model, i)
+		wg.Go(func() {
+			var err error
+			if received.Trainers[i], err = trainer.Run(receiving, ends); err != nil {
+				fmt.Fprintf(os.Stderr, "%s: %v\n", trainerName(model), err)
+			}
+		})
+	}
+	for _, f := range faults {
+		wg.Go(func() { f.run(submitting) })
+	}
+	wg.Wait()
+	for _, a := range answers {
+		received.Answers = append(received.Answers, a...)
+	}
+	return received
+}
+
+func newCaller(p demoPlan, token string, i int) *standin.Caller {
+	return standin.NewCaller(standin.CallerOptions{
+		Name: fmt.Sprintf("caller-%d", i+1), Hosts: []string{p.Balancer}, Token: token, Models: models,
+		Class: liveClass, Lookups: lookupRoute, Claims: claimRoute, Deadline: callerDeadline, Seed: p.Seed*1000 + uint64(i),
+	})
+}
+
+func newTrainer(p demoPlan, tokens map[string]string, model string, i int) *standin.Trainer {
+	return standin.NewTrainer(standin.TrainerOptions{
+		Name: trainerName(model), Model: model, Hosts: p.Entries, Token: tokens[trainerName(model)],
+		OperatorToken: tokens["operator"], Bound: demoBound, Scorer: scoringService,
+		Rollouts: minRollouts, Seed: p.Seed*1000 + uint64(i),
+	})
+}
+
+func readTokens(dir string) (map[string]string, error) {
+	files, err := os.ReadDir(filepath.Join(dir, "tokens"))
+	if err != nil {
+		return nil, err
+	}
+	tokens := make(map[string]string)
+	for _, f := range files {
+		data, err := os.ReadFile(filepath.Join(dir, "tokens", f.Name()))
+		if err != nil {
+			return nil, err
+		}
+		tokens[f.Name()] = strings.TrimSpace(string(data))
+	}
+	return tokens, nil
+}
+
+// setUp fills the host list, writes the configuration and waits until every
+// entry host is ready.
+func setUp(p demoPlan, operator string) error {
+	deadline := time.Now().Add(setupLimit)
+	hosts := map[string]any{"hosts": p.Hosts}
+	if err := eventually(deadline, func() error {
+		return sendJSON(http.MethodPost, "http://"+p.Platform+"/admin/hosts", "", hosts)
+	}); err != nil {
+		return err
+	}
+	config := map[string]any{"expected_version": 0, "author": "demo", "config": p.Config}
+	if err := eventually(deadline, func() error {
+		return sendJSON(http.MethodPut, "http://"+p.Entries[0]+"/v1/config", operator, config)
+	}); err != nil {
+		return err
+	}
+	for _, entry := range p.Entries {
+		if err := eventually(deadline, func() error {
+			return sendJSON(http.MethodGet, "http://"+entry+"/readyz", "", nil)
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func eventually(deadline time.Time, fn func() error) error {
+	for {
+		err := fn()
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(setupPoll)
+	}
+}
+
+func sendJSON(method, url, token string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("%s %s: status %d", method, url, resp.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/lavender-demo/plan_processes.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"crypto/rand"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/settings"
+)
+
+// Values of the demo that differ from the defaults, so that a run with faults
+// and a planned stop ends within a minute.
+const (
+	demoDrainDelaySeconds = 1.5 // balancer lag, twice
+	demoDrainLimitSeconds = 15
+	demoBalancerLag       = "500ms"
+	demoWeightBytesRate   = 16 << 20
+)
+
+type principal struct {
+	Name      string `toml:"name"`
+	Role      string `toml:"role"`
+	TokenFile string `toml:"token_file"`
+}
+
+func (p *planner) tokenFile(name string) string { return p.path("tokens", name) }
+
+func (p *planner) writeTokens() error {
+	var file struct {
+		Principal []principal `toml:"principal"`
+	}
+	roles := [][2]string{{"app", "caller"}, {"operator", "operator"}, {"process", "process"}}
+	for _, model := range models {
+		roles = append(roles, [2]string{trainerName(model), "trainer"})
+	}
+	for _, r := range roles {
+		if err := os.WriteFile(p.tokenFile(r[0]), []byte(rand.Text()+"\n"), 0o600); err != nil {
+			return err
+		}
+		file.Principal = append(file.Principal, principal{Name: r[0], Role: r[1], TokenFile: p.tokenFile(r[0])})
+	}
+	data, err := toml.Marshal(file)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(p.path("principals.toml"), data, 0o600)
+}
+
+func trainerName(model string) string { return "trainer-" + model }
+
+func zoneName(i int) string { return string(rune('a' + i%zones)) }
+
+// standin adds a stand-in process.
+func (p *planner) standin(name, role string, args ...string) (address string, err error) {
+	if address, err = p.address(); err != nil {
+		return "", err
+	}
+	p.plan.Addresses[name] = address
+	args = append([]string{role, "--listen", address}, args...)
+	p.processes = append(p.processes, process{name: name, program: "lavender-standin", args: args})
+	return address, nil
+}
+
+func (p *planner) addPlatform() error {
+	address, err := p.standin("platform", "platform", "--seed", fmt.Sprint(p.plan.Seed),
+		"--weight-bytes-per-second", fmt.Sprint(demoWeightBytesRate))
+	p.plan.Platform = address
+	return err
+}
+
+func (p *planner) addBackends(engines int) error {
+	for i := range engines {
+		if err := p.addEngine(i); err != nil {
+			return err
+		}
+	}
+	for i := range zones {
+		name := fmt.Sprintf("service-%d", i+1)
+		if err := p.addBackend(platform.ListedHost{Name: name, Kind: "service", Model: plainService, Zone: zoneName(i)}, "service"); err != nil {
+			return err
+		}
+	}
+	return p.addBackend(platform.ListedHost{Name: "scoring-1", Kind: "scoring", Model: scoringService, Zone: zoneName(0)}, "scoring")
+}
+
+// addEngine adds an engine. Every third is slow, so that a run has stragglers;
+// every second checks fences, and one checks the issuer of orders.
+func (p *planner) addEngine(i int) error {
+	h := platform.ListedHost{
+		Name: fmt.Sprintf("engine-%d", i+1), Kind: "engine", Model: models[i%len(models)],
+		Zone: zoneName(i / len(models)), ChecksFence: i%2 == 0, ChecksIdentity: i == 0,
+	}
+	speed := 400
+	if i%3 == 2 {
+		speed = 150
+	}
+	args := []string{"--tokens-per-second", fmt.Sprint(speed), "--slots", "16", "--event-loss", "0.05",
+		"--weight-store", "http://" + p.plan.Platform}
+	if h.ChecksFence {
+		args = append(args, "--checks-fence")
+	}
+	if h.ChecksIdentity {
+		args = append(args, "--checks-identity", "--token-file", p.tokenFile("process"))
+	}
+	return p.addBackend(h, "engine", args...)
+}
+
+func (p *planner) addBackend(h platform.ListedHost, role string, args ...string) (err error) {
+	args = append(args, "--name", h.Name, "--model", h.Model, "--zone", h.Zone,
+		"--seed", fmt.Sprint(p.plan.Seed+uint64(len(p.plan.Hosts))), "--ledger", p.path("ledgers", h.Name+".jsonl"))
+	h.State = platform.StateLive
+	if h.Address, err = p.standin(h.Name, role, args...); err != nil {
+		return err
+	}
+	p.plan.Hosts = append(p.plan.Hosts, h)
+	return nil
+}
+
+// addOwn adds an entry and a controller process on each entry host.
+func (p *planner) addOwn(hosts int) error {
+	p.plan.Config = demoConfig()
+	for i := range hosts {
+		name := fmt.Sprintf("host-%d", i+1)
+		for _, role := range []string{"entry", "controller"} {
+			http, err := p.addProcess(name, role, zoneName(i))
+			if err != nil {
+				return err
+			}
+			if role == "entry" {
+				p.plan.Entries = append(p.plan.Entries, http)
+				p.plan.Hosts = append(p.plan.Hosts, platform.ListedHost{
+					Name: name, Kind: "entry", Address: http, Zone: zoneName(i), State: platform.StateLive,
+				})
+			}
+		}
+	}
+	return nil
+}
+
+func (p *planner) addProcess(host, role, zone string) (http string, err error) {
+	if http, err = p.address(); err != nil {
+		return "", err
+	}
+	grpc, err := p.address()
+	if err != nil {
+		return "", err
+	}
+	s := settings.Default()
+	s.Host = settings.Host{Name: host, Zone: zone}
+	s.Listen = settings.Listen{HTTP: http, GRPC: grpc}
+	base := "http://" + p.plan.Platform
+	s.Platform = settings.Platform{Tables: base, Objects: base, Hosts: base}
+	s.Identity = settings.Identity{PrincipalsFile: p.path("principals.toml"), ProcessTokenFile: p.tokenFile("process")}
+	s.Timing.DrainDelaySeconds, s.Timing.DrainLimitSeconds = demoDrainDelaySeconds, demoDrainLimitSeconds
+	data, err := toml.Marshal(s)
+	if err != nil {
+		return "", err
+	}
+	name := role + "-" + strings.TrimPrefix(host, "host-")
+	file := p.path("settings", name+".toml")
+	p.processes = append(p.processes, process{name: name, program: "lavender-" + role, args: []string{"--settings", file}})
+	return http, os.WriteFile(file, data, 0o600)
+}
+
+func (p *planner) addBalancer() (err error) {
+	p.plan.Balancer, err = p.standin("balancer", "balancer", "--hosts", strings.Join(p.plan.Entries, ","), "--lag", demoBalancerLag)
+	return err
+}
+
+func demoConfig() plan.Config {
+	c := plan.Config{
+		Classes: map[string]plan.ClassConfig{
+			liveClass:  {LatencyMS: 5000, OnTimeShare: 0.95},
+			trainClass: {StalenessBound: 2},
+		},
+		Routes: map[string]plan.RouteConfig{
+			lookupRoute: {Service: plainService, Idempotent: true, Class: liveClass},
+			claimRoute:  {Service: plainService, Class: liveClass},
+		},
+		Trainers: make(map[string]plan.TrainerConfig),
+		Policy:   plan.PolicyConfig{Routing: plan.Corrected, Stragglers: plan.StragglersHedged},
+	}
+	for _, model := range models {
+		c.Trainers[trainerName(model)] = plan.TrainerConfig{Model: model, Class: trainClass}
+	}
+	return c
+}
--- a/cmd/lavender-standin/backends.go
+++ b/cmd/lavender-standin/backends.go
@@ -59,7 +59,7 @@
 			return err
 		}
 		if checksIdentity {
-			if o.IssuerToken, err = readToken(tokenFile); err != nil {
+			if o.IssuerToken, err = issuerToken(tokenFile); err != nil {
 				return err
 			}
 		}
@@ -81,7 +81,7 @@
 	return c
 }
 
-func readToken(path string) (string, error) {
+func issuerToken(path string) (string, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return "", err
--- /dev/null
+++ b/standin/caller.go
@@ -0,0 +1,169 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/ledger"
+)
+
+// CallerOptions configure a caller.
+type CallerOptions struct {
+	Name      string
+	Hosts     []string // addresses of the balancer or of entry hosts
+	Token     string
+	Models    []string
+	Class     string // of completions
+	Lookups   string // idempotent route
+	Claims    string // route that must run at most once
+	MaxTokens int
+	Pause     time.Duration // between two requests
+	Deadline  time.Duration // of one request, all attempts included
+	Seed      uint64
+}
+
+// maxDuplicateAnswers bounds the attempts of a request that is answered as a
+// duplicate: the first copy may still be running, but not for ever.
+const maxDuplicateAnswers = 5
+
+// Caller sends completions, lookups and claims one after the other.
+type Caller struct {
+	options CallerOptions
+	client  *entryClient
+	random  *rand.Rand
+	sent    int
+}
+
+// NewCaller returns a caller.
+func NewCaller(o CallerOptions) *Caller {
+	setDefault(&o.MaxTokens, 128)
+	setDefault(&o.Pause, 20*time.Millisecond)
+	setDefault(&o.Deadline, 15*time.Second)
+	return &Caller{options: o, random: newRandom(o.Seed), client: newEntryClient(o.Hosts, o.Token, int(o.Seed%1024))}
+}
+
+// Run sends requests until ctx ends and finishes the last one.
+func (c *Caller) Run(ctx context.Context) []Answer {
+	var answers []Answer
+	for ctx.Err() == nil {
+		answers = append(answers, c.one(context.WithoutCancel(ctx)))
+		pause(ctx, c.options.Pause)
+	}
+	return answers
+}
+
+// one sends a request of a random kind.
+func (c *Caller) one(ctx context.Context) Answer {
+	c.sent++
+	id := c.options.Name + "-" + strconv.Itoa(c.sent) + "-" + strconv.FormatUint(c.options.Seed, 10)
+	switch choice := c.random.IntN(10); {
+	case choice < 4:
+		return c.completion(ctx, id, choice%2 == 0)
+	case choice < 8:
+		return c.service(ctx, Answer{Kind: KindLookup, RequestID: id, Method: http.MethodGet, Path: "/items/" + id}, c.options.Lookups)
+	default:
+		return c.service(ctx, Answer{
+			Kind: KindClaim, RequestID: id, Key: "claim-" + id, Method: http.MethodPost, Path: "/claims", Body: "bundle " + id,
+		}, c.options.Claims)
+	}
+}
+
+func (c *Caller) service(ctx context.Context, a Answer, route string) Answer {
+	header := map[string]string{"X-Request-Id": a.RequestID}
+	if a.Key != "" {
+		header["Idempotency-Key"] = a.Key
+	}
+	last := c.attempts(ctx, &a, entryRequest{
+		method: a.Method, path: "/services/" + route + a.Path, header: header, body: []byte(a.Body),
+	})
+	a.Text = string(last.body)
+	return a
+}
+
+// attempts repeats a request with the same ids until its outcome is final.
+func (c *Caller) attempts(ctx context.Context, a *Answer, r entryRequest) entryAnswer {
+	ctx, cancel := context.WithTimeout(ctx, c.options.Deadline)
+	defer cancel()
+	began := time.Now()
+	a.AllNotRun = true
+	var last entryAnswer
+	for {
+		answer := c.client.send(ctx, r)
+		a.Attempts++
+		if answer.err == nil || ctx.Err() == nil || a.Attempts == 1 {
+			last = answer // not the attempt that only the deadline ended
+		}
+		a.AllNotRun = a.AllNotRun && answer.verdict == "not_run"
+		if answer.final() && !c.brokenStream(answer) {
+			break
+		}
+		if answer.status == http.StatusConflict && a.Attempts >= maxDuplicateAnswers {
+			break
+		}
+		if pause(ctx, retryPause); ctx.Err() != nil {
+			break
+		}
+	}
+	a.Status, a.Reason = last.status, last.reason
+	a.Cut = last.status/100 == 2 && (last.err != nil || c.brokenStream(last))
+	a.LatencyMS = time.Since(began).Milliseconds()
+	return last
+}
+
+func (c *Caller) brokenStream(a entryAnswer) bool {
+	if !a.stream || a.status != http.StatusOK {
+		return false
+	}
+	_, err := a.events()
+	return err != nil
+}
+
+// completionAnswer is the usual answer format with the product's own object.
+type completionAnswer struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Lavender *struct {
+		RequestID string         `json:"request_id"`
+		Ranges    []ledger.Range `json:"ranges"`
+	} `json:"lavender"`
+}
+
+func (c *Caller) completion(ctx context.Context, id string, stream bool) Answer {
+	model := c.options.Models[c.random.IntN(len(c.options.Models))]
+	// Callers share a prompt head, as applications do, so that the prefix
+	// caches of engines matter.
+	prompt := strings.Repeat("shared instructions ", 16) + id
+	a := Answer{Kind: KindCompletion, RequestID: id, Prompt: prompt, MaxTokens: c.options.MaxTokens}
+	body, _ := json.Marshal(map[string]any{
+		"model": model, "prompt": prompt, "max_tokens": a.MaxTokens, "stream": stream,
+	})
+	last := c.attempts(ctx, &a, entryRequest{
+		method: http.MethodPost, path: "/v1/completions", body: body, header: map[string]string{
+			"X-Request-Id": id, "X-Class": c.options.Class, "X-Deadline-Ms": fmt.Sprint(c.options.Deadline.Milliseconds()),
+		},
+	})
+	parts := [][]byte{last.body}
+	if last.stream {
+		parts, _ = last.events()
+	}
+	for _, part := range parts {
+		var answer completionAnswer
+		if json.Unmarshal(part, &answer) != nil {
+			continue
+		}
+		for _, choice := range answer.Choices {
+			a.Text += choice.Text
+		}
+		if answer.Lavender != nil && len(answer.Lavender.Ranges) > 0 {
+			a.Ranges = answer.Lavender.Ranges
+		}
+	}
+	return a
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -105,7 +105,10 @@
 		case <-ctx.Done():
 			return nil
 		case fn := <-e.inbox:
-			fn(t)
+			idle := len(t.sequences) == 0
+			if fn(t); idle && len(t.sequences) > 0 {
+				timer.Reset(0) // not only at the next idle tick
+			}
 			continue
 		case <-timer.C:
 		}
--- a/standin/engine_faults.go
+++ b/standin/engine_faults.go
@@ -1,8 +1,11 @@
 package standin
 
 import (
+	"encoding/json"
 	"time"
 
+	"github.com/labstack/echo/v4"
+
 	"github.com/lavenderstand/lavenderstand/ledger"
 )
 
@@ -64,3 +67,11 @@
 }
 
 func (f *EngineFaults) delay() time.Duration { return time.Duration(f.DelayMS) * time.Millisecond }
+
+// decodeFaults reads faults. An unknown field is an error, so that a misspelt
+// fault is not taken for none.
+func decodeFaults(c echo.Context, faults any) error {
+	decoder := json.NewDecoder(c.Request().Body)
+	decoder.DisallowUnknownFields()
+	return decoder.Decode(faults)
+}
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -168,8 +168,8 @@
 
 func (e *Engine) setFaults(c echo.Context) error {
 	var faults EngineFaults
-	if err := c.Bind(&faults); err != nil {
-		return err
+	if err := decodeFaults(c, &faults); err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
 	}
 	e.do(c.Request().Context(), func(t *engineTables) { t.faults = faults })
 	return c.JSON(http.StatusOK, faults)
--- /dev/null
+++ b/standin/entry_client.go
@@ -0,0 +1,127 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/engine"
+)
+
+const (
+	retryPause      = 100 * time.Millisecond
+	maxClientAnswer = 64 << 20
+)
+
+// entryClient sends requests to entry hosts. The next host is used after each
+// attempt that failed.
+type entryClient struct {
+	hosts []string // IP address and port, of entry hosts or a balancer
+	token string
+	http  *http.Client
+	turn  int
+}
+
+func newEntryClient(hosts []string, token string, turn int) *entryClient {
+	return &entryClient{hosts: hosts, token: token, turn: turn, http: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: 32, DisableCompression: true},
+	}}
+}
+
+// entryRequest is one request; it may be sent several times.
+type entryRequest struct {
+	method, path string
+	header       map[string]string
+	body         []byte
+}
+
+// entryAnswer is the answer to one attempt; Err is set if none came or it broke.
+type entryAnswer struct {
+	status  int
+	body    []byte
+	stream  bool
+	err     error
+	reason  string
+	verdict string
+}
+
+// send makes one attempt.
+func (c *entryClient) send(ctx context.Context, r entryRequest) entryAnswer {
+	host := c.hosts[c.turn%len(c.hosts)]
+	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+host+r.path, io.NopCloser(bytes.NewReader(r.body)))
+	if err != nil {
+		return entryAnswer{err: err}
+	}
+	req.ContentLength = int64(len(r.body))
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	req.Header.Set("Content-Type", "application/json")
+	for name, value := range r.header {
+		req.Header.Set(name, value)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		c.turn++
+		return entryAnswer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a := entryAnswer{status: resp.StatusCode}
+	a.stream = strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	a.body, a.err = io.ReadAll(io.LimitReader(resp.Body, maxClientAnswer))
+	a.explain()
+	if a.err != nil || a.status >= http.StatusInternalServerError {
+		c.turn++
+	}
+	return a
+}
+
+// explain reads the reason and the verdict of an error answer.
+func (a *entryAnswer) explain() {
+	var body struct {
+		Error struct {
+			Reason  string `json:"reason"`
+			Verdict string `json:"verdict"`
+		} `json:"error"`
+	}
+	if a.status/100 != 2 && json.Unmarshal(a.body, &body) == nil {
+		a.reason, a.verdict = body.Error.Reason, body.Error.Verdict
+	}
+}
+
+// final reports whether an answer ends the attempts of a client.
+func (a *entryAnswer) final() bool {
+	if a.err != nil {
+		return false
+	}
+	switch a.status {
+	case http.StatusConflict, http.StatusTooManyRequests, http.StatusInternalServerError,
+		http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return false
+	default:
+		return true
+	}
+}
+
+// events returns the data of a stream, without the final [DONE]. A stream
+// without it broke off.
+func (a *entryAnswer) events() ([][]byte, error) {
+	reader := engine.NewEventReader(bytes.NewReader(a.body), engine.MaxEventBytes)
+	var all [][]byte
+	for {
+		data, err := reader.Next()
+		if err != nil {
+			return all, errors.Join(errCut, err)
+		}
+		if string(data) == "[DONE]" {
+			return all, nil
+		}
+		all = append(all, bytes.Clone(data))
+	}
+}
+
+// errCut says that a stream ended without its final event.
+var errCut = errors.New("stream broke off")
--- /dev/null
+++ b/standin/judge_test.go
@@ -0,0 +1,86 @@
+package standin
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/ledger"
+)
+
+// cleanRun returns a run without faults: one sample, one completion, one claim.
+func cleanRun() (Received, []Entry) {
+	spec := ledger.GroupSpec{ID: "g", Model: "m", Prompt: "sample", Samples: 1, MaxTokens: 8, StalenessBound: 1, Scorer: "s"}
+	text := CompletionText("sample", 8)
+	count, _ := Length("live", 8)
+	r := Received{
+		Trainers: []TrainerLog{{Name: "t", Submitted: []ledger.GroupSpec{spec}, Lots: []Lot{{
+			LotID: "t/1/1", Step: 1, TrainerVersion: 3, Samples: []LotSample{{
+				Group: "g", Text: text, Score: ScoreOf(text), Ranges: []ledger.Range{{From: 0, To: 8, Version: 2}},
+			}},
+		}}}},
+		Answers: []Answer{
+			{
+				Kind: KindCompletion, Status: 200, Prompt: "live", MaxTokens: 8, Text: CompletionText("live", 8),
+				Ranges: []ledger.Range{{From: 0, To: count, Version: 1}},
+			},
+			{Kind: KindClaim, Key: "k", Status: 200, Method: "POST", Path: "/claims", Body: "b", Text: ServiceAnswer("POST", "/claims", []byte("b"))},
+			{Kind: KindLookup, Status: 200, Method: "GET", Path: "/i", Text: ServiceAnswer("GET", "/i", nil)},
+		},
+	}
+	return r, []Entry{
+		{Kind: EntryStart, Run: "a", Prompt: PromptID("sample")},
+		{Kind: EntryTokens, Run: "a", From: 0, To: 8, Version: 2},
+		{Kind: EntryEnd, Run: "a", Completed: true},
+		{Kind: EntryStart, Run: "b", Prompt: PromptID("live")},
+		{Kind: EntryTokens, Run: "b", From: 0, To: count, Version: 1},
+		{Kind: EntryEnd, Run: "b", Completed: true},
+		{Kind: EntryRun, Key: "k"},
+	}
+}
+
+// TestJudgeFindsPlantedFaults guards against a judge that passes over a fault,
+// which would make every run of the demo look clean.
+func TestJudgeFindsPlantedFaults(t *testing.T) {
+	r, entries := cleanRun()
+	clean := Judge(r, entries)
+	require.True(t, clean.Passed(), clean.Problems)
+	require.Equal(t, 3, clean.Answered)
+	require.Equal(t, 2, clean.WeightVersions)
+
+	cases := map[string]struct {
+		plant func(*Received, *[]Entry)
+		count func(*Judgement) int
+	}{
+		"lost sample":      {func(r *Received, _ *[]Entry) { r.Trainers[0].Lots[0].Samples = nil }, func(j *Judgement) int { return j.Lost }},
+		"lost claim":       {func(_ *Received, e *[]Entry) { *e = (*e)[:6] }, func(j *Judgement) int { return j.Lost }},
+		"lost answer":      {func(r *Received, _ *[]Entry) { r.Answers[2].Status = 0 }, func(j *Judgement) int { return j.Lost }},
+		"doubled sample":   {func(r *Received, _ *[]Entry) { r.Trainers[0].Lots = append(r.Trainers[0].Lots, r.Trainers[0].Lots[0]) }, func(j *Judgement) int { return j.Doubled }},
+		"doubled claim":    {func(_ *Received, e *[]Entry) { *e = append(*e, Entry{Kind: EntryRun, Key: "k"}) }, func(j *Judgement) int { return j.Doubled }},
+		"wrong text":       {func(r *Received, _ *[]Entry) { r.Trainers[0].Lots[0].Samples[0].Text += "x" }, func(j *Judgement) int { return j.WrongAnswer }},
+		"wrong score":      {func(r *Received, _ *[]Entry) { r.Trainers[0].Lots[0].Samples[0].Score++ }, func(j *Judgement) int { return j.WrongAnswer }},
+		"wrong completion": {func(r *Received, _ *[]Entry) { r.Answers[0].Text = "" }, func(j *Judgement) int { return j.WrongAnswer }},
+		"foreign answer":   {func(r *Received, _ *[]Entry) { r.Answers[2].Path = "/j" }, func(j *Judgement) int { return j.WrongAnswer }},
+		"unasked sample": {func(r *Received, _ *[]Entry) {
+			s := &r.Trainers[0].Lots[0].Samples
+			*s = append(*s, LotSample{Group: "h"})
+		}, func(j *Judgement) int { return j.WrongAnswer }},
+		"mislabelled sample": {func(r *Received, _ *[]Entry) { r.Trainers[0].Lots[0].Samples[0].Ranges[0].Version = 3 }, func(j *Judgement) int { return j.Mislabelled }},
+		"unlabelled answer":  {func(r *Received, _ *[]Entry) { r.Answers[0].Ranges = nil }, func(j *Judgement) int { return j.Mislabelled }},
+		"swap not labelled": {func(_ *Received, e *[]Entry) {
+			(*e)[1].To = 4
+			*e = append(*e, Entry{Kind: EntryTokens, Run: "a", From: 4, To: 8, Version: 3})
+		}, func(j *Judgement) int { return j.Mislabelled }},
+		"stale sample":  {func(r *Received, _ *[]Entry) { r.Trainers[0].Lots[0].TrainerVersion = 4 }, func(j *Judgement) int { return j.TooStale }},
+		"cut answer":    {func(r *Received, _ *[]Entry) { r.Answers[0].Cut = true }, func(j *Judgement) int { return j.CutOff }},
+		"false refusal": {func(r *Received, _ *[]Entry) { r.Answers[1].Status = 503; r.Answers[1].AllNotRun = true }, func(j *Judgement) int { return j.FalseNotRun }},
+	}
+	for name, c := range cases {
+		r, entries := cleanRun()
+		c.plant(&r, &entries)
+		got := Judge(r, entries)
+		require.Equal(t, 1, c.count(got), name)
+		require.False(t, got.Passed(), name)
+	}
+	require.False(t, Judge(Received{}, nil).Passed(), "nothing served")
+}
--- /dev/null
+++ b/standin/received.go
@@ -0,0 +1,71 @@
+package standin
+
+import (
+	"github.com/lavenderstand/lavenderstand/ledger"
+)
+
+// Kinds of caller requests.
+const (
+	KindCompletion = "completion"
+	KindLookup     = "lookup" // idempotent service call
+	KindClaim      = "claim"  // service call that must run at most once
+)
+
+// Answer is what a caller finally knows about one of its requests.
+type Answer struct {
+	Kind      string         `json:"kind"`
+	RequestID string         `json:"request_id"`
+	Key       string         `json:"key,omitempty"`
+	Method    string         `json:"method,omitempty"`
+	Path      string         `json:"path,omitempty"` // at the service
+	Body      string         `json:"body,omitempty"`
+	Prompt    string         `json:"prompt,omitempty"`
+	MaxTokens int            `json:"max_tokens,omitempty"`
+	Status    int            `json:"status"` // of the last attempt, 0 without an answer
+	Reason    string         `json:"reason,omitempty"`
+	Text      string         `json:"text"`
+	Ranges    []ledger.Range `json:"ranges,omitempty"`
+	Cut       bool           `json:"cut,omitempty"` // the last answer broke off
+	// AllNotRun says that every attempt was refused with verdict not_run.
+	AllNotRun bool  `json:"all_not_run,omitempty"`
+	Attempts  int   `json:"attempts"`
+	LatencyMS int64 `json:"latency_ms"`
+}
+
+// Lot is a lot as a trainer received it.
+type Lot struct {
+	LotID          string         `json:"lot_id"`
+	Step           int64          `json:"step"`
+	Attempt        int            `json:"attempt"`
+	CheckedVersion ledger.Version `json:"checked_version"`
+	Samples        []LotSample    `json:"samples"`
+	// TrainerVersion is the trainer's own version when the lot arrived.
+	TrainerVersion ledger.Version `json:"trainer_version"`
+}
+
+// LotSample is a sample in a received lot.
+type LotSample struct {
+	Group     string         `json:"group"`
+	Index     int            `json:"index"`
+	Text      string         `json:"text"`
+	Ranges    []ledger.Range `json:"ranges"`
+	Score     float64        `json:"score"`
+	Staleness int64          `json:"staleness"`
+	AgeMS     int64          `json:"age_ms"`
+}
+
+// TrainerLog is what one trainer submitted and received.
+type TrainerLog struct {
+	Name      string             `json:"name"`
+	Submitted []ledger.GroupSpec `json:"submitted"` // accepted by an entry host
+	Lots      []Lot              `json:"lots"`
+	IdleMS    int64              `json:"idle_ms"`
+	RunMS     int64              `json:"run_ms"`
+	Retries   int                `json:"retries"`
+}
+
+// Received is everything that callers and trainers received in a run.
+type Received struct {
+	Answers  []Answer     `json:"answers"`
+	Trainers []TrainerLog `json:"trainers"`
+}
--- a/standin/service.go
+++ b/standin/service.go
@@ -69,8 +69,8 @@
 
 func (s *service) setFaults(c echo.Context) error {
 	var faults ServiceFaults
-	if err := c.Bind(&faults); err != nil {
-		return err
+	if err := decodeFaults(c, &faults); err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
