--- a/cmd/lavender-demo/fake_entry_test.go
+++ b/cmd/lavender-demo/fake_entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -170,20 +171,28 @@
 
 func (f *fakeEntry) samples(ctx context.Context, spec ledger.GroupSpec) ([]standin.LotSample, error) {
 	samples := make([]standin.LotSample, spec.Samples)
+	failures := make([]error, spec.Samples)
+	var wg sync.WaitGroup
 	for i := range samples {
-		text, ranges, err := f.generate(ctx, fmt.Sprintf("%s-%d", spec.ID, i), spec.Model, spec.Prompt, spec.MaxTokens)
-		if err != nil {
-			return nil, err
-		}
-		if f.relabel != 0 {
-			ranges[0].Version = f.relabel
-		}
-		request := engine.ScoreRequest{Group: spec.ID, Samples: []engine.ScoreSample{{Text: text}}}
-		scores, err := f.client.Score(ctx, f.addresses("scoring", spec.Scorer)[0], request)
-		if err != nil {
-			return nil, err
-		}
-		samples[i] = standin.LotSample{Group: spec.ID, Index: i, Text: text, Ranges: ranges, Score: scores[0]}
+		wg.Go(func() { samples[i], failures[i] = f.sample(ctx, spec, i) })
+	}
+	wg.Wait()
+	return samples, errors.Join(failures...)
+}
+
+func (f *fakeEntry) sample(ctx context.Context, spec ledger.GroupSpec, i int) (standin.LotSample, error) {
+	s := standin.LotSample{Group: spec.ID, Index: i}
+	var err error
+	if s.Text, s.Ranges, err = f.generate(ctx, fmt.Sprintf("%s-%d", spec.ID, i), spec.Model, spec.Prompt, spec.MaxTokens); err != nil {
+		return s, err
+	}
+	if f.relabel != 0 {
+		s.Ranges[0].Version = f.relabel
+	}
+	request := engine.ScoreRequest{Group: spec.ID, Samples: []engine.ScoreSample{{Text: s.Text}}}
+	scores, err := f.client.Score(ctx, f.addresses("scoring", spec.Scorer)[0], request)
+	if err == nil {
+		s.Score = scores[0]
 	}
-	return samples, nil
+	return s, err
 }
