--- a/command/training.go
+++ b/command/training.go
@@ -126,6 +126,16 @@
 // Name implements Command.
 func (AnswerConfirm) Name() string { return "answer_confirm" }
 
+// AnswerGroups answers event.GroupsRequested.
+type AnswerGroups struct {
+	RequestID string
+	Groups    []event.GroupStatus
+	Failure   *event.Failure
+}
+
+// Name implements Command.
+func (AnswerGroups) Name() string { return "answer_groups" }
+
 // ReadWeights reads all wanted weight versions.
 type ReadWeights struct{}
 
--- a/event/training.go
+++ b/event/training.go
@@ -114,6 +114,26 @@
 // Name implements Event.
 func (ConfirmRequested) Name() string { return "confirm_requested" }
 
+// GroupsRequested asks for the progress of groups.
+type GroupsRequested struct {
+	RequestID string
+	Trainer   string // empty: all held trainers
+}
+
+// Name implements Event.
+func (GroupsRequested) Name() string { return "groups_requested" }
+
+// GroupStatus is the progress of a group.
+type GroupStatus struct {
+	Trainer  string
+	Group    string
+	Phase    string
+	Finished int
+	Samples  int
+	Attempt  int
+	Age      time.Duration
+}
+
 // RequestAbandoned says that the sender of a waiting request has gone.
 type RequestAbandoned struct{ RequestID string }
 
@@ -124,6 +144,7 @@
 type SampleGenerated struct {
 	Trainer string
 	Record  ledger.SampleRecord // Group, Index and Attempt are set on failure too
+	EntryID string              // entry host that was asked
 	Failure *Failure
 	Took    time.Duration
 }
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -55,7 +55,8 @@
 // LotSample is a sample within a frozen lot.
 type LotSample struct {
 	SampleRecord
-	Score float64 `json:"score"`
+	Score          float64 `json:"score"`
+	StalenessBound int64   `json:"staleness_bound"` // of its group, weight versions
 }
 
 // LotRecord is the row of a frozen lot.
--- a/ledger/rules.go
+++ b/ledger/rules.go
@@ -60,11 +60,11 @@
 	return max(0, int64(trainer-Oldest(ranges)))
 }
 
-// Fresh reports whether every sample of the lot is within the bound for a
-// trainer at the given version.
+// Fresh reports whether every sample of the lot is within the bound of its group
+// for a trainer at the given version.
 func (l *LotRecord) Fresh(trainer Version) bool {
 	for i := range l.Samples {
-		if Staleness(l.Samples[i].Ranges, trainer) > l.StalenessBound {
+		if Staleness(l.Samples[i].Ranges, trainer) > l.Samples[i].StalenessBound {
 			return false
 		}
 	}
--- /dev/null
+++ b/system/commits.go
@@ -0,0 +1,164 @@
+package system
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// applyCommitted applies the outcome of a write. After a conflict or an unknown
+// outcome the trainer's rows are loaded again before anything else is decided.
+func applyCommitted(now time.Duration, t *table.Tables, e event.RowsCommitted, out *command.Outbox) {
+	key := table.CommitKey(e.ID)
+	row := t.Commits.Find(key)
+	if row == nil {
+		return
+	}
+	c := *row
+	t.Commits.Delete(key)
+	tr := t.Trainers.Find(c.Trainer)
+	if c.Kind <= table.CommitFreeze {
+		tr.Pending = false
+	} else {
+		tr.RowsPending = false
+	}
+	if e.Failure != nil || !e.Committed {
+		commitFailed(now, t, tr, &c, e.Failure, out)
+		return
+	}
+	tr.Failures, tr.RetryAt = 0, 0
+	applyCommit(now, t, tr, &c, e.Versions, out)
+}
+
+func commitFailed(now time.Duration, t *table.Tables, tr *table.Trainer, c *table.Commit, f *event.Failure, out *command.Outbox) {
+	countReason(out, "commit_failed", failureReason(f))
+	if call := t.Calls.Find(c.Call); call != nil {
+		call.Writing = false
+	}
+	for _, key := range c.Keys {
+		if s := t.Samples.Find(key); c.Kind == table.CommitSamples && s != nil && s.Phase == table.SampleCommitting {
+			s.Phase = table.SampleFinished
+			tr.Done = append(tr.Done, t.Samples.Handle(key))
+		}
+	}
+	if f != nil {
+		tr.Failures++
+		tr.RetryAt = now + backoff(tr.Failures)
+	}
+	if f == nil || f.Verdict != verdict.NotRun {
+		tr.Loaded, tr.Claimed = false, false
+	}
+}
+
+func applyCommit(now time.Duration, t *table.Tables, tr *table.Trainer, c *table.Commit, versions map[string]uint64, out *command.Outbox) {
+	if c.Kind <= table.CommitFreeze {
+		tr.Record, tr.RowVersion = c.Record, versions[ledger.TrainerKey(tr.Name)]
+	}
+	if len(c.Objects) > 0 {
+		out.Add(command.DeleteObjects{Keys: c.Objects})
+	}
+	switch c.Kind {
+	case table.CommitClaim:
+		tr.Claimed = true
+	case table.CommitSubmit:
+		applySubmitted(now, t, tr, c, versions)
+		answerSubmit(t, tr, c.Call, out)
+	case table.CommitDeclare:
+		answerDeclared(t, tr, c.Call, out)
+	case table.CommitFreeze:
+		applyFrozen(now, t, tr, c, out)
+	case table.CommitSamples:
+		applySamples(now, t, c)
+	case table.CommitScores:
+		applyScores(now, t, tr, c, versions)
+	case table.CommitRegenerate:
+		applyRegenerated(now, t, tr, c, versions)
+	case table.CommitDelete:
+		applyDeleted(t, tr, c, out)
+	}
+}
+
+func applySubmitted(now time.Duration, t *table.Tables, tr *table.Trainer, c *table.Commit, versions map[string]uint64) {
+	for _, record := range c.Groups {
+		addGroup(now, t, tr, record, versions[ledger.GroupKey(tr.Name, record.Spec.ID)])
+	}
+}
+
+func applyFrozen(now time.Duration, t *table.Tables, tr *table.Trainer, c *table.Commit, out *command.Outbox) {
+	if old := tr.Lot; old != nil && old.Step < c.Lot.Step {
+		setPhase(t, old, table.GroupAcked)
+		tr.Deleting = append(tr.Deleting, *old)
+	}
+	tr.Lot, tr.LotAgeFrom = c.Lot, now
+	setPhase(t, c.Lot, table.GroupFrozen)
+	out.Add(command.Count{Counter: "lots_frozen", Delta: 1})
+}
+
+func applySamples(now time.Duration, t *table.Tables, c *table.Commit) {
+	for _, key := range c.Keys {
+		s := t.Samples.Find(key)
+		if s == nil || s.Phase != table.SampleCommitting {
+			continue
+		}
+		s.Phase = table.SampleCommitted
+		g := t.Groups.Find(table.GroupKey(s.Trainer, s.Group))
+		noteCommitted(g, s)
+		advanceGroup(now, g)
+	}
+}
+
+func applyScores(now time.Duration, t *table.Tables, tr *table.Trainer, c *table.Commit, versions map[string]uint64) {
+	for _, record := range c.Groups {
+		g := t.Groups.Find(table.GroupKey(tr.Name, record.Spec.ID))
+		if g == nil {
+			continue
+		}
+		g.Record, g.RowVersion, g.Scores = record, versions[ledger.GroupKey(tr.Name, record.Spec.ID)], nil
+		advanceGroup(now, g)
+	}
+}
+
+func applyRegenerated(now time.Duration, t *table.Tables, tr *table.Trainer, c *table.Commit, versions map[string]uint64) {
+	for _, record := range c.Groups {
+		g := t.Groups.Find(table.GroupKey(tr.Name, record.Spec.ID))
+		if g == nil {
+			continue
+		}
+		samples := g.Samples
+		*g = table.Group{
+			Trainer: tr.Name, RowVersion: versions[ledger.GroupKey(tr.Name, record.Spec.ID)],
+			Record: record, StartedAt: now, Samples: samples, Waiting: len(samples),
+		}
+		for i, h := range samples {
+			*t.Samples.Get(h) = table.Sample{Trainer: tr.Name, Group: record.Spec.ID, Index: i}
+		}
+	}
+}
+
+func applyDeleted(t *table.Tables, tr *table.Trainer, c *table.Commit, out *command.Outbox) {
+	for _, key := range c.Keys {
+		if t.Groups.Find(key) != nil {
+			dropGroup(t, key)
+		}
+	}
+	if c.Last {
+		tr.Deleting = tr.Deleting[1:]
+		out.Add(command.Count{Counter: "lots_deleted", Delta: 1})
+	}
+	compactOrder(t, tr)
+}
+
+// compactOrder drops handles of deleted groups.
+func compactOrder(t *table.Tables, tr *table.Trainer) {
+	kept := tr.Order[:0]
+	for _, h := range tr.Order {
+		if t.Groups.Get(h) != nil {
+			kept = append(kept, h)
+		}
+	}
+	tr.Order = kept
+}
--- /dev/null
+++ b/system/generate.go
@@ -0,0 +1,160 @@
+package system
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// Limits of generation.
+const (
+	// DefaultAheadGroups are the groups in flight beyond one lot.
+	DefaultAheadGroups = 64
+	// samplesPerTick bounds the samples that one tick sends out, so that a new
+	// submission of 8,192 samples does not delay lease renewals.
+	samplesPerTick = 1024
+	// samplesPerEntry bounds the samples of this controller on one entry host
+	// before hosts of other zones are used.
+	samplesPerEntry = 256
+	// urgentPart is the share of a group's samples, one in urgentPart, that are
+	// sent with raised priority.
+	urgentPart = 4
+)
+
+// Generate sends waiting samples to entry hosts and takes in their results.
+func Generate() System {
+	return func(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+		for _, e := range in {
+			if e, ok := e.(event.SampleGenerated); ok {
+				applyGenerated(now, t, e, out)
+			}
+		}
+		entries := liveEntries(t)
+		if len(entries) == 0 {
+			return
+		}
+		budget := samplesPerTick
+		for _, tr := range t.Trainers.All() {
+			if !working(t, tr) {
+				continue
+			}
+			d := dispatch{now: now, t: t, tr: tr, entries: entries, out: out, budget: budget}
+			d.run()
+			budget = d.budget
+		}
+	}
+}
+
+func liveEntries(t *table.Tables) []*table.Host {
+	var entries []*table.Host
+	for _, h := range t.Hosts.All() {
+		if h.Role == table.RoleEntry {
+			entries = append(entries, h)
+		}
+	}
+	return entries
+}
+
+// chooseEntry returns the entry host with the fewest samples of this controller,
+// in the same zone unless all hosts of the zone are at samplesPerEntry.
+func chooseEntry(t *table.Tables, entries []*table.Host) *table.Host {
+	var best *table.Host
+	for _, h := range entries {
+		if best == nil || entryCost(t, h) < entryCost(t, best) {
+			best = h
+		}
+	}
+	return best
+}
+
+func entryCost(t *table.Tables, h *table.Host) int {
+	if h.Zone == t.Self.Zone {
+		return h.Samples
+	}
+	return h.Samples + samplesPerEntry
+}
+
+// dispatch sends samples of one trainer in one tick.
+type dispatch struct {
+	now     time.Duration
+	t       *table.Tables
+	tr      *table.Trainer
+	entries []*table.Host
+	out     *command.Outbox
+	budget  int
+}
+
+func (d *dispatch) run() {
+	policy := d.t.Config.Body.Policy
+	groups := d.tr.LotGroups + DefaultAheadGroups
+	if policy.AheadGroups > 0 {
+		groups = d.tr.LotGroups + policy.AheadGroups
+	}
+	for _, h := range d.tr.Order {
+		g := d.t.Groups.Get(h)
+		if g == nil || g.Phase >= table.GroupFrozen {
+			continue
+		}
+		if groups--; groups < 0 {
+			return
+		}
+		if g.Phase != table.GroupGenerating {
+			continue
+		}
+		if g.Waiting > 0 {
+			d.sendWaiting(g, policy.Stragglers)
+		}
+		if stragglers(policy) == plan.StragglersHedged {
+			d.hedge(g)
+		}
+	}
+}
+
+func stragglers(p plan.PolicyConfig) plan.StragglerPolicy {
+	if p.Stragglers == "" {
+		return plan.StragglersHedged
+	}
+	return p.Stragglers
+}
+
+func (d *dispatch) sendWaiting(g *table.Group, policy plan.StragglerPolicy) {
+	for _, h := range g.Samples {
+		s := d.t.Samples.Get(h)
+		if s.Phase != table.SampleWaiting {
+			continue
+		}
+		if d.now < s.RetryAt {
+			d.out.WakeAt(s.RetryAt)
+			continue
+		}
+		urgent := policy != plan.StragglersIgnored && g.Waiting <= len(g.Samples)/urgentPart
+		if !d.send(g, s, urgent, false) {
+			return
+		}
+		s.Phase, s.StartedAt = table.SampleRunning, d.now
+		g.Waiting--
+	}
+}
+
+// send reports false if no more samples can be sent in this tick.
+func (d *dispatch) send(g *table.Group, s *table.Sample, urgent, hedge bool) bool {
+	if d.budget == 0 {
+		d.out.WakeAt(d.now)
+		return false
+	}
+	entry := chooseEntry(d.t, d.entries)
+	d.budget--
+	entry.Samples++
+	s.InFlight++
+	d.out.Add(command.GenerateSample{
+		EntryID: entry.ID, Address: entry.Address, Trainer: d.tr.Name,
+		Class: d.t.Config.Body.Trainers[d.tr.Name].Class, Spec: g.Record.Spec,
+		Index: s.Index, Attempt: g.Record.Attempt, Urgent: urgent, Hedge: hedge,
+		MinVersion: max(0, d.tr.Record.Version-ledger.Version(g.Record.Spec.StalenessBound)),
+	})
+	return true
+}
--- /dev/null
+++ b/system/lots.go
@@ -0,0 +1,233 @@
+package system
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// Lots answers trainers' calls. A trainer has one write of its row under way at
+// most, and no call is decided meanwhile.
+func Lots() System {
+	return func(now time.Duration, t *table.Tables, _ []event.Event, out *command.Outbox) {
+		for _, c := range t.Calls.All() {
+			tr := t.Trainers.Find(c.Trainer)
+			if tr != nil && !tr.Pending && !c.Writing && writable(now, t, tr) {
+				decideCall(t, tr, c, out)
+			}
+			if c.Kind == table.CallPull && c.ID != "" && !c.Writing {
+				endPull(now, t, c, out)
+			}
+		}
+	}
+}
+
+func decideCall(t *table.Tables, tr *table.Trainer, c *table.Call, out *command.Outbox) {
+	switch c.Kind {
+	case table.CallSubmit:
+		decideSubmit(t, tr, c, out)
+	case table.CallDeclare:
+		if c.Version <= tr.Record.Version {
+			answerDeclared(t, tr, c.ID, out)
+			return
+		}
+		declare(t, tr, c, out)
+	case table.CallPull:
+		decidePull(t, tr, c, out)
+	case table.CallConfirm:
+		decideConfirm(t, tr, c, out)
+	}
+}
+
+// endPull answers a pull whose wait is over.
+func endPull(now time.Duration, t *table.Tables, c *table.Call, out *command.Outbox) {
+	if now < c.Until {
+		out.WakeAt(c.Until)
+		return
+	}
+	finishCall(t, c, refuse(verdict.ReasonNotReady, "too few groups are complete and fresh"), out)
+}
+
+func declare(t *table.Tables, tr *table.Trainer, c *table.Call, out *command.Outbox) {
+	record := tr.Record
+	record.Version = c.Version
+	commit := table.Commit{Kind: table.CommitDeclare, Record: record}
+	if c.Kind == table.CallDeclare {
+		commit.Call, c.Writing = c.ID, true
+	}
+	writeTrainer(t, tr, &commit, nil, out)
+}
+
+func answerDeclared(t *table.Tables, tr *table.Trainer, id string, out *command.Outbox) {
+	if t.Calls.Find(id) != nil {
+		out.Add(command.AnswerVersion{RequestID: id, Version: tr.Record.Version})
+		t.Calls.Delete(id)
+	}
+}
+
+// decideSubmit writes the groups that do not exist yet together with the trainer
+// row. A group that exists with another specification is a conflict.
+func decideSubmit(t *table.Tables, tr *table.Trainer, c *table.Call, out *command.Outbox) {
+	commit := table.Commit{Kind: table.CommitSubmit, Record: tr.Record, Call: c.ID}
+	var rows []command.RowWrite
+	seen := make(map[string]ledger.GroupSpec, len(c.Specs))
+	for _, spec := range c.Specs {
+		known, exists := seen[spec.ID]
+		if g := t.Groups.Find(table.GroupKey(tr.Name, spec.ID)); g != nil {
+			known, exists = g.Record.Spec, true
+		}
+		if exists && known != spec {
+			finishCall(t, c, refuse(verdict.ReasonConflict, "group "+spec.ID+" exists with another specification"), out)
+			return
+		}
+		if exists {
+			continue
+		}
+		seen[spec.ID] = spec
+		commit.Record.Sequence++
+		record := ledger.GroupRecord{Spec: spec, Attempt: 1, Sequence: commit.Record.Sequence}
+		commit.Groups = append(commit.Groups, record)
+		rows = append(rows, groupWrite(tr, record, 0))
+	}
+	if len(rows) == 0 {
+		answerSubmit(t, tr, c.ID, out)
+		return
+	}
+	c.Writing = true
+	writeTrainer(t, tr, &commit, rows, out)
+}
+
+func answerSubmit(t *table.Tables, _ *table.Trainer, id string, out *command.Outbox) {
+	c := t.Calls.Find(id)
+	if c == nil {
+		return
+	}
+	accepted := make([]string, 0, len(c.Specs))
+	for _, spec := range c.Specs {
+		accepted = append(accepted, spec.ID)
+	}
+	out.Add(command.AnswerSubmit{RequestID: id, Accepted: accepted})
+	t.Calls.Delete(id)
+}
+
+// decideConfirm allows the delivery of the newest lot while it is fresh.
+func decideConfirm(t *table.Tables, tr *table.Trainer, c *table.Call, out *command.Outbox) {
+	lot := tr.Lot
+	if lot == nil || lot.Step != c.Step || lot.Attempt != c.Attempt || !lot.Fresh(tr.Record.Version) {
+		finishCall(t, c, refuse(verdict.ReasonNotReady, "the lot was replaced or is too stale; pull it again"), out)
+		return
+	}
+	out.Add(command.AnswerConfirm{RequestID: c.ID, CheckedVersion: tr.Record.Version})
+	t.Calls.Delete(c.ID)
+}
+
+// decidePull returns the newest lot or freezes one. A pull that names an older
+// version than the declared one is a late copy: its trainer has gone on, and
+// acting on it could replace a lot that was delivered.
+func decidePull(t *table.Tables, tr *table.Trainer, c *table.Call, out *command.Outbox) {
+	r := &tr.Record
+	repeated := c.Step == r.LotStep && c.Step > r.AckedStep
+	switch {
+	case c.Groups <= 0:
+		finishCall(t, c, refuse(verdict.ReasonBadRequest, "a pull names at least one group"), out)
+		return
+	case !repeated && c.Step != r.LotStep+1:
+		finishCall(t, c, refuse(verdict.ReasonConflict,
+			fmt.Sprintf("step %d was pulled; the next is %d and the newest lot is of step %d", c.Step, r.LotStep+1, r.LotStep)), out)
+		return
+	case c.Version < r.Version:
+		finishCall(t, c, refuse(verdict.ReasonConflict,
+			fmt.Sprintf("the pull names version %d after version %d was declared", c.Version, r.Version)), out)
+		return
+	case c.Version > r.Version:
+		declare(t, tr, c, out)
+		return
+	}
+	tr.LotGroups = c.Groups
+	if repeated && tr.Lot.Fresh(r.Version) {
+		lot := *tr.Lot
+		lot.CheckedVersion = r.Version
+		out.Add(command.AnswerPull{RequestID: c.ID, Lot: &lot})
+		t.Calls.Delete(c.ID)
+		return
+	}
+	if repeated {
+		reopenLot(t, tr, out)
+	}
+	freeze(t, tr, c, out)
+}
+
+// reopenLot returns the groups of a lot that became too stale before it was
+// delivered. Stale ones are generated again, the others may be used again.
+func reopenLot(t *table.Tables, tr *table.Trainer, out *command.Outbox) {
+	reopened := false
+	for _, id := range tr.Lot.Groups {
+		if g := t.Groups.Find(table.GroupKey(tr.Name, id)); g != nil && g.Phase == table.GroupFrozen {
+			g.Phase, reopened = table.GroupComplete, true
+		}
+	}
+	if reopened {
+		tr.SweptAt = -1
+		out.Add(command.Count{Counter: "lots_expired", Delta: 1})
+	}
+}
+
+// freeze writes the trainer row and the lot row if enough groups are complete
+// and fresh. Only stale groups are ever generated again, and a stale group never
+// becomes fresh, so a late write of a new attempt cannot concern a chosen group.
+func freeze(t *table.Tables, tr *table.Trainer, c *table.Call, out *command.Outbox) {
+	groups := completeGroups(t, tr)
+	if len(groups) < c.Groups {
+		return
+	}
+	record := tr.Record
+	rows := []command.RowWrite{{}}
+	if c.Step == record.LotStep {
+		record.LotAttempt++
+		rows = append(rows, command.RowWrite{Key: ledger.LotKey(tr.Name, tr.Lot.Step, tr.Lot.Attempt), Delete: true, Any: true})
+	} else {
+		record.AckedStep, record.LotStep, record.LotAttempt = record.LotStep, c.Step, 1
+	}
+	lot := makeLot(t, tr, &record, groups[:c.Groups])
+	rows[0] = command.RowWrite{Key: ledger.LotKey(tr.Name, lot.Step, lot.Attempt), Lot: lot}
+	writeTrainer(t, tr, &table.Commit{Kind: table.CommitFreeze, Record: record, Lot: lot}, rows, out)
+}
+
+// completeGroups returns the complete and fresh groups in order of completion.
+func completeGroups(t *table.Tables, tr *table.Trainer) []*table.Group {
+	var groups []*table.Group
+	for _, h := range tr.Order {
+		g := t.Groups.Get(h)
+		if g != nil && g.Phase == table.GroupComplete && !staleGroup(g, tr.Record.Version) {
+			groups = append(groups, g)
+		}
+	}
+	slices.SortStableFunc(groups, func(a, b *table.Group) int { return cmp.Compare(a.CompletedAt, b.CompletedAt) })
+	return groups
+}
+
+func makeLot(t *table.Tables, tr *table.Trainer, r *ledger.TrainerRecord, groups []*table.Group) *ledger.LotRecord {
+	lot := &ledger.LotRecord{Trainer: tr.Name, Step: r.LotStep, Attempt: r.LotAttempt, CheckedVersion: r.Version}
+	for i, g := range groups {
+		spec := &g.Record.Spec
+		lot.Groups = append(lot.Groups, spec.ID)
+		if i == 0 || spec.StalenessBound < lot.StalenessBound {
+			lot.StalenessBound = spec.StalenessBound
+		}
+		for index, h := range g.Samples {
+			s := ledger.LotSample{SampleRecord: t.Samples.Get(h).Record, StalenessBound: spec.StalenessBound}
+			if index < len(g.Record.Scores) {
+				s.Score = g.Record.Scores[index]
+			}
+			lot.Samples = append(lot.Samples, s)
+		}
+	}
+	return lot
+}
--- /dev/null
+++ b/system/recovery.go
@@ -0,0 +1,204 @@
+package system
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// applyLoaded replaces the rows of a trainer by those of the table service.
+// Generations under way and results that are not stored yet are kept if their
+// group is still at the same attempt.
+func applyLoaded(now time.Duration, t *table.Tables, e event.TrainerLoaded, out *command.Outbox) {
+	tr := t.Trainers.Find(e.Trainer.Name)
+	if tr == nil || !tr.LoadPending {
+		return
+	}
+	tr.LoadPending = false
+	if e.Failure != nil {
+		loadFailed(now, tr, failureReason(e.Failure), out)
+		return
+	}
+	tr.Record, tr.RowVersion = e.Trainer.Record, e.Trainer.RowVersion
+	if !installLots(now, tr, e.Lots) {
+		loadFailed(now, tr, string(verdict.ReasonBadAnswer), out)
+		return
+	}
+	installGroups(now, t, tr, e)
+	tr.Loaded, tr.Claimed, tr.Failures, tr.SweptAt = true, false, 0, -1
+}
+
+func loadFailed(now time.Duration, tr *table.Trainer, reason string, out *command.Outbox) {
+	tr.Failures++
+	tr.RetryAt = now + backoff(tr.Failures)
+	countReason(out, "trainer_load_failed", reason)
+}
+
+// installLots finds the newest lot and the acknowledged ones. It fails if the
+// lot that the trainer row names is missing, which means that the rows were read
+// while another holder wrote them.
+func installLots(now time.Duration, tr *table.Trainer, lots []ledger.LotRecord) bool {
+	tr.Lot, tr.Deleting = nil, nil
+	for i := range lots {
+		lot := &lots[i]
+		switch {
+		case lot.Step <= tr.Record.AckedStep:
+			tr.Deleting = append(tr.Deleting, *lot)
+		case lot.Step == tr.Record.LotStep && lot.Attempt == tr.Record.LotAttempt:
+			tr.Lot, tr.LotAgeFrom = lot, now
+		}
+	}
+	if tr.Lot != nil {
+		tr.LotGroups = max(tr.LotGroups, len(tr.Lot.Groups))
+	}
+	slices.SortFunc(tr.Deleting, func(a, b ledger.LotRecord) int { return cmp.Compare(a.Step, b.Step) })
+	return tr.Lot != nil || tr.Record.LotStep == tr.Record.AckedStep
+}
+
+func installGroups(now time.Duration, t *table.Tables, tr *table.Trainer, e event.TrainerLoaded) {
+	kept := keepSamples(t, tr.Name)
+	tr.Order, tr.Done = nil, nil
+	slices.SortFunc(e.Groups, func(a, b event.GroupRow) int { return cmp.Compare(a.Record.Sequence, b.Record.Sequence) })
+	for i := range e.Groups {
+		addGroup(now, t, tr, e.Groups[i].Record, e.Groups[i].RowVersion)
+	}
+	tr.Garbage = nil
+	for i := range e.Samples {
+		if record := e.Samples[i].Record; !installSample(t, tr.Name, record) {
+			tr.Garbage = append(tr.Garbage, ledger.SampleKey(tr.Name, record.Group, record.Attempt, record.Index))
+		}
+	}
+	for _, s := range kept {
+		restoreSample(t, tr, s)
+	}
+	for _, h := range tr.Order {
+		recount(now, t.Groups.Get(h), t)
+	}
+	markLotGroups(t, tr)
+}
+
+// keptSample is a sample with the attempt that it was generated for.
+type keptSample struct {
+	table.Sample
+	attempt int
+}
+
+// keepSamples removes the groups of a trainer and returns the samples that are
+// generated or under way.
+func keepSamples(t *table.Tables, trainer string) []keptSample {
+	var kept []keptSample
+	for key, g := range t.Groups.All() {
+		if g.Trainer != trainer {
+			continue
+		}
+		for _, h := range g.Samples {
+			if s := t.Samples.Get(h); s.Phase != table.SampleWaiting {
+				kept = append(kept, keptSample{*s, g.Record.Attempt})
+			}
+		}
+		dropGroup(t, key)
+	}
+	return kept
+}
+
+func installSample(t *table.Tables, trainer string, record ledger.SampleRecord) bool {
+	g := t.Groups.Find(table.GroupKey(trainer, record.Group))
+	if g == nil || g.Record.Attempt != record.Attempt || record.Index < 0 || record.Index >= len(g.Samples) {
+		return false
+	}
+	s := t.Samples.Get(g.Samples[record.Index])
+	s.Phase, s.Record = table.SampleCommitted, record
+	return true
+}
+
+func restoreSample(t *table.Tables, tr *table.Trainer, kept keptSample) {
+	g := t.Groups.Find(table.GroupKey(kept.Trainer, kept.Group))
+	if g == nil || g.Record.Attempt != kept.attempt || kept.Index >= len(g.Samples) {
+		return
+	}
+	s := t.Samples.Get(g.Samples[kept.Index])
+	s.InFlight, s.StartedAt = kept.InFlight, kept.StartedAt
+	if s.Phase == table.SampleCommitted || kept.Phase == table.SampleCommitted {
+		return
+	}
+	s.Phase, s.Record = kept.Phase, kept.Record
+	if s.Phase >= table.SampleFinished {
+		s.Phase = table.SampleFinished
+		tr.Done = append(tr.Done, g.Samples[kept.Index])
+	}
+}
+
+// addGroup inserts a group with all its samples waiting.
+func addGroup(now time.Duration, t *table.Tables, tr *table.Trainer, record ledger.GroupRecord, version uint64) {
+	key := table.GroupKey(tr.Name, record.Spec.ID)
+	g, created := t.Groups.Upsert(key)
+	if !created {
+		return
+	}
+	*g = table.Group{Trainer: tr.Name, RowVersion: version, Record: record, StartedAt: now, Waiting: record.Spec.Samples}
+	g.Samples = make([]table.Handle, record.Spec.Samples)
+	for i := range g.Samples {
+		sampleKey := table.SampleKey(tr.Name, record.Spec.ID, i)
+		s, _ := t.Samples.Upsert(sampleKey)
+		*s = table.Sample{Trainer: tr.Name, Group: record.Spec.ID, Index: i}
+		g.Samples[i] = t.Samples.Handle(sampleKey)
+	}
+	tr.Order = append(tr.Order, t.Groups.Handle(key))
+}
+
+// recount derives the counts and the phase of a group from its samples.
+func recount(now time.Duration, g *table.Group, t *table.Tables) {
+	g.Finished, g.Waiting, g.Oldest = 0, 0, 0
+	for _, h := range g.Samples {
+		s := t.Samples.Get(h)
+		switch s.Phase {
+		case table.SampleWaiting:
+			g.Waiting++
+		case table.SampleCommitted:
+			noteCommitted(g, s)
+		}
+	}
+	advanceGroup(now, g)
+}
+
+func noteCommitted(g *table.Group, s *table.Sample) {
+	g.Finished++
+	if v := ledger.Oldest(s.Record.Ranges); g.Oldest == 0 || v < g.Oldest {
+		g.Oldest = v
+	}
+}
+
+// advanceGroup moves a group on once all its samples are committed.
+func advanceGroup(now time.Duration, g *table.Group) {
+	if g.Phase > table.GroupScoring || g.Finished < len(g.Samples) {
+		return
+	}
+	if g.Record.Spec.Scorer != "" && !g.Record.Scored {
+		g.Phase = table.GroupScoring
+		return
+	}
+	g.Phase, g.CompletedAt = table.GroupComplete, now
+}
+
+func markLotGroups(t *table.Tables, tr *table.Trainer) {
+	for i := range tr.Deleting {
+		setPhase(t, &tr.Deleting[i], table.GroupAcked)
+	}
+	if tr.Lot != nil {
+		setPhase(t, tr.Lot, table.GroupFrozen)
+	}
+}
+
+func setPhase(t *table.Tables, lot *ledger.LotRecord, phase table.GroupPhase) {
+	for _, id := range lot.Groups {
+		if g := t.Groups.Find(table.GroupKey(lot.Trainer, id)); g != nil {
+			g.Phase = phase
+		}
+	}
+}
--- /dev/null
+++ b/system/rows.go
@@ -0,0 +1,210 @@
+package system
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// rowsPerWrite bounds the rows of one transaction of group and sample rows. The
+// table service allows 1,024; half of it keeps one write within its rate limit
+// for about two seconds.
+const rowsPerWrite = 512
+
+// Rows writes finished samples, scores, new attempts of stale groups and
+// deletions. Each trainer has one such write under way at most, so results that
+// arrive meanwhile share the next one. The kinds take turns.
+func Rows() System {
+	writers := []func(*table.Tables, *table.Trainer, *command.Outbox) bool{
+		writeSamples, writeScores, regenerateStale, deleteDelivered,
+	}
+	return func(now time.Duration, t *table.Tables, _ []event.Event, out *command.Outbox) {
+		for _, tr := range t.Trainers.All() {
+			if now < tr.RetryAt {
+				out.WakeAt(tr.RetryAt)
+			}
+			if tr.RowsPending || !writable(now, t, tr) {
+				continue
+			}
+			for range writers {
+				turn := tr.RowsTurn
+				tr.RowsTurn = (turn + 1) % len(writers)
+				if writers[turn](t, tr, out) {
+					break
+				}
+			}
+		}
+	}
+}
+
+func writeSamples(t *table.Tables, tr *table.Trainer, out *command.Outbox) bool {
+	c := table.Commit{Kind: table.CommitSamples}
+	var rows []command.RowWrite
+	taken := 0
+	for _, h := range tr.Done {
+		if len(rows) == rowsPerWrite {
+			break
+		}
+		taken++
+		s := t.Samples.Get(h)
+		if s == nil || s.Phase != table.SampleFinished {
+			continue
+		}
+		s.Phase = table.SampleCommitting
+		record := s.Record
+		rows = append(rows, command.RowWrite{
+			Key: ledger.SampleKey(tr.Name, record.Group, record.Attempt, record.Index), Sample: &record,
+		})
+		c.Keys = append(c.Keys, table.SampleKey(tr.Name, s.Group, s.Index))
+	}
+	tr.Done = append(tr.Done[:0], tr.Done[taken:]...)
+	if len(rows) == 0 {
+		return false
+	}
+	writeRows(t, tr, &c, rows, out)
+	return true
+}
+
+func writeScores(t *table.Tables, tr *table.Trainer, out *command.Outbox) bool {
+	c := table.Commit{Kind: table.CommitScores}
+	var rows []command.RowWrite
+	for _, h := range tr.Order {
+		g := t.Groups.Get(h)
+		if g == nil || g.Scores == nil || g.Phase != table.GroupScoring || len(rows) == rowsPerWrite {
+			continue
+		}
+		record := g.Record
+		record.Scores, record.Scored = g.Scores, true
+		rows = append(rows, groupWrite(tr, record, g.RowVersion))
+		c.Groups = append(c.Groups, record)
+	}
+	if len(rows) == 0 {
+		return false
+	}
+	writeRows(t, tr, &c, rows, out)
+	return true
+}
+
+func groupWrite(tr *table.Trainer, record ledger.GroupRecord, version uint64) command.RowWrite {
+	return command.RowWrite{Key: ledger.GroupKey(tr.Name, record.Spec.ID), Group: &record, If: version}
+}
+
+// regenerateStale begins a new attempt of groups with samples that are too
+// stale for the trainer's version.
+func regenerateStale(t *table.Tables, tr *table.Trainer, out *command.Outbox) bool {
+	if tr.SweptAt == tr.Record.Version {
+		return false
+	}
+	c := table.Commit{Kind: table.CommitRegenerate}
+	var rows []command.RowWrite
+	for _, h := range tr.Order {
+		g := t.Groups.Get(h)
+		if g == nil || g.Phase >= table.GroupFrozen || !staleGroup(g, tr.Record.Version) {
+			continue
+		}
+		if len(rows)+len(g.Samples)+1 > rowsPerWrite && len(rows) > 0 {
+			break
+		}
+		record := g.Record
+		record.Attempt, record.Scores, record.Scored = record.Attempt+1, nil, false
+		rows = append(rows, groupWrite(tr, record, g.RowVersion))
+		c.Groups = append(c.Groups, record)
+		rows, c.Objects = expireSamples(t, g, rows, c.Objects)
+	}
+	if len(rows) == 0 {
+		tr.SweptAt = tr.Record.Version
+		return false
+	}
+	writeRows(t, tr, &c, rows, out)
+	out.Add(command.Count{Counter: "samples_expired", Delta: int64(len(c.Objects))})
+	out.Add(command.Count{Counter: "groups_regenerated", Delta: int64(len(c.Groups))})
+	return true
+}
+
+func staleGroup(g *table.Group, version ledger.Version) bool {
+	return g.Oldest > 0 && int64(version-g.Oldest) > g.Record.Spec.StalenessBound
+}
+
+// expireSamples deletes the sample rows of the group's attempt. The texts stay
+// until the rows are gone for certain.
+func expireSamples(t *table.Tables, g *table.Group, rows []command.RowWrite, objects []string) ([]command.RowWrite, []string) {
+	for _, h := range g.Samples {
+		s := t.Samples.Get(h)
+		if s.Phase != table.SampleCommitted {
+			continue
+		}
+		rows = append(rows, command.RowWrite{
+			Key: ledger.SampleKey(g.Trainer, s.Group, g.Record.Attempt, s.Index), Delete: true, Any: true,
+		})
+		objects = append(objects, s.Record.ObjectKey)
+	}
+	return rows, objects
+}
+
+// deleteDelivered deletes rows and texts of the oldest acknowledged lot, one
+// batch at a time; the lot row goes last, so that another holder can continue.
+func deleteDelivered(t *table.Tables, tr *table.Trainer, out *command.Outbox) bool {
+	if len(tr.Deleting) == 0 {
+		return deleteGarbage(t, tr, out)
+	}
+	lot := &tr.Deleting[0]
+	c := table.Commit{Kind: table.CommitDelete, Last: true}
+	chosen := make(map[string]bool)
+	var rows []command.RowWrite
+	planned := 0
+	for _, id := range lot.Groups {
+		key := table.GroupKey(tr.Name, id)
+		g := t.Groups.Find(key)
+		if g == nil {
+			continue
+		}
+		if planned += len(g.Samples) + 1; planned > rowsPerWrite && len(chosen) > 0 {
+			c.Last = false
+			break
+		}
+		chosen[id] = true
+		c.Keys = append(c.Keys, key)
+		rows = append(rows, command.RowWrite{Key: ledger.GroupKey(tr.Name, id), Delete: true, If: g.RowVersion})
+	}
+	rows = deleteLotSamples(lot, chosen, rows, out)
+	if c.Last {
+		rows = append(rows, command.RowWrite{Key: ledger.LotKey(tr.Name, lot.Step, lot.Attempt), Delete: true, Any: true})
+	}
+	writeRows(t, tr, &c, rows, out)
+	return true
+}
+
+func deleteLotSamples(lot *ledger.LotRecord, groups map[string]bool, rows []command.RowWrite, out *command.Outbox) []command.RowWrite {
+	var objects []string
+	for i := range lot.Samples {
+		s := &lot.Samples[i]
+		if !groups[s.Group] {
+			continue
+		}
+		key := ledger.SampleKey(lot.Trainer, s.Group, s.Attempt, s.Index)
+		rows = append(rows, command.RowWrite{Key: key, Delete: true, Any: true})
+		objects = append(objects, s.ObjectKey)
+	}
+	if len(objects) > 0 {
+		out.Add(command.DeleteObjects{Keys: objects})
+	}
+	return rows
+}
+
+// deleteGarbage deletes sample rows that a late write left behind.
+func deleteGarbage(t *table.Tables, tr *table.Trainer, out *command.Outbox) bool {
+	n := min(len(tr.Garbage), rowsPerWrite)
+	if n == 0 {
+		return false
+	}
+	var rows []command.RowWrite
+	for _, key := range tr.Garbage[:n] {
+		rows = append(rows, command.RowWrite{Key: key, Delete: true, Any: true})
+	}
+	tr.Garbage = tr.Garbage[n:]
+	writeRows(t, tr, &table.Commit{Kind: table.CommitDelete}, rows, out)
+	return true
+}
--- /dev/null
+++ b/system/samples.go
@@ -0,0 +1,79 @@
+package system
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// applyGenerated takes in a result. Only the first one of a sample counts; it
+// must be completely labelled and within the staleness bound.
+func applyGenerated(now time.Duration, t *table.Tables, e event.SampleGenerated, out *command.Outbox) {
+	if h := t.Hosts.Find(e.EntryID); h != nil && h.Samples > 0 {
+		h.Samples--
+	}
+	r := &e.Record
+	tr := t.Trainers.Find(e.Trainer)
+	g := t.Groups.Find(table.GroupKey(e.Trainer, r.Group))
+	if tr == nil || g == nil || g.Record.Attempt != r.Attempt || r.Index < 0 || r.Index >= len(g.Samples) {
+		discard(e, "superseded", out)
+		return
+	}
+	s := t.Samples.Get(g.Samples[r.Index])
+	s.InFlight = max(0, s.InFlight-1)
+	if s.Phase >= table.SampleFinished {
+		discard(e, "duplicate", out)
+		return
+	}
+	if reason := unusable(tr, g, e); reason != "" {
+		sampleFailed(now, g, s, e, reason, out)
+		return
+	}
+	if s.Phase == table.SampleWaiting {
+		g.Waiting--
+	}
+	s.Phase, s.Record, s.Failures = table.SampleFinished, *r, 0
+	tr.Done = append(tr.Done, g.Samples[r.Index])
+	noteDuration(g, e.Took)
+}
+
+// unusable returns why a result cannot become the sample, empty if it can.
+func unusable(tr *table.Trainer, g *table.Group, e event.SampleGenerated) string {
+	switch {
+	case e.Failure != nil:
+		return string(e.Failure.Reason)
+	case ledger.CheckRanges(e.Record.Ranges, e.Record.Tokens) != nil:
+		return string(verdict.ReasonUnlabelled)
+	case ledger.Staleness(e.Record.Ranges, tr.Record.Version) > g.Record.Spec.StalenessBound:
+		return "expired"
+	}
+	return ""
+}
+
+// sampleFailed queues the sample again unless a hedged request still runs.
+func sampleFailed(now time.Duration, g *table.Group, s *table.Sample, e event.SampleGenerated, reason string, out *command.Outbox) {
+	countReason(out, "sample_failed", reason)
+	removeObject(e, out)
+	s.Failures++
+	if s.InFlight > 0 || s.Phase != table.SampleRunning {
+		return
+	}
+	s.Phase, s.RetryAt = table.SampleWaiting, now+backoff(s.Failures)
+	g.Waiting++
+}
+
+// discard drops a result that no row will ever name.
+func discard(e event.SampleGenerated, reason string, out *command.Outbox) {
+	countReason(out, "sample_discarded", reason)
+	removeObject(e, out)
+}
+
+func removeObject(e event.SampleGenerated, out *command.Outbox) {
+	if e.Failure == nil && e.Record.ObjectKey != "" {
+		out.Add(command.DeleteObjects{Keys: []string{e.Record.ObjectKey}})
+	}
+}
--- /dev/null
+++ b/system/stragglers.go
@@ -0,0 +1,53 @@
+package system
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// hedgeFactor times the group's median is the running time after which a sample
+// is sent a second time.
+const hedgeFactor = 3
+
+// hedge sends a second request for samples that run much longer than the others
+// of their group, if at least half of the group is done and an engine has a free
+// slot.
+func (d *dispatch) hedge(g *table.Group) {
+	if g.Median == 0 || len(g.Durations) < (len(g.Samples)+1)/2 {
+		return
+	}
+	for _, h := range g.Samples {
+		s := d.t.Samples.Get(h)
+		if s.Phase != table.SampleRunning || s.InFlight != 1 {
+			continue
+		}
+		due := s.StartedAt + hedgeFactor*g.Median
+		if d.now < due {
+			d.out.WakeAt(due)
+			continue
+		}
+		if !freeSlot(d.t, g.Record.Spec.Model) || !d.send(g, s, true, true) {
+			return
+		}
+		d.out.Add(command.Count{Counter: "samples_hedged", Delta: 1})
+	}
+}
+
+// freeSlot reports whether an engine of the model reported a free slot.
+func freeSlot(t *table.Tables, model string) bool {
+	for _, b := range t.Backends.All() {
+		if b.Kind == table.KindEngine && b.Model == model && b.Routable() && b.Report.Running+b.Report.Queued < b.Report.Slots {
+			return true
+		}
+	}
+	return false
+}
+
+func noteDuration(g *table.Group, took time.Duration) {
+	i, _ := slices.BinarySearch(g.Durations, took)
+	g.Durations = slices.Insert(g.Durations, i, took)
+	g.Median = g.Durations[len(g.Durations)/2]
+}
--- /dev/null
+++ b/system/weights.go
@@ -0,0 +1,269 @@
+package system
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// Limits of the weight rollout.
+const (
+	// DefaultWeightFetches is the number of samplers that load from the weight
+	// store at once.
+	DefaultWeightFetches = 3
+	// loadBudget is the number of failed loads after which a sampler is
+	// quarantined until the next version.
+	loadBudget        = 3
+	weightsReadPeriod = time.Second
+	// orderRepeat is the time after which an order without any effect in the
+	// sampler's reports is sent again. Reports lag by about a second.
+	orderRepeat = 5 * time.Second
+	// reportMaxAge is the age of a report from which a sampler's state counts as
+	// unknown; it then neither holds up a rollout nor receives orders.
+	reportMaxAge = 5 * time.Second
+)
+
+// WeightRollout brings the samplers of each model whose partition is held to the
+// wanted version: all of them load it first, then all activate it. Progress is
+// read from state reports only, so a new holder continues from them.
+func WeightRollout(partitions int, order time.Duration) System {
+	return func(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+		for _, e := range in {
+			switch e := e.(type) {
+			case event.WeightsRead:
+				applyWeights(now, t, partitions, e, out)
+			case event.OrderAnswered:
+				applyOrder(now, t, e, out)
+			}
+		}
+		scheduleWeightsRead(now, t, out)
+		for _, w := range t.Weights.All() {
+			p := t.Partitions.Find(table.PartitionKey(w.Partition))
+			if p == nil || !p.Held || p.Releasing || w.Version == 0 {
+				continue
+			}
+			if now < p.OrdersFrom {
+				out.WakeAt(p.OrdersFrom)
+				continue
+			}
+			r := rollout{now: now, t: t, w: w, p: p, out: out, order: order}
+			r.run()
+		}
+	}
+}
+
+func scheduleWeightsRead(now time.Duration, t *table.Tables, out *command.Outbox) {
+	b := &t.Background
+	if !b.WeightsPending && now >= b.WeightsNext {
+		b.WeightsPending, b.WeightsNext = true, now+weightsReadPeriod
+		out.Add(command.ReadWeights{})
+	}
+	out.WakeAt(b.WeightsNext)
+}
+
+// applyWeights takes over wanted versions. A newer one supersedes the rollout in
+// progress and lifts quarantines; a delayed older row is ignored.
+func applyWeights(now time.Duration, t *table.Tables, partitions int, e event.WeightsRead, out *command.Outbox) {
+	t.Background.WeightsPending = false
+	if e.Failure != nil {
+		countReason(out, "weights_read_failed", failureReason(e.Failure))
+		return
+	}
+	for _, row := range e.Rows {
+		w, created := t.Weights.Upsert(row.Model)
+		if !created && row.RowVersion <= w.RowVersion {
+			continue
+		}
+		if w.Version != 0 && w.ActiveAt == 0 && !created {
+			countReason(out, "rollout_ended", "superseded")
+		}
+		*w = table.Weights{
+			Model: row.Model, RowVersion: row.RowVersion, Version: row.Version, Previous: w.Version,
+			Partition: ledger.PartitionOf(row.Model, partitions), StartedAt: now,
+		}
+		logRollout(out, "weight rollout started", w, "")
+	}
+}
+
+func applyOrder(now time.Duration, t *table.Tables, e event.OrderAnswered, out *command.Outbox) {
+	w := t.Weights.Find(e.Model)
+	if w == nil || w.Samplers[e.Backend] == nil {
+		return
+	}
+	s := w.Samplers[e.Backend]
+	s.OrderPending = false
+	if e.Failure != nil {
+		countReason(out, "order_failed", failureReason(e.Failure))
+		s.OrderFailures++
+		s.OrderedPreload, s.OrderedAt = false, 0
+		s.RetryAt = now + backoff(s.OrderFailures)
+		return
+	}
+	s.OrderFailures = 0
+}
+
+// rollout is one tick of the rollout of one model.
+type rollout struct {
+	now   time.Duration
+	t     *table.Tables
+	w     *table.Weights
+	p     *table.Partition
+	out   *command.Outbox
+	order time.Duration
+}
+
+func (r *rollout) run() {
+	r.startHolding()
+	backends := r.samplers()
+	loading, missing, inactive := 0, 0, 0
+	for _, b := range backends {
+		s := r.observe(b)
+		if s.Quarantined {
+			continue
+		}
+		if b.Active != r.w.Version {
+			inactive++
+		}
+		if !has(b, r.w.Version) {
+			missing++
+			if s.OrderedPreload {
+				loading++
+			}
+		}
+	}
+	if missing == 0 && len(backends) > 0 && !r.w.Activating {
+		r.w.Activating = true
+		logRollout(r.out, "weights loaded on all samplers", r.w, "")
+	}
+	if r.w.Activating && inactive == 0 && r.w.ActiveAt == 0 {
+		r.w.ActiveAt = r.now
+		logRollout(r.out, "weight rollout complete", r.w, "")
+		countReason(r.out, "rollout_ended", "complete")
+	}
+	for _, b := range backends {
+		loading += r.advance(b, loading)
+	}
+}
+
+// startHolding forgets the progress seen under an earlier lease. If a sampler
+// already runs the wanted version, an earlier holder had reached activation.
+func (r *rollout) startHolding() {
+	if r.w.HeldFence == r.p.Fence {
+		return
+	}
+	r.w.HeldFence, r.w.Activating, r.w.ActiveAt = r.p.Fence, false, 0
+	r.w.Samplers = make(map[string]*table.SamplerRollout)
+	for _, b := range r.samplers() {
+		r.w.Activating = r.w.Activating || b.Active == r.w.Version
+	}
+}
+
+// samplers returns the model's engines that are not leaving and whose state is
+// known, and drops the progress of others.
+func (r *rollout) samplers() []*table.Backend {
+	var backends []*table.Backend
+	present := make(map[string]bool)
+	for _, b := range r.t.Backends.All() {
+		if b.Kind != table.KindEngine || b.Model != r.w.Model || b.Leaving() {
+			continue
+		}
+		present[b.Name] = true
+		if b.ReportSeen != 0 && r.now-b.ReportSeen <= reportMaxAge {
+			backends = append(backends, b)
+		}
+	}
+	maps.DeleteFunc(r.w.Samplers, func(name string, _ *table.SamplerRollout) bool { return !present[name] })
+	return backends
+}
+
+// observe compares a sampler's report with the order that it was sent.
+func (r *rollout) observe(b *table.Backend) *table.SamplerRollout {
+	s := r.w.Samplers[b.Name]
+	if s == nil || s.BootID != b.BootID {
+		s = &table.SamplerRollout{BootID: b.BootID, BaseFailures: b.LoadFailures}
+		r.w.Samplers[b.Name] = s
+	}
+	if has(b, r.w.Version) {
+		s.OrderedPreload = false
+		return s
+	}
+	if failed := b.LoadFailures - s.BaseFailures; failed > 0 {
+		r.loadFailed(b, s, failed)
+	}
+	if s.OrderedPreload && !s.OrderPending && b.Loading != r.w.Version && r.now >= s.OrderedAt+orderRepeat {
+		s.OrderedPreload, s.OrderedAt = false, 0
+	}
+	return s
+}
+
+func (r *rollout) loadFailed(b *table.Backend, s *table.SamplerRollout, failed int) {
+	s.BaseFailures, s.OrderedPreload = b.LoadFailures, false
+	s.Failures += failed
+	s.RetryAt = r.now + backoff(s.Failures)
+	countReason(r.out, "weight_load_failed", "load_failed")
+	if s.Failures >= loadBudget && !s.Quarantined {
+		s.Quarantined = true
+		countReason(r.out, "sampler_quarantined", "load_failed")
+		logRollout(r.out, "sampler quarantined", r.w, b.Name)
+	}
+}
+
+func has(b *table.Backend, v ledger.Version) bool {
+	return b.Active == v || slices.Contains(b.Loaded, v)
+}
+
+// advance sends the sampler's next order and returns the number of loads begun.
+func (r *rollout) advance(b *table.Backend, loading int) int {
+	s := r.w.Samplers[b.Name]
+	if s.Quarantined || s.OrderPending || b.Active == r.w.Version {
+		return 0
+	}
+	if r.now < s.RetryAt {
+		r.out.WakeAt(s.RetryAt)
+		return 0
+	}
+	if !has(b, r.w.Version) {
+		if s.OrderedPreload || loading >= r.fetches() {
+			return 0
+		}
+		s.OrderedPreload, s.BaseFailures = true, b.LoadFailures
+		r.send(b, s, 0)
+		return 1
+	}
+	if r.w.Activating && (s.OrderedAt == 0 || !s.OrderedActive || r.now >= s.OrderedAt+orderRepeat) {
+		s.OrderedActive = true
+		r.send(b, s, r.w.Version)
+	}
+	return 0
+}
+
+func (r *rollout) fetches() int {
+	if n := r.t.Config.Body.Policy.WeightFetches; n > 0 {
+		return n
+	}
+	return DefaultWeightFetches
+}
+
+func (r *rollout) send(b *table.Backend, s *table.SamplerRollout, active ledger.Version) {
+	s.OrderPending, s.OrderedAt = true, r.now
+	order := command.OrderWeights{Backend: b.Name, Address: b.Address, Deadline: r.now + r.order}
+	order.Wanted.Fence = r.p.Fence
+	order.Wanted.OrderID = r.w.Model + "/" + strconv.FormatUint(r.p.Fence, 10) + "/" + b.Name + "/" + strconv.FormatInt(int64(r.now), 10)
+	order.Wanted.Model, order.Wanted.Preload, order.Wanted.Active = r.w.Model, r.w.Version, active
+	order.Wanted.DeadlineMS, order.Wanted.IssuedBy = r.order.Milliseconds(), r.t.Self.ID
+	r.out.Add(order)
+}
+
+func logRollout(out *command.Outbox, message string, w *table.Weights, sampler string) {
+	out.Add(command.LogChange{Message: message, Fields: []command.Field{
+		{Key: "model", Value: w.Model},
+		{Key: "version", Value: strconv.FormatInt(int64(w.Version), 10)},
+		{Key: "sampler", Value: sampler},
+	}})
+}
--- a/table/routing.go
+++ b/table/routing.go
@@ -41,6 +41,9 @@
 	ConfigVersion  uint64
 	StoreReachable bool
 	ContactPending bool
+
+	Samples  int           // samples that this controller runs on the entry host
+	LapsedAt time.Duration // when a lease of this controller lapsed on our clock, zero if none
 }
 
 // BackendKind is the kind of a backend server.
--- a/table/tables.go
+++ b/table/tables.go
@@ -14,8 +14,10 @@
 	Trainers   Table[Trainer]   // keyed by trainer name
 	Groups     Table[Group]     // keyed by GroupKey
 	Samples    Table[Sample]    // keyed by SampleKey
-	Pulls      Table[Pull]      // keyed by request id
+	Calls      Table[Call]      // keyed by request id
+	Commits    Table[Commit]    // keyed by CommitKey
 	Weights    Table[Weights]   // keyed by model name
+	Background Background
 }
 
 // New returns empty tables for the process described by self.
--- a/table/training.go
+++ b/table/training.go
@@ -25,6 +25,9 @@
 	OrdersFrom time.Duration // earliest time for orders to engines, after older orders lapsed
 	Pending    bool          // an acquire, renewal or release is under way
 	Loaded     bool          // rows of the partition's trainers have been read
+	RenewAt    time.Duration // time of the next renewal
+	Releasing  bool          // no new work; released once the writes under way have ended
+	ExcessFrom time.Duration // since when this process holds more than its share, zero if not
 }
 
 // PartitionKey returns the key of a partition.
@@ -39,6 +42,20 @@
 	Pending    bool              // a conditional write of the trainer row is under way
 	Lot        *ledger.LotRecord // newest frozen lot, nil before the first
 	LotAgeFrom time.Duration
+
+	Loaded      bool // the rows below are those of the table service
+	Claimed     bool // the trainer row was written under the held fence since the load
+	LoadPending bool
+	RetryAt     time.Duration      // next load or write after a failure
+	Failures    int                // consecutive, of loads and writes
+	RowsPending bool               // a write of group and sample rows is under way
+	LotGroups   int                // groups of the newest pull
+	RowsTurn    int                // which kind of rows is written next
+	SweptAt     ledger.Version     // version against which staleness was last checked
+	Garbage     []string           // keys of sample rows that belong to no group
+	Done        []Handle           // samples in SampleFinished
+	Order       []Handle           // groups by sequence; handles of deleted groups are dropped lazily
+	Deleting    []ledger.LotRecord // acknowledged or replaced lots whose rows are still to be deleted
 }
 
 // GroupPhase is the progress of a group.
@@ -50,20 +67,32 @@
 	GroupScoring
 	GroupComplete
 	GroupFrozen // part of the trainer's newest lot
+	GroupAcked  // delivered, rows still to be deleted
 )
 
+// String returns the name used in messages.
+func (p GroupPhase) String() string {
+	return [...]string{"generating", "scoring", "complete", "frozen", "acknowledged"}[p]
+}
+
 // Group is a group of samples of a held trainer.
 type Group struct {
-	Trainer     string
-	RowVersion  uint64
-	Record      ledger.GroupRecord
-	Phase       GroupPhase
-	Finished    int // samples committed in this attempt
-	StartedAt   time.Duration
-	CompletedAt time.Duration
-	RetryAt     time.Duration // next scoring attempt after a failure
-	Failures    int
-	Durations   []time.Duration // of finished samples
+	Trainer      string
+	RowVersion   uint64
+	Record       ledger.GroupRecord
+	Phase        GroupPhase
+	Finished     int // samples committed in this attempt
+	StartedAt    time.Duration
+	CompletedAt  time.Duration
+	RetryAt      time.Duration // next scoring attempt after a failure
+	Failures     int
+	Durations    []time.Duration // of finished samples
+	Samples      []Handle        // by index
+	Waiting      int             // samples in SampleWaiting
+	ScorePending bool
+	Scores       []float64      // received and not yet committed
+	Oldest       ledger.Version // of the committed samples, 0 if none
+	Median       time.Duration  // of Durations
 }
 
 // GroupKey returns the key of a group.
@@ -76,6 +105,7 @@
 const (
 	SampleWaiting SamplePhase = iota
 	SampleRunning
+	SampleFinished // generated, waiting for its commit
 	SampleCommitting
 	SampleCommitted
 )
@@ -98,13 +128,69 @@
 	return trainer + "/" + group + "/" + strconv.Itoa(index)
 }
 
-// Pull is a trainer's pull that waits for a lot.
-type Pull struct {
+// CallKind is the kind of a trainer's call.
+type CallKind uint8
+
+// Kinds of calls.
+const (
+	CallSubmit CallKind = iota
+	CallDeclare
+	CallPull
+	CallConfirm
+)
+
+// Call is a trainer's call that waits for its answer.
+type Call struct {
+	ID      string
+	Kind    CallKind
 	Trainer string
 	Step    int64
+	Attempt int
 	Version ledger.Version
 	Groups  int
-	Until   time.Duration
+	Until   time.Duration // end of a pull's wait
+	Specs   []ledger.GroupSpec
+	Writing bool // a write on behalf of the call is under way
+}
+
+// CommitKind says what a write changes.
+type CommitKind uint8
+
+// Kinds of writes. The first group writes the trainer row.
+const (
+	CommitClaim CommitKind = iota
+	CommitSubmit
+	CommitDeclare
+	CommitFreeze
+	CommitSamples
+	CommitScores
+	CommitRegenerate
+	CommitDelete
+)
+
+// Commit is a write under way, with what its success changes in the tables.
+type Commit struct {
+	ID      uint64
+	Kind    CommitKind
+	Trainer string
+	Fence   uint64
+	Record  ledger.TrainerRecord // of the writes of the trainer row
+	Groups  []ledger.GroupRecord // submitted, scored or regenerated
+	Lot     *ledger.LotRecord    // frozen
+	Keys    []string             // of sample or group rows in the tables
+	Objects []string             // texts to delete on success
+	Call    string               // answered on success
+	Last    bool                 // of CommitDelete: the lot row goes with it
+}
+
+// Background is the state of background work that belongs to no row.
+type Background struct {
+	LeasesPending  bool
+	LeasesNext     time.Duration
+	WeightsPending bool
+	WeightsNext    time.Duration
+	LastID         uint64 // of commits
+	Released       bool   // of a planned stop: every lease has been handed over
 }
 
 // Weights is a model's wanted weight version and the progress of its rollout.
@@ -116,11 +202,17 @@
 	Partition  int
 	StartedAt  time.Duration
 	ActiveAt   time.Duration // when all samplers reported the version, zero before
+	Activating bool          // all samplers had the version; later ones activate on their own
+	HeldFence  uint64        // fence under which Samplers was filled
 	Samplers   map[string]*SamplerRollout
 }
 
 // SamplerRollout is the progress of a rollout on one sampler.
 type SamplerRollout struct {
+	BootID         string
+	OrderFailures  int // consecutive
+	OrderedActive  bool
+	BaseFailures   int // load failures reported before the order
 	OrderedPreload bool
 	OrderedAt      time.Duration
 	OrderPending   bool
@@ -128,3 +220,6 @@
 	RetryAt        time.Duration
 	Quarantined    bool
 }
+
+// CommitKey returns the key of a write under way.
+func CommitKey(id uint64) string { return strconv.FormatUint(id, 10) }
