--- a/system/commits.go
+++ b/system/commits.go
@@ -72,7 +72,7 @@
 	case table.CommitFreeze:
 		applyFrozen(now, t, tr, c, out)
 	case table.CommitSamples:
-		applySamples(now, t, c)
+		applySamples(now, t, tr, c)
 	case table.CommitScores:
 		applyScores(now, t, tr, c, versions)
 	case table.CommitRegenerate:
@@ -98,7 +98,7 @@
 	out.Add(command.Count{Counter: "lots_frozen", Delta: 1})
 }
 
-func applySamples(now time.Duration, t *table.Tables, c *table.Commit) {
+func applySamples(now time.Duration, t *table.Tables, tr *table.Trainer, c *table.Commit) {
 	for _, key := range c.Keys {
 		s := t.Samples.Find(key)
 		if s == nil || s.Phase != table.SampleCommitting {
@@ -108,6 +108,9 @@
 		g := t.Groups.Find(table.GroupKey(s.Trainer, s.Group))
 		noteCommitted(g, s)
 		advanceGroup(now, g)
+		if staleGroup(g, tr.Record.Version) {
+			tr.SweptAt = -1 // the version rose while the write was under way
+		}
 	}
 }
 
--- a/system/recovery.go
+++ b/system/recovery.go
@@ -186,12 +186,20 @@
 	g.Phase, g.CompletedAt = table.GroupComplete, now
 }
 
+// markLotGroups marks the groups of lots. A group of the newest lot with a later
+// attempt was reopened, because the lot became too stale before its delivery.
 func markLotGroups(t *table.Tables, tr *table.Trainer) {
 	for i := range tr.Deleting {
 		setPhase(t, &tr.Deleting[i], table.GroupAcked)
 	}
-	if tr.Lot != nil {
-		setPhase(t, tr.Lot, table.GroupFrozen)
+	if tr.Lot == nil {
+		return
+	}
+	for i := range tr.Lot.Samples {
+		s := &tr.Lot.Samples[i]
+		if g := t.Groups.Find(table.GroupKey(tr.Name, s.Group)); g != nil && g.Record.Attempt == s.Attempt {
+			g.Phase = table.GroupFrozen
+		}
 	}
 }
 
--- a/system/rows.go
+++ b/system/rows.go
@@ -53,6 +53,9 @@
 		if s == nil || s.Phase != table.SampleFinished {
 			continue
 		}
+		if expireUnwritten(t, tr, s, out) {
+			continue
+		}
 		s.Phase = table.SampleCommitting
 		record := s.Record
 		rows = append(rows, command.RowWrite{
@@ -68,6 +71,20 @@
 	return true
 }
 
+// expireUnwritten queues a sample again that became too stale before it was
+// written, for example during an outage of the table service.
+func expireUnwritten(t *table.Tables, tr *table.Trainer, s *table.Sample, out *command.Outbox) bool {
+	g := t.Groups.Find(table.GroupKey(tr.Name, s.Group))
+	if ledger.Staleness(s.Record.Ranges, tr.Record.Version) <= g.Record.Spec.StalenessBound {
+		return false
+	}
+	countReason(out, "sample_failed", reasonExpired)
+	out.Add(command.DeleteObjects{Keys: []string{s.Record.ObjectKey}})
+	s.Phase, s.Record, s.RetryAt = table.SampleWaiting, ledger.SampleRecord{}, 0
+	g.Waiting++
+	return true
+}
+
 func writeScores(t *table.Tables, tr *table.Trainer, out *command.Outbox) bool {
 	c := table.Commit{Kind: table.CommitScores}
 	var rows []command.RowWrite
--- a/system/samples.go
+++ b/system/samples.go
@@ -10,6 +10,9 @@
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
+// reasonExpired is the reason of samples that became too stale.
+const reasonExpired = "expired"
+
 // applyGenerated takes in a result. Only the first one of a sample counts; it
 // must be completely labelled and within the staleness bound.
 func applyGenerated(now time.Duration, t *table.Tables, e event.SampleGenerated, out *command.Outbox) {
@@ -49,7 +52,7 @@
 	case ledger.CheckRanges(e.Record.Ranges, e.Record.Tokens) != nil:
 		return string(verdict.ReasonUnlabelled)
 	case ledger.Staleness(e.Record.Ranges, tr.Record.Version) > g.Record.Spec.StalenessBound:
-		return "expired"
+		return reasonExpired
 	}
 	return ""
 }
--- a/system/weights.go
+++ b/system/weights.go
@@ -119,29 +119,33 @@
 }
 
 func (r *rollout) run() {
-	r.startHolding()
 	backends := r.samplers()
-	loading, missing, inactive := 0, 0, 0
+	if len(backends) == 0 {
+		return
+	}
+	r.startHolding(backends)
+	usable, loading, missing, inactive := 0, 0, 0, 0
 	for _, b := range backends {
 		s := r.observe(b)
+		if s.OrderedPreload || b.Loading != 0 {
+			loading++
+		}
 		if s.Quarantined {
 			continue
 		}
+		usable++
 		if b.Active != r.w.Version {
 			inactive++
 		}
 		if !has(b, r.w.Version) {
 			missing++
-			if s.OrderedPreload {
-				loading++
-			}
 		}
 	}
-	if missing == 0 && len(backends) > 0 && !r.w.Activating {
+	if missing == 0 && usable > 0 && !r.w.Activating {
 		r.w.Activating = true
 		logRollout(r.out, "weights loaded on all samplers", r.w, "")
 	}
-	if r.w.Activating && inactive == 0 && r.w.ActiveAt == 0 {
+	if r.w.Activating && inactive == 0 && usable > 0 && r.w.ActiveAt == 0 {
 		r.w.ActiveAt = r.now
 		logRollout(r.out, "weight rollout complete", r.w, "")
 		countReason(r.out, "rollout_ended", "complete")
@@ -153,13 +157,13 @@
 
 // startHolding forgets the progress seen under an earlier lease. If a sampler
 // already runs the wanted version, an earlier holder had reached activation.
-func (r *rollout) startHolding() {
+func (r *rollout) startHolding(backends []*table.Backend) {
 	if r.w.HeldFence == r.p.Fence {
 		return
 	}
 	r.w.HeldFence, r.w.Activating, r.w.ActiveAt = r.p.Fence, false, 0
 	r.w.Samplers = make(map[string]*table.SamplerRollout)
-	for _, b := range r.samplers() {
+	for _, b := range backends {
 		r.w.Activating = r.w.Activating || b.Active == r.w.Version
 	}
 }
@@ -196,6 +200,9 @@
 	if failed := b.LoadFailures - s.BaseFailures; failed > 0 {
 		r.loadFailed(b, s, failed)
 	}
+	if b.Loading == r.w.Version && !s.OrderedPreload {
+		s.OrderedPreload, s.OrderedAt = true, r.now // ordered by an earlier holder
+	}
 	if s.OrderedPreload && !s.OrderPending && b.Loading != r.w.Version && r.now >= s.OrderedAt+orderRepeat {
 		s.OrderedPreload, s.OrderedAt = false, 0
 	}
