Carry trainers' calls and samples between processes

Adds the Controller service on the control loop's answers, the Generate call on both sides, and the entry host's router, which follows the holder of a partition and bounds each attempt because a stopped holder keeps its connections.

--- /dev/null
+++ b/handler/answers.go
@@ -0,0 +1,16 @@
+package handler
+
+import (
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/control"
+)
+
+// RegisterAnswers passes the control loop's answers to trainers' calls on to the
+// waiting calls.
+func RegisterAnswers(pool *control.Pool, waiters *control.Waiters) {
+	control.HandleNow(pool, func(c command.AnswerSubmit) { waiters.Answer(c.RequestID, c) })
+	control.HandleNow(pool, func(c command.AnswerVersion) { waiters.Answer(c.RequestID, c) })
+	control.HandleNow(pool, func(c command.AnswerPull) { waiters.Answer(c.RequestID, c) })
+	control.HandleNow(pool, func(c command.AnswerConfirm) { waiters.Answer(c.RequestID, c) })
+	control.HandleNow(pool, func(c command.AnswerGroups) { waiters.Answer(c.RequestID, c) })
+}
--- /dev/null
+++ b/peer/generate.go
@@ -0,0 +1,73 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/peer/peerpb"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// SampleRunner runs one sample and stores its text.
+type SampleRunner interface {
+	RunSample(ctx context.Context, r ledger.SampleRequest) (ledger.SampleRecord, error)
+}
+
+// Generate is the part of the Entry service that controllers use. The rest of
+// the service embeds it or calls its method.
+type Generate struct{ Runner SampleRunner }
+
+// Generate runs a sample for a controller.
+func (g Generate) Generate(ctx context.Context, r *peerpb.GenerateRequest) (*peerpb.GenerateResponse, error) {
+	record, err := g.Runner.RunSample(ctx, requestOf(r))
+	if err != nil {
+		return nil, StatusOf(err)
+	}
+	return &peerpb.GenerateResponse{Sample: sampleToMessage(&ledger.LotSample{SampleRecord: record})}, nil
+}
+
+// MaxGenerating is the number of samples that one controller has under way at
+// entry hosts. The system's bound per trainer is lower in ordinary operation.
+const MaxGenerating = 16384
+
+// Generator is the executor of command.GenerateSample.
+type Generator struct {
+	Dialer *Dialer
+	Limit  time.Duration // longest time of one sample
+}
+
+// Run asks the entry host for the sample.
+func (g Generator) Run(ctx context.Context, c command.GenerateSample) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, g.Limit)
+	defer cancel()
+	started := time.Now()
+	record, err := generate(ctx, g.Dialer, c)
+	record.Group, record.Index, record.Attempt = c.Spec.ID, c.Index, c.Attempt
+	return event.SampleGenerated{
+		Trainer: c.Trainer, EntryID: c.EntryID, Record: record,
+		Failure: event.FailureOf(err), Took: time.Since(started),
+	}
+}
+
+func generate(ctx context.Context, dialer *Dialer, c command.GenerateSample) (ledger.SampleRecord, error) {
+	conn, err := dialer.Conn(c.Address)
+	if err != nil {
+		return ledger.SampleRecord{}, verdict.Wrap(err, verdict.NotRun, verdict.ReasonConnectFailed, "dial entry host")
+	}
+	m, err := peerpb.NewEntryClient(conn).Generate(ctx, requestToMessage(ledger.SampleRequest{
+		Trainer: c.Trainer, Class: c.Class, Spec: c.Spec, Index: c.Index, Attempt: c.Attempt,
+		Urgent: c.Urgent, MinVersion: c.MinVersion,
+	}))
+	if err != nil {
+		return ledger.SampleRecord{}, ErrorOf(err)
+	}
+	record := sampleOf(m.GetSample()).SampleRecord
+	if record.Group != c.Spec.ID || record.Index != c.Index || record.Attempt != c.Attempt {
+		return ledger.SampleRecord{}, verdict.New(verdict.Ran, verdict.ReasonForeignAnswer,
+			"entry host answered for sample %s/%d", record.Group, record.Index)
+	}
+	return record, nil
+}
--- /dev/null
+++ b/peer/router.go
@@ -0,0 +1,251 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/peer/peerpb"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// LeaseReader reads the lease rows.
+type LeaseReader interface {
+	Leases(ctx context.Context) ([]event.LeaseRow, error)
+}
+
+// Waits of the router.
+const (
+	routerRetryFirst = 50 * time.Millisecond
+	routerRetryLimit = time.Second
+	// leaseReadShare is the shortest time between two reads of the lease rows, so
+	// that many waiting calls share one read during a take-over.
+	leaseReadShare = 200 * time.Millisecond
+	leaseReadLimit = 2 * time.Second
+	// callLimit bounds one attempt, because a holder that was stopped keeps its
+	// connections and answers nothing.
+	callLimit = 3 * time.Second
+	// pullSlice is the part of a pull's wait that one attempt covers, for the
+	// same reason.
+	pullSlice = 5 * time.Second
+)
+
+// maxLotBytes bounds the message of a lot. A lot of 8,192 samples with a few
+// version ranges each stays below a quarter of it.
+const maxLotBytes = 16 << 20
+
+// ControllerRouter calls the controller that holds a trainer's partition. All
+// calls are safe to repeat; it repeats them within the caller's deadline when
+// the holder changed or cannot be reached.
+type ControllerRouter struct {
+	dialer     *Dialer
+	leases     LeaseReader
+	partitions int
+
+	mu      sync.Mutex
+	holders map[int]string // address by partition
+	readAt  time.Time
+}
+
+// NewControllerRouter returns a router for the given number of partitions.
+func NewControllerRouter(dialer *Dialer, leases LeaseReader, partitions int) *ControllerRouter {
+	return &ControllerRouter{dialer: dialer, leases: leases, partitions: partitions}
+}
+
+// holder returns the address of the partition's holder. With refresh it reads
+// the lease rows unless they were read a moment ago.
+func (r *ControllerRouter) holder(ctx context.Context, partition int, refresh bool) (string, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.holders == nil || (refresh && time.Since(r.readAt) >= leaseReadShare) {
+		ctx, cancel := context.WithTimeout(ctx, leaseReadLimit)
+		defer cancel()
+		rows, err := r.leases.Leases(ctx)
+		if err != nil {
+			return "", verdict.Wrap(err, verdict.NotRun, verdict.ReasonStoreUnavailable, "read leases")
+		}
+		r.holders, r.readAt = make(map[int]string, len(rows)), time.Now()
+		for _, row := range rows {
+			r.holders[row.Partition] = row.Address
+		}
+	}
+	if address := r.holders[partition]; address != "" {
+		return address, nil
+	}
+	return "", verdict.New(verdict.NotRun, verdict.ReasonNotHolder, "partition %d has no holder", partition)
+}
+
+// route repeats do with the holder of the trainer's partition until it succeeds,
+// fails for another reason than the route, or ctx ends. limit bounds an attempt.
+func route[R any](ctx context.Context, r *ControllerRouter, trainer string, limit time.Duration, do func(context.Context, peerpb.ControllerClient) (R, error)) (R, error) {
+	partition := ledger.PartitionOf(trainer, r.partitions)
+	wait, refresh, reached := routerRetryFirst, false, false
+	for {
+		limited, cancel := context.WithTimeout(ctx, limit)
+		result, sent, err := attempt(limited, r, partition, refresh, do)
+		cancel()
+		reached = reached || sent
+		if err == nil || ctx.Err() != nil || !rerouted(err) {
+			return result, err
+		}
+		if !pause(ctx, wait) {
+			return result, routeError(err, reached)
+		}
+		wait, refresh = min(2*wait, routerRetryLimit), true
+	}
+}
+
+// attempt reports sent if the call may have reached a controller.
+func attempt[R any](ctx context.Context, r *ControllerRouter, partition int, refresh bool, do func(context.Context, peerpb.ControllerClient) (R, error)) (result R, sent bool, err error) {
+	address, err := r.holder(ctx, partition, refresh)
+	if err != nil {
+		return result, false, err
+	}
+	conn, err := r.dialer.Conn(address)
+	if err != nil {
+		return result, false, verdict.Wrap(err, verdict.NotRun, verdict.ReasonConnectFailed, "dial controller")
+	}
+	result, err = do(ctx, peerpb.NewControllerClient(conn))
+	err = ErrorOf(err)
+	return result, verdict.Of(err) != verdict.NotRun, err
+}
+
+// rerouted reports whether another attempt, perhaps at another holder, may help.
+func rerouted(err error) bool {
+	switch verdict.ReasonOf(err) {
+	case verdict.ReasonNotHolder, verdict.ReasonConnectFailed, verdict.ReasonConnectionLost,
+		verdict.ReasonStoreUnavailable, verdict.ReasonDraining, verdict.ReasonDeadline:
+		return true
+	}
+	return false
+}
+
+// routeError keeps MayHaveRun if any attempt may have taken effect.
+func routeError(err error, reached bool) error {
+	if !reached || verdict.Of(err) != verdict.NotRun {
+		return err
+	}
+	return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonOf(err), "an earlier attempt may have taken effect")
+}
+
+// pause waits for d with jitter; it returns false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d/2 + rand.N(d/2))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// SubmitGroups submits groups of a trainer and returns the accepted ids.
+func (r *ControllerRouter) SubmitGroups(ctx context.Context, trainer string, groups []ledger.GroupSpec) ([]string, error) {
+	m := &peerpb.SubmitGroupsRequest{Trainer: trainer}
+	for _, g := range groups {
+		m.Groups = append(m.Groups, specToMessage(g))
+	}
+	answer, err := route(ctx, r, trainer, callLimit, func(ctx context.Context, c peerpb.ControllerClient) (*peerpb.SubmitGroupsResponse, error) {
+		return c.SubmitGroups(ctx, m)
+	})
+	return answer.GetAccepted(), err
+}
+
+// DeclareVersion declares a trainer's version and returns the one in force.
+func (r *ControllerRouter) DeclareVersion(ctx context.Context, trainer string, v ledger.Version) (ledger.Version, error) {
+	m := &peerpb.DeclareVersionRequest{Trainer: trainer, Version: int64(v)}
+	answer, err := route(ctx, r, trainer, callLimit, func(ctx context.Context, c peerpb.ControllerClient) (*peerpb.DeclareVersionResponse, error) {
+		return c.DeclareVersion(ctx, m)
+	})
+	return ledger.Version(answer.GetVersion()), err
+}
+
+// Pull describes a trainer's pull.
+type Pull struct {
+	Step    int64
+	Version ledger.Version
+	Groups  int
+	Wait    time.Duration
+}
+
+// PullLot waits for the lot of a step, in slices of the wait.
+func (r *ControllerRouter) PullLot(ctx context.Context, trainer string, p Pull) (*ledger.LotRecord, error) {
+	end := time.Now().Add(p.Wait)
+	for {
+		slice := max(0, min(pullSlice, time.Until(end)))
+		answer, err := route(ctx, r, trainer, slice+callLimit, func(ctx context.Context, c peerpb.ControllerClient) (*peerpb.PullLotResponse, error) {
+			return c.PullLot(ctx, &peerpb.PullLotRequest{
+				Trainer: trainer, Step: p.Step, Version: int64(p.Version), Groups: int32(p.Groups), WaitMs: slice.Milliseconds(),
+			}, grpc.MaxCallRecvMsgSize(maxLotBytes))
+		})
+		if err == nil {
+			return lotOf(trainer, answer), nil
+		}
+		if verdict.ReasonOf(err) != verdict.ReasonNotReady || !time.Now().Before(end) {
+			return nil, err
+		}
+	}
+}
+
+// ConfirmLot asks whether a lot may be delivered now and returns the version
+// against which it was checked.
+func (r *ControllerRouter) ConfirmLot(ctx context.Context, trainer string, step int64, lotAttempt int) (ledger.Version, error) {
+	m := &peerpb.ConfirmLotRequest{Trainer: trainer, Step: step, Attempt: int32(lotAttempt)}
+	answer, err := route(ctx, r, trainer, callLimit, func(ctx context.Context, c peerpb.ControllerClient) (*peerpb.ConfirmLotResponse, error) {
+		return c.ConfirmLot(ctx, m)
+	})
+	return ledger.Version(answer.GetCheckedVersion()), err
+}
+
+// Groups returns the progress of a trainer's groups, or of all groups of all
+// holders if trainer is empty.
+func (r *ControllerRouter) Groups(ctx context.Context, trainer string) ([]event.GroupStatus, error) {
+	if trainer == "" {
+		return r.allGroups(ctx)
+	}
+	m := &peerpb.GroupsRequest{Trainer: trainer}
+	answer, err := route(ctx, r, trainer, callLimit, func(ctx context.Context, c peerpb.ControllerClient) (*peerpb.GroupsResponse, error) {
+		return c.Groups(ctx, m)
+	})
+	return groupsOf(answer), err
+}
+
+func (r *ControllerRouter) allGroups(ctx context.Context) ([]event.GroupStatus, error) {
+	var groups []event.GroupStatus
+	var failures []error
+	asked := make(map[string]bool)
+	for partition := range r.partitions {
+		address, err := r.holder(ctx, partition, partition == 0)
+		if err != nil || asked[address] {
+			continue
+		}
+		asked[address] = true
+		conn, err := r.dialer.Conn(address)
+		if err != nil {
+			failures = append(failures, err)
+			continue
+		}
+		answer, err := peerpb.NewControllerClient(conn).Groups(ctx, &peerpb.GroupsRequest{})
+		if err != nil {
+			failures = append(failures, ErrorOf(err))
+			continue
+		}
+		groups = append(groups, groupsOf(answer)...)
+	}
+	return groups, errors.Join(failures...)
+}
+
+func groupsOf(m *peerpb.GroupsResponse) []event.GroupStatus {
+	groups := make([]event.GroupStatus, 0, len(m.GetGroups()))
+	for _, g := range m.GetGroups() {
+		groups = append(groups, statusOfGroup(g))
+	}
+	return groups
+}
--- a/system/calls.go
+++ b/system/calls.go
@@ -53,7 +53,7 @@
 func refuseCalls(t *table.Tables, out *command.Outbox) {
 	for id, c := range t.Calls.All() {
 		tr := t.Trainers.Find(c.Trainer)
-		if tr != nil && !(t.Partitions.Find(table.PartitionKey(tr.Partition)).Releasing && !c.Writing) {
+		if tr != nil && (c.Writing || !t.Partitions.Find(table.PartitionKey(tr.Partition)).Releasing) {
 			continue
 		}
 		f := refuse(verdict.ReasonNotHolder, "the partition of trainer "+c.Trainer+" was handed over")
--- a/system/session_test.go
+++ b/system/session_test.go
@@ -37,8 +37,8 @@
 	})
 }
 
-func (w *world) declare(n *node, v ledger.Version) string {
-	return w.call(n, func(id string) event.Event { return event.VersionDeclared{RequestID: id, Trainer: "t", Version: v} })
+func (w *world) declare(n *node, v ledger.Version) {
+	w.call(n, func(id string) event.Event { return event.VersionDeclared{RequestID: id, Trainer: "t", Version: v} })
 }
 
 // lot returns the lot that answered a pull.
--- a/system/world_test.go
+++ b/system/world_test.go
@@ -169,7 +169,7 @@
 		delay = testGenerate + f.delay
 	}
 	w.at(delay, func() {
-		e := w.perform(n, c, sent, f)
+		e := w.perform(c, sent, f)
 		if e != nil && !n.dead {
 			n.inbox = append(n.inbox, e)
 		}
@@ -178,7 +178,7 @@
 
 var errLost = &event.Failure{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost}
 
-func (w *world) perform(n *node, c command.Command, sent time.Duration, f fate) event.Event {
+func (w *world) perform(c command.Command, sent time.Duration, f fate) event.Event {
 	fail := f.fail
 	if f.lost {
 		fail = errLost
