Serve trainers over HTTP on the entry host

Trainers submit groups, declare versions and pull lots. A lot's texts are fetched with bounded concurrency and the lot is confirmed with the holder before the answer; a lot that was replaced meanwhile is pulled again within the wait.

--- /dev/null
+++ b/api/trainers.go
@@ -0,0 +1,184 @@
+package api
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/peer"
+	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// Limits of the trainers' interface.
+const (
+	maxGroupsPerCall  = 512
+	maxSamplesOfGroup = 256
+	maxSamplesPerCall = 8192
+	maxTokensOfSample = 1 << 20
+	maxNameBytes      = 128
+	maxPullWait       = 10 * time.Minute
+	// fetchesPerLot bounds the object store reads of one lot that run at once.
+	fetchesPerLot = 32
+	// callTime bounds a call without a wait. It covers a take-over of about 9 s.
+	callTime = 20 * time.Second
+	// deliverTime is added to a pull's wait for fetching and confirming the lot.
+	deliverTime = 60 * time.Second
+)
+
+// TrainerCalls is the way to the holder of a trainer's partition.
+type TrainerCalls interface {
+	SubmitGroups(ctx context.Context, trainer string, groups []ledger.GroupSpec) ([]string, error)
+	DeclareVersion(ctx context.Context, trainer string, v ledger.Version) (ledger.Version, error)
+	PullLot(ctx context.Context, trainer string, p peer.Pull) (*ledger.LotRecord, error)
+	ConfirmLot(ctx context.Context, trainer string, step int64, attempt int) (ledger.Version, error)
+}
+
+// Trainers serves the trainers' interface.
+type Trainers struct {
+	Calls   TrainerCalls
+	Objects platform.Objects
+	MaxBody int64
+}
+
+// Register adds the trainers' routes.
+func (t *Trainers) Register(e *echo.Echo) {
+	g := e.Group("/v1/trainers/:name", ownTrainer)
+	g.POST("/groups", t.submit)
+	g.PUT("/version", t.declare)
+	g.POST("/pull", t.pull)
+}
+
+// ownTrainer admits a trainer to its own path only.
+func ownTrainer(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		principal, _ := c.Get("principal").(string)
+		if principal == "" {
+			return writeError(c, verdict.New(verdict.NotRun, verdict.ReasonUnauthenticated, "no principal"))
+		}
+		if principal != c.Param("name") {
+			return writeError(c, verdict.New(verdict.NotRun, verdict.ReasonForbidden, "the path belongs to another trainer"))
+		}
+		if err := checkName("trainer", principal); err != nil {
+			return writeError(c, err)
+		}
+		return next(c)
+	}
+}
+
+func (t *Trainers) submit(c echo.Context) error {
+	var body struct {
+		Groups []ledger.GroupSpec `json:"groups"`
+	}
+	if err := readJSON(c, t.MaxBody, &body); err != nil {
+		return writeError(c, err)
+	}
+	if err := checkGroups(body.Groups); err != nil {
+		return writeError(c, err)
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), callTime)
+	defer cancel()
+	accepted, err := t.Calls.SubmitGroups(ctx, c.Param("name"), body.Groups)
+	if err != nil {
+		return writeError(c, err)
+	}
+	return c.JSON(http.StatusOK, map[string][]string{"accepted": accepted})
+}
+
+func (t *Trainers) declare(c echo.Context) error {
+	var body struct {
+		Version ledger.Version `json:"version"`
+	}
+	if err := readJSON(c, t.MaxBody, &body); err != nil {
+		return writeError(c, err)
+	}
+	if body.Version <= 0 {
+		return writeError(c, badRequest("version must be positive"))
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), callTime)
+	defer cancel()
+	inForce, err := t.Calls.DeclareVersion(ctx, c.Param("name"), body.Version)
+	if err != nil {
+		return writeError(c, err)
+	}
+	return c.JSON(http.StatusOK, map[string]ledger.Version{"version": inForce})
+}
+
+type pullRequest struct {
+	Step    int64          `json:"step"`
+	Version ledger.Version `json:"version"`
+	Groups  int            `json:"groups"`
+	WaitMS  int64          `json:"wait_ms"`
+}
+
+func (t *Trainers) pull(c echo.Context) error {
+	var body pullRequest
+	if err := readJSON(c, t.MaxBody, &body); err != nil {
+		return writeError(c, err)
+	}
+	if err := checkPull(body); err != nil {
+		return writeError(c, err)
+	}
+	wait := time.Duration(body.WaitMS) * time.Millisecond
+	ctx, cancel := context.WithTimeout(c.Request().Context(), wait+deliverTime)
+	defer cancel()
+	lot, err := t.deliver(ctx, c.Param("name"), body, time.Now().Add(wait))
+	if verdict.ReasonOf(err) == verdict.ReasonNotReady {
+		return c.JSON(http.StatusAccepted, map[string]verdict.Reason{"reason": verdict.ReasonNotReady})
+	}
+	if err != nil {
+		return writeError(c, err)
+	}
+	return c.JSON(http.StatusOK, lot)
+}
+
+// deliver pulls a lot, fetches its texts and confirms it. A lot that was
+// replaced meanwhile is pulled again until the wait is over.
+func (t *Trainers) deliver(ctx context.Context, trainer string, r pullRequest, end time.Time) (*Lot, error) {
+	for {
+		lot, err := t.Calls.PullLot(ctx, trainer, peer.Pull{
+			Step: r.Step, Version: r.Version, Groups: r.Groups, Wait: max(0, time.Until(end)),
+		})
+		if err != nil {
+			return nil, err
+		}
+		texts, fetchErr := t.fetch(ctx, lot)
+		if fetchErr == nil {
+			lot.CheckedVersion, err = t.Calls.ConfirmLot(ctx, trainer, lot.Step, lot.Attempt)
+			if err == nil {
+				return lotBody(lot, texts), nil
+			}
+		} else {
+			err = fetchErr
+		}
+		if verdict.ReasonOf(err) != verdict.ReasonNotReady || !time.Now().Before(end) {
+			return nil, err
+		}
+	}
+}
+
+// fetch reads the texts of a lot. A missing text means that the lot was replaced
+// and its texts were deleted.
+func (t *Trainers) fetch(ctx context.Context, lot *ledger.LotRecord) ([]string, error) {
+	texts := make([]string, len(lot.Samples))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(fetchesPerLot)
+	for i := range lot.Samples {
+		g.Go(func() error {
+			data, found, err := t.Objects.Get(ctx, lot.Samples[i].ObjectKey)
+			if err != nil {
+				return verdict.Wrap(err, verdict.NotRun, verdict.ReasonStoreUnavailable, "fetch sample text")
+			}
+			if !found {
+				return verdict.New(verdict.NotRun, verdict.ReasonNotReady, "the text of a sample is gone")
+			}
+			texts[i] = string(data)
+			return nil
+		})
+	}
+	return texts, g.Wait()
+}
--- /dev/null
+++ b/api/trainers_body.go
@@ -0,0 +1,118 @@
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// Lot is the body of a delivered lot.
+type Lot struct {
+	LotID          string         `json:"lot_id"`
+	Step           int64          `json:"step"`
+	Attempt        int            `json:"attempt"`
+	CheckedVersion ledger.Version `json:"checked_version"`
+	Samples        []LotSample    `json:"samples"`
+}
+
+// LotSample is a sample of a delivered lot. Staleness is counted against the
+// lot's checked version.
+type LotSample struct {
+	Group     string         `json:"group"`
+	Index     int            `json:"index"`
+	Text      string         `json:"text"`
+	Ranges    []ledger.Range `json:"ranges"`
+	Score     float64        `json:"score"`
+	Staleness int64          `json:"staleness"`
+}
+
+func lotBody(lot *ledger.LotRecord, texts []string) *Lot {
+	body := &Lot{LotID: lot.ID(), Step: lot.Step, Attempt: lot.Attempt, CheckedVersion: lot.CheckedVersion}
+	for i := range lot.Samples {
+		s := &lot.Samples[i]
+		body.Samples = append(body.Samples, LotSample{
+			Group: s.Group, Index: s.Index, Text: texts[i], Ranges: s.Ranges, Score: s.Score,
+			Staleness: ledger.Staleness(s.Ranges, lot.CheckedVersion),
+		})
+	}
+	return body
+}
+
+func badRequest(format string, args ...any) error {
+	return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, format, args...)
+}
+
+func readJSON(c echo.Context, limit int64, into any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	err := decoder.Decode(into)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonBodyTooLarge, "read request body")
+	}
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, "read request body")
+	}
+	return nil
+}
+
+// checkName refuses names that would not be one part of a row key.
+func checkName(what, name string) error {
+	if name == "" || len(name) > maxNameBytes || strings.ContainsAny(name, "/\x00") {
+		return badRequest("%s must have 1 to %d bytes without a slash", what, maxNameBytes)
+	}
+	return nil
+}
+
+func checkGroups(groups []ledger.GroupSpec) error {
+	if len(groups) == 0 || len(groups) > maxGroupsPerCall {
+		return badRequest("a call submits 1 to %d groups", maxGroupsPerCall)
+	}
+	samples := 0
+	for i := range groups {
+		if err := checkGroup(&groups[i]); err != nil {
+			return err
+		}
+		samples += groups[i].Samples
+	}
+	if samples > maxSamplesPerCall {
+		return badRequest("a call submits at most %d samples", maxSamplesPerCall)
+	}
+	return nil
+}
+
+func checkGroup(g *ledger.GroupSpec) error {
+	switch err := checkName("group id", g.ID); {
+	case err != nil:
+		return err
+	case g.Model == "" || len(g.Model) > maxNameBytes || len(g.Scorer) > maxNameBytes:
+		return badRequest("group %s: model or scorer is missing or too long", g.ID)
+	case g.Samples < 1 || g.Samples > maxSamplesOfGroup:
+		return badRequest("group %s: samples must be 1 to %d", g.ID, maxSamplesOfGroup)
+	case g.MaxTokens < 1 || g.MaxTokens > maxTokensOfSample:
+		return badRequest("group %s: max_tokens must be 1 to %d", g.ID, maxTokensOfSample)
+	case g.StalenessBound < 0:
+		return badRequest("group %s: staleness_bound must not be negative", g.ID)
+	}
+	return nil
+}
+
+func checkPull(r pullRequest) error {
+	switch {
+	case r.Step < 1:
+		return badRequest("step must be positive")
+	case r.Version < 1:
+		return badRequest("version must be positive")
+	case r.Groups < 1 || r.Groups > maxGroupsPerCall:
+		return badRequest("groups must be 1 to %d", maxGroupsPerCall)
+	case r.WaitMS < 0 || r.WaitMS > maxPullWait.Milliseconds():
+		return badRequest("wait_ms must be 0 to %s", fmt.Sprint(maxPullWait.Milliseconds()))
+	}
+	return nil
+}
--- /dev/null
+++ b/api/trainers_test.go
@@ -0,0 +1,134 @@
+package api
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/peer"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// fakeCalls returns lots in order and confirms those in fresh.
+type fakeCalls struct {
+	lots    []*ledger.LotRecord
+	fresh   map[int]bool // by attempt
+	pulls   []peer.Pull
+	submits [][]ledger.GroupSpec
+	err     error
+}
+
+func (f *fakeCalls) SubmitGroups(_ context.Context, _ string, groups []ledger.GroupSpec) ([]string, error) {
+	f.submits = append(f.submits, groups)
+	return []string{groups[0].ID}, f.err
+}
+
+func (f *fakeCalls) DeclareVersion(_ context.Context, _ string, v ledger.Version) (ledger.Version, error) {
+	return v + 1, f.err
+}
+
+func (f *fakeCalls) PullLot(_ context.Context, _ string, p peer.Pull) (*ledger.LotRecord, error) {
+	f.pulls = append(f.pulls, p)
+	if len(f.lots) == 0 {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNotReady, "none")
+	}
+	lot := f.lots[0]
+	f.lots = f.lots[1:]
+	return lot, f.err
+}
+
+func (f *fakeCalls) ConfirmLot(_ context.Context, _ string, _ int64, attempt int) (ledger.Version, error) {
+	if !f.fresh[attempt] {
+		return 0, verdict.New(verdict.NotRun, verdict.ReasonNotReady, "stale")
+	}
+	return 7, nil
+}
+
+type fakeObjects map[string]string
+
+func (o fakeObjects) Put(context.Context, string, []byte) error { return errors.New("unused") }
+func (o fakeObjects) Delete(context.Context, string) error      { return errors.New("unused") }
+func (o fakeObjects) Get(_ context.Context, key string) ([]byte, bool, error) {
+	text, ok := o[key]
+	return []byte(text), ok, nil
+}
+
+func request(t *testing.T, calls *fakeCalls, objects fakeObjects, method, path, body string) (int, string) {
+	t.Helper()
+	e := echo.New()
+	e.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			c.Set("principal", "t1")
+			return next(c)
+		}
+	})
+	(&Trainers{Calls: calls, Objects: objects, MaxBody: 2000}).Register(e)
+	recorder := httptest.NewRecorder()
+	e.ServeHTTP(recorder, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return recorder.Code, recorder.Body.String()
+}
+
+func lotOf(attempt int, key string) *ledger.LotRecord {
+	return &ledger.LotRecord{Trainer: "t1", Step: 2, Attempt: attempt, Samples: []ledger.LotSample{{
+		Score:        1.5,
+		SampleRecord: ledger.SampleRecord{Group: "g", Index: 3, ObjectKey: key, Ranges: []ledger.Range{{From: 0, To: 4, Version: 6}}},
+	}}}
+}
+
+// TestPullConfirmsBeforeDelivery guards against a lot that is handed over after
+// it was replaced, whether the refusal or a missing text shows it.
+func TestPullConfirmsBeforeDelivery(t *testing.T) {
+	calls := &fakeCalls{
+		lots:  []*ledger.LotRecord{lotOf(1, "gone"), lotOf(2, "k2"), lotOf(3, "k3")},
+		fresh: map[int]bool{1: true, 3: true},
+	}
+	code, body := request(t, calls, fakeObjects{"k2": "old", "k3": "new"}, http.MethodPost,
+		"/v1/trainers/t1/pull", `{"step":2,"version":7,"groups":1,"wait_ms":5000}`)
+	require.Equal(t, http.StatusOK, code, body)
+	require.JSONEq(t, `{"lot_id":"t1/2/3","step":2,"attempt":3,"checked_version":7,"samples":[{"group":"g","index":3,
+		"text":"new","ranges":[{"from":0,"to":4,"version":6}],"score":1.5,"staleness":1}]}`, body)
+	require.Len(t, calls.pulls, 3)
+	require.LessOrEqual(t, calls.pulls[2].Wait, 5*time.Second)
+}
+
+// TestPullNotReady guards against an error answer where a trainer only has to
+// ask again.
+func TestPullNotReady(t *testing.T) {
+	code, body := request(t, &fakeCalls{}, nil, http.MethodPost, "/v1/trainers/t1/pull", `{"step":1,"version":1,"groups":1,"wait_ms":0}`)
+	require.Equal(t, http.StatusAccepted, code)
+	require.JSONEq(t, `{"reason":"not_ready"}`, body)
+}
+
+// TestTrainerRefusals guards against calls for another trainer and against input
+// that would break row keys or limits.
+func TestTrainerRefusals(t *testing.T) {
+	group := `{"id":"g","model":"m","prompt":"p","samples":2,"max_tokens":8,"staleness_bound":1}`
+	for name, c := range map[string]struct {
+		path, body string
+		status     int
+	}{
+		"other trainer":    {"/v1/trainers/t2/groups", `{"groups":[` + group + `]}`, http.StatusForbidden},
+		"slash in id":      {"/v1/trainers/t1/groups", `{"groups":[` + strings.Replace(group, `"g"`, `"a/b"`, 1) + `]}`, http.StatusBadRequest},
+		"no samples":       {"/v1/trainers/t1/groups", `{"groups":[` + strings.Replace(group, `"samples":2`, `"samples":0`, 1) + `]}`, http.StatusBadRequest},
+		"negative bound":   {"/v1/trainers/t1/groups", `{"groups":[` + strings.Replace(group, `bound":1`, `bound":-1`, 1) + `]}`, http.StatusBadRequest},
+		"no groups":        {"/v1/trainers/t1/groups", `{"groups":[]}`, http.StatusBadRequest},
+		"not JSON":         {"/v1/trainers/t1/groups", `groups`, http.StatusBadRequest},
+		"body too large":   {"/v1/trainers/t1/groups", `{"groups":"` + strings.Repeat("x", 3000) + `"}`, http.StatusRequestEntityTooLarge},
+		"pull of step 0":   {"/v1/trainers/t1/pull", `{"step":0,"version":1,"groups":1}`, http.StatusBadRequest},
+		"pull of 0 groups": {"/v1/trainers/t1/pull", `{"step":1,"version":1,"groups":0}`, http.StatusBadRequest},
+	} {
+		code, body := request(t, &fakeCalls{}, nil, http.MethodPost, c.path, c.body)
+		require.Equal(t, c.status, code, "%s: %s", name, body)
+		require.Contains(t, body, `"verdict":"not_run"`, name)
+	}
+	code, body := request(t, &fakeCalls{}, nil, http.MethodPost, "/v1/trainers/t1/groups", `{"groups":[`+group+`]}`)
+	require.Equal(t, http.StatusOK, code, body)
+}
