Hand partitions over on a planned stop

A draining controller ends its writes and orders, releases its leases, repeats releases that failed and then reports that it may stop. Adds tests of shares, take-over from a dead holder, single holding and the wait before orders.

Run: go test ./system passed.

--- a/command/training.go
+++ b/command/training.go
@@ -136,6 +136,13 @@
 // Name implements Command.
 func (AnswerGroups) Name() string { return "answer_groups" }
 
+// DrainFinished says that every lease has been handed over after
+// event.DrainRequested, so that the process may end.
+type DrainFinished struct{}
+
+// Name implements Command.
+func (DrainFinished) Name() string { return "drain_finished" }
+
 // ReadWeights reads all wanted weight versions.
 type ReadWeights struct{}
 
--- a/system/leases.go
+++ b/system/leases.go
@@ -229,11 +229,8 @@
 	if t.Self.Draining {
 		share = 0
 	}
-	held, mine := 0, 0
+	held := 0
 	for _, p := range t.Partitions.All() {
-		if p.Holder == t.Self.ID {
-			mine++
-		}
 		if !p.Held {
 			continue
 		}
@@ -249,16 +246,44 @@
 			releaseLease(t, p, o, out)
 		}
 	}
-	t.Background.Released = t.Self.Draining && mine == 0
+	if t.Self.Draining {
+		finishDrain(now, t, o, out)
+	}
+}
+
+// finishDrain repeats releases that failed and reports when no lease is left. A
+// lease that could not be released in time has lapsed.
+func finishDrain(now time.Duration, t *table.Tables, o LeaseOptions, out *command.Outbox) {
+	left := 0
+	for _, p := range t.Partitions.All() {
+		if p.Holder != t.Self.ID || now >= p.ValidUntil {
+			continue
+		}
+		left++
+		if !p.Held && !p.Pending && now >= p.RenewAt {
+			sendRelease(t, p, o, out)
+		}
+	}
+	if left == 0 && !t.Background.Released {
+		t.Background.Released = true
+		out.Add(command.DrainFinished{})
+	}
 }
 
-// writing reports whether writes under the lease are under way.
+// writing reports whether writes or orders under the lease are under way.
 func writing(t *table.Tables, p *table.Partition) bool {
 	for _, tr := range t.Trainers.All() {
 		if tr.Partition == p.Number && (tr.Pending || tr.RowsPending) {
 			return true
 		}
 	}
+	for _, w := range t.Weights.All() {
+		for _, s := range w.Samplers {
+			if w.Partition == p.Number && s.OrderPending {
+				return true
+			}
+		}
+	}
 	return false
 }
 
@@ -266,7 +291,12 @@
 // others. If it fails, the lease lapses.
 func releaseLease(t *table.Tables, p *table.Partition, o LeaseOptions, out *command.Outbox) {
 	dropPartition(t, p, "handed_over", out)
-	p.Pending, p.ExcessFrom = true, 0
+	p.ExcessFrom = 0
+	sendRelease(t, p, o, out)
+}
+
+func sendRelease(t *table.Tables, p *table.Partition, o LeaseOptions, out *command.Outbox) {
+	p.Pending = true
 	row := leaseRow(t, p, o, p.Fence)
 	row.Holder, row.Address = "", ""
 	out.Add(command.WriteLease{Row: row})
--- /dev/null
+++ b/system/leases_test.go
@@ -0,0 +1,118 @@
+package system_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+func (n *node) held() int {
+	held := 0
+	for _, p := range n.t.Partitions.All() {
+		if p.Held {
+			held++
+		}
+	}
+	return held
+}
+
+func manyPartitions(controllers int) *world {
+	o := testLease
+	o.Partitions = 16
+	return newWorldOf(controllers, o)
+}
+
+// TestSessionDrain guards against a planned stop that leaves its partitions to
+// lapse, and against one that drops a write under way.
+func TestSessionDrain(t *testing.T) {
+	w := start(t, 2, spec("g1", 1))
+	first := w.holder()
+	w.run(700 * time.Millisecond)
+	slow := true
+	w.fate = func(_ *node, c command.Command) fate {
+		if _, ok := c.(command.CommitRows); ok && slow {
+			slow = false
+			return fate{delay: time.Second}
+		}
+		return fate{}
+	}
+	pull := w.pull(first, 1, 1, 1)
+	w.run(50 * time.Millisecond)
+	first.inbox = append(first.inbox, event.DrainRequested{})
+	w.run(3500 * time.Millisecond)
+	require.True(t, first.t.Background.Released)
+	require.NotEqual(t, first, w.holder())
+	require.Equal(t, verdict.ReasonNotHolder, w.answers[pull].(command.AnswerPull).Failure.Reason)
+	golden(t, w)
+}
+
+// TestLeaseShares guards against partitions that stay with one controller when
+// others have come, and against partitions without a holder.
+func TestLeaseShares(t *testing.T) {
+	w := manyPartitions(3)
+	late := w.nodes[2]
+	late.paused = true
+	w.run(5 * time.Second)
+	require.Equal(t, 16, w.nodes[0].held()+w.nodes[1].held())
+	late.paused = false
+	w.run(40 * time.Second)
+	total := 0
+	for _, n := range w.nodes {
+		require.LessOrEqual(t, n.held(), 6, n.id)
+		total += n.held()
+	}
+	require.Equal(t, 16, total)
+}
+
+// TestLeasesOfDeadHolder guards against a take-over that waits for the host list
+// although the leases have lapsed.
+func TestLeasesOfDeadHolder(t *testing.T) {
+	w := manyPartitions(3)
+	w.run(20 * time.Second)
+	w.nodes[0].dead = true
+	w.run(10 * time.Second)
+	require.Equal(t, 16, w.nodes[1].held()+w.nodes[2].held())
+}
+
+// TestOneHolder guards against two controllers that hold a partition at the same
+// time on their own clocks, and against fences that do not rise.
+func TestOneHolder(t *testing.T) {
+	w := manyPartitions(3)
+	fences := make(map[int]uint64)
+	for i := range 600 {
+		w.nodes[i%3].paused = i%7 == 0
+		w.run(100 * time.Millisecond)
+		holders := make(map[int]string)
+		for _, n := range w.nodes {
+			for _, p := range n.t.Partitions.All() {
+				if n.paused || !p.Held || w.now >= p.ValidUntil {
+					continue
+				}
+				require.Empty(t, holders[p.Number], "partition %d at %s", p.Number, w.now)
+				holders[p.Number] = n.id
+				require.GreaterOrEqual(t, p.Fence, fences[p.Number])
+				fences[p.Number] = p.Fence
+			}
+		}
+	}
+}
+
+// TestOrdersWaitForOlderOrders guards against an order of a new holder that an
+// order of the old one overtakes: the old lease and the longest order must have
+// lapsed.
+func TestOrdersWaitForOlderOrders(t *testing.T) {
+	w := newWorld(2)
+	w.run(3 * time.Second)
+	first := w.holder()
+	old := first.t.Partitions.Find(table.PartitionKey(0)).ValidUntil
+	first.dead = true
+	w.run(12 * time.Second)
+	p := w.holder().t.Partitions.Find(table.PartitionKey(0))
+	require.GreaterOrEqual(t, p.OrdersFrom, old+testLease.Order)
+}
--- a/system/session_test.go
+++ b/system/session_test.go
@@ -109,7 +109,7 @@
 	w.run(time.Second)
 	require.Equal(t, 1, w.lot(t, pull).Attempt)
 	require.Equal(t, verdict.ReasonNotHolder, w.answers[stale].(command.AnswerConfirm).Failure.Reason)
-	require.Equal(t, uint64(2), w.store.lease.Fence)
+	require.Equal(t, uint64(2), w.store.lease[0].Fence)
 	golden(t, w)
 }
 
--- a/system/store_test.go
+++ b/system/store_test.go
@@ -15,27 +15,28 @@
 type store struct {
 	rows     map[string]command.RowWrite
 	versions map[string]uint64
-	lease    event.LeaseRow
+	lease    map[int]event.LeaseRow
 	written  int
 }
 
 func newStore() store {
-	return store{rows: make(map[string]command.RowWrite), versions: make(map[string]uint64)}
+	return store{lease: make(map[int]event.LeaseRow), rows: make(map[string]command.RowWrite), versions: make(map[string]uint64)}
 }
 
 func (s *store) leases() []event.LeaseRow {
-	if s.lease.RowVersion == 0 {
-		return nil
+	var rows []event.LeaseRow
+	for _, partition := range slices.Sorted(maps.Keys(s.lease)) {
+		rows = append(rows, s.lease[partition])
 	}
-	return []event.LeaseRow{s.lease}
+	return rows
 }
 
 func (s *store) writeLease(row event.LeaseRow) (event.LeaseRow, bool) {
-	if row.RowVersion != s.lease.RowVersion {
-		return s.lease, false
+	if current := s.lease[row.Partition]; row.RowVersion != current.RowVersion {
+		return current, false
 	}
 	row.RowVersion++
-	s.lease = row
+	s.lease[row.Partition] = row
 	return row, true
 }
 
--- a/system/world_test.go
+++ b/system/world_test.go
@@ -37,6 +37,7 @@
 	answers   map[string]command.Command
 	log       strings.Builder
 	calls     int
+	options   system.LeaseOptions
 	weights   []event.WeightsRow
 }
 
@@ -78,8 +79,10 @@
 
 var testLease = system.LeaseOptions{Partitions: 1, Length: 6 * time.Second, Margin: 2 * time.Second, Order: 2 * time.Second}
 
-func newWorld(controllers int) *world {
-	w := &world{version: 1, answers: make(map[string]command.Command), store: newStore()}
+func newWorld(controllers int) *world { return newWorldOf(controllers, testLease) }
+
+func newWorldOf(controllers int, o system.LeaseOptions) *world {
+	w := &world{options: o, version: 1, answers: make(map[string]command.Command), store: newStore()}
 	w.fate = func(*node, command.Command) fate { return fate{} }
 	for i := range controllers {
 		w.addNode(fmt.Sprintf("c%d", i+1), controllers)
@@ -88,7 +91,7 @@
 }
 
 func (w *world) addNode(id string, controllers int) {
-	n := &node{w: w, id: id, systems: system.Background(testLease)}
+	n := &node{w: w, id: id, systems: system.Background(w.options)}
 	n.t = table.New(table.Self{ID: id, Host: id, Zone: "a", Role: table.RoleController, Address: id + ":1"})
 	for i := range controllers {
 		peer := fmt.Sprintf("c%d", i+1)
