--- a/api/trainers_test.go
+++ b/api/trainers_test.go
@@ -132,3 +132,13 @@
 	code, body := request(t, &fakeCalls{}, nil, http.MethodPost, "/v1/trainers/t1/groups", `{"groups":[`+group+`]}`)
 	require.Equal(t, http.StatusOK, code, body)
 }
+
+// TestDeclareAnswersVersionInForce guards against an answer that echoes a
+// version lower than the one in force.
+func TestDeclareAnswersVersionInForce(t *testing.T) {
+	code, body := request(t, &fakeCalls{}, nil, http.MethodPut, "/v1/trainers/t1/version", `{"version":3}`)
+	require.Equal(t, http.StatusOK, code)
+	require.JSONEq(t, `{"version":4}`, body)
+	code, _ = request(t, &fakeCalls{}, nil, http.MethodPut, "/v1/trainers/t1/version", `{"version":0}`)
+	require.Equal(t, http.StatusBadRequest, code)
+}
--- a/command/training.go
+++ b/command/training.go
@@ -21,7 +21,11 @@
 // Name implements Command.
 func (WriteLease) Name() string { return "write_lease" }
 
-// LoadTrainer reads all rows of a trainer.
+// LoadTrainer reads all rows of a trainer: the trainer row first, then group,
+// sample and lot rows. The holder's next write is conditional on the trainer row
+// as read, so that no lot or submission committed during the read goes unseen.
+// With a lot of 512 groups of 16 that is about 8,700 rows, plus those of groups
+// in flight beyond the lot and of an acknowledged lot not yet deleted.
 type LoadTrainer struct{ Trainer string }
 
 // Name implements Command.
--- a/system/leases_test.go
+++ b/system/leases_test.go
@@ -107,12 +107,14 @@
 // order of the old one overtakes: the old lease and the longest order must have
 // lapsed.
 func TestOrdersWaitForOlderOrders(t *testing.T) {
-	w := newWorld(2)
+	o := testLease
+	o.Order = 2*o.Margin + time.Second
+	w := newWorldOf(2, o)
 	w.run(3 * time.Second)
 	first := w.holder()
 	old := first.t.Partitions.Find(table.PartitionKey(0)).ValidUntil
 	first.dead = true
-	w.run(12 * time.Second)
+	w.run(10 * time.Second)
 	p := w.holder().t.Partitions.Find(table.PartitionKey(0))
-	require.GreaterOrEqual(t, p.OrdersFrom, old+testLease.Order)
+	require.GreaterOrEqual(t, p.OrdersFrom, old+o.Order)
 }
--- a/system/rollout_test.go
+++ b/system/rollout_test.go
@@ -77,3 +77,55 @@
 	}
 	golden(t, w)
 }
+
+// TestRolloutAfterTakeOver guards against a new holder that starts the rollout
+// over, or that sends orders while those of the old holder may still run.
+func TestRolloutAfterTakeOver(t *testing.T) {
+	w := newWorld(1)
+	samplers(w, "", "m1", "m2", "m3")
+	n := w.nodes[0]
+	w.store.lease[0] = event.LeaseRow{RowVersion: 7, Holder: "old", Fence: 4, Length: testLease.Length}
+	n.t.Backends.Find("m1").Active = 2
+	n.t.Backends.Find("m2").Loaded = []ledger.Version{1, 2}
+	w.weights = []event.WeightsRow{{Model: "m", RowVersion: 1, Version: 2}}
+	var first time.Duration
+	orders := make(map[string]int)
+	inner := w.fate
+	w.fate = func(n *node, c command.Command) fate {
+		if o, ok := c.(command.OrderWeights); ok {
+			if first == 0 {
+				first = w.now
+			}
+			require.Equal(t, uint64(5), o.Wanted.Fence)
+			orders[o.Backend]++
+			if o.Backend == "m2" {
+				require.Equal(t, first, w.now, "m2 waits although the old holder had begun to activate")
+			}
+		}
+		return inner(n, c)
+	}
+	report(w, 12*time.Second)
+	require.GreaterOrEqual(t, first, testLease.Length+testLease.Order)
+	require.Equal(t, map[string]int{"m2": 1, "m3": 2}, orders)
+	require.Equal(t, ledger.Version(2), n.t.Backends.Find("m3").Active)
+}
+
+// TestRolloutSkipsLeavingAndServesLate guards against a leaving sampler that
+// holds up a rollout or receives orders, and against a sampler that comes up
+// after the rollout and stays at its old version.
+func TestRolloutSkipsLeavingAndServesLate(t *testing.T) {
+	w := newWorld(1)
+	samplers(w, "", "m1", "m2")
+	n := w.nodes[0]
+	n.t.Backends.Find("m2").ListLeaving = true
+	w.weights = []event.WeightsRow{{Model: "m", RowVersion: 1, Version: 2}}
+	report(w, 4*time.Second)
+	require.Equal(t, ledger.Version(2), n.t.Backends.Find("m1").Active)
+	require.Equal(t, ledger.Version(1), n.t.Backends.Find("m2").Active)
+	require.NotZero(t, n.t.Weights.Find("m").ActiveAt)
+	late, _ := n.t.Backends.Upsert("m3")
+	*late = *n.t.Backends.Find("m2")
+	late.Name, late.ListLeaving = "m3", false
+	report(w, 4*time.Second)
+	require.Equal(t, ledger.Version(2), n.t.Backends.Find("m3").Active)
+}
--- a/system/rows.go
+++ b/system/rows.go
@@ -26,7 +26,11 @@
 			if now < tr.RetryAt {
 				out.WakeAt(tr.RetryAt)
 			}
-			if tr.RowsPending || !writable(now, t, tr) {
+			if tr.RowsPending || now < tr.RetryAt || !tr.Claimed {
+				continue
+			}
+			if !working(t, tr) {
+				writeSamples(t, tr, out) // finished ones go with the hand-over
 				continue
 			}
 			for range writers {
