--- a/table/routing.go
+++ b/table/routing.go
@@ -49,6 +49,9 @@
 	// Unrenewed is the time without a renewal between reads of the host rows.
 	// Time in which the rows could not be read does not count.
 	Unrenewed time.Duration
+
+	Samples  int           // samples that this controller runs on the entry host
+	LapsedAt time.Duration // when a lease of this controller lapsed on our clock, zero if none
 }
 
 // BackendKind is the kind of a backend server.
