control: add session recorder; plan: add pickers for the named policies

Change: control.Session records events, commands and changed row fields; control.Watch adds a table. plan.Plan.Pick implements round_robin, least_reported and corrected; Begin and End count requests, probes and training places.

--- /dev/null
+++ b/control/session_test.go
@@ -0,0 +1,29 @@
+package control_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/lavenderstand/lavenderstand/control"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/system"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// TestSessionRecordsMembership guards against a recorder that loses events,
+// commands or row changes, or prints them in a varying order.
+func TestSessionRecordsMembership(t *testing.T) {
+	tables := table.New(table.Self{ID: "entry-1"})
+	s := control.NewSession(tables, system.Named{Name: "membership", Run: system.Membership(time.Second)})
+	control.Watch(s, "backends", &tables.Backends)
+	s.Step(0)
+	s.Step(10*time.Millisecond, event.HostListRead{Hosts: []platform.ListedHost{
+		{Name: "m1", Kind: "engine", Model: "match", Address: "127.0.0.1:1", Zone: "a", State: platform.StateLive},
+	}})
+	s.Step(time.Second)
+	s.Step(1100*time.Millisecond, event.HostListRead{})
+	goldie.New(t).Assert(t, "membership", s.Bytes())
+}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -60,7 +60,9 @@
 	Report  Report
 	// SentAtReport is Counters.Sent when the report arrived.
 	SentAtReport uint64
-	Probe        bool // only one request at a time, after an ejection
+	Probe        bool    // only one request at a time, after an ejection
+	Stale        bool    // no recent report: Report may not reflect the load
+	Spread       float64 // 0 to 1, differs by host, rounds this host's part of a share
 	Counters     *Counters
 	Prefixes     *PrefixSet // nil if nothing is known
 }
@@ -79,6 +81,7 @@
 	Sent     atomic.Uint64
 	Done     atomic.Uint64
 	Training atomic.Int64 // training samples in flight
+	probing  atomic.Bool  // a probe is in flight
 }
 
 // InFlight returns the number of this process's requests in flight.
--- a/traffic/router.go
+++ b/traffic/router.go
@@ -23,5 +23,5 @@
 	if pool == nil {
 		return Reply{}, verdict.New(verdict.NotRun, verdict.ReasonUnknownRoute, "unknown route %q", route)
 	}
-	return r.Sender.Send(ctx, pool.PickRoundRobin(), call)
+	return r.Sender.Send(ctx, *p.Pick(pool, &plan.Query{}), call)
 }
