--- a/cmd/lavender-entry/entry.go
+++ b/cmd/lavender-entry/entry.go
@@ -72,13 +72,21 @@
 }
 
 func systems(s settings.Process) []system.Named {
-	period := time.Duration(s.Timing.HostListSeconds * float64(time.Second))
+	period := seconds(s.Timing.HostListSeconds)
 	return []system.Named{
 		{Name: "membership", Run: system.Membership(period)},
-		{Name: "routing", Run: system.Routing()},
+		{Name: "load", Run: system.Load(seconds(s.Timing.StateReportSeconds))},
+		{Name: "departure", Run: system.Departure()},
+		{Name: "ejection", Run: system.Ejection()},
+		{Name: "classes", Run: system.Classes()},
+		{Name: "prefixes", Run: system.Prefixes()},
+		{Name: "drain", Run: system.Drain(seconds(s.Timing.DrainDelaySeconds))},
+		{Name: "routing", Run: system.Routing(system.RoutingOptions{})},
 	}
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 func newExecutor(ctx context.Context, s settings.Process, inbox *control.Inbox, plans *plan.Cell) *control.Pool {
 	pool := control.NewPool(ctx, inbox, func(command.Command) {})
 	hosts := platform.NewHostListClient(s.Platform.Hosts, &http.Client{Timeout: platformTimeout})
--- /dev/null
+++ b/system/departure.go
@@ -0,0 +1,53 @@
+package system
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// Departure applies what connections say about leaving backend servers. The host
+// list and the state reports are the other two sources; any one of them takes a
+// backend out of the plan, and it returns only when all say that it is live.
+func Departure() System {
+	return func(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+		for _, e := range in {
+			if ended, ok := e.(event.AttemptEnded); ok && ended.Reason == verdict.ReasonBackendLeaving {
+				refuseLeaving(now, t.Backends.Find(ended.Backend), out)
+			}
+		}
+		if len(in) == 0 {
+			return
+		}
+		for _, b := range t.Backends.All() {
+			clearRefusal(b, out)
+		}
+	}
+}
+
+func refuseLeaving(now time.Duration, b *table.Backend, out *command.Outbox) {
+	if b == nil {
+		return
+	}
+	b.RefusedAt = now
+	if !b.RefusedLeaving {
+		b.RefusedLeaving = true
+		out.Add(command.Count{Counter: "departures", Tags: map[string]string{"source": "connection"}, Delta: 1})
+		out.Add(command.LogChange{Message: "backend server refuses work because it is leaving", Fields: []command.Field{{Key: "backend", Value: b.Name}}})
+	}
+}
+
+// clearRefusal needs a list and a report that are both newer than the refusal.
+// The report's age counts, because a lagging report describes an earlier state.
+func clearRefusal(b *table.Backend, out *command.Outbox) {
+	if !b.RefusedLeaving || b.ListLeaving || b.ListMissing || b.ReportLeaving {
+		return
+	}
+	if b.ListSeen > b.RefusedAt && b.ReportSeen-b.Report.Age > b.RefusedAt {
+		b.RefusedLeaving = false
+		out.Add(command.LogChange{Message: "backend server returned", Fields: []command.Field{{Key: "backend", Value: b.Name}}})
+	}
+}
--- /dev/null
+++ b/system/ejection.go
@@ -0,0 +1,154 @@
+package system
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// Limits of ejection.
+const (
+	// failuresToEject consecutive failures eject a backend; a single broken
+	// connection is common during a restart.
+	failuresToEject = 3
+	firstEjection   = time.Second
+	longestEjection = 30 * time.Second
+	// ejectionMemory is the time without an ejection after which the next one
+	// is short again.
+	ejectionMemory = time.Minute
+	// ejectedPart is the divisor of the largest ejected part of a pool: half.
+	ejectedPart = 2
+)
+
+// Ejection takes backend servers with consecutive failures out of the plan for
+// growing periods and readmits them by probing, one request at a time.
+func Ejection() System {
+	return func(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+		for _, e := range in {
+			if ended, ok := e.(event.AttemptEnded); ok {
+				applyAttempt(now, t, ended, out)
+			}
+		}
+		readmit(now, t, out)
+	}
+}
+
+func applyAttempt(now time.Duration, t *table.Tables, ended event.AttemptEnded, out *command.Outbox) {
+	b := t.Backends.Find(ended.Backend)
+	switch {
+	case b == nil || b.EjectedUntil > 0: // ends of attempts from before the ejection
+	case ended.Reason == "":
+		b.ConsecutiveFailures = 0
+		if b.Probing {
+			b.Probing = false
+			out.Add(stateChange("backend server readmitted", b.Name))
+		}
+	case indicatesFault(ended.Reason):
+		b.ConsecutiveFailures++
+		if b.Probing || b.ConsecutiveFailures >= failuresToEject {
+			eject(now, t, b, out)
+		}
+	}
+}
+
+// indicatesFault leaves out refusals, overload, deadlines and cancellation,
+// which say nothing about the server's health.
+func indicatesFault(reason verdict.Reason) bool {
+	switch reason {
+	case verdict.ReasonConnectFailed, verdict.ReasonConnectionLost, verdict.ReasonBackendFailed,
+		verdict.ReasonBadAnswer, verdict.ReasonTruncatedAnswer, verdict.ReasonForeignAnswer, verdict.ReasonUnlabelled:
+		return true
+	default:
+		return false
+	}
+}
+
+func eject(now time.Duration, t *table.Tables, b *table.Backend, out *command.Outbox) {
+	p := poolCounts(t)[poolOf(b)]
+	wasProbing := 0
+	if b.Probing {
+		wasProbing = 1
+	}
+	if (p.out-wasProbing+1)*ejectedPart > p.total {
+		out.Add(command.Count{Counter: "ejections_withheld", Delta: 1})
+		return
+	}
+	if now-b.LastEjected > ejectionMemory {
+		b.Ejections = 0
+	}
+	period := min(firstEjection<<min(b.Ejections, 10), longestEjection)
+	b.Ejections++
+	b.LastEjected, b.EjectedUntil, b.Probing, b.ConsecutiveFailures = now, now+period, false, 0
+	out.Add(command.Count{Counter: "ejections", Delta: 1})
+	out.Add(stateChange("backend server ejected", b.Name))
+}
+
+// readmit starts probing of backends whose period has passed, and of the ones
+// closest to it while more than half of a pool is ejected, which happens when
+// other servers of the pool leave.
+func readmit(now time.Duration, t *table.Tables, out *command.Outbox) {
+	anyEjected := false
+	for _, b := range t.Backends.All() {
+		if b.EjectedUntil > 0 && now >= b.EjectedUntil {
+			b.EjectedUntil, b.Probing = 0, true
+		}
+		if b.EjectedUntil > 0 {
+			anyEjected = true
+			out.WakeAt(b.EjectedUntil)
+		}
+	}
+	if !anyEjected {
+		return
+	}
+	for pool, counts := range poolCounts(t) {
+		for ; counts.ejected*ejectedPart > counts.total; counts.ejected-- {
+			b := nextReadmitted(t, pool)
+			b.EjectedUntil, b.Probing = 0, true
+		}
+	}
+}
+
+type poolName struct {
+	kind  table.BackendKind
+	model string
+}
+
+type poolCount struct{ total, ejected, out int } // out counts ejected and probing
+
+func poolOf(b *table.Backend) poolName { return poolName{b.Kind, b.Model} }
+
+func poolCounts(t *table.Tables) map[poolName]poolCount {
+	counts := make(map[poolName]poolCount)
+	for _, b := range t.Backends.All() {
+		if b.Leaving() {
+			continue
+		}
+		c := counts[poolOf(b)]
+		c.total++
+		if b.EjectedUntil > 0 {
+			c.ejected++
+		}
+		if b.EjectedUntil > 0 || b.Probing {
+			c.out++
+		}
+		counts[poolOf(b)] = c
+	}
+	return counts
+}
+
+func nextReadmitted(t *table.Tables, pool poolName) *table.Backend {
+	var next *table.Backend
+	for _, b := range t.Backends.All() {
+		if poolOf(b) == pool && !b.Leaving() && b.EjectedUntil > 0 && (next == nil || b.EjectedUntil < next.EjectedUntil) {
+			next = b
+		}
+	}
+	return next
+}
+
+func stateChange(message, backend string) command.LogChange {
+	return command.LogChange{Message: message, Fields: []command.Field{{Key: "backend", Value: backend}}}
+}
--- /dev/null
+++ b/system/load.go
@@ -0,0 +1,103 @@
+package system
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// stalePeriods is the number of poll periods without a report after which a
+// load report no longer counts. One lost report is common, five in a row are not.
+const stalePeriods = 5
+
+// Load polls the state of every backend server once per period, spread over the
+// period, and applies the reports. A backend whose reports stop is marked stale:
+// routing then assumes that it is fully loaded.
+func Load(period time.Duration) System {
+	return func(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+		for _, e := range in {
+			if report, ok := e.(event.StateReported); ok {
+				applyState(now, t, report, out)
+			}
+		}
+		for _, b := range t.Backends.All() {
+			pollState(now, period, b, out)
+			markStale(now, period, b, out)
+		}
+	}
+}
+
+func pollState(now, period time.Duration, b *table.Backend, out *command.Outbox) {
+	if b.StateNext == 0 {
+		b.StateSince = now
+		b.StateNext = now + spread(b.Name, period)
+	}
+	if now >= b.StateNext && !b.StatePending {
+		b.StatePending = true
+		b.StateNext += period * (1 + (now-b.StateNext)/period)
+		b.RecordSent(now)
+		out.Add(command.ReadState{Backend: b.Name, Address: b.Address})
+	}
+	if !b.StatePending {
+		out.WakeAt(b.StateNext)
+	}
+}
+
+// spread returns a fixed part of the period for the name, so that polls are not
+// sent all at once. It is at least 1 ns, because 0 means not scheduled.
+func spread(name string, period time.Duration) time.Duration {
+	return 1 + time.Duration(xxhash.Sum64String(name)%uint64(max(period, 1)))
+}
+
+func markStale(now, period time.Duration, b *table.Backend, out *command.Outbox) {
+	stale := now-max(b.ReportSeen, b.StateSince) > stalePeriods*period
+	if stale && !b.ReportStale {
+		b.ReportStale = true
+		out.Add(command.Count{Counter: "load_reports_stopped", Delta: 1})
+		out.Add(command.LogChange{Message: "load reports stopped", Fields: []command.Field{{Key: "backend", Value: b.Name}}})
+	}
+}
+
+func applyState(now time.Duration, t *table.Tables, report event.StateReported, out *command.Outbox) {
+	b := t.Backends.Find(report.Backend)
+	if b == nil {
+		return
+	}
+	b.StatePending = false
+	if report.Failure != nil {
+		out.Add(command.Count{Counter: "load_reports_failed", Delta: 1})
+		return
+	}
+	s := report.State
+	age := time.Duration(s.AgeMS) * time.Millisecond
+	if b.BootID != "" && b.BootID != s.BootID {
+		restarted(b, out)
+	}
+	b.BootID, b.ReportSeen, b.ReportStale = s.BootID, now, false
+	b.ReportLeaving = s.Leaving
+	b.RecordSent(now)
+	b.SentAtReport = b.SentBy(now - age)
+	b.Report = plan.Report{
+		Running: s.Running, Queued: s.Queued, Slots: s.Slots, TokensPerSecond: s.TokensPerSecond, Age: age,
+	}
+	b.Active, b.Loading, b.LoadFailures, b.Fence = s.Active, s.Loading, s.LoadFailures, s.Fence
+	if !slices.Equal(b.Loaded, s.Loaded) {
+		b.Loaded = slices.Clone(s.Loaded)
+	}
+}
+
+// restarted forgets what was known about the earlier process of the server. Its
+// cache is empty; its failures say nothing about the new process.
+func restarted(b *table.Backend, out *command.Outbox) {
+	b.Hints.Clear()
+	b.CacheAfter = 0
+	b.ConsecutiveFailures = 0
+	out.Add(command.Count{Counter: "backend_restarts", Delta: 1})
+	out.Add(command.LogChange{Message: "backend server restarted", Fields: []command.Field{{Key: "backend", Value: b.Name}}})
+}
--- a/system/membership.go
+++ b/system/membership.go
@@ -20,7 +20,7 @@
 		for _, e := range in {
 			if read, ok := e.(event.HostListRead); ok {
 				pending = false
-				applyHostList(t, read)
+				applyHostList(now, t, read)
 			}
 		}
 		if !pending && now >= next {
@@ -31,7 +31,7 @@
 	}
 }
 
-func applyHostList(t *table.Tables, read event.HostListRead) {
+func applyHostList(now time.Duration, t *table.Tables, read event.HostListRead) {
 	if read.Failure != nil {
 		return
 	}
@@ -40,12 +40,12 @@
 	}
 	for _, h := range read.Hosts {
 		if h.Kind != "entry" {
-			applyListedBackend(t, h)
+			applyListedBackend(now, t, h)
 		}
 	}
 }
 
-func applyListedBackend(t *table.Tables, h platform.ListedHost) {
+func applyListedBackend(now time.Duration, t *table.Tables, h platform.ListedHost) {
 	b, created := t.Backends.Upsert(h.Name)
 	if created {
 		b.Name = h.Name
@@ -56,4 +56,7 @@
 	b.ChecksFence, b.ChecksIdentity = h.ChecksFence, h.ChecksIdentity
 	b.ListMissing = false
 	b.ListLeaving = h.State != platform.StateLive
+	if !b.ListLeaving {
+		b.ListSeen = now
+	}
 }
--- /dev/null
+++ b/system/prefix.go
@@ -0,0 +1,102 @@
+package system
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// Limits of prefix hints.
+const (
+	cachePeriod = time.Second
+	// hintMaxAge bounds how long a hint counts without being seen again.
+	hintMaxAge = 5 * time.Minute
+	// buildPeriod and buildsPerTick bound the cost of rebuilding the immutable
+	// sets: 16 sets of 1,024 hashes per tick.
+	buildPeriod   = 2 * time.Second
+	buildsPerTick = 16
+)
+
+// cacheAdd is the operation of a cache event that adds a prefix.
+const cacheAdd = "add"
+
+// Prefixes keeps hints on the prompt prefixes that engines have cached, from
+// their cache events and from this host's own requests. The events come late
+// and with gaps; after a gap an eviction may be lost, so all hints of that
+// engine are dropped.
+func Prefixes() System {
+	return func(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+		for _, e := range in {
+			switch e := e.(type) {
+			case event.PrefixSent:
+				if b := t.Backends.Find(e.Backend); b != nil {
+					for _, hash := range e.Hashes {
+						b.Hints.Add(hash, now)
+					}
+				}
+			case event.CacheReported:
+				applyCacheEvents(now, t, e, out)
+			}
+		}
+		builds := 0
+		for _, b := range t.Backends.All() {
+			if b.Kind == table.KindEngine {
+				pollCache(now, b, out)
+				builds += rebuildHints(now, b, builds)
+			}
+		}
+	}
+}
+
+func applyCacheEvents(now time.Duration, t *table.Tables, report event.CacheReported, out *command.Outbox) {
+	b := t.Backends.Find(report.Backend)
+	if b == nil {
+		return
+	}
+	b.CachePending = false
+	if report.Failure != nil {
+		return
+	}
+	for _, c := range report.Events.Events {
+		if c.Seq <= b.CacheAfter {
+			continue // a page that was delivered again
+		}
+		if b.CacheAfter > 0 && c.Seq != b.CacheAfter+1 {
+			b.Hints.Clear()
+			out.Add(command.Count{Counter: "cache_event_gaps", Delta: 1})
+		}
+		b.CacheAfter = c.Seq
+		if c.Op == cacheAdd {
+			b.Hints.Add(c.Hash, now)
+		} else {
+			b.Hints.Remove(c.Hash)
+		}
+	}
+}
+
+func pollCache(now time.Duration, b *table.Backend, out *command.Outbox) {
+	if b.CacheNext == 0 {
+		b.CacheNext = now + spread(b.Name, cachePeriod)
+	}
+	if now >= b.CacheNext && !b.CachePending {
+		b.CachePending, b.CacheNext = true, now+cachePeriod
+		out.Add(command.ReadCacheEvents{Backend: b.Name, Address: b.Address, After: b.CacheAfter})
+	}
+	if !b.CachePending {
+		out.WakeAt(b.CacheNext)
+	}
+}
+
+// rebuildHints returns the number of sets it built.
+func rebuildHints(now time.Duration, b *table.Backend, builds int) int {
+	if now > hintMaxAge {
+		b.Hints.Expire(now - hintMaxAge)
+	}
+	if builds >= buildsPerTick || !b.Hints.Changed || b.Hints.Set != nil && now < b.Hints.BuiltAt+buildPeriod {
+		return 0
+	}
+	b.Hints.Build(now)
+	return 1
+}
--- a/system/routing.go
+++ b/system/routing.go
@@ -1,38 +1,83 @@
 package system
 
 import (
+	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/plan"
 	"github.com/lavenderstand/lavenderstand/table"
 )
 
-// Routing builds the plan for traffic from the tables and publishes it each
-// tick in which an event arrived.
-func Routing() System {
-	var sequence uint64
-	positions := make(map[string]*atomic.Uint64) // round robin positions by pool
-	return func(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
-		if len(in) == 0 && sequence > 0 {
+// planPeriod is the shortest time between two builds of the plan. It bounds the
+// cost with many load reports and stays below the 100 ms within which a leaving
+// backend must be out of the plan.
+const planPeriod = 50 * time.Millisecond
+
+// RoutingOptions configure Routing.
+type RoutingOptions struct {
+	// ConfirmWithin is how long a confirmation of the configuration counts. 0
+	// publishes plans that never expire, for a process without a configuration
+	// system.
+	ConfirmWithin time.Duration
+}
+
+// Routing builds the plan for traffic from the tables and publishes it when it
+// differs from the last one.
+func Routing(o RoutingOptions) System {
+	r := &router{options: o, positions: make(map[string]*atomic.Uint64)}
+	return r.run
+}
+
+// router keeps what was published last, which is derived from the tables.
+type router struct {
+	options   RoutingOptions
+	positions map[string]*atomic.Uint64 // round robin positions by pool
+	last      *plan.Plan
+	builtAt   time.Duration
+	dirty     bool // events arrived since the last build
+}
+
+func (r *router) run(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+	r.dirty = r.dirty || len(in) > 0
+	if r.last != nil {
+		if now < r.builtAt+planPeriod {
+			if r.dirty {
+				out.WakeAt(r.builtAt + planPeriod)
+			}
 			return
 		}
-		sequence++
-		out.Add(command.PublishPlan{Plan: buildPlan(sequence, t, positions)})
 	}
+	r.builtAt, r.dirty = now, false
+	p := r.build(t)
+	if r.last != nil && samePlan(r.last, p) {
+		return
+	}
+	p.Sequence = 1
+	if r.last != nil {
+		p.Sequence = r.last.Sequence + 1
+	}
+	r.last = p
+	out.Add(command.PublishPlan{Plan: p})
 }
 
-func buildPlan(sequence uint64, t *table.Tables, positions map[string]*atomic.Uint64) *plan.Plan {
+func (r *router) build(t *table.Tables) *plan.Plan {
 	p := &plan.Plan{
-		Sequence:      sequence,
 		ConfigVersion: t.Config.Version,
-		Draining:      t.Self.Draining,
+		ValidUntil:    r.validUntil(t),
+		Draining:      t.Self.Refusing,
+		Routing:       t.Config.Body.Policy.Routing,
 		Routes:        t.Config.Body.Routes,
+		Classes:       buildClasses(t),
 		Models:        make(map[string]*plan.Pool),
 		Services:      make(map[string]*plan.Pool),
 	}
+	p.Hosts, p.Entries = buildEntries(t)
 	for _, b := range t.Backends.All() {
 		if !b.Routable() {
 			continue
@@ -43,24 +88,88 @@
 		}
 		pool := pools[b.Model]
 		if pool == nil {
-			pool = &plan.Pool{Next: position(positions, prefix+b.Model)}
+			pool = &plan.Pool{Next: r.position(prefix + b.Model)}
 			pools[b.Model] = pool
 		}
-		pool.Backends = append(pool.Backends, planBackend(b))
+		pool.Backends = append(pool.Backends, planBackend(t.Self.Host, b))
 	}
 	return p
 }
 
-func position(positions map[string]*atomic.Uint64, key string) *atomic.Uint64 {
-	if positions[key] == nil {
-		positions[key] = new(atomic.Uint64)
+func (r *router) validUntil(t *table.Tables) time.Duration {
+	switch {
+	case r.options.ConfirmWithin == 0:
+		return math.MaxInt64
+	case !t.Config.Confirmed:
+		return 0
+	default:
+		return t.Config.ConfirmedAt + r.options.ConfirmWithin
+	}
+}
+
+func (r *router) position(key string) *atomic.Uint64 {
+	if r.positions[key] == nil {
+		r.positions[key] = new(atomic.Uint64)
+	}
+	return r.positions[key]
+}
+
+func buildClasses(t *table.Tables) map[string]plan.Class {
+	classes := make(map[string]plan.Class, t.Classes.Len())
+	for name, c := range t.Classes.All() {
+		classes[name] = plan.Class{Name: name, Target: c.Target, Priority: c.Priority, Share: c.Share}
 	}
-	return positions[key]
+	return classes
 }
 
-func planBackend(b *table.Backend) plan.Backend {
+// buildEntries returns the live entry hosts, at least 1 because this process
+// may not have read its own row yet.
+func buildEntries(t *table.Tables) (hosts int, entries []plan.Entry) {
+	for _, h := range t.Hosts.All() {
+		if h.Role == table.RoleEntry {
+			entries = append(entries, plan.Entry{ID: h.ID, Zone: h.Zone, Address: h.Address})
+		}
+	}
+	return max(1, len(entries)), entries
+}
+
+func planBackend(self string, b *table.Backend) plan.Backend {
 	return plan.Backend{
 		Name: b.Name, Address: b.Address, Zone: b.Zone, BootID: b.BootID,
-		Version: b.Active, Report: b.Report, Counters: b.Counters,
+		Version: b.Active, Report: b.Report, SentAtReport: b.SentAtReport,
+		Probe: b.Probing, Stale: b.ReportStale || b.ReportSeen == 0,
+		Spread:   float64(xxhash.Sum64String(self+"/"+b.Name)>>11) / (1 << 53),
+		Counters: b.Counters, Prefixes: b.Hints.Set,
+	}
+}
+
+func samePlan(a, b *plan.Plan) bool {
+	return a.ConfigVersion == b.ConfigVersion && a.ValidUntil == b.ValidUntil && a.Draining == b.Draining &&
+		a.Hosts == b.Hosts && a.Routing == b.Routing && slices.Equal(a.Entries, b.Entries) &&
+		sameMap(a.Classes, b.Classes) && sameMap(a.Routes, b.Routes) &&
+		samePools(a.Models, b.Models) && samePools(a.Services, b.Services)
+}
+
+func sameMap[V comparable](a, b map[string]V) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for key, value := range a {
+		if other, ok := b[key]; !ok || other != value {
+			return false
+		}
+	}
+	return true
+}
+
+func samePools(a, b map[string]*plan.Pool) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for name, pool := range a {
+		if b[name] == nil || !slices.Equal(pool.Backends, b[name].Backends) {
+			return false
+		}
 	}
+	return true
 }
--- a/table/routing.go
+++ b/table/routing.go
@@ -24,6 +24,10 @@
 	Role     Role
 	Address  string // gRPC address of this process
 	Draining bool   // a planned stop has begun
+	// Refusing is set drain_delay after the planned stop began: no new request
+	// is accepted any more.
+	Refusing   bool
+	RefuseFrom time.Duration
 }
 
 // Host is one of the system's own processes, learned from host rows.
@@ -68,11 +72,27 @@
 	ListMissing    bool // absent from the newest list
 	ReportLeaving  bool
 	RefusedLeaving bool // a refusal or connection shutdown said so
+	RefusedAt      time.Duration
+	ListSeen       time.Duration // when the list last named the backend as live
 
 	// Newest load report.
 	Report     plan.Report
 	ReportSeen time.Duration // on our clock, zero if none
 	BootID     string
+	// SentAtReport is Counters.Sent at the time that the report describes.
+	SentAtReport uint64
+	SentHistory  [SentSamples]SentSample `json:"-"` // ring, newest at SentNext-1
+	SentNext     int                     `json:"-"`
+	ReportStale  bool                    // reports have stopped
+	StatePending bool
+	StateNext    time.Duration // next poll of the state
+	StateSince   time.Duration // when polling began
+
+	// Prompt prefixes believed to be in the cache.
+	Hints        PrefixHints
+	CachePending bool
+	CacheNext    time.Duration // next poll of the cache events
+	CacheAfter   uint64        // sequence number of the newest cache event
 
 	// Weight state as the engine reported it.
 	Active       ledger.Version // active version, 0 if unknown
@@ -85,9 +105,38 @@
 	ConsecutiveFailures int
 	EjectedUntil        time.Duration
 	Ejections           int
+	LastEjected         time.Duration
 	Probing             bool
 
-	Counters *plan.Counters // shared with traffic; requests in flight and sent
+	Counters *plan.Counters `json:"-"` // shared with traffic; requests in flight and sent
+}
+
+// SentSamples is the number of earlier counter values kept per backend: enough
+// for reports that lag by several poll periods.
+const SentSamples = 8
+
+// SentSample is the value of Counters.Sent at a time.
+type SentSample struct {
+	At   time.Duration
+	Sent uint64
+}
+
+// RecordSent adds the counter's value now.
+func (b *Backend) RecordSent(now time.Duration) {
+	b.SentHistory[b.SentNext%SentSamples] = SentSample{At: now, Sent: b.Counters.Sent.Load()}
+	b.SentNext++
+}
+
+// SentBy returns the newest recorded counter value at or before t, the oldest
+// one if all are later.
+func (b *Backend) SentBy(t time.Duration) uint64 {
+	oldest := max(0, b.SentNext-SentSamples)
+	for i := b.SentNext - 1; i > oldest; i-- {
+		if s := b.SentHistory[i%SentSamples]; s.At <= t {
+			return s.Sent
+		}
+	}
+	return b.SentHistory[oldest%SentSamples].Sent
 }
 
 // Class is a class of work with the operators' target and what is derived.
@@ -102,6 +151,7 @@
 	OnTime, Late, Failed, Refused uint64
 	LastEvaluated                 time.Duration
 	OnTimeShare                   float64 // of the last evaluated window
+	Missed                        bool    // the last window with requests missed the target
 }
 
 // Config is the newest accepted configuration known to this process.
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -30,6 +30,7 @@
 	ReasonConnectFailed     Reason = "connect_failed"
 	ReasonConnectionLost    Reason = "connection_lost"
 	ReasonBackendRefused    Reason = "backend_refused"
+	ReasonBackendLeaving    Reason = "backend_leaving"
 	ReasonBackendFailed     Reason = "backend_failed"
 	ReasonBadAnswer         Reason = "bad_answer"
 	ReasonTruncatedAnswer   Reason = "truncated_answer"
