--- /dev/null
+++ b/api/callers.go
@@ -0,0 +1,124 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lavenderstand/lavenderstand/traffic"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+const (
+	headerRequestID   = "X-Request-Id"
+	headerClass       = "X-Class"
+	headerDeadline    = "X-Deadline-Ms"
+	headerKey         = "Idempotency-Key"
+	headerOnlyVersion = "X-Only-Version"
+
+	// PrincipalKey is the key of the echo context under which an authentication
+	// middleware leaves the caller's name, a string.
+	PrincipalKey = "principal"
+	anonymous    = "anonymous"
+
+	maxNameBytes = 128 // of request ids and idempotency keys
+)
+
+// Callers serves callers. Longest bounds the time of a request.
+type Callers struct {
+	Router  *traffic.Router
+	MaxBody int64 // bytes
+	Longest time.Duration
+}
+
+// Register adds the routes of callers behind the given middleware, which
+// includes authentication.
+func (s *Callers) Register(e *echo.Echo, middleware ...echo.MiddlewareFunc) {
+	middleware = append([]echo.MiddlewareFunc{requestID}, middleware...)
+	e.POST("/v1/completions", s.completions, middleware...)
+	e.POST("/v1/chat/completions", s.chat, middleware...)
+	e.Any("/services/:route", s.service, middleware...)
+	e.Any("/services/:route/*", s.service, middleware...)
+}
+
+// requestID gives each request an id and returns it in the answer.
+func requestID(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		id := c.Request().Header.Get(headerRequestID)
+		if id == "" {
+			id = strconv.FormatUint(rand.Uint64(), 36) + strconv.FormatUint(rand.Uint64(), 36)
+		}
+		if !validName(id) {
+			return writeError(c, badRequest("%s must be 1 to %d visible ASCII characters", headerRequestID, maxNameBytes))
+		}
+		c.Response().Header().Set(headerRequestID, id)
+		return next(c)
+	}
+}
+
+func validName(name string) bool {
+	for i := range len(name) {
+		if name[i] <= ' ' || name[i] > '~' {
+			return false
+		}
+	}
+	return len(name) > 0 && len(name) <= maxNameBytes
+}
+
+func badRequest(format string, args ...any) error {
+	return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, format, args...)
+}
+
+func origin(c echo.Context) traffic.Origin {
+	caller, ok := c.Get(PrincipalKey).(string)
+	if !ok || caller == "" {
+		caller = anonymous
+	}
+	return traffic.Origin{
+		ID: c.Response().Header().Get(headerRequestID), Caller: caller, Class: c.Request().Header.Get(headerClass)}
+}
+
+// deadline applies the caller's X-Deadline-Ms, the time it still waits. Zero or
+// less is a deadline in the past.
+func (s *Callers) deadline(c echo.Context) (context.Context, context.CancelFunc, error) {
+	left := s.Longest
+	if text := c.Request().Header.Get(headerDeadline); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return nil, nil, badRequest("%s must be a number of milliseconds", headerDeadline)
+		}
+		left = min(left, time.Duration(max(0, min(ms, s.Longest.Milliseconds())))*time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), left)
+	return ctx, cancel, nil
+}
+
+func (s *Callers) readBody(c echo.Context) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, s.MaxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonBodyTooLarge, "request body is larger than %d bytes", s.MaxBody)
+	}
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, "read request body")
+	}
+	return body, nil
+}
+
+func (s *Callers) readJSON(c echo.Context, into any) error {
+	body, err := s.readBody(c)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, "request body is not valid JSON of this call")
+	}
+	return nil
+}
--- /dev/null
+++ b/api/completions.go
@@ -0,0 +1,167 @@
+package api
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/traffic"
+)
+
+const (
+	defaultMaxTokens = 256
+	largestMaxTokens = 32768
+)
+
+// completionRequest is the body of both kinds of completions. Fields of the usual
+// format that are not listed are ignored.
+type completionRequest struct {
+	Model     string        `json:"model"`
+	Prompt    string        `json:"prompt"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens *int          `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+	Choices   *int          `json:"n"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// completionAnswer is a whole answer or, with Delta in a chat, an event of a
+// streamed one.
+type completionAnswer struct {
+	ID       string        `json:"id"`
+	Object   string        `json:"object"`
+	Created  int64         `json:"created"` // seconds since 1970
+	Model    string        `json:"model"`
+	Choices  []choice      `json:"choices"`
+	Usage    *usage        `json:"usage,omitempty"`
+	Lavender *lavenderInfo `json:"lavender,omitempty"`
+}
+
+type choice struct {
+	Index        int          `json:"index"`
+	Text         *string      `json:"text,omitempty"`
+	Message      *chatMessage `json:"message,omitempty"`
+	Delta        *chatDelta   `json:"delta,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type chatDelta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+type usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// lavenderInfo names the request and the weight versions that produced it.
+type lavenderInfo struct {
+	RequestID string         `json:"request_id"`
+	Versions  []ledger.Range `json:"versions"`
+}
+
+// shape is the difference between plain and chat completions.
+type shape struct {
+	object, streamObject string
+	whole, part          func(text string) choice
+}
+
+var plainShape = shape{
+	object: "text_completion", streamObject: "text_completion",
+	whole: func(text string) choice { return choice{Text: &text} },
+	part:  func(text string) choice { return choice{Text: &text} },
+}
+
+var chatShape = shape{
+	object: "chat.completion", streamObject: "chat.completion.chunk",
+	whole: func(text string) choice { return choice{Message: &chatMessage{Role: "assistant", Content: text}} },
+	part:  func(text string) choice { return choice{Delta: &chatDelta{Content: text}} },
+}
+
+func (s *Callers) completions(c echo.Context) error {
+	return s.complete(c, plainShape, func(r *completionRequest) error {
+		if r.Prompt == "" {
+			return badRequest("prompt is missing")
+		}
+		return nil
+	})
+}
+
+func (s *Callers) chat(c echo.Context) error {
+	return s.complete(c, chatShape, func(r *completionRequest) error {
+		if len(r.Messages) == 0 {
+			return badRequest("messages are missing")
+		}
+		r.Prompt = chatPrompt(r.Messages)
+		return nil
+	})
+}
+
+// chatPrompt writes one line per message and opens the answer.
+func chatPrompt(messages []chatMessage) string {
+	var prompt strings.Builder
+	for _, m := range messages {
+		prompt.WriteString(m.Role + ": " + m.Content + "\n")
+	}
+	prompt.WriteString("assistant: ")
+	return prompt.String()
+}
+
+func (s *Callers) complete(c echo.Context, form shape, prepare func(*completionRequest) error) error {
+	var r completionRequest
+	if err := s.readJSON(c, &r); err != nil {
+		return writeError(c, err)
+	}
+	if err := prepare(&r); err != nil {
+		return writeError(c, err)
+	}
+	request, err := r.completion(c)
+	if err != nil {
+		return writeError(c, err)
+	}
+	ctx, cancel, err := s.deadline(c)
+	if err != nil {
+		return writeError(c, err)
+	}
+	defer cancel()
+	w := &answerWriter{c: c, form: form, model: r.Model, id: request.ID, created: time.Now().Unix()}
+	if r.Stream {
+		done, err := s.Router.Complete(ctx, request, w.part)
+		return w.end(done, err)
+	}
+	done, err := s.Router.Complete(ctx, request, nil)
+	if err != nil {
+		return writeError(c, err)
+	}
+	return c.JSON(http.StatusOK, w.answer(form.object, form.whole(done.Text), &done))
+}
+
+func (r *completionRequest) completion(c echo.Context) (traffic.Completion, error) {
+	limit := defaultMaxTokens
+	if r.MaxTokens != nil {
+		limit = *r.MaxTokens
+	}
+	if r.Model == "" || limit < 1 || limit > largestMaxTokens {
+		return traffic.Completion{}, badRequest("model is missing, or max_tokens is not within 1 to %d", largestMaxTokens)
+	}
+	if r.Choices != nil && *r.Choices != 1 {
+		return traffic.Completion{}, badRequest("only one choice per request is supported")
+	}
+	var only int64
+	if text := c.Request().Header.Get(headerOnlyVersion); text != "" {
+		var err error
+		if only, err = strconv.ParseInt(text, 10, 64); err != nil || only <= 0 {
+			return traffic.Completion{}, badRequest("%s must be a positive number", headerOnlyVersion)
+		}
+	}
+	return traffic.Completion{
+		Origin: origin(c), Model: r.Model, Prompt: r.Prompt, MaxTokens: limit, OnlyVersion: ledger.Version(only)}, nil
+}
--- /dev/null
+++ b/api/errors.go
@@ -0,0 +1,95 @@
+// Package api is the HTTP front of an entry host. It turns requests into typed
+// calls and verdicts into status codes; it decides nothing else.
+package api
+
+import (
+	"errors"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// ErrorBody is the body of every error answer.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail says why a request failed and whether it may have run.
+type ErrorDetail struct {
+	Message   string          `json:"message"`
+	Type      string          `json:"type"`
+	Reason    verdict.Reason  `json:"reason"`
+	Verdict   verdict.Verdict `json:"verdict"`
+	RequestID string          `json:"request_id,omitempty"`
+}
+
+const errorType = "lavenderstand_error"
+
+func errorBody(requestID string, err error) ErrorBody {
+	return ErrorBody{Error: ErrorDetail{
+		Message: err.Error(), Type: errorType, Reason: verdict.ReasonOf(err), Verdict: verdict.Of(err), RequestID: requestID,
+	}}
+}
+
+func writeError(c echo.Context, err error) error {
+	return c.JSON(statusOf(verdict.ReasonOf(err)), errorBody(c.Response().Header().Get(headerRequestID), err))
+}
+
+// HandleError is an echo.HTTPErrorHandler that gives errors of echo itself, such
+// as an unknown path, the usual body.
+func HandleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	var httpError *echo.HTTPError
+	if !errors.As(err, &httpError) {
+		_ = writeError(c, err)
+		return
+	}
+	reason := verdict.ReasonBadRequest
+	switch httpError.Code {
+	case http.StatusNotFound:
+		reason = verdict.ReasonUnknownRoute
+	case http.StatusUnauthorized:
+		reason = verdict.ReasonUnauthenticated
+	case http.StatusForbidden:
+		reason = verdict.ReasonForbidden
+	case http.StatusInternalServerError:
+		reason = verdict.ReasonInternal
+	}
+	v := verdict.NotRun
+	if reason == verdict.ReasonInternal {
+		v = verdict.MayHaveRun
+	}
+	_ = c.JSON(httpError.Code, errorBody(c.Response().Header().Get(headerRequestID), verdict.New(v, reason, "%v", httpError.Message)))
+}
+
+func statusOf(reason verdict.Reason) int {
+	switch reason {
+	case verdict.ReasonBadRequest, verdict.ReasonMissingKey:
+		return http.StatusBadRequest
+	case verdict.ReasonUnauthenticated:
+		return http.StatusUnauthorized
+	case verdict.ReasonForbidden:
+		return http.StatusForbidden
+	case verdict.ReasonUnknownRoute, verdict.ReasonUnknownClass, verdict.ReasonUnknownModel:
+		return http.StatusNotFound
+	case verdict.ReasonDuplicateRequest, verdict.ReasonConflict:
+		return http.StatusConflict
+	case verdict.ReasonBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case verdict.ReasonOverload, verdict.ReasonRateLimited, verdict.ReasonRetryBudget:
+		return http.StatusTooManyRequests
+	case verdict.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	case verdict.ReasonNoBackend, verdict.ReasonDraining, verdict.ReasonConfigUnconfirmed,
+		verdict.ReasonStoreUnavailable, verdict.ReasonNoMajority, verdict.ReasonNotHolder:
+		return http.StatusServiceUnavailable
+	case verdict.ReasonInternal, verdict.ReasonUnknown:
+		return http.StatusInternalServerError
+	default:
+		return http.StatusBadGateway
+	}
+}
--- /dev/null
+++ b/cmd/lavender-entry/command.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"github.com/oklog/run"
+	"github.com/spf13/cobra"
+
+	"github.com/lavenderstand/lavenderstand/settings"
+)
+
+func newCommand() *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:          "lavender-entry",
+		Short:        "Serve callers, trainers and operators on one host",
+		SilenceUsage: true,
+		RunE: func(*cobra.Command, []string) error {
+			s, err := settings.Load(path)
+			if err != nil {
+				return err
+			}
+			return serve(s)
+		},
+	}
+	c.Flags().StringVar(&path, "settings", "", "path of the TOML settings file")
+	_ = c.MarkFlagRequired("settings")
+	return c
+}
+
+func serve(s settings.Process) error {
+	p := newProcess(s)
+	defer p.cancel()
+	var g run.Group
+	p.addControl(&g)
+	if err := p.addHTTP(&g); err != nil {
+		return err
+	}
+	p.addStop(&g)
+	return g.Run()
+}
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -58,6 +58,16 @@
 }
 
 func startEntry(t *testing.T, settings string) {
+	t.Helper()
+	cmd := entryCommand(t, settings)
+	require.NoError(t, cmd.Start())
+	t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGTERM)
+		require.NoError(t, cmd.Wait())
+	})
+}
+
+func entryCommand(t *testing.T, settings string) *exec.Cmd {
 	t.Helper()
 	dir := t.TempDir()
 	binary := filepath.Join(dir, "lavender-entry")
@@ -68,9 +78,5 @@
 	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
 	cmd := exec.CommandContext(context.Background(), binary, "--settings", path)
 	cmd.Stderr = os.Stderr
-	require.NoError(t, cmd.Start())
-	t.Cleanup(func() {
-		_ = cmd.Process.Signal(syscall.SIGTERM)
-		require.NoError(t, cmd.Wait())
-	})
+	return cmd
 }
--- /dev/null
+++ b/traffic/admit.go
@@ -0,0 +1,122 @@
+package traffic
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// DefaultClass is the class of requests that name none.
+const DefaultClass = "default"
+
+// admit checks that the process may serve new requests now, and fills in plan
+// and class. Nothing has been sent, so every refusal is NotRun.
+func (r *Router) admit(ctx context.Context, req *request) error {
+	if err := contextError(ctx); err != nil {
+		return err
+	}
+	p := r.Plans.Load()
+	switch {
+	case p == nil:
+		return verdict.New(verdict.NotRun, verdict.ReasonConfigUnconfirmed, "no routing plan yet")
+	case r.Clock() > p.ValidUntil:
+		return verdict.New(verdict.NotRun, verdict.ReasonConfigUnconfirmed, "the configuration has not been confirmed in time")
+	case p.Draining:
+		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "the process is stopping")
+	}
+	req.plan = p
+	return nil
+}
+
+// classify looks up the request's class.
+func (q *request) classify(name string) error {
+	if name == "" {
+		name = DefaultClass
+	}
+	class, ok := q.plan.Classes[name]
+	if !ok && name == DefaultClass {
+		class, ok = plan.Class{Name: DefaultClass, Share: 1}, true
+	}
+	q.class = class
+	switch {
+	case !ok:
+		return verdict.New(verdict.NotRun, verdict.ReasonUnknownClass, "unknown class %q", name)
+	case class.Share <= 0:
+		return verdict.New(verdict.NotRun, verdict.ReasonOverload, "class %q has no share while a class above misses its target", name)
+	}
+	return nil
+}
+
+// checkWait refuses a request that would still wait at its deadline.
+func (r *Router) checkWait(ctx context.Context, req *request, b *plan.Backend) error {
+	deadline, ok := ctx.Deadline()
+	if !ok || b.Stale || b.Report.Slots <= 0 {
+		return nil
+	}
+	waiting := req.plan.Load(b) - float64(b.Report.Slots)
+	wait := time.Duration(waiting * float64(r.estimate.perRequest(b, req.units)))
+	if left := time.Until(deadline); wait > left {
+		return verdict.New(verdict.NotRun, verdict.ReasonOverload, "estimated wait of %v exceeds the %v left", wait, left)
+	}
+	return nil
+}
+
+// estimates learns how long plain services take per request.
+type estimates struct {
+	byPool sync.Map // *plan.Counters -> time.Duration, smoothed
+}
+
+// smoothing is the weight of the newest duration.
+const smoothing = 0.1
+
+// observe learns only from requests to a server with free slots, because the
+// duration of others includes their wait.
+func (e *estimates) observe(b *plan.Backend, took time.Duration) {
+	if b.Stale || b.Report.Running+b.Report.Queued >= b.Report.Slots {
+		return
+	}
+	if old, ok := e.byPool.Load(b.Counters); ok {
+		took = old.(time.Duration) + time.Duration(smoothing*float64(took-old.(time.Duration)))
+	}
+	e.byPool.Store(b.Counters, took)
+}
+
+// perRequest estimates the time by which one waiting request delays the next. An
+// engine's follows from its reported token rate, 0 if nothing is known.
+func (e *estimates) perRequest(b *plan.Backend, tokens float64) time.Duration {
+	if tokens > 0 && b.Report.TokensPerSecond > 0 {
+		return time.Duration(tokens / b.Report.TokensPerSecond * float64(time.Second))
+	}
+	if took, ok := e.byPool.Load(b.Counters); ok {
+		return took.(time.Duration) / time.Duration(b.Report.Slots)
+	}
+	return 0
+}
+
+// contextError returns the refusal for a request whose time is over before it
+// was sent.
+func contextError(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return verdict.Wrap(err, verdict.NotRun, timeReason(err), "request ended before it was sent")
+	}
+	return nil
+}
+
+// timeCause gives err the reason of an ended context and keeps its verdict.
+func timeCause(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		return err
+	}
+	return verdict.Wrap(err, verdict.Of(err), timeReason(ctx.Err()), "request ended while it was sent")
+}
+
+func timeReason(err error) verdict.Reason {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return verdict.ReasonDeadline
+	}
+	return verdict.ReasonCanceled
+}
--- /dev/null
+++ b/traffic/assembler.go
@@ -0,0 +1,168 @@
+package traffic
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/lavenderstand/lavenderstand/engine"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// maxPendingChunks bounds the chunks that wait for an earlier one.
+const maxPendingChunks = 64
+
+// Assembler puts the chunks of one completion in order, over one engine stream
+// or, after an interruption, several. It holds the accepted prefix, from which a
+// further stream resumes.
+type Assembler struct {
+	maxTokens int
+	only      ledger.Version // 0 accepts any
+
+	tokens []int
+	text   strings.Builder
+	ranges []ledger.Range
+	finish string
+	done   bool
+
+	// Of the current stream.
+	requestID string
+	bootID    string
+	accepted  map[int]engine.Chunk
+	pending   map[int]engine.Chunk
+}
+
+// NewAssembler returns an assembler for at most maxTokens tokens, all from one
+// weight version unless only is 0.
+func NewAssembler(maxTokens int, only ledger.Version) *Assembler {
+	return &Assembler{maxTokens: maxTokens, only: only}
+}
+
+// Begin starts a stream that continues the accepted prefix.
+func (a *Assembler) Begin(requestID string) {
+	a.requestID, a.bootID = requestID, ""
+	a.accepted, a.pending = make(map[int]engine.Chunk), make(map[int]engine.Chunk)
+}
+
+// Reset drops the accepted prefix.
+func (a *Assembler) Reset() { *a = Assembler{maxTokens: a.maxTokens, only: a.only} }
+
+// Tokens returns the accepted tokens.
+func (a *Assembler) Tokens() []int { return a.tokens }
+
+// Text returns the accepted text.
+func (a *Assembler) Text() string { return a.text.String() }
+
+// Ranges returns the versions of the accepted tokens.
+func (a *Assembler) Ranges() []ledger.Range { return slices.Clone(a.ranges) }
+
+// FinishReason returns the reason that the final chunk stated.
+func (a *Assembler) FinishReason() string { return a.finish }
+
+// Add takes a chunk of the current stream and returns the chunks that are now in
+// order. After an error the stream must not be used any further.
+func (a *Assembler) Add(c engine.Chunk) ([]engine.Chunk, error) {
+	if err := a.check(c); err != nil {
+		return nil, err
+	}
+	if duplicate, err := a.duplicate(c); duplicate || err != nil {
+		return nil, err
+	}
+	if a.done {
+		return nil, badChunk(verdict.ReasonBadAnswer, "chunk at token %d follows the final chunk", c.Offset)
+	}
+	if c.Offset < len(a.tokens) {
+		return nil, badChunk(verdict.ReasonBadAnswer, "chunk at token %d overlaps %d accepted tokens", c.Offset, len(a.tokens))
+	}
+	if c.Offset > len(a.tokens) {
+		if len(a.pending) >= maxPendingChunks {
+			return nil, badChunk(verdict.ReasonTruncatedAnswer, "more than %d chunks wait for token %d", maxPendingChunks, len(a.tokens))
+		}
+		a.pending[c.Offset] = c
+		return nil, nil
+	}
+	return a.accept(c)
+}
+
+// End checks that the stream was complete.
+func (a *Assembler) End() error {
+	switch {
+	case !a.done && len(a.pending) > 0:
+		return badChunk(verdict.ReasonTruncatedAnswer, "stream ended with a gap at token %d", len(a.tokens))
+	case !a.done:
+		return badChunk(verdict.ReasonTruncatedAnswer, "stream ended without its final chunk")
+	case len(a.pending) > 0:
+		return badChunk(verdict.ReasonBadAnswer, "chunks follow the final chunk")
+	default:
+		return nil
+	}
+}
+
+func (a *Assembler) check(c engine.Chunk) error {
+	switch {
+	case c.RequestID != a.requestID:
+		return badChunk(verdict.ReasonForeignAnswer, "chunk belongs to request %q", c.RequestID)
+	case c.BootID == "" || a.bootID != "" && c.BootID != a.bootID:
+		return badChunk(verdict.ReasonUnlabelled, "boot id changed from %q to %q", a.bootID, c.BootID)
+	case c.Version <= 0 && len(c.Tokens) > 0:
+		return badChunk(verdict.ReasonUnlabelled, "chunk at token %d names no version", c.Offset)
+	case a.only != 0 && len(c.Tokens) > 0 && c.Version != a.only:
+		return badChunk(verdict.ReasonVersionChanged, "chunk at token %d is of version %d, not %d", c.Offset, c.Version, a.only)
+	case c.Offset < 0 || c.Offset+len(c.Tokens) > a.maxTokens:
+		return badChunk(verdict.ReasonBadAnswer, "chunk at token %d exceeds %d tokens", c.Offset, a.maxTokens)
+	case len(c.Tokens) == 0 && (!c.Done || c.Text != ""):
+		return badChunk(verdict.ReasonBadAnswer, "chunk at token %d is empty and not final", c.Offset)
+	}
+	a.bootID = c.BootID
+	return nil
+}
+
+// duplicate reports an exact copy of a chunk; another content at the same offset
+// is an error. A final chunk without tokens may share its offset with none.
+func (a *Assembler) duplicate(c engine.Chunk) (bool, error) {
+	earlier, ok := a.accepted[c.Offset]
+	if !ok {
+		earlier, ok = a.pending[c.Offset]
+	}
+	if !ok {
+		return false, nil
+	}
+	if earlier.Text != c.Text || earlier.Version != c.Version || earlier.Done != c.Done ||
+		earlier.FinishReason != c.FinishReason || !slices.Equal(earlier.Tokens, c.Tokens) {
+		return false, badChunk(verdict.ReasonBadAnswer, "two different chunks start at token %d", c.Offset)
+	}
+	return true, nil
+}
+
+func (a *Assembler) accept(c engine.Chunk) ([]engine.Chunk, error) {
+	var ready []engine.Chunk
+	for {
+		delete(a.pending, c.Offset)
+		a.accepted[c.Offset] = c
+		a.tokens = append(a.tokens, c.Tokens...)
+		a.text.WriteString(c.Text)
+		a.ranges = ledger.AppendRange(a.ranges, len(c.Tokens), c.Version)
+		a.done, a.finish = c.Done, c.FinishReason
+		ready = append(ready, c)
+		next, ok := a.pending[len(a.tokens)]
+		if !ok || a.done {
+			return ready, a.overlapped()
+		}
+		c = next
+	}
+}
+
+// overlapped fails if a waiting chunk starts within the accepted tokens.
+func (a *Assembler) overlapped() error {
+	for offset := range a.pending {
+		if offset < len(a.tokens) || a.done {
+			return badChunk(verdict.ReasonBadAnswer, "chunk at token %d overlaps or follows the end", offset)
+		}
+	}
+	return nil
+}
+
+// badChunk has the verdict MayHaveRun because the engine worked on the request.
+func badChunk(reason verdict.Reason, format string, args ...any) error {
+	return verdict.New(verdict.MayHaveRun, reason, format, args...)
+}
--- /dev/null
+++ b/traffic/claims.go
@@ -0,0 +1,104 @@
+package traffic
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// ClaimState is what a claim attempt found.
+type ClaimState uint8
+
+// States of a claim.
+const (
+	// ClaimCreated means that this request holds the claim and may be sent.
+	ClaimCreated ClaimState = iota + 1
+	// ClaimFinished means that an earlier request with the key has an answer.
+	ClaimFinished
+	// ClaimOpen means that an earlier request with the key has no known outcome.
+	ClaimOpen
+	// ClaimMismatch means that the key was used for a different request.
+	ClaimMismatch
+)
+
+// ClaimOutcome is the result of Claimer.Claim.
+type ClaimOutcome struct {
+	State  ClaimState
+	Stored Reply  // with ClaimFinished
+	Token  string // with ClaimCreated: passed to Finish
+}
+
+// Claimer records which non-idempotent requests were sent.
+type Claimer interface {
+	// Claim creates the claim of a request before it is sent. An error means
+	// that it is unknown whether the claim exists; nothing may be sent then.
+	Claim(ctx context.Context, caller, route, key, hash string) (ClaimOutcome, error)
+	// Finish records the outcome, best effort. With verdict.NotRun the claim
+	// may be released, so that the caller can repeat the request with its key.
+	Finish(ctx context.Context, token string, v verdict.Verdict, reply Reply) error
+}
+
+// finishTimeout bounds the best effort to record an outcome.
+const finishTimeout = 5 * time.Second
+
+// hashOf identifies the content of a request, to detect a key that is used twice.
+func hashOf(call Call) string {
+	d := xxhash.New()
+	for _, part := range []string{call.Method, call.Path, string(call.Body)} {
+		_, _ = d.WriteString(strconv.Itoa(len(part)) + ":" + part)
+	}
+	return strconv.FormatUint(d.Sum64(), 16)
+}
+
+// claimed runs send under a claim: at most one request with the same caller,
+// route and key ever gets as far as sending.
+func (r *Router) claimed(ctx context.Context, s ServiceRequest, send func(context.Context) (Reply, error)) (Reply, error) {
+	if s.Key == "" {
+		return Reply{}, verdict.New(verdict.NotRun, verdict.ReasonMissingKey, "route %q requires an Idempotency-Key header", s.Route)
+	}
+	if r.Claims == nil {
+		return Reply{}, verdict.New(verdict.NotRun, verdict.ReasonStoreUnavailable, "no claim store is connected")
+	}
+	outcome, err := r.Claims.Claim(ctx, s.Caller, s.Route, s.Key, hashOf(s.Call))
+	if err != nil {
+		return Reply{}, verdict.Wrap(err, verdict.NotRun, verdict.ReasonStoreUnavailable, "claim the request")
+	}
+	switch outcome.State {
+	case ClaimFinished:
+		return outcome.Stored, nil
+	case ClaimMismatch:
+		return Reply{}, verdict.New(verdict.NotRun, verdict.ReasonConflict, "the key was used for a different request")
+	case ClaimOpen:
+		return Reply{}, verdict.New(verdict.MayHaveRun, verdict.ReasonDuplicateRequest, "a request with this key was sent before")
+	case ClaimCreated:
+	default:
+		return Reply{}, verdict.New(verdict.NotRun, verdict.ReasonInternal, "unknown claim state %d", outcome.State)
+	}
+	reply, err := send(ctx)
+	r.finishClaim(ctx, outcome.Token, reply, err)
+	return reply, err
+}
+
+// finishClaim does not delay the answer.
+func (r *Router) finishClaim(ctx context.Context, token string, reply Reply, err error) {
+	r.Flights.Hold()
+	go func() {
+		defer r.Flights.Leave()
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
+		defer cancel()
+		_ = r.Claims.Finish(ctx, token, verdict.Of(err), reply)
+	}()
+}
+
+// detached keeps the deadline of ctx but not its cancellation: when a caller
+// hangs up, its claimed request still ends with a recorded outcome.
+func detached(ctx context.Context) (context.Context, context.CancelFunc) {
+	if deadline, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	}
+	return context.WithCancel(context.WithoutCancel(ctx))
+}
--- /dev/null
+++ b/traffic/completion.go
@@ -0,0 +1,183 @@
+package traffic
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/engine"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// maxPromptBlocks bounds the prefix hashes of one prompt: 64 blocks are 4 KiB.
+const maxPromptBlocks = 64
+
+// priorityStep leaves room between two classes for urgent samples of the lower.
+const priorityStep = 2
+
+// Completion is a request for one completion.
+type Completion struct {
+	Origin
+	Model       string
+	Prompt      string
+	MaxTokens   int
+	OnlyVersion ledger.Version // 0 accepts any
+}
+
+// Part is a piece of a completion, in order and without gap or overlap.
+type Part struct {
+	Text    string
+	Tokens  int
+	Version ledger.Version
+}
+
+// Completed is a whole completion.
+type Completed struct {
+	Text         string
+	Tokens       int
+	Ranges       []ledger.Range
+	FinishReason string
+	Backend      string // that sent the final chunk
+	Attempts     int
+}
+
+// Complete generates a completion. emit, if set, receives each part as soon as
+// it is in order; an error of emit means that the caller has gone.
+func (r *Router) Complete(ctx context.Context, c Completion, emit func(Part) error) (Completed, error) {
+	var done Completed
+	req := &request{Origin: c.Origin}
+	err := r.run(ctx, req, func(ctx context.Context) error {
+		if err := r.admit(ctx, req); err != nil {
+			return err
+		}
+		if err := req.classify(c.Class); err != nil {
+			return err
+		}
+		g, err := r.newGeneration(req, c)
+		if err != nil {
+			return err
+		}
+		g.emit = emit
+		done, err = g.run(ctx)
+		return err
+	})
+	return done, err
+}
+
+// generation is the state of one completion over all its attempts.
+type generation struct {
+	router    *Router
+	req       *request
+	spec      Completion
+	assembler *Assembler
+	emit      func(Part) error
+	priority  int
+	id        string // unique, unlike the id that the caller chose
+	backend   string
+}
+
+func (r *Router) newGeneration(req *request, c Completion) (*generation, error) {
+	if c.MaxTokens <= 0 {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "max_tokens must be positive")
+	}
+	if r.Engines == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoBackend, "no client of model engines is connected")
+	}
+	if req.plan.Models[c.Model] == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonUnknownModel, "no engine serves model %q", c.Model)
+	}
+	req.idempotent = true // generation has no side effect
+	req.units = float64(c.MaxTokens)
+	req.pool = func(p *plan.Plan) *plan.Pool { return p.Models[c.Model] }
+	req.query.Zone, req.query.OnlyVersion = r.Zone, c.OnlyVersion
+	req.query.Hashes = engine.PrefixHashes(nil, c.Prompt[:min(len(c.Prompt), maxPromptBlocks*engine.PrefixBlockBytes)])
+	r.budgets.earn(req.class.Name)
+	return &generation{
+		router: r, req: req, spec: c, id: req.ID + "." + strconv.FormatUint(rand.Uint64(), 36), priority: req.class.Priority * priorityStep,
+		assembler: NewAssembler(c.MaxTokens, c.OnlyVersion),
+	}, nil
+}
+
+func (g *generation) run(ctx context.Context) (Completed, error) {
+	if err := g.router.attempt(ctx, g.req, g.stream); err != nil {
+		return Completed{}, err
+	}
+	return Completed{
+		Text: g.assembler.Text(), Tokens: len(g.assembler.Tokens()), Ranges: g.assembler.Ranges(),
+		FinishReason: g.assembler.FinishReason(), Backend: g.backend, Attempts: g.req.attempts,
+	}, nil
+}
+
+// stream makes one attempt, which resumes from the accepted prefix.
+func (g *generation) stream(ctx context.Context, b *plan.Backend) error {
+	ctx, cancel := context.WithCancel(ctx) // ends the engine's stream on every return
+	defer cancel()
+	r := g.router
+	r.post(event.PrefixSent{Backend: b.Name, Hashes: g.req.query.Hashes})
+	// The attempt is part of the id, so that a late chunk of an earlier attempt
+	// is recognized.
+	id := g.id + "." + strconv.Itoa(g.req.attempts)
+	g.assembler.Begin(id)
+	g.backend = b.Name
+	var failed error
+	err := r.Engines.Generate(ctx, b.Address, g.message(ctx, id), func(c engine.Chunk) error {
+		failed = g.add(c)
+		return failed
+	})
+	if failed != nil {
+		err = failed
+	}
+	if err == nil {
+		err = g.assembler.End()
+	}
+	return g.judge(err)
+}
+
+func (g *generation) message(ctx context.Context, id string) engine.GenerateRequest {
+	m := engine.GenerateRequest{
+		RequestID: id, Model: g.spec.Model, Prompt: g.spec.Prompt, MaxTokens: g.spec.MaxTokens,
+		Priority: g.priority, PrefixTokens: g.assembler.Tokens(), OnlyVersion: g.spec.OnlyVersion,
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		m.DeadlineMS = max(1, time.Until(deadline).Milliseconds())
+	}
+	return m
+}
+
+func (g *generation) add(c engine.Chunk) error {
+	ready, err := g.assembler.Add(c)
+	if err != nil || g.emit == nil {
+		return err
+	}
+	for _, part := range ready {
+		if len(part.Tokens) == 0 {
+			continue
+		}
+		if gone := g.emit(Part{Text: part.Text, Tokens: len(part.Tokens), Version: part.Version}); gone != nil {
+			return verdict.Wrap(gone, verdict.MayHaveRun, verdict.ReasonCanceled, "the caller has gone")
+		}
+	}
+	return nil
+}
+
+// judge decides what remains of the accepted prefix after a failed attempt. A
+// stream with a foreign or unlabelled chunk cannot be trusted, so it starts
+// anew; what a caller already received cannot be taken back, so that fails.
+func (g *generation) judge(err error) error {
+	if err == nil {
+		return nil
+	}
+	switch verdict.ReasonOf(err) {
+	case verdict.ReasonUnlabelled, verdict.ReasonForeignAnswer, verdict.ReasonBadAnswer:
+		if g.emit == nil {
+			g.assembler.Reset()
+		} else if len(g.assembler.Tokens()) > 0 {
+			g.req.idempotent = false
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/traffic/fakes_test.go
@@ -0,0 +1,173 @@
+package traffic
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/engine"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// backendList returns a pool of servers with the given addresses, all of
+// version 1 and with 4 slots.
+func backendList(addresses ...string) *plan.Pool {
+	pool := &plan.Pool{Next: new(atomic.Uint64)}
+	for i, address := range addresses {
+		pool.Backends = append(pool.Backends, plan.Backend{
+			Name: fmt.Sprintf("b%d", i), Address: address, Version: 1, Report: plan.Report{Slots: 4}, Counters: new(plan.Counters)})
+	}
+	return pool
+}
+
+func planOf(pool *plan.Pool) *plan.Plan {
+	return &plan.Plan{
+		ConfigVersion: 1, ValidUntil: math.MaxInt64, Hosts: 1, Routing: plan.RoundRobin,
+		Classes:  map[string]plan.Class{"live": {Name: "live", Share: 1, Priority: 2}, "rollout": {Name: "rollout", Share: 0.5, Priority: 1}},
+		Models:   map[string]*plan.Pool{"match": pool},
+		Services: map[string]*plan.Pool{"listing": pool},
+		Routes: map[string]plan.RouteConfig{
+			"search": {Service: "listing", Idempotent: true, Class: "live"}, "claims": {Service: "listing", Class: "live"}},
+	}
+}
+
+type recorder struct {
+	mu     sync.Mutex
+	events []event.Event
+}
+
+func (r *recorder) Post(e event.Event) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, e)
+	return true
+}
+
+func reportsOf[E event.Event](r *recorder) (found []E) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.events {
+		if e, ok := e.(E); ok {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+func newRouter(t testing.TB, p *plan.Plan) (*Router, *recorder) {
+	cell, reports, start := new(plan.Cell), new(recorder), time.Now()
+	cell.Publish(p)
+	transport := NewTransport()
+	t.Cleanup(transport.CloseIdleConnections)
+	return NewRouter(Options{
+		Plans: cell, Clock: func() time.Duration { return time.Since(start) }, Reports: reports,
+		Sender: &Sender{Client: &http.Client{Transport: transport}, MaxAnswerBytes: 1 << 20}, Longest: 10 * time.Second,
+	}), reports
+}
+
+// fakeEngine answers each attempt with the next script. A script sees the
+// request and sends chunks.
+type fakeEngine struct {
+	mu       sync.Mutex
+	scripts  []func(engine.GenerateRequest, func(engine.Chunk) error) error
+	requests []engine.GenerateRequest
+}
+
+func (f *fakeEngine) Generate(_ context.Context, _ string, req engine.GenerateRequest, onChunk func(engine.Chunk) error) error {
+	f.mu.Lock()
+	script := f.scripts[min(len(f.requests), len(f.scripts)-1)]
+	f.requests = append(f.requests, req)
+	f.mu.Unlock()
+	return script(req, onChunk)
+}
+
+// generate sends tokens from the request's prefix up to count, in chunks of two,
+// and the end if count is the maximum; otherwise the connection breaks.
+func generate(count int, version ledger.Version) func(engine.GenerateRequest, func(engine.Chunk) error) error {
+	return func(req engine.GenerateRequest, onChunk func(engine.Chunk) error) error {
+		for at := len(req.PrefixTokens); at < count; at += 2 {
+			c := chunk(at, min(2, count-at), version)
+			c.RequestID, c.Done = req.RequestID, at+2 >= req.MaxTokens
+			if err := onChunk(c); err != nil {
+				return err
+			}
+		}
+		if count < req.MaxTokens {
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, "stream broke")
+		}
+		return nil
+	}
+}
+
+// fakeClaims keeps claims in memory.
+type fakeClaims struct {
+	mu     sync.Mutex
+	claims map[string]ClaimOutcome
+	down   bool
+}
+
+func (f *fakeClaims) Claim(_ context.Context, caller, route, key, hash string) (ClaimOutcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return ClaimOutcome{}, fmt.Errorf("table service is down")
+	}
+	id := caller + "/" + route + "/" + key
+	if found, ok := f.claims[id]; ok {
+		if found.Token != hash {
+			found.State = ClaimMismatch
+		}
+		return found, nil
+	}
+	if f.claims == nil {
+		f.claims = make(map[string]ClaimOutcome)
+	}
+	f.claims[id] = ClaimOutcome{State: ClaimOpen, Token: hash}
+	return ClaimOutcome{State: ClaimCreated, Token: id}, nil
+}
+
+func (f *fakeClaims) Finish(_ context.Context, token string, v verdict.Verdict, reply Reply) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch claim := f.claims[token]; v {
+	case verdict.NotRun:
+		delete(f.claims, token)
+	case verdict.Ran:
+		claim.State, claim.Stored = ClaimFinished, reply
+		f.claims[token] = claim
+	}
+	return nil
+}
+
+// fakeObjects fails the given number of writes.
+type fakeObjects struct {
+	mu       sync.Mutex
+	failures int
+	stored   map[string]string
+}
+
+func (f *fakeObjects) Put(_ context.Context, key string, data []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failures > 0 {
+		f.failures--
+		return fmt.Errorf("object store is down")
+	}
+	if f.stored == nil {
+		f.stored = make(map[string]string)
+	}
+	f.stored[key] = string(data)
+	return nil
+}
+
+func (f *fakeObjects) Get(context.Context, string) ([]byte, bool, error) { return nil, false, nil }
+
+func (f *fakeObjects) Delete(context.Context, string) error { return nil }
--- /dev/null
+++ b/traffic/flights.go
@@ -0,0 +1,77 @@
+package traffic
+
+import (
+	"context"
+	"sync"
+)
+
+// Flights tracks requests in flight, so that a planned stop can finish them.
+type Flights struct {
+	mu     sync.Mutex
+	count  int
+	closed bool
+	idle   chan struct{} // closed when closed and count is 0
+}
+
+// NewFlights returns an open tracker.
+func NewFlights() *Flights { return &Flights{idle: make(chan struct{})} }
+
+// Enter counts a request; it returns false after Close.
+func (f *Flights) Enter() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return false
+	}
+	f.count++
+	return true
+}
+
+// Hold counts work that belongs to a request in flight, even after Close.
+func (f *Flights) Hold() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.count++
+}
+
+// Leave ends what Enter or Hold counted.
+func (f *Flights) Leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.count--
+	f.signal()
+}
+
+// Close refuses further requests.
+func (f *Flights) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.closed {
+		f.closed = true
+		f.signal()
+	}
+}
+
+func (f *Flights) signal() {
+	if f.closed && f.count == 0 {
+		close(f.idle)
+	}
+}
+
+// Count returns the number of requests in flight.
+func (f *Flights) Count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.count
+}
+
+// Wait blocks after Close until no request is in flight. If ctx ends first it
+// returns the number of requests that are cut off.
+func (f *Flights) Wait(ctx context.Context) int {
+	select {
+	case <-f.idle:
+		return 0
+	case <-ctx.Done():
+		return f.Count()
+	}
+}
--- /dev/null
+++ b/traffic/pick.go
@@ -0,0 +1,51 @@
+package traffic
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// maxPicks bounds the picks that lose their place to another request.
+const maxPicks = 4
+
+// pick chooses a backend of the newest plan and counts the request to it.
+func (r *Router) pick(ctx context.Context, req *request) (*plan.Backend, error) {
+	if err := contextError(ctx); err != nil {
+		return nil, err
+	}
+	if p := r.Plans.Load(); p != nil {
+		req.plan = p
+	}
+	pool := req.pool(req.plan)
+	if pool == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoBackend, "no backend server is available")
+	}
+	for range maxPicks {
+		req.query.Random = rand.Uint64()
+		b := req.plan.Pick(pool, &req.query)
+		if b == nil {
+			break
+		}
+		if err := r.checkWait(ctx, req, b); err != nil {
+			return nil, err
+		}
+		if req.plan.Begin(b, &req.query) {
+			return b, nil
+		}
+	}
+	return nil, req.noBackend()
+}
+
+func (q *request) noBackend() error {
+	switch {
+	case q.query.OnlyVersion != 0:
+		return verdict.New(verdict.NotRun, verdict.ReasonVersionChanged, "no further server has version %d", q.query.OnlyVersion)
+	case q.query.Training:
+		return verdict.New(verdict.NotRun, verdict.ReasonOverload, "the class has no free share of a server")
+	default:
+		return verdict.New(verdict.NotRun, verdict.ReasonNoBackend, "no further backend server is available")
+	}
+}
--- a/traffic/proxy.go
+++ b/traffic/proxy.go
@@ -7,8 +7,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 
 	"github.com/lavenderstand/lavenderstand/plan"
 	"github.com/lavenderstand/lavenderstand/verdict"
@@ -29,7 +27,16 @@
 	Body   []byte
 }
 
-// Sender sends one attempt to one backend server.
+// Headers by which a plain service states that it refused before running.
+const (
+	headerVerdict = "X-Verdict"
+	headerReason  = "X-Reason"
+	reasonLeaving = "leaving"
+)
+
+// Sender sends one attempt to one backend server. The client's transport should
+// come from NewTransport; with another one, a failure after a connection was
+// available counts as MayHaveRun.
 type Sender struct {
 	Client         *http.Client
 	MaxAnswerBytes int64
@@ -37,35 +44,32 @@
 
 // Send makes one attempt. The error's verdict is NotRun only if no byte of the
 // request was written or the backend server said that it refused before running.
-func (s *Sender) Send(ctx context.Context, b plan.Backend, call Call) (Reply, error) {
-	b.Counters.Sent.Add(1)
-	defer b.Counters.Done.Add(1)
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), b, call)
+func (s *Sender) Send(ctx context.Context, b *plan.Backend, call Call) (Reply, error) {
+	var trace sendTrace
+	req, err := newRequest(trace.attach(ctx), b, call)
 	if err != nil {
 		return Reply{}, verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, "build request")
 	}
 	resp, err := s.Client.Do(req)
 	if err != nil {
-		return Reply{}, sendError(err, sent.Load())
+		return Reply{}, sendError(err, trace.nothingSent())
 	}
 	defer func() { _ = resp.Body.Close() }()
 	return s.readReply(resp)
 }
 
-func newRequest(ctx context.Context, b plan.Backend, call Call) (*http.Request, error) {
+func newRequest(ctx context.Context, b *plan.Backend, call Call) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+b.Address+call.Path, &onceReader{data: call.Body})
 	if err != nil {
 		return nil, err
 	}
 	req.ContentLength = int64(len(call.Body))
-	req.Header = call.Header.Clone()
+	req.Header = forwardedHeader(call.Header)
 	return req, nil
 }
 
-func sendError(err error, sent bool) error {
-	if !sent {
+func sendError(err error, nothingSent bool) error {
+	if nothingSent {
 		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonConnectFailed, "connect to backend server")
 	}
 	return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonConnectionLost, "no answer from backend server")
@@ -79,10 +83,17 @@
 	if int64(len(body)) > s.MaxAnswerBytes {
 		return Reply{}, verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "answer is larger than %d bytes", s.MaxAnswerBytes)
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("X-Verdict") == verdict.NotRun.String() {
-		return Reply{}, verdict.New(verdict.NotRun, verdict.ReasonBackendRefused, "backend server refused the request")
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerVerdict) == verdict.NotRun.String() {
+		return Reply{}, refusal(resp)
+	}
+	return Reply{Status: resp.StatusCode, Header: forwardedHeader(resp.Header), Body: body}, nil
+}
+
+func refusal(resp *http.Response) error {
+	if resp.Close || resp.Header.Get(headerReason) == reasonLeaving {
+		return verdict.New(verdict.NotRun, verdict.ReasonBackendLeaving, "backend server is leaving")
 	}
-	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return verdict.New(verdict.NotRun, verdict.ReasonBackendRefused, "backend server refused the request")
 }
 
 // onceReader is a body that net/http cannot rewind, so that its transport never
--- a/traffic/router.go
+++ b/traffic/router.go
@@ -2,26 +2,188 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/lavenderstand/lavenderstand/engine"
+	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/plan"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
+// Generator is the client of model engines. It calls onChunk for each chunk and
+// ends when onChunk fails; its errors carry a verdict.
+type Generator interface {
+	Generate(ctx context.Context, address string, req engine.GenerateRequest, onChunk func(engine.Chunk) error) error
+}
+
+// Reporter takes reports for the control loop without waiting.
+type Reporter interface{ Post(e event.Event) bool }
+
+// Metrics counts what happened to requests.
+type Metrics interface {
+	Refused(class string, reason verdict.Reason)
+	Retried(class string, reason verdict.Reason)
+	Answered(class string, latency time.Duration)
+}
+
+// Options configure a Router.
+type Options struct {
+	Plans   *plan.Cell
+	Clock   func() time.Duration // monotonic offset from process start, as in the plan
+	Zone    string
+	Sender  *Sender
+	Engines Generator
+	Claims  Claimer // nil refuses routes that need claims
+	Reports Reporter
+	Metrics Metrics
+	Flights *Flights
+	// Longest bounds requests that state no deadline.
+	Longest time.Duration
+}
+
 // Router routes requests by the newest plan.
 type Router struct {
-	Plans  *plan.Cell
-	Sender *Sender
+	Options
+	budgets  budgets
+	estimate estimates
+}
+
+// NewRouter returns a router.
+func NewRouter(o Options) *Router {
+	if o.Metrics == nil {
+		o.Metrics = noMetrics{}
+	}
+	if o.Flights == nil {
+		o.Flights = NewFlights()
+	}
+	return &Router{Options: o}
+}
+
+// Origin describes who sent a request and how it is to be treated.
+type Origin struct {
+	ID     string // request id
+	Caller string // principal
+	Class  string // empty: the route's class, or the default
+}
+
+// request is the state of one request; only its goroutine uses it.
+type request struct {
+	Origin
+	class      plan.Class
+	plan       *plan.Plan
+	pool       func(*plan.Plan) *plan.Pool
+	query      plan.Query
+	units      float64 // work of the request in tokens, 0 for plain services
+	idempotent bool
+	mayHaveRun bool // an earlier attempt may have run
+	attempts   int
+}
+
+// run executes fn as one counted request: it applies the longest duration,
+// reports the outcome, and lets a planned stop wait for it.
+func (r *Router) run(ctx context.Context, req *request, fn func(context.Context) error) error {
+	if !r.Flights.Enter() {
+		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "the process is stopping")
+	}
+	defer r.Flights.Leave()
+	if _, ok := ctx.Deadline(); !ok && r.Longest > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, r.Longest)
+		defer cancel()
+	}
+	started := r.Clock()
+	err := fn(ctx)
+	r.reportEnd(req, r.Clock()-started, err)
+	return err
+}
+
+func (r *Router) reportEnd(req *request, latency time.Duration, err error) {
+	ended := event.RequestEnded{Class: req.class.Name, Verdict: verdict.Of(err), Latency: latency}
+	if err != nil {
+		ended.Reason = verdict.ReasonOf(err)
+		r.Metrics.Refused(req.class.Name, ended.Reason)
+	} else {
+		r.Metrics.Answered(req.class.Name, latency)
+	}
+	r.post(ended)
+}
+
+func (r *Router) post(e event.Event) {
+	if r.Reports != nil {
+		r.Reports.Post(e)
+	}
+}
+
+// attempt sends the request to one backend after another until one answers, the
+// verdict forbids a repetition, or time or budget run out. The verdict of its
+// error covers all attempts.
+func (r *Router) attempt(ctx context.Context, req *request, try func(context.Context, *plan.Backend) error) error {
+	for {
+		b, err := r.pick(ctx, req)
+		if err != nil {
+			return req.failure(err)
+		}
+		req.attempts++
+		picked, started := req.plan, r.Clock()
+		err = try(ctx, b)
+		picked.End(b, &req.query)
+		r.reportAttempt(b, err)
+		if err == nil {
+			r.estimate.observe(b, r.Clock()-started)
+			return nil
+		}
+		err = timeCause(ctx, err)
+		req.mayHaveRun = req.mayHaveRun || verdict.Of(err) != verdict.NotRun
+		if err := r.mayRepeat(ctx, req, err); err != nil {
+			return req.failure(err)
+		}
+		r.Metrics.Retried(req.class.Name, verdict.ReasonOf(err))
+		req.query.Tried = append(req.query.Tried, b.Name)
+	}
+}
+
+// mayRepeat waits before the next attempt, or returns the final error.
+func (r *Router) mayRepeat(ctx context.Context, req *request, err error) error {
+	if !repeatable(err, req.idempotent) {
+		return err
+	}
+	if !r.budgets.take(req.class.Name) {
+		return verdict.Wrap(err, verdict.Of(err), verdict.ReasonRetryBudget, "retry budget is used up")
+	}
+	if !r.backOff(ctx, req.attempts) {
+		return err
+	}
+	return nil
+}
+
+func (r *Router) reportAttempt(b *plan.Backend, err error) {
+	ended := event.AttemptEnded{Backend: b.Name, Verdict: verdict.Of(err)}
+	if err != nil {
+		ended.Reason = verdict.ReasonOf(err)
+	}
+	r.post(ended)
 }
 
-// Serve sends a call to a server of the route's service.
-func (r *Router) Serve(ctx context.Context, route string, call Call) (Reply, error) {
-	p := r.Plans.Load()
-	if p == nil {
-		return Reply{}, verdict.New(verdict.NotRun, verdict.ReasonConfigUnconfirmed, "no routing plan yet")
+// failure gives err the verdict of all attempts together.
+func (q *request) failure(err error) error {
+	if q.mayHaveRun && verdict.Of(err) == verdict.NotRun {
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonOf(err), "an earlier attempt may have run")
 	}
-	pool := p.Services[route]
-	if pool == nil {
-		return Reply{}, verdict.New(verdict.NotRun, verdict.ReasonUnknownRoute, "unknown route %q", route)
+	return err
+}
+
+// repeatable reports whether another backend may do better.
+func repeatable(err error, idempotent bool) bool {
+	switch verdict.ReasonOf(err) {
+	case verdict.ReasonDeadline, verdict.ReasonCanceled, verdict.ReasonBadRequest:
+		return false
+	default:
+		return verdict.Of(err).Retryable(idempotent)
 	}
-	return r.Sender.Send(ctx, *p.Pick(pool, &plan.Query{}), call)
 }
+
+type noMetrics struct{}
+
+func (noMetrics) Refused(string, verdict.Reason) {}
+func (noMetrics) Retried(string, verdict.Reason) {}
+func (noMetrics) Answered(string, time.Duration) {}
--- /dev/null
+++ b/traffic/service.go
@@ -0,0 +1,84 @@
+package traffic
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// ServiceRequest is a caller's request to a route of plain services.
+type ServiceRequest struct {
+	Origin
+	Route string
+	Key   string // idempotency key
+	Call  Call
+}
+
+// Serve sends a request to a server of the route's service.
+func (r *Router) Serve(ctx context.Context, s ServiceRequest) (Reply, error) {
+	var reply Reply
+	req := &request{Origin: s.Origin}
+	err := r.run(ctx, req, func(ctx context.Context) (err error) {
+		reply, err = r.serve(ctx, req, s)
+		return err
+	})
+	return reply, err
+}
+
+func (r *Router) serve(ctx context.Context, req *request, s ServiceRequest) (Reply, error) {
+	if err := r.admit(ctx, req); err != nil {
+		return Reply{}, err
+	}
+	route, claims, err := findRoute(req.plan, s.Route)
+	if err != nil {
+		return Reply{}, err
+	}
+	class := s.Class
+	if class == "" {
+		class = route.Class
+	}
+	if err := req.classify(class); err != nil {
+		return Reply{}, err
+	}
+	req.idempotent = route.Idempotent
+	req.pool = func(p *plan.Plan) *plan.Pool { return p.Services[route.Service] }
+	req.query.Zone = r.Zone
+	r.budgets.earn(req.class.Name)
+	if s.Call.Header == nil {
+		s.Call.Header = make(http.Header)
+	}
+	s.Call.Header.Set("X-Request-Id", s.ID)
+	send := func(ctx context.Context) (Reply, error) { return r.sendService(ctx, req, s.Call) }
+	if claims {
+		return r.claimed(ctx, s, func(ctx context.Context) (Reply, error) {
+			ctx, cancel := detached(ctx)
+			defer cancel()
+			return send(ctx)
+		})
+	}
+	return send(ctx)
+}
+
+// findRoute returns the route and whether its requests need claims. Before the
+// first configuration the services are reachable by their own names, without
+// claims and without a repetition after MayHaveRun.
+func findRoute(p *plan.Plan, name string) (route plan.RouteConfig, claims bool, err error) {
+	if route, ok := p.Routes[name]; ok {
+		return route, !route.Idempotent, nil
+	}
+	if p.ConfigVersion == 0 && p.Services[name] != nil {
+		return plan.RouteConfig{Service: name}, false, nil
+	}
+	return route, false, verdict.New(verdict.NotRun, verdict.ReasonUnknownRoute, "unknown route %q", name)
+}
+
+func (r *Router) sendService(ctx context.Context, req *request, call Call) (Reply, error) {
+	var reply Reply
+	err := r.attempt(ctx, req, func(ctx context.Context, b *plan.Backend) (err error) {
+		reply, err = r.Sender.Send(ctx, b, call)
+		return err
+	})
+	return reply, err
+}
