--- a/api/trainers.go
+++ b/api/trainers.go
@@ -20,7 +20,6 @@
 	maxSamplesOfGroup = 256
 	maxSamplesPerCall = 8192
 	maxTokensOfSample = 1 << 20
-	maxNameBytes      = 128
 	maxPullWait       = 10 * time.Minute
 	// fetchesPerLot bounds the object store reads of one lot that run at once.
 	fetchesPerLot = 32
--- a/api/trainers_body.go
+++ b/api/trainers_body.go
@@ -45,10 +45,6 @@
 	return body
 }
 
-func badRequest(format string, args ...any) error {
-	return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, format, args...)
-}
-
 func readJSON(c echo.Context, limit int64, into any) error {
 	decoder := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
 	err := decoder.Decode(into)
--- a/handler/backend.go
+++ b/handler/backend.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	backendReadTimeout  = time.Second // of a state report or a page of cache events
-	scoreTimeout = 30 * time.Second
+	backendReadTimeout = time.Second // of a state report or a page of cache events
+	scoreTimeout       = 30 * time.Second
 
 	// Calls of each kind that run at once.
 	readLimit  = 64
--- a/ledger/rules_test.go
+++ b/ledger/rules_test.go
@@ -54,13 +54,17 @@
 	})
 }
 
-// Guards against a lot that counts as fresh by its newest range only.
-func TestFreshUsesOldestRange(t *testing.T) {
-	lot := LotRecord{StalenessBound: 2, Samples: []LotSample{
-		{SampleRecord: SampleRecord{Ranges: []Range{{0, 5, 7}, {5, 9, 9}}}},
-		{SampleRecord: SampleRecord{Ranges: []Range{{0, 9, 9}}}},
+// Guards against a lot that counts as fresh by its newest range only, and
+// against one group's looser bound that covers a sample of another group.
+func TestFreshUsesOldestRangeAndOwnBound(t *testing.T) {
+	lot := LotRecord{Samples: []LotSample{
+		{SampleRecord: SampleRecord{Ranges: []Range{{0, 5, 7}, {5, 9, 9}}}, StalenessBound: 2},
+		{SampleRecord: SampleRecord{Ranges: []Range{{0, 9, 9}}}, StalenessBound: 1},
 	}}
 	require.True(t, lot.Fresh(9))
-	require.False(t, lot.Fresh(10))
+	require.False(t, lot.Fresh(10), "sample 0 is 3 versions old")
+	lot.Samples[0].StalenessBound = 5
+	require.True(t, lot.Fresh(10))
+	require.False(t, lot.Fresh(11), "sample 1 is 2 versions old")
 	require.Equal(t, int64(0), Staleness(lot.Samples[1].Ranges, 3))
 }
