table: group the progress of host rows and contacts

Cause: unrelated additions to Host sat on adjacent lines and made merges fail.

Change: the fields move to HostProgress, which Host embeds; no behaviour changes.

Measured: go test -race ./system ./api passes.

--- a/table/configuration.go
+++ b/table/configuration.go
@@ -26,6 +26,19 @@
 	RowVersion uint64
 }
 
+// HostProgress is what this process keeps about the renewals of a host and its
+// contacts with it.
+type HostProgress struct {
+	ContactSentAt  time.Duration
+	NextContact    time.Duration
+	PendingVersion uint64 // prepared by the peer, outcome unknown
+	CountsVote     bool   // the peer counts towards a majority
+
+	// Unrenewed is the time without a renewal between reads of the host rows.
+	// Time in which the rows could not be read does not count.
+	Unrenewed time.Duration
+}
+
 // ChangePhase is the progress of an operator's change of the configuration.
 type ChangePhase uint8
 
--- a/table/routing.go
+++ b/table/routing.go
@@ -33,6 +33,7 @@
 	Zone    string
 	Role    Role
 	Address string // gRPC address
+	HostProgress
 
 	RowVersion  uint64
 	RowSeen     time.Duration // when RowVersion last changed on our clock
@@ -41,14 +42,6 @@
 	ConfigVersion  uint64
 	StoreReachable bool
 	ContactPending bool
-	ContactSentAt  time.Duration
-	NextContact    time.Duration
-	PendingVersion uint64 // prepared by the peer, outcome unknown
-	CountsVote     bool   // the peer counts towards a majority
-
-	// Unrenewed is the time without a renewal between reads of the host rows.
-	// Time in which the rows could not be read does not count.
-	Unrenewed time.Duration
 }
 
 // BackendKind is the kind of a backend server.
