--- a/peer/config_server.go
+++ b/peer/config_server.go
@@ -26,7 +26,7 @@
 // Contact implements peerpb.EntryServer.
 func (s *ConfigServer) Contact(ctx context.Context, r *peerpb.ContactRequest) (*peerpb.ContactResponse, error) {
 	id := s.requestID("contact")
-	answer, err := call[command.AnswerContact](ctx, s, id, event.ContactRequested{RequestID: id, From: r.GetFrom()})
+	answer, err := askControl[command.AnswerContact](ctx, s, id, event.ContactRequested{RequestID: id, From: r.GetFrom()})
 	if err != nil {
 		return nil, StatusOf(err)
 	}
@@ -48,7 +48,7 @@
 // Prepare implements peerpb.EntryServer.
 func (s *ConfigServer) Prepare(ctx context.Context, r *peerpb.PrepareRequest) (*peerpb.PrepareResponse, error) {
 	id := s.requestID("prepare")
-	answer, err := call[command.AnswerPrepare](ctx, s, id, event.PrepareRequested{RequestID: id, Version: r.GetVersion()})
+	answer, err := askControl[command.AnswerPrepare](ctx, s, id, event.PrepareRequested{RequestID: id, Version: r.GetVersion()})
 	if err == nil {
 		err = answer.Failure.Err()
 	}
@@ -74,8 +74,8 @@
 	return fmt.Sprintf("peer/%s/%d", kind, s.calls.Add(1))
 }
 
-// call passes an event to the control loop and waits for its answer.
-func call[A command.Command](ctx context.Context, s *ConfigServer, id string, e event.Event) (A, error) {
+// askControl passes an event to the control loop and waits for its answer.
+func askControl[A command.Command](ctx context.Context, s *ConfigServer, id string, e event.Event) (A, error) {
 	var none A
 	c, err := s.Waiters.Call(ctx, s.Inbox, id, e)
 	if err != nil {
--- a/system/configuration_store_test.go
+++ b/system/configuration_store_test.go
@@ -8,7 +8,7 @@
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
-func (w *world) readRows(n *node, storeDown bool) {
+func (w *configWorld) readRows(n *node, storeDown bool) {
 	if storeDown {
 		w.send(n, worldTimeout, event.HostRowsRead{Failure: unreachable})
 		return
@@ -21,7 +21,7 @@
 	w.send(n, worldLatency, event.HostRowsRead{Rows: rows})
 }
 
-func (w *world) writeRow(n *node, c command.WriteHostRow, storeDown bool) {
+func (w *configWorld) writeRow(n *node, c command.WriteHostRow, storeDown bool) {
 	if storeDown {
 		w.send(n, worldTimeout, event.HostRowWritten{Failure: unreachable})
 		return
@@ -35,7 +35,7 @@
 	w.send(n, worldLatency, event.HostRowWritten{})
 }
 
-func (w *world) commit(n *node, c command.CommitConfig, storeDown bool) {
+func (w *configWorld) commit(n *node, c command.CommitConfig, storeDown bool) {
 	if storeDown {
 		w.send(n, worldTimeout, event.ConfigCommitted{RequestID: c.RequestID, Failure: unreachable})
 		return
@@ -56,7 +56,7 @@
 }
 
 // accept stores a change if it still has the expected version.
-func (w *world) accept(c command.CommitConfig) bool {
+func (w *configWorld) accept(c command.CommitConfig) bool {
 	if c.ExpectedVersion != w.version {
 		return false
 	}
--- a/system/configuration_test.go
+++ b/system/configuration_test.go
@@ -16,18 +16,18 @@
 // several processes; the golden files show who serves which version when.
 func TestConfigurationSessions(t *testing.T) {
 	const settle = 20 * time.Second // prepares of an earlier start have lapsed
-	sessions := map[string]func(*world){
-		"change": func(w *world) { w.change(w.nodes[0], "anna", 1) },
+	sessions := map[string]func(*configWorld){
+		"change": func(w *configWorld) { w.change(w.nodes[0], "anna", 1) },
 		// Service must go on when nobody reads the store.
-		"outage_for_all": func(w *world) { w.down = true; w.run(2 * time.Minute); w.down = false },
+		"outage_for_all": func(w *configWorld) { w.down = true; w.run(2 * time.Minute); w.down = false },
 		// A host cut from store and peers must stop.
-		"cut_one":      func(w *world) { cut(w, 1); w.change(w.nodes[2], "anna", 1) },
-		"cut_minority": func(w *world) { cut(w, 2); w.change(w.nodes[4], "anna", 1) },
+		"cut_one":      func(w *configWorld) { cut(w, 1); w.change(w.nodes[2], "anna", 1) },
+		"cut_minority": func(w *configWorld) { cut(w, 2); w.change(w.nodes[4], "anna", 1) },
 		// A majority without the store must not miss a change of the others.
-		"cut_majority": func(w *world) { cut(w, 3); w.change(w.nodes[4], "anna", 1) },
+		"cut_majority": func(w *configWorld) { cut(w, 3); w.change(w.nodes[4], "anna", 1) },
 		// A change prepared by a host just before it is cut off; without the
 		// pending version the cut majority would go on with the old one.
-		"contact_just_before_cut": func(w *world) {
+		"contact_just_before_cut": func(w *configWorld) {
 			outageEndsFor(w, 3)
 			w.change(w.nodes[4], "anna", 1)
 			w.run(3 * worldTick)
@@ -35,7 +35,7 @@
 		},
 		// Only one host of the cut majority prepared the change; the others
 		// must stop because of what it reports.
-		"one_prepared_before_cut": func(w *world) {
+		"one_prepared_before_cut": func(w *configWorld) {
 			outageEndsFor(w, 3)
 			w.nodes[1].frozen, w.nodes[2].frozen = true, true
 			w.change(w.nodes[4], "anna", 1)
@@ -45,7 +45,7 @@
 		},
 		// Hosts that restart between prepare and commit have forgotten the
 		// pending version and must not form a majority.
-		"restart_between_prepare_and_commit": func(w *world) {
+		"restart_between_prepare_and_commit": func(w *configWorld) {
 			w.change(w.nodes[4], "anna", 1)
 			w.run(2 * worldTick)
 			w.nodes[4].frozen = true
@@ -59,13 +59,13 @@
 			w.nodes[0].frozen, w.nodes[1].frozen = false, false
 			w.run(worldTick)
 		},
-		"late_old_row": func(w *world) {
+		"late_old_row": func(w *configWorld) {
 			w.change(w.nodes[0], "anna", 1)
 			w.run(time.Second)
 			w.send(w.nodes[1], 0, event.ConfigRead{Version: 1, Body: body(1)})
 			w.send(w.nodes[1], 0, event.ConfigAnnounced{Version: 1, Body: body(1)})
 		},
-		"start_during_outage": func(w *world) {
+		"start_during_outage": func(w *configWorld) {
 			w.down = true
 			w.run(time.Second)
 			w.nodes[4].frozen = true
@@ -73,28 +73,28 @@
 			w.run(time.Minute)
 			w.down = false
 		},
-		"frozen_for_a_minute": func(w *world) {
+		"frozen_for_a_minute": func(w *configWorld) {
 			w.nodes[0].frozen = true
 			w.change(w.nodes[1], "anna", 1)
 			w.run(time.Minute)
 			w.nodes[0].frozen = false
 		},
-		"racing_operators": func(w *world) {
+		"racing_operators": func(w *configWorld) {
 			for i := range 20 {
 				w.change(w.nodes[i%5], fmt.Sprintf("operator-%02d", i), 1)
 			}
 		},
-		"commit_outcome_unknown": func(w *world) { w.nodes[0].dropNext = true; w.change(w.nodes[0], "anna", 1) },
+		"commit_outcome_unknown": func(w *configWorld) { w.nodes[0].dropNext = true; w.change(w.nodes[0], "anna", 1) },
 		// A commit takes effect after its sender gave it up; the hosts that
 		// prepared it are cut off before and must have kept it pending.
-		"commit_arrives_late": func(w *world) {
+		"commit_arrives_late": func(w *configWorld) {
 			w.slow = true
 			w.change(w.nodes[4], "anna", 1)
 			w.run(5 * time.Second)
 			cut(w, 3)
 		},
 		// A change that cannot be prepared must not commit.
-		"no_majority": func(w *world) {
+		"no_majority": func(w *configWorld) {
 			for i, n := range w.nodes {
 				n.side = i
 			}
@@ -103,7 +103,7 @@
 	}
 	for name, session := range sessions {
 		t.Run(name, func(t *testing.T) {
-			w := newWorld(5)
+			w := newConfigWorld(5)
 			w.run(settle)
 			w.printf("session %s begins", name)
 			session(w)
@@ -115,7 +115,7 @@
 }
 
 // cut separates the first n hosts from the store and from the other hosts.
-func cut(w *world, n int) {
+func cut(w *configWorld, n int) {
 	for _, h := range w.nodes[:n] {
 		h.cutStore, h.side = true, 1
 	}
@@ -123,7 +123,7 @@
 
 // outageEndsFor runs an outage of the store that ends for all but the first n
 // hosts.
-func outageEndsFor(w *world, n int) {
+func outageEndsFor(w *configWorld, n int) {
 	w.down = true
 	w.run(20 * time.Second)
 	for _, h := range w.nodes[:n] {
@@ -135,7 +135,7 @@
 // TestNoContactInNormalOperation guards against contacts that cost traffic at
 // every host while the store answers.
 func TestNoContactInNormalOperation(t *testing.T) {
-	w := newWorld(5)
+	w := newConfigWorld(5)
 	w.run(5 * time.Minute)
 	require.Zero(t, w.messages)
 }
@@ -144,7 +144,7 @@
 // outages, pauses, restarts, lost answers and racing changes.
 func TestNoOutdatedVersionBeyondBound(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		w := newWorld(rapid.IntRange(3, 5).Draw(rt, "hosts"))
+		w := newConfigWorld(rapid.IntRange(3, 5).Draw(rt, "hosts"))
 		w.run(20 * time.Second)
 		for step := range rapid.IntRange(1, 20).Draw(rt, "steps") {
 			fault(rt, w, step)
@@ -158,7 +158,7 @@
 	})
 }
 
-func fault(rt *rapid.T, w *world, step int) {
+func fault(rt *rapid.T, w *configWorld, step int) {
 	n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(rt, "host")]
 	switch rapid.IntRange(0, 8).Draw(rt, "fault") {
 	case 0:
@@ -181,7 +181,7 @@
 }
 
 // restart replaces a process by a new one on the same host.
-func restart(w *world, old *node) {
+func restart(w *configWorld, old *node) {
 	for i, n := range w.nodes {
 		if n == old {
 			fresh := w.start(old.name)
@@ -195,7 +195,7 @@
 // TestLateRowDoesNotConfirm guards against reads of an outdated row that keep a
 // process in service.
 func TestLateRowDoesNotConfirm(t *testing.T) {
-	w := newWorld(1)
+	w := newConfigWorld(1)
 	w.run(time.Second)
 	w.version = 2
 	w.run(3 * time.Second)
--- a/system/configuration_world_test.go
+++ b/system/configuration_world_test.go
@@ -50,8 +50,8 @@
 	dropNext bool // the store's next answer to a commit is lost
 }
 
-// world exchanges messages between nodes and a store on one simulated clock.
-type world struct {
+// configWorld exchanges messages between nodes and a store on one simulated clock.
+type configWorld struct {
 	now      time.Duration
 	nodes    []*node
 	down     bool
@@ -68,8 +68,8 @@
 	lateAt   []time.Duration // when each arrives
 }
 
-func newWorld(n int) *world {
-	w := &world{version: 1, accepted: map[uint64]time.Duration{}, rows: map[string]event.HostRow{}, replies: map[string]func(command.Command){}}
+func newConfigWorld(n int) *configWorld {
+	w := &configWorld{version: 1, accepted: map[uint64]time.Duration{}, rows: map[string]event.HostRow{}, replies: map[string]func(command.Command){}}
 	for i := range n {
 		w.start(fmt.Sprintf("e%d", i+1))
 		w.run(startPause)
@@ -77,7 +77,7 @@
 	return w
 }
 
-func (w *world) start(name string) *node {
+func (w *configWorld) start(name string) *node {
 	n := &node{name: name, started: w.now}
 	n.tables = table.New(table.Self{ID: fmt.Sprintf("%s-%d", name, w.now), Host: name, Role: table.RoleEntry, Address: name})
 	n.systems = []system.System{system.Hosts(15 * time.Second), system.Configuration(worldTiming)}
@@ -85,12 +85,12 @@
 	return n
 }
 
-func (w *world) printf(format string, args ...any) {
+func (w *configWorld) printf(format string, args ...any) {
 	fmt.Fprintf(&w.log, "%8.2f "+format+"\n", append([]any{w.now.Seconds()}, args...)...)
 }
 
 // run ticks every node until d has passed.
-func (w *world) run(d time.Duration) {
+func (w *configWorld) run(d time.Duration) {
 	for end := w.now + d; w.now < end; w.now += worldTick {
 		for len(w.late) > 0 && w.lateAt[0] <= w.now {
 			w.late[0]()
@@ -104,7 +104,7 @@
 	}
 }
 
-func (w *world) tick(n *node) {
+func (w *configWorld) tick(n *node) {
 	sort.SliceStable(n.inbox, func(i, j int) bool { return n.inbox[i].at < n.inbox[j].at })
 	var in []event.Event
 	for len(n.inbox) > 0 && n.inbox[0].at <= w.now {
@@ -128,13 +128,13 @@
 	}
 }
 
-func (w *world) send(n *node, after time.Duration, e event.Event) {
+func (w *configWorld) send(n *node, after time.Duration, e event.Event) {
 	n.inbox = append(n.inbox, delivery{at: w.now + after, e: e})
 }
 
 var unreachable = &event.Failure{Verdict: verdict.NotRun, Reason: verdict.ReasonStoreUnavailable, Message: "not reachable"}
 
-func (w *world) execute(n *node, c command.Command) {
+func (w *configWorld) execute(n *node, c command.Command) {
 	storeDown := w.down || n.cutStore
 	switch c := c.(type) {
 	case command.ReadConfig:
@@ -177,7 +177,7 @@
 	}
 }
 
-func (w *world) answer(n *node, c command.AnswerConfigChange) {
+func (w *configWorld) answer(n *node, c command.AnswerConfigChange) {
 	switch {
 	case c.Failure != nil:
 		w.printf("%s answers %s: %s %s", n.name, c.RequestID, c.Failure.Verdict, c.Failure.Reason)
@@ -188,7 +188,7 @@
 	}
 }
 
-func (w *world) find(name string) *node {
+func (w *configWorld) find(name string) *node {
 	for i := len(w.nodes) - 1; i >= 0; i-- {
 		if w.nodes[i].name == name {
 			return w.nodes[i]
@@ -199,7 +199,7 @@
 
 // call sends a request to the node at an address and its answer, or failure
 // after a timeout, back to n.
-func (w *world) call(n *node, address string, request func(string) event.Event, result func(command.Command) event.Event, failure event.Event) {
+func (w *configWorld) call(n *node, address string, request func(string) event.Event, result func(command.Command) event.Event, failure event.Event) {
 	to := w.find(address)
 	if to == nil || to.side != n.side || to.frozen {
 		w.send(n, worldTimeout, failure)
@@ -217,18 +217,18 @@
 	w.send(to, worldLatency, request(id))
 }
 
-func (w *world) reply(id string, c command.Command) {
+func (w *configWorld) reply(id string, c command.Command) {
 	w.replies[id](c)
 	delete(w.replies, id)
 }
 
 // change sends an operator's change to a node.
-func (w *world) change(n *node, id string, expected uint64) {
+func (w *configWorld) change(n *node, id string, expected uint64) {
 	w.send(n, 0, event.ConfigChangeRequested{RequestID: id, ExpectedVersion: expected, Author: id, Body: body(expected + 1)})
 }
 
 // violation describes a process that serves an outdated version too long.
-func (w *world) violation() string {
+func (w *configWorld) violation() string {
 	for _, n := range w.nodes {
 		c := &n.tables.Config
 		if n.frozen || !c.Confirmed || w.now-n.started >= c.ConfirmedAt+worldTiming.Confirm {
--- a/system/hosts_test.go
+++ b/system/hosts_test.go
@@ -12,7 +12,7 @@
 // TestHostsStayKnownDuringOutage guards against hosts that leave the known set
 // because nobody could renew or read a row for a long time.
 func TestHostsStayKnownDuringOutage(t *testing.T) {
-	w := newWorld(5)
+	w := newConfigWorld(5)
 	w.run(22 * time.Second) // the newest renewals, at 15 s, have been read
 	w.down = true
 	w.run(10 * time.Minute)
@@ -26,7 +26,7 @@
 
 // TestSilentHostLeaves guards against a dead host that counts for ever.
 func TestSilentHostLeaves(t *testing.T) {
-	w := newWorld(5)
+	w := newConfigWorld(5)
 	w.run(20 * time.Second)
 	w.nodes[4].frozen = true
 	w.run(50 * time.Second)
@@ -38,7 +38,7 @@
 // TestDrainDeletesOwnRow guards against a drained host that stays known, also
 // when the store is down at the end of the drain.
 func TestDrainDeletesOwnRow(t *testing.T) {
-	w := newWorld(3)
+	w := newConfigWorld(3)
 	w.run(20 * time.Second)
 	w.nodes[2].tables.Self.Draining = true
 	w.run(time.Second)
