system: name the simulation's types after the configuration

Cause: node, delivery and body are names that other tests of the package use.

Change: renames in test files only.

--- a/system/configuration_test.go
+++ b/system/configuration_test.go
@@ -21,17 +21,17 @@
 		// Service must go on when nobody reads the store.
 		"outage_for_all": func(w *configWorld) { w.down = true; w.run(2 * time.Minute); w.down = false },
 		// A host cut from store and peers must stop.
-		"cut_one":      func(w *configWorld) { cut(w, 1); w.change(w.nodes[2], "anna", 1) },
-		"cut_minority": func(w *configWorld) { cut(w, 2); w.change(w.nodes[4], "anna", 1) },
+		"cut_one":      func(w *configWorld) { cutHosts(w, 1); w.change(w.nodes[2], "anna", 1) },
+		"cut_minority": func(w *configWorld) { cutHosts(w, 2); w.change(w.nodes[4], "anna", 1) },
 		// A majority without the store must not miss a change of the others.
-		"cut_majority": func(w *configWorld) { cut(w, 3); w.change(w.nodes[4], "anna", 1) },
+		"cut_majority": func(w *configWorld) { cutHosts(w, 3); w.change(w.nodes[4], "anna", 1) },
 		// A change prepared by a host just before it is cut off; without the
 		// pending version the cut majority would go on with the old one.
 		"contact_just_before_cut": func(w *configWorld) {
 			outageEndsFor(w, 3)
 			w.change(w.nodes[4], "anna", 1)
 			w.run(3 * worldTick)
-			cut(w, 3)
+			cutHosts(w, 3)
 		},
 		// Only one host of the cut majority prepared the change; the others
 		// must stop because of what it reports.
@@ -41,7 +41,7 @@
 			w.change(w.nodes[4], "anna", 1)
 			w.run(3 * worldTick)
 			w.nodes[1].frozen, w.nodes[2].frozen = false, false
-			cut(w, 3)
+			cutHosts(w, 3)
 		},
 		// Hosts that restart between prepare and commit have forgotten the
 		// pending version and must not form a majority.
@@ -50,7 +50,7 @@
 			w.run(2 * worldTick)
 			w.nodes[4].frozen = true
 			for range 3 {
-				restart(w, w.nodes[0])
+				restartNode(w, w.nodes[0])
 			}
 			w.run(time.Second)
 			for _, n := range w.nodes[2:] {
@@ -62,8 +62,8 @@
 		"late_old_row": func(w *configWorld) {
 			w.change(w.nodes[0], "anna", 1)
 			w.run(time.Second)
-			w.send(w.nodes[1], 0, event.ConfigRead{Version: 1, Body: body(1)})
-			w.send(w.nodes[1], 0, event.ConfigAnnounced{Version: 1, Body: body(1)})
+			w.send(w.nodes[1], 0, event.ConfigRead{Version: 1, Body: configBody(1)})
+			w.send(w.nodes[1], 0, event.ConfigAnnounced{Version: 1, Body: configBody(1)})
 		},
 		"start_during_outage": func(w *configWorld) {
 			w.down = true
@@ -91,7 +91,7 @@
 			w.slow = true
 			w.change(w.nodes[4], "anna", 1)
 			w.run(5 * time.Second)
-			cut(w, 3)
+			cutHosts(w, 3)
 		},
 		// A change that cannot be prepared must not commit.
 		"no_majority": func(w *configWorld) {
@@ -114,8 +114,8 @@
 	}
 }
 
-// cut separates the first n hosts from the store and from the other hosts.
-func cut(w *configWorld, n int) {
+// cutHosts separates the first n hosts from the store and from the other hosts.
+func cutHosts(w *configWorld, n int) {
 	for _, h := range w.nodes[:n] {
 		h.cutStore, h.side = true, 1
 	}
@@ -147,7 +147,7 @@
 		w := newConfigWorld(rapid.IntRange(3, 5).Draw(rt, "hosts"))
 		w.run(20 * time.Second)
 		for step := range rapid.IntRange(1, 20).Draw(rt, "steps") {
-			fault(rt, w, step)
+			injectFault(rt, w, step)
 			for range rapid.IntRange(1, 120).Draw(rt, "ticks") {
 				w.run(worldTick)
 				if v := w.violation(); v != "" {
@@ -158,7 +158,7 @@
 	})
 }
 
-func fault(rt *rapid.T, w *configWorld, step int) {
+func injectFault(rt *rapid.T, w *configWorld, step int) {
 	n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(rt, "host")]
 	switch rapid.IntRange(0, 8).Draw(rt, "fault") {
 	case 0:
@@ -172,7 +172,7 @@
 	case 4:
 		n.dropNext = true
 	case 5:
-		restart(w, n)
+		restartNode(w, n)
 	case 6:
 		w.slow = !w.slow
 	default:
@@ -180,8 +180,8 @@
 	}
 }
 
-// restart replaces a process by a new one on the same host.
-func restart(w *configWorld, old *node) {
+// restartNode replaces a process by a new one on the same host.
+func restartNode(w *configWorld, old *configNode) {
 	for i, n := range w.nodes {
 		if n == old {
 			fresh := w.start(old.name)
--- a/system/configuration_world_test.go
+++ b/system/configuration_world_test.go
@@ -31,18 +31,18 @@
 
 var worldTiming = system.ConfigTiming{Poll: 2 * time.Second, Confirm: 8 * time.Second, ContactAfter: 3 * time.Second}
 
-type delivery struct {
+type configDelivery struct {
 	at time.Duration
 	e  event.Event
 }
 
-// node is a process; its clock starts when it does.
-type node struct {
+// configNode is a process; its clock starts when it does.
+type configNode struct {
 	name     string
 	started  time.Duration
 	tables   *table.Tables
 	systems  []system.System
-	inbox    []delivery
+	inbox    []configDelivery
 	cutStore bool
 	side     int // nodes on different sides do not reach each other
 	frozen   bool
@@ -53,7 +53,7 @@
 // configWorld exchanges messages between nodes and a store on one simulated clock.
 type configWorld struct {
 	now      time.Duration
-	nodes    []*node
+	nodes    []*configNode
 	down     bool
 	version  uint64
 	author   string
@@ -77,8 +77,8 @@
 	return w
 }
 
-func (w *configWorld) start(name string) *node {
-	n := &node{name: name, started: w.now}
+func (w *configWorld) start(name string) *configNode {
+	n := &configNode{name: name, started: w.now}
 	n.tables = table.New(table.Self{ID: fmt.Sprintf("%s-%d", name, w.now), Host: name, Role: table.RoleEntry, Address: name})
 	n.systems = []system.System{system.Hosts(15 * time.Second), system.Configuration(worldTiming)}
 	w.nodes = append(w.nodes, n)
@@ -104,7 +104,7 @@
 	}
 }
 
-func (w *configWorld) tick(n *node) {
+func (w *configWorld) tick(n *configNode) {
 	sort.SliceStable(n.inbox, func(i, j int) bool { return n.inbox[i].at < n.inbox[j].at })
 	var in []event.Event
 	for len(n.inbox) > 0 && n.inbox[0].at <= w.now {
@@ -128,13 +128,13 @@
 	}
 }
 
-func (w *configWorld) send(n *node, after time.Duration, e event.Event) {
-	n.inbox = append(n.inbox, delivery{at: w.now + after, e: e})
+func (w *configWorld) send(n *configNode, after time.Duration, e event.Event) {
+	n.inbox = append(n.inbox, configDelivery{at: w.now + after, e: e})
 }
 
 var unreachable = &event.Failure{Verdict: verdict.NotRun, Reason: verdict.ReasonStoreUnavailable, Message: "not reachable"}
 
-func (w *configWorld) execute(n *node, c command.Command) {
+func (w *configWorld) execute(n *configNode, c command.Command) {
 	storeDown := w.down || n.cutStore
 	switch c := c.(type) {
 	case command.ReadConfig:
@@ -146,7 +146,7 @@
 		if w.slow {
 			delay = slowRead
 		}
-		w.send(n, delay, event.ConfigRead{Version: w.version, Body: body(w.version)})
+		w.send(n, delay, event.ConfigRead{Version: w.version, Body: configBody(w.version)})
 	case command.ReadHostRows:
 		w.readRows(n, storeDown)
 	case command.WriteHostRow:
@@ -177,7 +177,7 @@
 	}
 }
 
-func (w *configWorld) answer(n *node, c command.AnswerConfigChange) {
+func (w *configWorld) answer(n *configNode, c command.AnswerConfigChange) {
 	switch {
 	case c.Failure != nil:
 		w.printf("%s answers %s: %s %s", n.name, c.RequestID, c.Failure.Verdict, c.Failure.Reason)
@@ -188,7 +188,7 @@
 	}
 }
 
-func (w *configWorld) find(name string) *node {
+func (w *configWorld) find(name string) *configNode {
 	for i := len(w.nodes) - 1; i >= 0; i-- {
 		if w.nodes[i].name == name {
 			return w.nodes[i]
@@ -199,7 +199,7 @@
 
 // call sends a request to the node at an address and its answer, or failure
 // after a timeout, back to n.
-func (w *configWorld) call(n *node, address string, request func(string) event.Event, result func(command.Command) event.Event, failure event.Event) {
+func (w *configWorld) call(n *configNode, address string, request func(string) event.Event, result func(command.Command) event.Event, failure event.Event) {
 	to := w.find(address)
 	if to == nil || to.side != n.side || to.frozen {
 		w.send(n, worldTimeout, failure)
@@ -223,8 +223,8 @@
 }
 
 // change sends an operator's change to a node.
-func (w *configWorld) change(n *node, id string, expected uint64) {
-	w.send(n, 0, event.ConfigChangeRequested{RequestID: id, ExpectedVersion: expected, Author: id, Body: body(expected + 1)})
+func (w *configWorld) change(n *configNode, id string, expected uint64) {
+	w.send(n, 0, event.ConfigChangeRequested{RequestID: id, ExpectedVersion: expected, Author: id, Body: configBody(expected + 1)})
 }
 
 // violation describes a process that serves an outdated version too long.
@@ -243,7 +243,7 @@
 	return ""
 }
 
-// body marks a configuration with its version.
-func body(version uint64) plan.Config {
+// configBody marks a configuration with its version.
+func configBody(version uint64) plan.Config {
 	return plan.Config{Policy: plan.PolicyConfig{AheadGroups: int(version)}}
 }
