api, peer: do not import packages that reach the tables

Cause: api and peer imported control, through which table rows can be named, although edges must not reach them.

Change: both take functions that ask the control loop; the executors move to handler/peer_config.go. control.Waiters.Ask gives such a function.

Measured: go test -race ./api ./peer passes, and so does a check of the import graph of api, peer, platform and traffic, which failed before with 'package api reaches package table'.

--- a/api/operators.go
+++ b/api/operators.go
@@ -9,7 +9,7 @@
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/lavenderstand/lavenderstand/control"
+	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/status"
@@ -27,8 +27,10 @@
 // status snapshot; changes go through the control loop or, for weights, through
 // the table service.
 type Operators struct {
-	Inbox   *control.Inbox
-	Waiters *control.Waiters
+	// Ask delivers an event to the control loop and waits for the answer with
+	// the request id; Deliver delivers an event that has no answer.
+	Ask     func(ctx context.Context, id string, e event.Event) (command.Command, error)
+	Deliver func(ctx context.Context, e event.Event) error
 	Status  *status.Cell
 	Tables  platform.Tables
 	NewOp   func() string // returns a new operation id
@@ -78,7 +80,7 @@
 
 // drain begins the planned stop; the process ends once its work has finished.
 func (o *Operators) drain(c echo.Context) error {
-	if err := o.Inbox.Deliver(c.Request().Context(), event.DrainRequested{}); err != nil {
+	if err := o.Deliver(c.Request().Context(), event.DrainRequested{}); err != nil {
 		return writeError(c, verdict.Wrap(err, verdict.NotRun, verdict.ReasonCanceled, "begin the planned stop"))
 	}
 	return c.JSON(http.StatusAccepted, map[string]bool{"draining": true})
--- a/api/operators_config.go
+++ b/api/operators_config.go
@@ -64,7 +64,7 @@
 	ctx, cancel := context.WithTimeout(c.Request().Context(), OperatorCallLimit)
 	defer cancel()
 	id := o.NewOp()
-	reply, err := o.Waiters.Call(ctx, o.Inbox, id, event.ConfigChangeRequested{
+	reply, err := o.Ask(ctx, id, event.ConfigChangeRequested{
 		RequestID: id, ExpectedVersion: *change.ExpectedVersion,
 		Author: author(principal(c), change.Author), Body: change.Config,
 	})
--- a/api/operators_test.go
+++ b/api/operators_test.go
@@ -18,6 +18,7 @@
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/control"
 	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/handler"
 	"github.com/lavenderstand/lavenderstand/plan"
 	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/status"
@@ -81,7 +82,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	inbox, waiters, cell := control.NewInbox(64), control.NewWaiters(), new(status.Cell)
 	pool := control.NewPool(ctx, inbox, func(command.Command) {})
-	api.RegisterOperatorHandlers(pool, waiters, cell)
+	handler.RegisterOperators(pool, waiters, cell)
 	var current event.ConfigRead // one handler at a time
 	var author string
 	control.Handle(pool, 1, func(context.Context, command.ReadHostRows) event.Event {
@@ -114,7 +115,7 @@
 	e := echo.New()
 	api.RegisterOperators(e.Group("/v1", func(next echo.HandlerFunc) echo.HandlerFunc {
 		return func(c echo.Context) error { c.Set("principal", "anna"); return next(c) }
-	}), &api.Operators{Inbox: inbox, Waiters: waiters, Status: cell, Tables: tables, NewOp: func() string {
+	}), &api.Operators{Ask: waiters.Ask(inbox), Deliver: inbox.Deliver, Status: cell, Tables: tables, NewOp: func() string {
 		op.Lock()
 		defer op.Unlock()
 		ops++
--- /dev/null
+++ b/handler/peer_config.go
@@ -0,0 +1,47 @@
+package handler
+
+import (
+	"context"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/control"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/peer"
+	"github.com/lavenderstand/lavenderstand/status"
+)
+
+// configCalls bounds the calls of one kind that run at once. It lets one round
+// reach a few hundred hosts within the timeouts of package peer.
+const configCalls = 64
+
+// RegisterConfig adds the executors of ContactHost, PrepareHost and
+// AnnounceConfig. from is the name of this host.
+func RegisterConfig(pool *control.Pool, dialer *peer.Dialer, from string) {
+	control.Handle(pool, configCalls, func(ctx context.Context, c command.ContactHost) event.Event {
+		contact, err := peer.ContactHost(ctx, dialer, c, from)
+		return event.ContactMade{HostID: c.HostID, Contact: contact, Failure: event.FailureOf(err)}
+	})
+	control.Handle(pool, configCalls, func(ctx context.Context, c command.PrepareHost) event.Event {
+		err := peer.PrepareHost(ctx, dialer, c)
+		return event.PrepareAnswered{RequestID: c.RequestID, HostID: c.HostID, Failure: event.FailureOf(err)}
+	})
+	control.Handle(pool, configCalls, func(ctx context.Context, c command.AnnounceConfig) event.Event {
+		// A peer that misses the announcement polls the row.
+		_ = peer.AnnounceConfig(ctx, dialer, c)
+		return nil
+	})
+}
+
+// RegisterConfigAnswers adds the executors that answer calls of
+// peer.ConfigServer.
+func RegisterConfigAnswers(pool *control.Pool, waiters *control.Waiters) {
+	control.HandleNow(pool, func(c command.AnswerContact) { waiters.Answer(c.RequestID, c) })
+	control.HandleNow(pool, func(c command.AnswerPrepare) { waiters.Answer(c.RequestID, c) })
+}
+
+// RegisterOperators adds the executors that serve api.Operators: answers to
+// changes of the configuration, and status snapshots.
+func RegisterOperators(pool *control.Pool, waiters *control.Waiters, cell *status.Cell) {
+	control.HandleNow(pool, func(c command.AnswerConfigChange) { waiters.Answer(c.RequestID, c) })
+	control.HandleNow(pool, func(c command.PublishStatus) { cell.Publish(c.Snapshot) })
+}
--- a/peer/config.go
+++ b/peer/config.go
@@ -8,7 +8,6 @@
 	"google.golang.org/grpc"
 
 	"github.com/lavenderstand/lavenderstand/command"
-	"github.com/lavenderstand/lavenderstand/control"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/peer/peerpb"
 	"github.com/lavenderstand/lavenderstand/plan"
@@ -19,36 +18,11 @@
 	contactTimeout  = time.Second
 	prepareTimeout  = 1500 * time.Millisecond // below the wait for a majority
 	announceTimeout = 2 * time.Second
-	// configCalls bounds the calls of one kind that run at once. It lets one
-	// round reach a few hundred hosts within the timeouts above.
-	configCalls = 64
 )
 
-// RegisterConfig adds the executors of ContactHost, PrepareHost and
-// AnnounceConfig. from is the name of this host.
-func RegisterConfig(pool *control.Pool, dialer *Dialer, from string) {
-	control.Handle(pool, configCalls, func(ctx context.Context, c command.ContactHost) event.Event {
-		contact, err := contactHost(ctx, dialer, c, from)
-		return event.ContactMade{HostID: c.HostID, Contact: contact, Failure: event.FailureOf(err)}
-	})
-	control.Handle(pool, configCalls, func(ctx context.Context, c command.PrepareHost) event.Event {
-		err := prepareHost(ctx, dialer, c)
-		return event.PrepareAnswered{RequestID: c.RequestID, HostID: c.HostID, Failure: event.FailureOf(err)}
-	})
-	control.Handle(pool, configCalls, func(ctx context.Context, c command.AnnounceConfig) event.Event {
-		// A peer that misses the announcement polls the row.
-		_ = announceConfig(ctx, dialer, c)
-		return nil
-	})
-}
-
-// RegisterConfigAnswers adds the executors that answer calls of ConfigServer.
-func RegisterConfigAnswers(pool *control.Pool, waiters *control.Waiters) {
-	control.HandleNow(pool, func(c command.AnswerContact) { waiters.Answer(c.RequestID, c) })
-	control.HandleNow(pool, func(c command.AnswerPrepare) { waiters.Answer(c.RequestID, c) })
-}
-
-func contactHost(ctx context.Context, dialer *Dialer, c command.ContactHost, from string) (event.Contact, error) {
+// ContactHost asks a peer for its view of the configuration. from is the name of
+// the own host.
+func ContactHost(ctx context.Context, dialer *Dialer, c command.ContactHost, from string) (event.Contact, error) {
 	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
 	defer cancel()
 	conn, err := dial(dialer, c.Address)
@@ -72,7 +46,8 @@
 	return contact, nil
 }
 
-func prepareHost(ctx context.Context, dialer *Dialer, c command.PrepareHost) error {
+// PrepareHost asks a peer to note a pending configuration version.
+func PrepareHost(ctx context.Context, dialer *Dialer, c command.PrepareHost) error {
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
 	defer cancel()
 	conn, err := dial(dialer, c.Address)
@@ -83,7 +58,8 @@
 	return ErrorOf(err)
 }
 
-func announceConfig(ctx context.Context, dialer *Dialer, c command.AnnounceConfig) error {
+// AnnounceConfig sends an accepted configuration to a peer.
+func AnnounceConfig(ctx context.Context, dialer *Dialer, c command.AnnounceConfig) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	conn, err := dial(dialer, c.Address)
--- a/peer/config_server.go
+++ b/peer/config_server.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 
 	"github.com/lavenderstand/lavenderstand/command"
-	"github.com/lavenderstand/lavenderstand/control"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/peer/peerpb"
 	"github.com/lavenderstand/lavenderstand/plan"
@@ -17,8 +16,10 @@
 // ConfigServer is the half of the Entry service that concerns the
 // configuration. It passes each call to the control loop.
 type ConfigServer struct {
-	Inbox   *control.Inbox
-	Waiters *control.Waiters
+	// Ask delivers an event and waits for the answer with the request id.
+	Ask func(ctx context.Context, id string, e event.Event) (command.Command, error)
+	// Deliver delivers an event that has no answer.
+	Deliver func(ctx context.Context, e event.Event) error
 
 	calls atomic.Uint64
 }
@@ -64,7 +65,7 @@
 	if err := json.Unmarshal(r.GetConfig(), &body); err != nil {
 		return nil, StatusOf(verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, "decode configuration"))
 	}
-	if err := s.Inbox.Deliver(ctx, event.ConfigAnnounced{Version: r.GetVersion(), Body: body}); err != nil {
+	if err := s.Deliver(ctx, event.ConfigAnnounced{Version: r.GetVersion(), Body: body}); err != nil {
 		return nil, StatusOf(verdict.Wrap(err, verdict.NotRun, verdict.ReasonCanceled, "deliver announcement"))
 	}
 	return &peerpb.AnnounceResponse{}, nil
@@ -77,7 +78,7 @@
 // askControl passes an event to the control loop and waits for its answer.
 func askControl[A command.Command](ctx context.Context, s *ConfigServer, id string, e event.Event) (A, error) {
 	var none A
-	c, err := s.Waiters.Call(ctx, s.Inbox, id, e)
+	c, err := s.Ask(ctx, id, e)
 	if err != nil {
 		return none, verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonDeadline, "wait for the control loop")
 	}
--- a/peer/config_test.go
+++ b/peer/config_test.go
@@ -12,6 +12,7 @@
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/control"
 	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/handler"
 	"github.com/lavenderstand/lavenderstand/peer"
 	"github.com/lavenderstand/lavenderstand/peer/peerpb"
 	"github.com/lavenderstand/lavenderstand/plan"
@@ -26,7 +27,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	inbox, waiters := control.NewInbox(16), control.NewWaiters()
 	pool := control.NewPool(ctx, inbox, func(command.Command) {})
-	peer.RegisterConfigAnswers(pool, waiters)
+	handler.RegisterConfigAnswers(pool, waiters)
 	start := time.Now()
 	loop := control.NewLoop(control.Options{
 		Tables: table.New(table.Self{}), Inbox: inbox, Executor: pool,
@@ -41,7 +42,7 @@
 		}
 		return nil
 	})))
-	peerpb.RegisterEntryServer(server, &peer.EntryServer{Config: &peer.ConfigServer{Inbox: inbox, Waiters: waiters}})
+	peerpb.RegisterEntryServer(server, &peer.EntryServer{Config: &peer.ConfigServer{Ask: waiters.Ask(inbox), Deliver: inbox.Deliver}})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	go func() { _ = server.Serve(listener) }()
@@ -58,7 +59,7 @@
 	pool := control.NewPool(ctx, inbox, func(command.Command) {})
 	dialer := peer.NewDialer(token)
 	defer dialer.Close()
-	peer.RegisterConfig(pool, dialer, "e1")
+	handler.RegisterConfig(pool, dialer, "e1")
 	for _, c := range commands {
 		pool.Execute(c)
 	}
