--- a/system/configuration_cluster_test.go
+++ b/system/configuration_cluster_test.go
@@ -31,18 +31,18 @@
 
 var worldTiming = system.ConfigTiming{Poll: 2 * time.Second, Confirm: 8 * time.Second, ContactAfter: 3 * time.Second}
 
-type delivery struct {
+type configDelivery struct {
 	at time.Duration
 	e  event.Event
 }
 
-// member is a process; its clock starts when it does.
-type member struct {
+// configNode is a process; its clock starts when it does.
+type configNode struct {
 	name     string
 	started  time.Duration
 	tables   *table.Tables
 	systems  []system.System
-	inbox    []delivery
+	inbox    []configDelivery
 	cutStore bool
 	side     int // nodes on different sides do not reach each other
 	frozen   bool
@@ -50,10 +50,10 @@
 	dropNext bool // the store's next answer to a commit is lost
 }
 
-// cluster exchanges messages between nodes and a store on one simulated clock.
-type cluster struct {
+// configWorld exchanges messages between nodes and a store on one simulated clock.
+type configWorld struct {
 	now      time.Duration
-	nodes    []*member
+	nodes    []*configNode
 	down     bool
 	version  uint64
 	author   string
@@ -68,8 +68,8 @@
 	lateAt   []time.Duration // when each arrives
 }
 
-func newCluster(n int) *cluster {
-	w := &cluster{version: 1, accepted: map[uint64]time.Duration{}, rows: map[string]event.HostRow{}, replies: map[string]func(command.Command){}}
+func newConfigWorld(n int) *configWorld {
+	w := &configWorld{version: 1, accepted: map[uint64]time.Duration{}, rows: map[string]event.HostRow{}, replies: map[string]func(command.Command){}}
 	for i := range n {
 		w.start(fmt.Sprintf("e%d", i+1))
 		w.run(startPause)
@@ -77,20 +77,20 @@
 	return w
 }
 
-func (w *cluster) start(name string) *member {
-	n := &member{name: name, started: w.now}
+func (w *configWorld) start(name string) *configNode {
+	n := &configNode{name: name, started: w.now}
 	n.tables = table.New(table.Self{ID: fmt.Sprintf("%s-%d", name, w.now), Host: name, Role: table.RoleEntry, Address: name})
 	n.systems = []system.System{system.Hosts(15 * time.Second), system.Configuration(worldTiming)}
 	w.nodes = append(w.nodes, n)
 	return n
 }
 
-func (w *cluster) printf(format string, args ...any) {
+func (w *configWorld) printf(format string, args ...any) {
 	fmt.Fprintf(&w.log, "%8.2f "+format+"\n", append([]any{w.now.Seconds()}, args...)...)
 }
 
 // run ticks every member until d has passed.
-func (w *cluster) run(d time.Duration) {
+func (w *configWorld) run(d time.Duration) {
 	for end := w.now + d; w.now < end; w.now += worldTick {
 		for len(w.late) > 0 && w.lateAt[0] <= w.now {
 			w.late[0]()
@@ -104,7 +104,7 @@
 	}
 }
 
-func (w *cluster) tick(n *member) {
+func (w *configWorld) tick(n *configNode) {
 	sort.SliceStable(n.inbox, func(i, j int) bool { return n.inbox[i].at < n.inbox[j].at })
 	var in []event.Event
 	for len(n.inbox) > 0 && n.inbox[0].at <= w.now {
@@ -128,13 +128,13 @@
 	}
 }
 
-func (w *cluster) send(n *member, after time.Duration, e event.Event) {
-	n.inbox = append(n.inbox, delivery{at: w.now + after, e: e})
+func (w *configWorld) send(n *configNode, after time.Duration, e event.Event) {
+	n.inbox = append(n.inbox, configDelivery{at: w.now + after, e: e})
 }
 
 var unreachable = &event.Failure{Verdict: verdict.NotRun, Reason: verdict.ReasonStoreUnavailable, Message: "not reachable"}
 
-func (w *cluster) execute(n *member, c command.Command) {
+func (w *configWorld) execute(n *configNode, c command.Command) {
 	storeDown := w.down || n.cutStore
 	switch c := c.(type) {
 	case command.ReadConfig:
@@ -146,7 +146,7 @@
 		if w.slow {
 			delay = slowRead
 		}
-		w.send(n, delay, event.ConfigRead{Version: w.version, Body: body(w.version)})
+		w.send(n, delay, event.ConfigRead{Version: w.version, Body: configBody(w.version)})
 	case command.ReadHostRows:
 		w.readRows(n, storeDown)
 	case command.WriteHostRow:
@@ -177,7 +177,7 @@
 	}
 }
 
-func (w *cluster) answer(n *member, c command.AnswerConfigChange) {
+func (w *configWorld) answer(n *configNode, c command.AnswerConfigChange) {
 	switch {
 	case c.Failure != nil:
 		w.printf("%s answers %s: %s %s", n.name, c.RequestID, c.Failure.Verdict, c.Failure.Reason)
@@ -188,7 +188,7 @@
 	}
 }
 
-func (w *cluster) find(name string) *member {
+func (w *configWorld) find(name string) *configNode {
 	for i := len(w.nodes) - 1; i >= 0; i-- {
 		if w.nodes[i].name == name {
 			return w.nodes[i]
@@ -199,7 +199,7 @@
 
 // call sends a request to the member at an address and its answer, or failure
 // after a timeout, back to n.
-func (w *cluster) call(n *member, address string, request func(string) event.Event, result func(command.Command) event.Event, failure event.Event) {
+func (w *configWorld) call(n *configNode, address string, request func(string) event.Event, result func(command.Command) event.Event, failure event.Event) {
 	to := w.find(address)
 	if to == nil || to.side != n.side || to.frozen {
 		w.send(n, worldTimeout, failure)
@@ -217,18 +217,18 @@
 	w.send(to, worldLatency, request(id))
 }
 
-func (w *cluster) reply(id string, c command.Command) {
+func (w *configWorld) reply(id string, c command.Command) {
 	w.replies[id](c)
 	delete(w.replies, id)
 }
 
 // change sends an operator's change to a member.
-func (w *cluster) change(n *member, id string, expected uint64) {
-	w.send(n, 0, event.ConfigChangeRequested{RequestID: id, ExpectedVersion: expected, Author: id, Body: body(expected + 1)})
+func (w *configWorld) change(n *configNode, id string, expected uint64) {
+	w.send(n, 0, event.ConfigChangeRequested{RequestID: id, ExpectedVersion: expected, Author: id, Body: configBody(expected + 1)})
 }
 
 // violation describes a process that serves an outdated version too long.
-func (w *cluster) violation() string {
+func (w *configWorld) violation() string {
 	for _, n := range w.nodes {
 		c := &n.tables.Config
 		if n.frozen || !c.Confirmed || w.now-n.started >= c.ConfirmedAt+worldTiming.Confirm {
@@ -243,7 +243,7 @@
 	return ""
 }
 
-// body marks a configuration with its version.
-func body(version uint64) plan.Config {
+// configBody marks a configuration with its version.
+func configBody(version uint64) plan.Config {
 	return plan.Config{Policy: plan.PolicyConfig{AheadGroups: int(version)}}
 }
--- a/table/routing.go
+++ b/table/routing.go
@@ -37,6 +37,7 @@
 	Zone    string
 	Role    Role
 	Address string // gRPC address
+	HostProgress
 
 	RowVersion  uint64
 	RowSeen     time.Duration // when RowVersion last changed on our clock
@@ -45,14 +46,6 @@
 	ConfigVersion  uint64
 	StoreReachable bool
 	ContactPending bool
-	ContactSentAt  time.Duration
-	NextContact    time.Duration
-	PendingVersion uint64 // prepared by the peer, outcome unknown
-	CountsVote     bool   // the peer counts towards a majority
-
-	// Unrenewed is the time without a renewal between reads of the host rows.
-	// Time in which the rows could not be read does not count.
-	Unrenewed time.Duration
 
 	Samples  int           // samples that this controller runs on the entry host
 	LapsedAt time.Duration // when a lease of this controller lapsed on our clock, zero if none
