Wait for answers of reads without ticking at the shortest period

While a read of lease or weight rows was outstanding, its next time lay in the past and the loop ticked every 5 ms. The systems now wait for the answer.

--- a/system/faults_test.go
+++ b/system/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -117,7 +118,15 @@
 		m.turn(w.nodes[rapid.IntRange(0, 2).Draw(t, "node")])
 	}
 	faulty = false
-	w.nodes[0].paused, w.nodes[1].paused, w.nodes[2].paused = false, false, false
+	for _, n := range w.nodes {
+		n.paused = false
+	}
+	w.run(3 * time.Second)
+	for _, n := range slices.Clone(w.nodes) {
+		if n.t.Self.Draining {
+			n.restart()
+		}
+	}
 	for i := 0; len(m.delivered) < testGroups; i++ {
 		require.Less(t, i, 600, "delivered only %v\n%s", m.delivered, tail(w))
 		if n := w.holder(); n != nil {
@@ -151,10 +160,11 @@
 	case 5:
 		m.giveUp(n)
 	case 6:
-		if !w.others(n) {
-			return
+		if w.others(n) {
+			n.restart()
 		}
-		n.restart()
+	case 7:
+		n.inbox = append(n.inbox, event.DrainRequested{})
 	}
 }
 
--- a/system/leases.go
+++ b/system/leases.go
@@ -74,11 +74,15 @@
 
 func scheduleLeaseRead(now time.Duration, t *table.Tables, out *command.Outbox) {
 	b := &t.Background
-	if !b.LeasesPending && now >= b.LeasesNext {
-		b.LeasesPending, b.LeasesNext = true, now+leaseReadPeriod
-		out.Add(command.ReadLeases{})
+	if b.LeasesPending {
+		return // its answer wakes the loop
 	}
-	out.WakeAt(b.LeasesNext)
+	if now < b.LeasesNext {
+		out.WakeAt(b.LeasesNext)
+		return
+	}
+	b.LeasesPending, b.LeasesNext = true, now+leaseReadPeriod
+	out.Add(command.ReadLeases{})
 }
 
 // applyLeases takes over rows that are newer than what is known. A read that was
--- a/system/leases_test.go
+++ b/system/leases_test.go
@@ -118,3 +118,15 @@
 	p := w.holder().t.Partitions.Find(table.PartitionKey(0))
 	require.GreaterOrEqual(t, p.OrdersFrom, old+o.Order)
 }
+
+// TestNoTicksWithoutWork guards against a loop that ticks at its shortest period
+// while reads of the table service hang.
+func TestNoTicksWithoutWork(t *testing.T) {
+	w := newWorld(1)
+	w.run(5 * time.Second)
+	w.fate = func(*node, command.Command) fate { return fate{delay: time.Minute} }
+	w.run(2 * time.Second)
+	before := w.nodes[0].ticks
+	w.run(20 * time.Second)
+	require.LessOrEqual(t, w.nodes[0].ticks-before, 220)
+}
--- a/system/weights.go
+++ b/system/weights.go
@@ -60,11 +60,15 @@
 
 func scheduleWeightsRead(now time.Duration, t *table.Tables, out *command.Outbox) {
 	b := &t.Background
-	if !b.WeightsPending && now >= b.WeightsNext {
-		b.WeightsPending, b.WeightsNext = true, now+weightsReadPeriod
-		out.Add(command.ReadWeights{})
+	if b.WeightsPending {
+		return // its answer wakes the loop
 	}
-	out.WakeAt(b.WeightsNext)
+	if now < b.WeightsNext {
+		out.WakeAt(b.WeightsNext)
+		return
+	}
+	b.WeightsPending, b.WeightsNext = true, now+weightsReadPeriod
+	out.Add(command.ReadWeights{})
 }
 
 // applyWeights takes over wanted versions. A newer one supersedes the rollout in
--- a/system/world_test.go
+++ b/system/world_test.go
@@ -50,6 +50,7 @@
 	wake    time.Duration
 	paused  bool
 	dead    bool
+	ticks   int
 }
 
 type item struct {
@@ -132,6 +133,7 @@
 	if n.paused || n.dead || (len(n.inbox) == 0 && n.w.now < n.wake) {
 		return
 	}
+	n.ticks++
 	var out command.Outbox
 	in := n.inbox
 	n.inbox = nil
