Keep finished samples when a lease lapses during an outage

A holder whose lease lapsed dropped its rows, so samples that were finished but not stored were generated again after an outage of the table service. It now only stops deciding; the rows go when another holder shows up, and after acquiring the partition again the kept results are stored. Lots also report the age of their samples, and the hand-over has a file of its own.

--- a/api/trainers.go
+++ b/api/trainers.go
@@ -150,7 +150,7 @@
 		if fetchErr == nil {
 			lot.CheckedVersion, err = t.Calls.ConfirmLot(ctx, trainer, lot.Step, lot.Attempt)
 			if err == nil {
-				return lotBody(lot, texts), nil
+				return lotBody(lot, texts, time.Now()), nil
 			}
 		} else {
 			err = fetchErr
--- a/api/trainers_body.go
+++ b/api/trainers_body.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -23,7 +24,8 @@
 }
 
 // LotSample is a sample of a delivered lot. Staleness is counted against the
-// lot's checked version.
+// lot's checked version. AgeMS compares the clocks of two hosts and is 0 if
+// theirs disagree by more.
 type LotSample struct {
 	Group     string         `json:"group"`
 	Index     int            `json:"index"`
@@ -31,15 +33,17 @@
 	Ranges    []ledger.Range `json:"ranges"`
 	Score     float64        `json:"score"`
 	Staleness int64          `json:"staleness"`
+	AgeMS     int64          `json:"age_ms"`
 }
 
-func lotBody(lot *ledger.LotRecord, texts []string) *Lot {
+func lotBody(lot *ledger.LotRecord, texts []string, now time.Time) *Lot {
 	body := &Lot{LotID: lot.ID(), Step: lot.Step, Attempt: lot.Attempt, CheckedVersion: lot.CheckedVersion}
 	for i := range lot.Samples {
 		s := &lot.Samples[i]
 		body.Samples = append(body.Samples, LotSample{
 			Group: s.Group, Index: s.Index, Text: texts[i], Ranges: s.Ranges, Score: s.Score,
 			Staleness: ledger.Staleness(s.Ranges, lot.CheckedVersion),
+			AgeMS:     max(0, now.UnixMilli()-s.FinishedUnixMS),
 		})
 	}
 	return body
--- a/api/trainers_test.go
+++ b/api/trainers_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -79,7 +80,7 @@
 func lotOf(attempt int, key string) *ledger.LotRecord {
 	return &ledger.LotRecord{Trainer: "t1", Step: 2, Attempt: attempt, Samples: []ledger.LotSample{{
 		Score:        1.5,
-		SampleRecord: ledger.SampleRecord{Group: "g", Index: 3, ObjectKey: key, Ranges: []ledger.Range{{From: 0, To: 4, Version: 6}}},
+		SampleRecord: ledger.SampleRecord{Group: "g", Index: 3, ObjectKey: key, FinishedUnixMS: time.Now().Add(-time.Minute).UnixMilli(), Ranges: []ledger.Range{{From: 0, To: 4, Version: 6}}},
 	}}}
 }
 
@@ -94,7 +95,8 @@
 		"/v1/trainers/t1/pull", `{"step":2,"version":7,"groups":1,"wait_ms":5000}`)
 	require.Equal(t, http.StatusOK, code, body)
 	require.JSONEq(t, `{"lot_id":"t1/2/3","step":2,"attempt":3,"checked_version":7,"samples":[{"group":"g","index":3,
-		"text":"new","ranges":[{"from":0,"to":4,"version":6}],"score":1.5,"staleness":1}]}`, body)
+		"text":"new","ranges":[{"from":0,"to":4,"version":6}],"score":1.5,"staleness":1,"age_ms":60000}]}`,
+		regexp.MustCompile(`"age_ms":60\d{3}`).ReplaceAllString(body, `"age_ms":60000`))
 	require.Len(t, calls.pulls, 3)
 	require.LessOrEqual(t, calls.pulls[2].Wait, 5*time.Second)
 }
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -50,6 +50,9 @@
 	Ranges    []Range `json:"ranges"`
 	ObjectKey string  `json:"object_key"`
 	Backend   string  `json:"backend"`
+	// FinishedUnixMS is the wall clock of the controller that received the
+	// sample. It serves to report the age and decides nothing.
+	FinishedUnixMS int64 `json:"finished_unix_ms,omitempty"`
 }
 
 // LotSample is a sample within a frozen lot.
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -26,6 +26,7 @@
 	m := &peerpb.Sample{
 		Group: s.Group, Index: int32(s.Index), Attempt: int32(s.Attempt), Tokens: int32(s.Tokens),
 		ObjectKey: s.ObjectKey, Backend: s.Backend, Score: s.Score,
+		FinishedUnixMs: s.FinishedUnixMS,
 	}
 	for _, r := range s.Ranges {
 		m.Ranges = append(m.Ranges, &peerpb.Range{From: int32(r.From), To: int32(r.To), Version: int64(r.Version)})
@@ -37,6 +38,7 @@
 	s := ledger.LotSample{Score: m.GetScore(), SampleRecord: ledger.SampleRecord{
 		Group: m.GetGroup(), Index: int(m.GetIndex()), Attempt: int(m.GetAttempt()), Tokens: int(m.GetTokens()),
 		ObjectKey: m.GetObjectKey(), Backend: m.GetBackend(),
+		FinishedUnixMS: m.GetFinishedUnixMs(),
 	}}
 	for _, r := range m.GetRanges() {
 		s.Ranges = append(s.Ranges, ledger.Range{
--- a/peer/generate.go
+++ b/peer/generate.go
@@ -46,6 +46,7 @@
 	started := time.Now()
 	record, err := generate(ctx, g.Dialer, c)
 	record.Group, record.Index, record.Attempt = c.Spec.ID, c.Index, c.Attempt
+	record.FinishedUnixMS = time.Now().UnixMilli()
 	return event.SampleGenerated{
 		Trainer: c.Trainer, EntryID: c.EntryID, Record: record,
 		Failure: event.FailureOf(err), Took: time.Since(started),
--- a/peer/generate_test.go
+++ b/peer/generate_test.go
@@ -63,6 +63,8 @@
 		return record, nil
 	})
 	require.Nil(t, e.Failure)
+	require.InDelta(t, time.Now().UnixMilli(), e.Record.FinishedUnixMS, 5000)
+	record.FinishedUnixMS = e.Record.FinishedUnixMS
 	require.Equal(t, record, e.Record)
 	require.Equal(t, "e1", e.EntryID)
 	require.Equal(t, ledger.SampleRequest{
--- a/system/calls.go
+++ b/system/calls.go
@@ -52,9 +52,11 @@
 // write that was under way for the call may still take effect.
 func refuseCalls(t *table.Tables, out *command.Outbox) {
 	for id, c := range t.Calls.All() {
-		tr := t.Trainers.Find(c.Trainer)
-		if tr != nil && (c.Writing || !t.Partitions.Find(table.PartitionKey(tr.Partition)).Releasing) {
-			continue
+		if tr := t.Trainers.Find(c.Trainer); tr != nil {
+			p := t.Partitions.Find(table.PartitionKey(tr.Partition))
+			if p.Held && (c.Writing || !p.Releasing) {
+				continue
+			}
 		}
 		f := refuse(verdict.ReasonNotHolder, "the partition of trainer "+c.Trainer+" was handed over")
 		if c.Writing {
--- a/system/commits.go
+++ b/system/commits.go
@@ -63,7 +63,7 @@
 	}
 	switch c.Kind {
 	case table.CommitClaim:
-		tr.Claimed = true
+		tr.Claimed = tr.Loaded && c.Fence == trainerFence(t, tr)
 	case table.CommitSubmit:
 		applySubmitted(now, t, tr, c, versions)
 		answerSubmit(t, tr, c.Call, out)
--- /dev/null
+++ b/system/handover.go
@@ -0,0 +1,88 @@
+package system
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// releaseExcess hands over what this process holds beyond its share, all of it
+// during a planned stop.
+func releaseExcess(now time.Duration, t *table.Tables, o LeaseOptions, out *command.Outbox) {
+	share := leaseShare(t, o.Partitions)
+	if t.Self.Draining {
+		share = 0
+	}
+	held := 0
+	for _, p := range t.Partitions.All() {
+		if !p.Held {
+			continue
+		}
+		if held++; held <= share {
+			p.ExcessFrom = 0
+			continue
+		}
+		if p.ExcessFrom == 0 {
+			p.ExcessFrom = now
+		}
+		p.Releasing = p.Releasing || t.Self.Draining || now >= p.ExcessFrom+excessGrace
+		if p.Releasing && !p.Pending && !writing(t, p) {
+			releaseLease(t, p, o, out)
+		}
+	}
+	if t.Self.Draining {
+		finishDrain(now, t, o, out)
+	}
+}
+
+// finishDrain repeats releases that failed and reports when no lease is left. A
+// lease that could not be released in time has lapsed.
+func finishDrain(now time.Duration, t *table.Tables, o LeaseOptions, out *command.Outbox) {
+	left := 0
+	for _, p := range t.Partitions.All() {
+		if p.Holder != t.Self.ID || now >= p.ValidUntil {
+			continue
+		}
+		left++
+		if !p.Held && !p.Pending && now >= p.RenewAt {
+			sendRelease(t, p, o, out)
+		}
+	}
+	if left == 0 && !t.Background.Released {
+		t.Background.Released = true
+		out.Add(command.DrainFinished{})
+	}
+}
+
+// writing reports whether writes or orders under the lease are under way.
+func writing(t *table.Tables, p *table.Partition) bool {
+	for _, tr := range t.Trainers.All() {
+		if tr.Partition == p.Number && (tr.Pending || tr.RowsPending || (tr.Claimed && len(tr.Done) > 0)) {
+			return true
+		}
+	}
+	for _, w := range t.Weights.All() {
+		for _, s := range w.Samplers {
+			if w.Partition == p.Number && s.OrderPending {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// releaseLease stops all decisions under the lease at once; the write tells the
+// others. If it fails, the lease lapses.
+func releaseLease(t *table.Tables, p *table.Partition, o LeaseOptions, out *command.Outbox) {
+	dropPartition(t, p, "handed_over", out)
+	p.ExcessFrom = 0
+	sendRelease(t, p, o, out)
+}
+
+func sendRelease(t *table.Tables, p *table.Partition, o LeaseOptions, out *command.Outbox) {
+	p.Pending = true
+	row := leaseRow(t, p, o, p.Fence)
+	row.Holder, row.Address = "", ""
+	out.Add(command.WriteLease{Row: row})
+}
--- a/system/leases.go
+++ b/system/leases.go
@@ -93,8 +93,11 @@
 		if p == nil || row.RowVersion <= p.RowVersion {
 			continue
 		}
-		if p.Held && (row.Holder != t.Self.ID || row.Fence != p.Fence) {
+		switch {
+		case p.Held && (row.Holder != t.Self.ID || row.Fence != p.Fence):
 			dropPartition(t, p, "taken_over", out)
+		case row.Holder != t.Self.ID:
+			dropTrainers(t, p)
 		}
 		copyLease(now, p, row)
 	}
@@ -148,19 +151,40 @@
 			continue
 		}
 		if now >= p.ValidUntil {
-			dropPartition(t, p, "lapsed", out)
+			lapsePartition(t, p, out)
 			continue
 		}
 		out.WakeAt(p.ValidUntil)
 	}
 }
 
-// dropPartition forgets what was known under a lease that is over. Rows of the
-// table service are loaded again by the next holder.
-func dropPartition(t *table.Tables, p *table.Partition, reason string, out *command.Outbox) {
+// endHolding stops all decisions under a lease.
+func endHolding(p *table.Partition, reason string, out *command.Outbox) {
 	p.Held, p.Loaded, p.Releasing = false, false, false
 	countReason(out, "lease_lost", reason)
 	logPartition(out, "partition given up", p, reason)
+}
+
+// lapsePartition ends a lease that could not be renewed. Results that are not
+// stored yet are kept: during an outage of the table service nobody else can take
+// over, and this process may acquire the partition again and load its rows.
+func lapsePartition(t *table.Tables, p *table.Partition, out *command.Outbox) {
+	endHolding(p, "lapsed", out)
+	for _, tr := range t.Trainers.All() {
+		if tr.Partition == p.Number {
+			tr.Loaded, tr.Claimed = false, false
+		}
+	}
+}
+
+// dropPartition forgets what was known under a lease that another holder has or
+// will have.
+func dropPartition(t *table.Tables, p *table.Partition, reason string, out *command.Outbox) {
+	endHolding(p, reason, out)
+	dropTrainers(t, p)
+}
+
+func dropTrainers(t *table.Tables, p *table.Partition) {
 	for name, tr := range t.Trainers.All() {
 		if tr.Partition == p.Number {
 			dropTrainer(t, name)
@@ -228,84 +252,6 @@
 	return (partitions + live - 1) / live
 }
 
-func releaseExcess(now time.Duration, t *table.Tables, o LeaseOptions, out *command.Outbox) {
-	share := leaseShare(t, o.Partitions)
-	if t.Self.Draining {
-		share = 0
-	}
-	held := 0
-	for _, p := range t.Partitions.All() {
-		if !p.Held {
-			continue
-		}
-		if held++; held <= share {
-			p.ExcessFrom = 0
-			continue
-		}
-		if p.ExcessFrom == 0 {
-			p.ExcessFrom = now
-		}
-		p.Releasing = p.Releasing || t.Self.Draining || now >= p.ExcessFrom+excessGrace
-		if p.Releasing && !p.Pending && !writing(t, p) {
-			releaseLease(t, p, o, out)
-		}
-	}
-	if t.Self.Draining {
-		finishDrain(now, t, o, out)
-	}
-}
-
-// finishDrain repeats releases that failed and reports when no lease is left. A
-// lease that could not be released in time has lapsed.
-func finishDrain(now time.Duration, t *table.Tables, o LeaseOptions, out *command.Outbox) {
-	left := 0
-	for _, p := range t.Partitions.All() {
-		if p.Holder != t.Self.ID || now >= p.ValidUntil {
-			continue
-		}
-		left++
-		if !p.Held && !p.Pending && now >= p.RenewAt {
-			sendRelease(t, p, o, out)
-		}
-	}
-	if left == 0 && !t.Background.Released {
-		t.Background.Released = true
-		out.Add(command.DrainFinished{})
-	}
-}
-
-// writing reports whether writes or orders under the lease are under way.
-func writing(t *table.Tables, p *table.Partition) bool {
-	for _, tr := range t.Trainers.All() {
-		if tr.Partition == p.Number && (tr.Pending || tr.RowsPending || (tr.Claimed && len(tr.Done) > 0)) {
-			return true
-		}
-	}
-	for _, w := range t.Weights.All() {
-		for _, s := range w.Samplers {
-			if w.Partition == p.Number && s.OrderPending {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// releaseLease stops all decisions under the lease at once; the write tells the
-// others. If it fails, the lease lapses.
-func releaseLease(t *table.Tables, p *table.Partition, o LeaseOptions, out *command.Outbox) {
-	dropPartition(t, p, "handed_over", out)
-	p.ExcessFrom = 0
-	sendRelease(t, p, o, out)
-}
-
-func sendRelease(t *table.Tables, p *table.Partition, o LeaseOptions, out *command.Outbox) {
-	p.Pending = true
-	row := leaseRow(t, p, o, p.Fence)
-	row.Holder, row.Address = "", ""
-	out.Add(command.WriteLease{Row: row})
-}
-
 func renewLeases(now time.Duration, t *table.Tables, o LeaseOptions, out *command.Outbox) {
 	for _, p := range t.Partitions.All() {
 		if !p.Held || p.Pending {
--- a/system/recovery.go
+++ b/system/recovery.go
@@ -21,6 +21,9 @@
 		return
 	}
 	tr.LoadPending = false
+	if !t.Partitions.Find(table.PartitionKey(tr.Partition)).Held {
+		return
+	}
 	if e.Failure != nil {
 		loadFailed(now, tr, failureReason(e.Failure), out)
 		return
--- a/system/session_test.go
+++ b/system/session_test.go
@@ -231,3 +231,34 @@
 	w.run(6 * time.Second)
 	golden(t, w)
 }
+
+// TestSessionOutage guards against finished samples that are thrown away and
+// generated again when the table service is down for longer than a lease.
+func TestSessionOutage(t *testing.T) {
+	w := start(t, 1, spec("g1", 2))
+	n := w.holder()
+	down := &event.Failure{Verdict: verdict.NotRun, Reason: verdict.ReasonStoreUnavailable}
+	w.fate = func(_ *node, c command.Command) fate {
+		if _, generated := c.(command.GenerateSample); generated {
+			return fate{}
+		}
+		return fate{fail: down}
+	}
+	w.say("the table service is down")
+	w.run(20 * time.Second)
+	require.Nil(t, w.holder())
+	refused := w.pull(n, 1, 1, 1)
+	w.run(time.Second)
+	require.Equal(t, verdict.ReasonNotHolder, w.answers[refused].(command.AnswerPull).Failure.Reason)
+	w.say("the table service is back")
+	w.fate = func(_ *node, c command.Command) fate {
+		_, generated := c.(command.GenerateSample)
+		require.False(t, generated, "a finished sample is generated again")
+		return fate{}
+	}
+	w.run(3 * time.Second)
+	pull := w.pull(n, 1, 1, 1)
+	w.run(time.Second)
+	require.Len(t, w.lot(t, pull).Samples, 2)
+	golden(t, w)
+}
--- a/system/trainers.go
+++ b/system/trainers.go
@@ -40,7 +40,7 @@
 		addConfiguredTrainers(t, partitions)
 		refuseCalls(t, out)
 		for _, tr := range t.Trainers.All() {
-			if t.Partitions.Find(table.PartitionKey(tr.Partition)).Releasing {
+			if p := t.Partitions.Find(table.PartitionKey(tr.Partition)); !p.Held || p.Releasing {
 				continue
 			}
 			loadTrainer(now, tr, out)
