Let writes with an unknown outcome take effect late in fault sequences

The generated sequences knew only writes that took effect before their answer was lost. A write may now also take effect up to 9 s after the failure, while its sender has already loaded the rows again.

--- a/system/faults_test.go
+++ b/system/faults_test.go
@@ -208,6 +208,8 @@
 		case 1:
 			return fate{fail: &event.Failure{Verdict: verdict.NotRun, Reason: verdict.ReasonStoreUnavailable}}
 		case 2:
+			return fate{late: time.Duration(rapid.IntRange(30, 9000).Draw(t, "late")) * time.Millisecond}
+		case 3:
 			return fate{delay: time.Duration(rapid.IntRange(1, 15).Draw(t, "delay")) * time.Second}
 		}
 	}
--- a/system/world_test.go
+++ b/system/world_test.go
@@ -19,6 +19,7 @@
 type fate struct {
 	delay time.Duration // of the effect
 	lost  bool          // takes effect, the answer is a failure with MayHaveRun
+	late  time.Duration // the answer is lost at once, the write takes effect after this
 	fail  *event.Failure
 }
 
@@ -173,6 +174,10 @@
 	if _, ok := c.(command.GenerateSample); ok {
 		delay = testGenerate + f.delay
 	}
+	if f.late > 0 {
+		w.at(f.late, func() { w.perform(c, sent, fate{}) })
+		f.fail = errLost
+	}
 	w.at(delay, func() {
 		e := w.perform(c, sent, f)
 		if e != nil && !n.dead {
