Require write-once rows for conclusions from created rows

Cause: CommitResolved took a created row with another operation id as proof that the transaction had not committed, although another writer may have overwritten it. The generated test found this: a transaction that deletes two rows and creates one, its answer lost, the created row overwritten before the read back; reported as conflict but took effect (resolve_test.go:233). Change: Resolve.WriteOnce names the created rows that nobody deletes or overwrites while copies may be under way; only these count.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -164,8 +164,9 @@
 		return 0, verdict.Wrap(err, verdict.NotRun, verdict.ReasonInternal, "encode claim")
 	}
 	resolve := s.Resolve
-	// Rows are deleted only after Retention, which no call outlives.
-	resolve.CreatedRowsKept = true
+	// Until this call returns, nobody finishes or releases the new claim, and
+	// rows are deleted only after Retention.
+	resolve.WriteOnce = platform.EveryCreatedRow
 	result, err := platform.CommitResolved(ctx, s.Tables, platform.Txn{
 		Op:  op,
 		If:  []platform.Condition{{Key: h.key, Version: h.version}},
--- a/configstore/configstore.go
+++ b/configstore/configstore.go
@@ -109,7 +109,8 @@
 	}
 	history := HistoryKey(next.Version)
 	resolve := s.Resolve
-	resolve.CreatedRowsKept = true // history rows are write-once
+	// The current row is overwritten by the next change, the history row never.
+	resolve.WriteOnce = func(key string) bool { return key == history }
 	result, err := platform.CommitResolved(ctx, s.Tables, platform.Txn{
 		Op:  s.NewOp(),
 		If:  []platform.Condition{{Key: history, Version: 0}, {Key: CurrentKey, Version: rowVersion}},
--- a/handler/platform.go
+++ b/handler/platform.go
@@ -27,7 +27,7 @@
 	// readTimeout limits a read: the next period repeats it.
 	readTimeout = 2 * time.Second
 	// writeTimeout limits a write with its read back. It is below the shortest
-	// time until a lease is taken over (8 s), so that no other holder deletes
+	// time until a lease is taken over (8 s), so that no other holder changes
 	// rows while copies of a write are still being sent.
 	writeTimeout = 5 * time.Second
 	// leaseTimeout is below the length of a lease (6 s): a later renewal is void.
--- a/handler/platform_hosts.go
+++ b/handler/platform_hosts.go
@@ -86,7 +86,7 @@
 			return verdict.Wrap(err, verdict.NotRun, verdict.ReasonInternal, "encode host row")
 		}
 		txn.Put = []platform.Put{{Key: key, Value: value}}
-		resolve.CreatedRowsKept = true // until this process's planned stop
+		resolve.WriteOnce = platform.EveryCreatedRow // only this process writes the row
 	}
 	result, err := platform.CommitResolved(ctx, p.Tables, txn, resolve)
 	if err == nil && !result.Committed {
--- a/handler/platform_rows.go
+++ b/handler/platform_rows.go
@@ -32,9 +32,9 @@
 		return event.RowsCommitted{ID: c.ID, Failure: event.FailureOf(err)}
 	}
 	resolve := p.resolve(c.Name())
-	// A holder deletes rows only after it knows the outcome of their creation,
+	// A holder changes a row only after it knows the outcome of its creation,
 	// another holder only after takeover, which writeTimeout excludes.
-	resolve.CreatedRowsKept = true
+	resolve.WriteOnce = platform.EveryCreatedRow
 	resolve.AbsentIsCommitted = true // deletions are cleanup
 	result, err := platform.CommitResolved(ctx, p.Tables, txn, resolve)
 	return event.RowsCommitted{
--- a/lease/row.go
+++ b/lease/row.go
@@ -61,7 +61,9 @@
 		return 0, false, err
 	}
 	key := Key(name)
-	resolve.CreatedRowsKept = true // lease rows are released, never deleted
+	// Lease rows are never deleted. A new row that another process has
+	// overwritten counts as lost, like any other overwritten lease.
+	resolve.WriteOnce = platform.EveryCreatedRow
 	result, err := platform.CommitResolved(ctx, tables, platform.Txn{
 		Op:  op,
 		If:  []platform.Condition{{Key: key, Version: version}},
