--- a/claim/claim.go
+++ b/claim/claim.go
@@ -83,8 +83,7 @@
 		CreatedMS: now.UnixMilli(), KeepUntilMS: now.Add(Retention).UnixMilli(),
 	}}
 	for {
-		op := s.NewOp()
-		version, err := s.write(ctx, h, op)
+		version, err := s.write(ctx, h, s.NewOp())
 		switch {
 		case err == nil && version > 0:
 			h.version = version
@@ -92,7 +91,7 @@
 		case err != nil && verdict.ReasonOf(err) != verdict.ReasonConflict:
 			return Result{}, unavailable(err)
 		}
-		result, again, err := s.existing(ctx, &h, op)
+		result, again, err := s.existing(ctx, &h)
 		if !again || err != nil {
 			return result, err
 		}
@@ -102,7 +101,7 @@
 // existing classifies the row that stands in the way of a claim. again asks for
 // another write: the row is gone, or it was released, in which case h now
 // carries its version as the condition.
-func (s *Store) existing(ctx context.Context, h *Held, op string) (result Result, again bool, err error) {
+func (s *Store) existing(ctx context.Context, h *Held) (result Result, again bool, err error) {
 	found, exists, err := s.get(ctx, h.key)
 	switch {
 	case err != nil:
@@ -110,9 +109,6 @@
 	case !exists:
 		h.version = 0
 		return Result{}, true, nil
-	case found.Op == op:
-		h.version = found.Version
-		return Result{Status: Claimed, Held: *h}, false, nil
 	}
 	r, err := decodeRow(found.Value)
 	switch {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -120,6 +120,31 @@
 	require.Zero(t, m.LandLate())
 }
 
+// overtaken lets another process take the lease before the first read back.
+type overtaken struct{ *standin.MemoryTables }
+
+func (o overtaken) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+	if row, _ := o.Store.Read(key); row.Op == "late" {
+		_, _, _ = write(o.MemoryTables, row.Version, "b", "other")
+	}
+	return o.MemoryTables.Get(ctx, key)
+}
+
+// TestOverwrittenRenewalIsLost guards against a holder that goes on because its
+// renewal took effect, although another process has taken the lease since.
+func TestOverwrittenRenewalIsLost(t *testing.T) {
+	m := standin.NewMemoryTables(1)
+	version, _, err := write(m, 0, "a", "1")
+	require.NoError(t, err)
+	m.Injector.Set(standin.PlatformFaults{LoseAnswers: 1}, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, committed, err := lease.Write(ctx, overtaken{m}, "3", version, lease.Record{Holder: "a", Fence: 1, Length: length},
+		"late", platform.Resolve{Random: func() float64 { return 0 }})
+	require.NoError(t, err)
+	require.False(t, committed)
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"holder":"a","fence":3,"length_ms":6000,"newer_field":1}`))
 	f.Add([]byte(`{"holder":"a","fence":0,"length_ms":-1}`))
