Add package daemon: the common part of entry and controller

Cause: both programs need the same clients, log, metrics, secrets, control loop, servers and planned stop; two copies would drift apart. Change: package daemon builds them from the settings; a deleted host row is reported with command.HostRowDeleted, so that a planned stop can wait for it.

--- a/command/routing.go
+++ b/command/routing.go
@@ -131,3 +131,10 @@
 
 // Name implements Command.
 func (AnswerContact) Name() string { return "answer_contact" }
+
+// HostRowDeleted says that this process's host row was removed at the end of a
+// planned stop.
+type HostRowDeleted struct{}
+
+// Name implements Command.
+func (HostRowDeleted) Name() string { return "host_row_deleted" }
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,139 @@
+// Package daemon holds what lavender-entry and lavender-controller have in
+// common: clients, log, metrics, identities, the control loop, the HTTP and gRPC
+// servers and the planned stop.
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/control"
+	"github.com/lavenderstand/lavenderstand/engine"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/handler"
+	"github.com/lavenderstand/lavenderstand/identity"
+	"github.com/lavenderstand/lavenderstand/peer"
+	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/settings"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/telemetry"
+)
+
+// platformTimeout bounds one call of the platform when its context does not.
+const platformTimeout = 5 * time.Second
+
+// Base is the common part of a process.
+type Base struct {
+	Settings   settings.Process
+	Self       table.Self
+	Ctx        context.Context // ends when the process stops
+	Cancel     context.CancelFunc
+	Inbox      *control.Inbox
+	Waiters    *control.Waiters
+	Pool       *control.Pool
+	Log        *zap.Logger
+	Metrics    *telemetry.Metrics
+	Counters   *telemetry.Counters
+	Dialer     *peer.Dialer
+	Principals *identity.Principals
+	Tables     platform.Tables
+	Objects    platform.Objects
+	Hosts      platform.HostList
+	Engines    *engine.Client
+	NewOp      func() string
+
+	start time.Time
+	stop  *stop
+}
+
+// New opens the log and metrics, reads the secrets and builds the clients.
+func New(s settings.Process, self table.Self) (*Base, error) {
+	log, err := telemetry.NewLogger(s.Log)
+	if err != nil {
+		return nil, err
+	}
+	principals, err := identity.Load(s.Identity.PrincipalsFile)
+	if err != nil {
+		return nil, err
+	}
+	token, err := identity.ReadSecret(s.Identity.ProcessTokenFile)
+	if err != nil {
+		return nil, err
+	}
+	b := &Base{
+		Settings: s, Self: self, Log: log, Principals: principals, start: time.Now(),
+		Inbox: control.NewInbox(control.InboxSize), Waiters: control.NewWaiters(),
+		Dialer: peer.NewDialer(token), Engines: engine.NewClient(token),
+		NewOp: platform.OpIDs(rand.Uint64), stop: newStop(),
+	}
+	b.Ctx, b.Cancel = context.WithCancel(context.Background())
+	b.Metrics = telemetry.NewMetrics(map[string]string{"host": self.Host, "role": string(self.Role)},
+		func(err error) { log.Warn("metric could not be registered", zap.Error(err)) })
+	b.Counters = telemetry.NewCounters(b.Metrics.Scope)
+	if err := b.connectPlatform(); err != nil {
+		return nil, err
+	}
+	b.newPool()
+	return b, nil
+}
+
+func (b *Base) connectPlatform() error {
+	p := b.Settings.Platform
+	token := ""
+	if p.TokenFile != "" {
+		var err error
+		if token, err = identity.ReadSecret(p.TokenFile); err != nil {
+			return err
+		}
+	}
+	client := &http.Client{Timeout: platformTimeout, Transport: &platform.BearerTransport{Token: token}}
+	b.Tables = platform.NewTablesClient(p.Tables, client)
+	b.Objects = platform.NewObjectsClient(p.Objects, client)
+	b.Hosts = platform.NewHostListClient(p.Hosts, client)
+	return nil
+}
+
+// newPool registers the executors that both programs use.
+func (b *Base) newPool() {
+	b.Pool = control.NewPool(b.Ctx, b.Inbox, func(c command.Command) {
+		b.Log.DPanic("command without executor", zap.String("command", c.Name()))
+	})
+	telemetry.Register(b.Pool, b.Metrics.Scope, b.Log)
+	handler.RegisterPlatform(b.Pool, handler.Platform{
+		Tables: b.Tables, Objects: b.Objects, Hosts: b.Hosts,
+		Clock: b.Clock, NewOp: b.NewOp, Random: rand.Float64, Count: b.count,
+	})
+	handler.RegisterBackends(b.Pool, handler.Backends{Client: b.Engines, Objects: b.Objects, Clock: b.Clock})
+	handler.RegisterConfig(b.Pool, b.Dialer, b.Self.Host)
+	handler.RegisterConfigAnswers(b.Pool, b.Waiters)
+	handler.RegisterAnswers(b.Pool, b.Waiters)
+	control.HandleNow(b.Pool, func(command.HostRowDeleted) { b.stop.deleted() })
+}
+
+// Clock returns the monotonic offset from process start.
+func (b *Base) Clock() time.Duration { return time.Since(b.start) }
+
+// Ask delivers an event and waits for the answer with the request id.
+func (b *Base) Ask(ctx context.Context, id string, e event.Event) (command.Command, error) {
+	return b.Waiters.Call(ctx, b.Inbox, id, e)
+}
+
+func (b *Base) count(counter string, tags map[string]string) {
+	b.Metrics.Scope.Tagged(tags).Counter(counter + "_total").Inc(1)
+}
+
+// Close ends what New opened.
+func (b *Base) Close() {
+	b.Cancel()
+	b.Dialer.Close()
+	_ = b.Metrics.Close()
+	_ = b.Log.Sync()
+}
+
+// Seconds converts a setting in seconds.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/daemon/servers.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+	"google.golang.org/grpc"
+
+	"github.com/lavenderstand/lavenderstand/api"
+	"github.com/lavenderstand/lavenderstand/control"
+	"github.com/lavenderstand/lavenderstand/peer"
+	"github.com/lavenderstand/lavenderstand/system"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/telemetry"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	// shutdownLimit bounds the end of idle connections; requests in flight have
+	// ended before.
+	shutdownLimit = 10 * time.Second
+)
+
+// AddControl adds the control loop and the watch over its inbox.
+func (b *Base) AddControl(g *run.Group, systems []system.Named) {
+	loop := control.NewLoop(control.Options{
+		Tables: table.New(b.Self), Systems: systems, Inbox: b.Inbox, Executor: b.Pool,
+		Clock: b.Clock, Observe: telemetry.ObserveTicks(b.Metrics.Scope),
+	})
+	g.Add(func() error { return loop.Run(b.Ctx) }, func(error) { b.Cancel() })
+	g.Add(func() error { return telemetry.WatchInbox(b.Ctx, b.Metrics.Scope, b.Inbox) }, func(error) { b.Cancel() })
+}
+
+// NewEcho returns an HTTP front with the health checks and metrics.
+func (b *Base) NewEcho(ready func() error) *echo.Echo {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.HTTPErrorHandler = api.HandleError
+	api.RegisterHealth(e, ready)
+	e.GET("/metrics", echo.WrapHandler(b.Metrics.Handler))
+	return e
+}
+
+// AddHTTP adds the HTTP server.
+func (b *Base) AddHTTP(g *run.Group, h http.Handler) error {
+	listener, err := net.Listen("tcp", b.Settings.Listen.HTTP)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler: h, MaxHeaderBytes: b.Settings.Limits.HeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
+	}
+	g.Add(func() error { return server.Serve(listener) }, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
+		defer cancel()
+		_ = server.Shutdown(ctx)
+	})
+	return nil
+}
+
+// AddGRPC adds the gRPC server for the system's own processes.
+func (b *Base) AddGRPC(g *run.Group, register func(*grpc.Server)) error {
+	listener, err := net.Listen("tcp", b.Settings.Listen.GRPC)
+	if err != nil {
+		return err
+	}
+	server := grpc.NewServer(grpc.UnaryInterceptor(peer.CheckToken(b.Principals.CheckProcess)))
+	register(server)
+	g.Add(func() error { return server.Serve(listener) }, func(error) {
+		timer := time.AfterFunc(shutdownLimit, server.Stop)
+		defer timer.Stop()
+		server.GracefulStop()
+	})
+	return nil
+}
--- /dev/null
+++ b/daemon/stop.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+
+	"github.com/lavenderstand/lavenderstand/event"
+)
+
+// hostRowLimit bounds the removal of the host row at the end of a planned stop.
+// A row that stays behind leaves the known hosts by its age.
+const hostRowLimit = 5 * time.Second
+
+// stop lets the planned stop wait for the control loop.
+type stop struct {
+	once    sync.Once
+	removed chan struct{} // closed when the host row was deleted
+}
+
+func newStop() *stop { return &stop{removed: make(chan struct{})} }
+
+func (s *stop) deleted() { s.once.Do(func() { close(s.removed) }) }
+
+// AddStop adds the planned stop: the first SIGTERM or SIGINT begins it, further
+// ones have no effect. finish returns when all work has ended; its error is the
+// error of the process.
+func (b *Base) AddStop(g *run.Group, finish func(ctx context.Context) error) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	g.Add(func() error {
+		select {
+		case <-signals:
+			return b.Stop(finish)
+		case <-b.Ctx.Done():
+			return nil
+		}
+	}, func(error) { b.Cancel() })
+}
+
+// Stop runs the planned stop. It returns after finish and the removal of the
+// host row, at the latest at the drain limit.
+func (b *Base) Stop(finish func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(b.Ctx, Seconds(b.Settings.Timing.DrainLimitSeconds))
+	defer cancel()
+	if err := b.Inbox.Deliver(ctx, event.DrainRequested{}); err != nil {
+		return fmt.Errorf("begin planned stop: %w", err)
+	}
+	err := finish(ctx)
+	b.removeHostRow()
+	return err
+}
+
+func (b *Base) removeHostRow() {
+	ctx, cancel := context.WithTimeout(b.Ctx, hostRowLimit)
+	defer cancel()
+	if b.Inbox.Deliver(ctx, event.DrainFinished{}) != nil {
+		return
+	}
+	select {
+	case <-b.stop.removed:
+	case <-ctx.Done():
+	}
+}
--- a/system/hosts.go
+++ b/system/hosts.go
@@ -24,7 +24,7 @@
 func Hosts(period time.Duration) System {
 	return func(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
 		for _, e := range in {
-			applyHostEvent(now, t, e, period)
+			applyHostEvent(now, t, e, period, out)
 		}
 		if d := &t.Directory; !d.ReadPending && now >= d.NextRead {
 			d.ReadPending, d.NextRead = true, now+min(period, hostRowsRead)
@@ -37,7 +37,7 @@
 	}
 }
 
-func applyHostEvent(now time.Duration, t *table.Tables, e event.Event, period time.Duration) {
+func applyHostEvent(now time.Duration, t *table.Tables, e event.Event, period time.Duration, out *command.Outbox) {
 	d := &t.Directory
 	switch e := e.(type) {
 	case event.DrainFinished:
@@ -48,6 +48,7 @@
 			d.NextWrite = now + hostRowRetry
 		} else if d.DeleteSent {
 			d.Deleted = true
+			out.Add(command.HostRowDeleted{})
 		}
 	case event.HostRowsRead:
 		d.ReadPending = false
