--- a/cmd/lavender-entry/http.go
+++ b/cmd/lavender-entry/http.go
@@ -16,8 +16,10 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	shutdownLimit     = 10 * time.Second
-	maxAnswerBytes    = 8 << 20
+	// shutdownLimit bounds what remains when no request is in flight: the last
+	// answers being written.
+	shutdownLimit  = 2 * time.Second
+	maxAnswerBytes = 8 << 20
 )
 
 // addHTTP adds the HTTP server.
--- a/cmd/lavender-entry/stop.go
+++ b/cmd/lavender-entry/stop.go
@@ -12,26 +12,27 @@
 	"github.com/lavenderstand/lavenderstand/event"
 )
 
-// addStop adds the planned stop: the first SIGTERM or SIGINT begins it, further
-// ones have no effect.
+// addStop adds the planned stop, which the first SIGTERM or SIGINT or an operator
+// begins. Further signals have no effect.
 func (p *process) addStop(g *run.Group) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	g.Add(func() error {
 		select {
 		case <-signals:
-			return p.stop()
+			if err := p.inbox.Deliver(p.ctx, event.DrainRequested{}); err != nil {
+				return nil // the process ends already
+			}
+		case <-p.refusing:
 		case <-p.ctx.Done():
-			return nil
 		}
+		return p.finish()
 	}, func(error) { p.cancel() })
 }
 
-// stop ends when every request in flight has finished, or at the drain limit.
-func (p *process) stop() error {
-	if err := p.inbox.Deliver(p.ctx, event.DrainRequested{}); err != nil {
-		return nil // the process ends already
-	}
+// finish waits until new requests are refused and then until every request in
+// flight has ended, at the longest for the drain limit.
+func (p *process) finish() error {
 	select {
 	case <-p.refusing:
 	case <-p.ctx.Done():
--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os/exec"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -31,6 +32,8 @@
 		_, _ = io.WriteString(w, "done")
 	}))
 	defer service.Close()
+	finish := sync.OnceFunc(func() { close(release) })
+	defer finish() // a failed test must not wait for the slow request
 	list := echo.New()
 	(&standin.HostList{Listed: []platform.ListedHost{{
 		Name: "s1", Kind: "service", Model: "listing", Zone: "a", State: platform.StateLive,
@@ -64,9 +67,9 @@
 	require.Equal(t, http.StatusOK, status, "the load balancer has not noticed yet")
 	eventually("/services/listing/fast", http.StatusServiceUnavailable)
 	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(4 * time.Second) // longer than the server's own shutdown limit
 	require.Empty(t, slow)
-	close(release)
+	finish()
 	require.Equal(t, "done<nil>", <-slow)
 	require.NoError(t, cmd.Wait())
 }
--- a/traffic/fakes_test.go
+++ b/traffic/fakes_test.go
@@ -134,9 +134,12 @@
 	return ClaimOutcome{State: ClaimCreated, Token: id}, nil
 }
 
-func (f *fakeClaims) Finish(_ context.Context, token string, v verdict.Verdict, reply Reply) error {
+func (f *fakeClaims) Finish(ctx context.Context, token string, v verdict.Verdict, reply Reply) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	switch claim := f.claims[token]; v {
 	case verdict.NotRun:
 		delete(f.claims, token)
