--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -92,6 +92,7 @@
 func TestSealedConnection(t *testing.T) {
 	a, b := net.Pipe()
 	defer func() { _, _ = a.Close(), b.Close() }()
+	require.NoError(t, a.SetWriteDeadline(time.Now().Add(time.Second))) // nobody reads
 	c := &countingConn{Conn: a}
 	require.True(t, c.seal(c.count()))
 	_, err := c.Write([]byte("x"))
