--- a/standin/judge_test.go
+++ b/standin/judge_test.go
@@ -71,10 +71,10 @@
 			(*e)[1].To = 4
 			*e = append(*e, Entry{Kind: EntryTokens, Run: "a", From: 4, To: 8, Version: 3})
 		}, func(j *Judgement) int { return j.Mislabelled }},
-		"unfinished run":     {func(_ *Received, e *[]Entry) { (*e)[2].Completed = false }, func(j *Judgement) int { return j.Mislabelled }},
-		"stale sample":  {func(r *Received, _ *[]Entry) { r.Trainers[0].Lots[0].TrainerVersion = 4 }, func(j *Judgement) int { return j.TooStale }},
-		"cut answer":    {func(r *Received, _ *[]Entry) { r.Answers[0].Cut = true }, func(j *Judgement) int { return j.CutOff }},
-		"false refusal": {func(r *Received, _ *[]Entry) { r.Answers[1].Status = 503; r.Answers[1].AllNotRun = true }, func(j *Judgement) int { return j.FalseNotRun }},
+		"unfinished run": {func(_ *Received, e *[]Entry) { (*e)[2].Completed = false }, func(j *Judgement) int { return j.Mislabelled }},
+		"stale sample":   {func(r *Received, _ *[]Entry) { r.Trainers[0].Lots[0].TrainerVersion = 4 }, func(j *Judgement) int { return j.TooStale }},
+		"cut answer":     {func(r *Received, _ *[]Entry) { r.Answers[0].Cut = true }, func(j *Judgement) int { return j.CutOff }},
+		"false refusal":  {func(r *Received, _ *[]Entry) { r.Answers[1].Status = 503; r.Answers[1].AllNotRun = true }, func(j *Judgement) int { return j.FalseNotRun }},
 	}
 	for name, c := range cases {
 		r, entries := cleanRun()
