--- a/api/callers_test.go
+++ b/api/callers_test.go
@@ -48,8 +48,6 @@
 	return traffic.ClaimOutcome{State: traffic.ClaimFinished, Stored: traffic.Reply{Status: http.StatusCreated, Body: []byte("stored")}}, nil
 }
 
-func (s *claims) Finish(context.Context, string, verdict.Verdict, traffic.Reply) error { return nil }
-
 func newFront(t *testing.T, e traffic.Generator, c traffic.Claimer) string {
 	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-From", "service")
@@ -109,7 +107,7 @@
 	delete(answer, "created")
 	text, _ := json.Marshal(answer)
 	require.JSONEq(t, `{"id":"q1","object":"text_completion","model":"dial","choices":[{"index":0,"text":"oak beam","finish_reason":"stop"}],
-		"usage":{"completion_tokens":3},"lavender":{"request_id":"q1","versions":[{"from":0,"to":3,"version":7}]}}`, string(text))
+		"usage":{"completion_tokens":3},"lavender":{"request_id":"q1","ranges":[{"from":0,"to":3,"version":7}]}}`, string(text))
 
 	chat := `{"model":"dial","messages":[{"role":"user","content":"hi"}],"stream":true}`
 	_, header, body = call(t, "POST", url+"/v1/chat/completions", chat)
@@ -119,7 +117,7 @@
 	require.Len(t, events, 4)
 	require.Contains(t, events[0], `"delta":{"content":"oak "},"finish_reason":null`)
 	require.Contains(t, events[2], `"finish_reason":"stop"`)
-	require.Contains(t, events[2], `"versions":[{"from":0,"to":3,"version":7}]`)
+	require.Contains(t, events[2], `"ranges":[{"from":0,"to":3,"version":7}]`)
 	require.Equal(t, "data: [DONE]", events[3])
 	require.Equal(t, "user: hi\nassistant: ", fake.last.Load().Prompt)
 }
--- a/api/completions.go
+++ b/api/completions.go
@@ -65,7 +65,7 @@
 // lavenderInfo names the request and the weight versions that produced it.
 type lavenderInfo struct {
 	RequestID string         `json:"request_id"`
-	Versions  []ledger.Range `json:"versions"`
+	Ranges    []ledger.Range `json:"ranges"`
 }
 
 // shape is the difference between plain and chat completions.
--- a/api/stream.go
+++ b/api/stream.go
@@ -23,7 +23,7 @@
 	if done != nil {
 		first.FinishReason = &done.FinishReason
 		a.Usage = &usage{CompletionTokens: done.Tokens}
-		a.Lavender = &lavenderInfo{RequestID: w.id, Versions: done.Ranges}
+		a.Lavender = &lavenderInfo{RequestID: w.id, Ranges: done.Ranges}
 	}
 	a.Choices = []choice{first}
 	return a
--- a/api/trainers.go
+++ b/api/trainers.go
@@ -45,8 +45,8 @@
 }
 
 // Register adds the trainers' routes.
-func (t *Trainers) Register(e *echo.Echo) {
-	g := e.Group("/v1/trainers/:name", ownTrainer)
+func (t *Trainers) Register(e *echo.Echo, middleware ...echo.MiddlewareFunc) {
+	g := e.Group("/v1/trainers/:name", append(middleware, ownTrainer)...)
 	g.POST("/groups", t.submit)
 	g.PUT("/version", t.declare)
 	g.POST("/pull", t.pull)
--- a/cmd/lavender-controller/controller.go
+++ b/cmd/lavender-controller/controller.go
@@ -4,99 +4,94 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
-	"strings"
 	"time"
 
 	"github.com/oklog/run"
+	"google.golang.org/grpc"
 
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/control"
+	"github.com/lavenderstand/lavenderstand/daemon"
 	"github.com/lavenderstand/lavenderstand/peer"
+	"github.com/lavenderstand/lavenderstand/peer/peerpb"
 	"github.com/lavenderstand/lavenderstand/settings"
-	"github.com/lavenderstand/lavenderstand/system"
 	"github.com/lavenderstand/lavenderstand/table"
 )
 
-// controller holds the parts of the process that its files wire together.
+// sampleLimit is the longest time of one sample: the samples of a step complete
+// within 32 minutes, and a lost one must be run again within that.
+const sampleLimit = 10 * time.Minute
+
+var errDrainLimit = errors.New("drain limit reached before all partitions were handed over")
+
+// controller is the process of a controller.
 type controller struct {
-	settings settings.Process
-	start    time.Time
-	inbox    *control.Inbox
-	pool     *control.Pool
-	waiters  *control.Waiters
-	dialer   *peer.Dialer
-	drained  chan struct{}
+	*daemon.Base
+	drained chan struct{} // closed when all partitions were handed over
 }
 
-// now is the monotonic offset from process start.
-func (c *controller) now() time.Duration { return time.Since(c.start) }
-
 func serve(s settings.Process) error {
-	if s.Training.Partitions <= 0 {
-		return errors.New("training.partitions must be positive")
-	}
-	token, err := readToken(s.Identity.ProcessTokenFile)
+	// The id is unique per start, because a restarted process knows nothing of
+	// the leases of the one before.
+	id := fmt.Sprintf("%s-controller-%x", s.Host.Name, time.Now().UnixNano())
+	base, err := daemon.New(s, table.Self{
+		ID: id, Host: s.Host.Name, Zone: s.Host.Zone, Role: table.RoleController, Address: s.Listen.GRPC,
+	})
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	c := &controller{
-		settings: s, start: time.Now(), inbox: control.NewInbox(control.InboxSize),
-		waiters: control.NewWaiters(), dialer: peer.NewDialer(token), drained: make(chan struct{}),
-	}
-	defer c.dialer.Close()
-	c.pool = control.NewPool(ctx, c.inbox, func(command.Command) {})
+	defer base.Close()
+	c := &controller{Base: base, drained: make(chan struct{})}
 	c.registerExecutors()
-	loop := control.NewLoop(control.Options{
-		Tables: table.New(c.self()), Systems: c.systems(), Inbox: c.inbox, Executor: c.pool, Clock: c.now,
-	})
+	return c.run()
+}
+
+func (c *controller) run() error {
 	var g run.Group
 	// The group ends its members in this order: calls end before the loop that
 	// answers them.
-	if err := c.addGRPC(&g); err != nil {
+	if err := c.AddHTTP(&g, c.NewEcho(func() error { return nil })); err != nil {
 		return err
 	}
-	g.Add(func() error { return loop.Run(ctx) }, func(error) { cancel() })
-	c.addStop(ctx, &g)
+	if err := c.AddGRPC(&g, c.registerGRPC); err != nil {
+		return err
+	}
+	c.AddControl(&g, c.systems())
+	c.AddStop(&g, c.finish)
 	return g.Run()
 }
 
-// self describes the process. Its id is unique per start, because a restarted
-// process knows nothing of the leases of the one before.
-func (c *controller) self() table.Self {
-	s := c.settings
-	return table.Self{
-		ID:   fmt.Sprintf("%s-controller-%x", s.Host.Name, c.start.UnixNano()),
-		Host: s.Host.Name, Zone: s.Host.Zone, Role: table.RoleController, Address: s.Listen.GRPC,
-	}
+func (c *controller) registerExecutors() {
+	generator := peer.Generator{Dialer: c.Dialer, Limit: sampleLimit}
+	control.Handle(c.Pool, peer.MaxGenerating, generator.Run)
+	control.HandleNow(c.Pool, func(command.DrainFinished) { close(c.drained) })
+	// Readiness and routing plans concern entry hosts only.
+	control.HandleNow(c.Pool, func(command.SetReady) {})
 }
 
-func (c *controller) systems() []system.Named {
-	timing := c.settings.Timing
-	background := system.Background(system.LeaseOptions{
-		Partitions: c.settings.Training.Partitions,
-		Length:     seconds(timing.LeaseSeconds),
-		Margin:     seconds(timing.LeaseMarginSeconds),
-		Order:      seconds(timing.OrderSeconds),
-	})
-	membership := system.Named{Name: "membership", Run: system.Membership(seconds(timing.HostListSeconds))}
-	// The leases system stays first: it notices a lapsed lease before any other
-	// decision of the tick.
-	return append([]system.Named{background[0], membership}, background[1:]...)
+// controllerServer is the Controller service with its configuration half.
+type controllerServer struct {
+	*peer.ControllerServer
+	config *peer.ConfigServer
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// Announce implements peerpb.ControllerServer.
+func (s controllerServer) Announce(ctx context.Context, r *peerpb.AnnounceRequest) (*peerpb.AnnounceResponse, error) {
+	return s.config.Announce(ctx, r)
+}
 
-// readToken reads the token of this process, empty without a file.
-func readToken(path string) (string, error) {
-	if path == "" {
-		return "", nil
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return "", fmt.Errorf("read process token: %w", err)
+func (c *controller) registerGRPC(s *grpc.Server) {
+	peerpb.RegisterControllerServer(s, controllerServer{
+		ControllerServer: peer.NewControllerServer(c.Ask),
+		config:           &peer.ConfigServer{Ask: c.Ask, Deliver: c.Inbox.Deliver},
+	})
+}
+
+func (c *controller) finish(ctx context.Context) error {
+	select {
+	case <-c.drained:
+		return nil
+	case <-ctx.Done():
+		return errDrainLimit
 	}
-	return strings.TrimSpace(string(data)), nil
 }
--- a/cmd/lavender-controller/controller_test.go
+++ b/cmd/lavender-controller/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -13,14 +14,15 @@
 )
 
 // TestStopsOnSignal guards against a controller that does not end after a
-// planned stop, or that ends at once on a second signal.
+// planned stop, or that ends at once on a second signal. The platform is down
+// throughout: a stop must not wait for it beyond its limits.
 func TestStopsOnSignal(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
 	s := settings.Default()
-	s.Host.Name, s.Listen.GRPC = "h1", listener.Addr().String()
-	s.Platform.Hosts = "http://" + listener.Addr().String()
-	require.NoError(t, listener.Close())
+	s.Host.Name = "h1"
+	s.Listen = settings.Listen{HTTP: freeAddress(t), GRPC: freeAddress(t)}
+	down := "http://" + freeAddress(t)
+	s.Platform = settings.Platform{Tables: down, Objects: down, Hosts: down}
+	s.Identity = writeIdentity(t)
 	ended := make(chan error, 1)
 	go func() { ended <- serve(s) }()
 	require.Eventually(t, func() bool {
@@ -39,3 +41,21 @@
 		t.Fatal("the controller did not end")
 	}
 }
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func writeIdentity(t *testing.T) settings.Identity {
+	t.Helper()
+	dir := t.TempDir()
+	token, principals := filepath.Join(dir, "token"), filepath.Join(dir, "principals.toml")
+	require.NoError(t, os.WriteFile(token, []byte("0123456789abcdef0123456789abcdef"), 0o600))
+	require.NoError(t, os.WriteFile(principals,
+		[]byte("[[principal]]\nname = 'process'\nrole = 'process'\ntoken_file = '"+token+"'\n"), 0o600))
+	return settings.Identity{PrincipalsFile: principals, ProcessTokenFile: token}
+}
--- a/cmd/lavender-controller/main.go
+++ b/cmd/lavender-controller/main.go
@@ -25,7 +25,7 @@
 		Short:        "Run sample groups, lots and weight rollouts",
 		SilenceUsage: true,
 		RunE: func(*cobra.Command, []string) error {
-			s, err := settings.Load(path)
+			s, err := settings.LoadComplete(path)
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/cmd/lavender-controller/systems.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"github.com/lavenderstand/lavenderstand/daemon"
+	"github.com/lavenderstand/lavenderstand/system"
+)
+
+// systems returns the systems of a controller in their order. The leases system
+// is first: it notices a lapsed lease before any other decision of the tick.
+func (c *controller) systems() []system.Named {
+	t := c.Settings.Timing
+	background := system.Background(system.LeaseOptions{
+		Partitions: c.Settings.Training.Partitions,
+		Length:     daemon.Seconds(t.LeaseSeconds),
+		Margin:     daemon.Seconds(t.LeaseMarginSeconds),
+		Order:      daemon.Seconds(t.OrderSeconds),
+	})
+	shared := []system.Named{
+		{Name: "hosts", Run: system.Hosts(daemon.Seconds(t.HostRowSeconds))},
+		{Name: "configuration", Run: system.Configuration(system.ConfigTiming{
+			Poll:         daemon.Seconds(t.ConfigPollSeconds),
+			Confirm:      daemon.Seconds(t.ConfigConfirmSeconds),
+			ContactAfter: daemon.Seconds(t.ContactAfterSeconds),
+		})},
+		{Name: "membership", Run: system.Membership(daemon.Seconds(t.HostListSeconds))},
+		{Name: "load", Run: system.Load(daemon.Seconds(t.StateReportSeconds))},
+		{Name: "departure", Run: system.Departure()},
+	}
+	systems := []system.Named{background[0]}
+	systems = append(systems, shared...)
+	return append(systems, background[1:]...)
+}
--- /dev/null
+++ b/cmd/lavender-demo/commands.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/lavenderstand/lavenderstand/demo"
+)
+
+// defaultEngines gives each of the demo's two models three engines.
+const defaultEngines = 6
+
+func planCommand() *cobra.Command {
+	var o demo.Options
+	c := &cobra.Command{Use: "plan", Short: "Write settings, tokens and the process list of a run", RunE: func(*cobra.Command, []string) error {
+		return demo.WritePlan(o)
+	}}
+	c.Flags().StringVar(&o.Dir, "dir", "", "directory to write to")
+	c.Flags().Uint64Var(&o.Seed, "seed", 1, "seed of all random choices")
+	c.Flags().IntVar(&o.Entries, "entries", demo.MinEntryHosts, "entry hosts")
+	c.Flags().IntVar(&o.Engines, "engines", defaultEngines, "model engines")
+	_ = c.MarkFlagRequired("dir")
+	return c
+}
+
+func loadCommand() *cobra.Command {
+	var o demo.LoadOptions
+	c := &cobra.Command{Use: "load", Short: "Drive callers and trainers of a run", RunE: func(*cobra.Command, []string) error {
+		return demo.Load(o)
+	}}
+	c.Flags().StringVar(&o.Dir, "dir", "", "directory of the run")
+	c.Flags().DurationVar(&o.Duration, "duration", demo.DefaultDuration, "time in which new work is submitted")
+	c.Flags().DurationVar(&o.Limit, "limit", demo.DefaultLimit, "time in which trainers receive the rest afterwards")
+	c.Flags().StringArrayVar(&o.Faults, "fault", nil, `fault of a stand-in: TIME,PROCESS,JSON, such as 3s,engine-1,{"hang":true}`)
+	_ = c.MarkFlagRequired("dir")
+	return c
+}
+
+func judgeCommand() *cobra.Command {
+	var dir string
+	c := &cobra.Command{Use: "judge", Short: "Compare what clients received with the ledgers", RunE: func(*cobra.Command, []string) error {
+		return demo.JudgeRun(dir)
+	}}
+	c.Flags().StringVar(&dir, "dir", "", "directory of the run")
+	_ = c.MarkFlagRequired("dir")
+	return c
+}
--- a/cmd/lavender-entry/command.go
+++ b/cmd/lavender-entry/command.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"github.com/oklog/run"
 	"github.com/spf13/cobra"
 
 	"github.com/lavenderstand/lavenderstand/settings"
@@ -14,7 +13,7 @@
 		Short:        "Serve callers, trainers and operators on one host",
 		SilenceUsage: true,
 		RunE: func(*cobra.Command, []string) error {
-			s, err := settings.Load(path)
+			s, err := settings.LoadComplete(path)
 			if err != nil {
 				return err
 			}
@@ -25,15 +24,3 @@
 	_ = c.MarkFlagRequired("settings")
 	return c
 }
-
-func serve(s settings.Process) error {
-	p := newProcess(s)
-	defer p.cancel()
-	var g run.Group
-	p.addControl(&g)
-	if err := p.addHTTP(&g); err != nil {
-		return err
-	}
-	p.addStop(&g)
-	return g.Run()
-}
--- /dev/null
+++ b/cmd/lavender-entry/grpc.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"google.golang.org/grpc"
+
+	"github.com/lavenderstand/lavenderstand/peer"
+	"github.com/lavenderstand/lavenderstand/peer/peerpb"
+	"github.com/lavenderstand/lavenderstand/traffic"
+)
+
+// maxWaitingTexts bounds the memory of sample texts that wait for the object
+// store during an outage, in bytes.
+const maxWaitingTexts = 64 << 20
+
+func (e *entry) registerGRPC(s *grpc.Server) {
+	samples := &traffic.Samples{Router: e.router, Objects: e.Objects, Texts: traffic.NewTextLimit(maxWaitingTexts)}
+	peerpb.RegisterEntryServer(s, &peer.EntryServer{
+		Samples: peer.Generate{Runner: samples},
+		Config:  &peer.ConfigServer{Ask: e.Ask, Deliver: e.Inbox.Deliver},
+	})
+}
--- a/cmd/lavender-entry/http.go
+++ b/cmd/lavender-entry/http.go
@@ -2,75 +2,89 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"github.com/oklog/run"
 
 	"github.com/lavenderstand/lavenderstand/api"
-	"github.com/lavenderstand/lavenderstand/traffic"
-	"github.com/lavenderstand/lavenderstand/verdict"
+	"github.com/lavenderstand/lavenderstand/configstore"
+	"github.com/lavenderstand/lavenderstand/daemon"
+	"github.com/lavenderstand/lavenderstand/handler"
+	"github.com/lavenderstand/lavenderstand/identity"
+	"github.com/lavenderstand/lavenderstand/peer"
+	"github.com/lavenderstand/lavenderstand/status"
+	"github.com/lavenderstand/lavenderstand/table"
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	// shutdownLimit bounds what remains when no request is in flight: the last
-	// answers being written.
-	shutdownLimit  = 2 * time.Second
 	maxAnswerBytes = 8 << 20
+	statusPeriod   = time.Second
 )
 
-// addHTTP adds the HTTP server.
-func (p *process) addHTTP(g *run.Group) error {
-	listener, err := net.Listen("tcp", p.settings.Listen.HTTP)
-	if err != nil {
-		return err
+func (e *entry) newEcho() *echo.Echo {
+	front := e.NewEcho(e.ready)
+	e.addCallers(front)
+	e.addTrainers(front)
+	e.addOperators(front)
+	return front
+}
+
+func (e *entry) authenticated(roles ...identity.Role) []echo.MiddlewareFunc {
+	l := e.Settings.Limits
+	return []echo.MiddlewareFunc{
+		e.Principals.Middleware(), identity.RequireRole(roles...),
+		e.Principals.RateLimit(l.RequestsPerSecond, l.Burst),
 	}
-	server := &http.Server{
-		Handler: p.newEcho(), MaxHeaderBytes: p.settings.Limits.HeaderBytes, ReadHeaderTimeout: readHeaderTimeout}
-	g.Add(func() error { return server.Serve(listener) }, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
-		defer cancel()
-		_ = server.Shutdown(ctx)
-	})
-	return nil
 }
 
-func (p *process) newEcho() *echo.Echo {
-	e := echo.New()
-	e.HideBanner, e.HidePort = true, true
-	e.HTTPErrorHandler = api.HandleError
-	api.RegisterHealth(e, p.ready)
-	limits := p.settings.Limits
-	(&api.Callers{
-		Router: p.newRouter(), MaxBody: limits.BodyBytes, Longest: seconds(limits.RequestSeconds),
-	}).Register(e)
-	return e
+func (e *entry) addCallers(front *echo.Echo) {
+	callers := &api.Callers{
+		Router: e.router, MaxBody: e.Settings.Limits.BodyBytes,
+		Longest: daemon.Seconds(e.Settings.Limits.RequestSeconds),
+	}
+	callers.Register(front, e.authenticated(identity.RoleCaller)...)
+}
+
+func (e *entry) addTrainers(front *echo.Echo) {
+	trainers := &api.Trainers{
+		Calls:   peer.NewControllerRouter(e.Dialer, &e.Platform, e.Settings.Training.Partitions),
+		Objects: e.Objects, MaxBody: e.Settings.Limits.BodyBytes,
+	}
+	trainers.Register(front, e.authenticated(identity.RoleTrainer)...)
 }
 
-func (p *process) newRouter() *traffic.Router {
-	return traffic.NewRouter(traffic.Options{
-		Plans:   p.plans,
-		Clock:   p.clock,
-		Zone:    p.settings.Host.Zone,
-		Sender:  &traffic.Sender{Client: &http.Client{Transport: traffic.NewTransport()}, MaxAnswerBytes: maxAnswerBytes},
-		Reports: p.inbox,
-		Flights: p.flights,
-		Longest: seconds(p.settings.Limits.RequestSeconds),
+func (e *entry) addOperators(front *echo.Echo) {
+	api.RegisterOperators(front.Group("/v1", e.authenticated(identity.RoleOperator)...), &api.Operators{
+		Ask: e.Ask, Deliver: e.Inbox.Deliver, Status: e.status, Tables: e.Tables, NewOp: e.NewOp,
+		History: e.history,
+		Groups: func(ctx context.Context) ([]status.Group, error) {
+			return peer.ListGroups(ctx, e.Dialer, controllerAddresses(e.status.Load()))
+		},
 	})
 }
 
-// ready fails while the load balancer should send no new requests.
-func (p *process) ready() error {
-	plan := p.plans.Load()
-	switch {
-	case p.unready.Load():
-		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "a planned stop has begun")
-	case plan == nil || p.clock() > plan.ValidUntil:
-		return verdict.New(verdict.NotRun, verdict.ReasonConfigUnconfirmed, "the configuration is not confirmed")
-	default:
-		return nil
+func (e *entry) history(ctx context.Context) ([]api.ConfigRecord, error) {
+	store := &configstore.Store{Tables: e.Tables, NewOp: e.NewOp, Resolve: e.resolve("config_history")}
+	records, malformed, err := store.History(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for range malformed {
+		e.Count(handler.CounterMalformed, map[string]string{"kind": "config_history"})
+	}
+	versions := make([]api.ConfigRecord, 0, len(records))
+	for _, r := range records {
+		versions = append(versions, api.ConfigRecord{Version: r.Version, Author: r.Author, Config: r.Body})
+	}
+	return versions, nil
+}
+
+func controllerAddresses(s *status.Snapshot) []string {
+	var addresses []string
+	for _, h := range s.Hosts {
+		if h.Role == string(table.RoleController) {
+			addresses = append(addresses, h.Address)
+		}
 	}
+	return addresses
 }
--- /dev/null
+++ b/cmd/lavender-entry/store.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/claim"
+	"github.com/lavenderstand/lavenderstand/handler"
+	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/traffic"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// newClaims returns the claims of non-idempotent requests.
+func (e *entry) newClaims() traffic.Claimer {
+	return traffic.StoreClaims{Store: &claim.Store{
+		Tables: e.Tables, Entry: e.Self.ID, NewOp: e.NewOp, Now: time.Now, Resolve: e.resolve("claim"),
+	}}
+}
+
+// resolve returns how calls of the table service are repeated; repetitions are
+// counted under the given command.
+func (e *entry) resolve(command string) platform.Resolve {
+	return platform.Resolve{Random: rand.Float64, Count: func(reason verdict.Reason) {
+		e.Count(handler.CounterRetries, map[string]string{"command": command, "reason": string(reason)})
+	}}
+}
--- a/cmd/lavender-entry/systems.go
+++ b/cmd/lavender-entry/systems.go
@@ -1,21 +1,29 @@
 package main
 
 import (
-	"github.com/lavenderstand/lavenderstand/settings"
+	"github.com/lavenderstand/lavenderstand/daemon"
 	"github.com/lavenderstand/lavenderstand/system"
 )
 
 // systems returns the systems of an entry host in their order: what is known
-// about backend servers first, the plan that rests on it last.
-func systems(t settings.Timing) []system.Named {
+// about hosts and backend servers first, the plan that rests on it last.
+func (e *entry) systems() []system.Named {
+	t := e.Settings.Timing
+	confirm := daemon.Seconds(t.ConfigConfirmSeconds)
 	return []system.Named{
-		{Name: "membership", Run: system.Membership(seconds(t.HostListSeconds))},
-		{Name: "load", Run: system.Load(seconds(t.StateReportSeconds))},
+		{Name: "hosts", Run: system.Hosts(daemon.Seconds(t.HostRowSeconds))},
+		{Name: "configuration", Run: system.Configuration(system.ConfigTiming{
+			Poll: daemon.Seconds(t.ConfigPollSeconds), Confirm: confirm,
+			ContactAfter: daemon.Seconds(t.ContactAfterSeconds),
+		})},
+		{Name: "membership", Run: system.Membership(daemon.Seconds(t.HostListSeconds))},
+		{Name: "load", Run: system.Load(daemon.Seconds(t.StateReportSeconds))},
 		{Name: "departure", Run: system.Departure()},
 		{Name: "ejection", Run: system.Ejection()},
 		{Name: "classes", Run: system.Classes()},
 		{Name: "prefixes", Run: system.Prefixes()},
-		{Name: "drain", Run: system.Drain(seconds(t.DrainDelaySeconds))},
-		{Name: "routing", Run: system.Routing(system.RoutingOptions{})},
+		{Name: "drain", Run: system.Drain(daemon.Seconds(t.DrainDelaySeconds))},
+		{Name: "routing", Run: system.Routing(system.RoutingOptions{ConfirmWithin: confirm})},
+		{Name: "status", Run: system.Status(statusPeriod)},
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -46,6 +46,7 @@
 	Hosts      platform.HostList
 	Engines    *engine.Client
 	NewOp      func() string
+	Platform   handler.Platform
 
 	start time.Time
 	stop  *stop
@@ -104,10 +105,11 @@
 		b.Log.DPanic("command without executor", zap.String("command", c.Name()))
 	})
 	telemetry.Register(b.Pool, b.Metrics.Scope, b.Log)
-	handler.RegisterPlatform(b.Pool, handler.Platform{
+	b.Platform = handler.Platform{
 		Tables: b.Tables, Objects: b.Objects, Hosts: b.Hosts,
-		Clock: b.Clock, NewOp: b.NewOp, Random: rand.Float64, Count: b.count,
-	})
+		Clock: b.Clock, NewOp: b.NewOp, Random: rand.Float64, Count: b.Count,
+	}
+	handler.RegisterPlatform(b.Pool, b.Platform)
 	handler.RegisterBackends(b.Pool, handler.Backends{Client: b.Engines, Objects: b.Objects, Clock: b.Clock})
 	handler.RegisterConfig(b.Pool, b.Dialer, b.Self.Host)
 	handler.RegisterConfigAnswers(b.Pool, b.Waiters)
@@ -123,7 +125,8 @@
 	return b.Waiters.Call(ctx, b.Inbox, id, e)
 }
 
-func (b *Base) count(counter string, tags map[string]string) {
+// Count adds 1 to a counter.
+func (b *Base) Count(counter string, tags map[string]string) {
 	b.Metrics.Scope.Tagged(tags).Counter(counter + "_total").Inc(1)
 }
 
--- a/cmd/lavender-demo/demo_test.go
+++ b/demo/demo_test.go
@@ -1,4 +1,4 @@
-package main
+package demo
 
 import (
 	"context"
@@ -35,12 +35,12 @@
 // startFakes serves everything in a plan, with fakes for the product.
 func startFakes(t *testing.T, dir string, relabel ledger.Version) {
 	t.Helper()
-	p, err := readPlan(dir)
+	p, err := ReadPlan(dir)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	serveAt(t, p.Platform, func(e *echo.Echo) {
-		e.POST("/admin/hosts", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+		e.PUT("/admin/hosts", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	})
 	for _, h := range p.Hosts {
 		journal, err := standin.OpenJournal(filepath.Join(dir, "ledgers", h.Name+".jsonl"))
@@ -72,10 +72,10 @@
 func runDemo(t *testing.T, relabel ledger.Version, faults ...string) error {
 	t.Helper()
 	dir := t.TempDir()
-	require.NoError(t, writePlan(planOptions{dir: dir, seed: 1, entries: 3, engines: 4}))
+	require.NoError(t, WritePlan(Options{Dir: dir, Seed: 1, Entries: 3, Engines: 4}))
 	startFakes(t, dir, relabel)
-	require.NoError(t, load(loadOptions{dir: dir, duration: 2 * time.Second, limit: 20 * time.Second, faults: faults}))
-	return judgeRun(dir)
+	require.NoError(t, Load(LoadOptions{Dir: dir, Duration: 2 * time.Second, Limit: 20 * time.Second, Faults: faults}))
+	return JudgeRun(dir)
 }
 
 // TestDemoPassesOnCorrectProduct guards against clients or a judge that find
@@ -103,8 +103,8 @@
 	seen := make(map[string]bool)
 	for range 2 {
 		dir := t.TempDir()
-		require.NoError(t, writePlan(planOptions{dir: dir, seed: 1, entries: 4, engines: 2}))
-		p, err := readPlan(dir)
+		require.NoError(t, WritePlan(Options{Dir: dir, Seed: 1, Entries: 4, Engines: 2}))
+		p, err := ReadPlan(dir)
 		require.NoError(t, err)
 		for _, address := range p.Addresses {
 			require.False(t, seen[address])
--- a/cmd/lavender-demo/fake_entry_test.go
+++ b/demo/fake_entry_test.go
@@ -1,4 +1,4 @@
-package main
+package demo
 
 import (
 	"context"
@@ -19,7 +19,7 @@
 // fakeEntry is a minimal correct entry host on real stand-ins of backend
 // servers, so that the load and the judge can be tested without the product.
 type fakeEntry struct {
-	plan   demoPlan
+	plan   Plan
 	client *engine.Client
 
 	mu     sync.Mutex
@@ -29,7 +29,7 @@
 	relabel ledger.Version
 }
 
-func newFakeEntry(p demoPlan, orderToken string) *fakeEntry {
+func newFakeEntry(p Plan, orderToken string) *fakeEntry {
 	return &fakeEntry{
 		plan: p, client: engine.NewClient(orderToken),
 		groups: make(map[string][]ledger.GroupSpec), lots: make(map[string]standin.Lot),
--- a/cmd/lavender-demo/faults.go
+++ b/demo/faults.go
@@ -1,4 +1,4 @@
-package main
+package demo
 
 import (
 	"context"
@@ -18,7 +18,7 @@
 	body    json.RawMessage
 }
 
-func parseFaults(flags []string, p demoPlan) ([]timedFault, error) {
+func parseFaults(flags []string, p Plan) ([]timedFault, error) {
 	var faults []timedFault
 	for _, flag := range flags {
 		parts := strings.SplitN(flag, ",", 3)
@@ -50,7 +50,7 @@
 		return
 	case <-timer.C:
 	}
-	if err := sendJSON(http.MethodPost, f.url, "", f.body); err != nil {
+	if err := SendJSON(http.MethodPost, f.url, "", f.body); err != nil {
 		fmt.Fprintf(os.Stderr, "fault of %s: %v\n", f.process, err)
 	}
 }
--- a/cmd/lavender-demo/judge.go
+++ b/demo/judge.go
@@ -1,4 +1,4 @@
-package main
+package demo
 
 import (
 	"encoding/json"
@@ -7,22 +7,12 @@
 	"os"
 	"path/filepath"
 
-	"github.com/spf13/cobra"
-
 	"github.com/lavenderstand/lavenderstand/standin"
 )
 
-func judgeCommand() *cobra.Command {
-	var dir string
-	c := &cobra.Command{Use: "judge", Short: "Compare what clients received with the ledgers", RunE: func(*cobra.Command, []string) error {
-		return judgeRun(dir)
-	}}
-	c.Flags().StringVar(&dir, "dir", "", "directory of the run")
-	_ = c.MarkFlagRequired("dir")
-	return c
-}
-
-func judgeRun(dir string) error {
+// JudgeRun compares what clients received with the ledgers and prints the result
+// as its last line. It fails unless the run passed.
+func JudgeRun(dir string) error {
 	var received standin.Received
 	data, err := os.ReadFile(filepath.Join(dir, "received.json"))
 	if err != nil {
--- a/cmd/lavender-demo/load.go
+++ b/demo/load.go
@@ -1,4 +1,4 @@
-package main
+package demo
 
 import (
 	"bytes"
@@ -14,11 +14,10 @@
 	"syscall"
 	"time"
 
-	"github.com/spf13/cobra"
-
 	"github.com/lavenderstand/lavenderstand/standin"
 )
 
+// Times and sizes of a run.
 const (
 	setupLimit   = 10 * time.Second // until every entry host is ready
 	setupPoll    = 100 * time.Millisecond
@@ -28,47 +27,40 @@
 	callersInAll = 6
 
 	// Together with setupLimit and the planned stop these keep a run below 60 s.
-	defaultDuration = 12 * time.Second
-	defaultLimit    = 13 * time.Second
+	DefaultDuration = 12 * time.Second
+	DefaultLimit    = 13 * time.Second
 	callerDeadline  = 10 * time.Second
 )
 
-type loadOptions struct {
-	dir             string
-	duration, limit time.Duration
-	faults          []string
-}
-
-func loadCommand() *cobra.Command {
-	var o loadOptions
-	c := &cobra.Command{Use: "load", Short: "Drive callers and trainers of a run", RunE: func(*cobra.Command, []string) error {
-		return load(o)
-	}}
-	c.Flags().StringVar(&o.dir, "dir", "", "directory of the run")
-	c.Flags().DurationVar(&o.duration, "duration", defaultDuration, "time in which new work is submitted")
-	c.Flags().DurationVar(&o.limit, "limit", defaultLimit, "time in which trainers receive the rest afterwards")
-	c.Flags().StringArrayVar(&o.faults, "fault", nil, `fault of a stand-in: TIME,PROCESS,JSON, such as 3s,engine-1,{"hang":true}`)
-	_ = c.MarkFlagRequired("dir")
-	return c
+// LoadOptions configure Load.
+type LoadOptions struct {
+	Dir      string        // of the run
+	Duration time.Duration // in which new work is submitted
+	Limit    time.Duration // in which trainers receive the rest afterwards
+	Faults   []string      // TIME,PROCESS,JSON
+	IsSetUp  bool          // SetUp was called before
 }
 
-func load(o loadOptions) error {
-	p, err := readPlan(o.dir)
+// Load drives callers and trainers of a run and writes what they received.
+func Load(o LoadOptions) error {
+	p, err := ReadPlan(o.Dir)
 	if err != nil {
 		return err
 	}
-	faults, err := parseFaults(o.faults, p)
+	faults, err := parseFaults(o.Faults, p)
 	if err != nil {
 		return err
 	}
-	tokens, err := readTokens(o.dir)
+	tokens, err := ReadTokens(o.Dir)
 	if err != nil {
 		return err
 	}
-	if err := setUp(p, tokens["operator"]); err != nil {
-		return err
+	if !o.IsSetUp {
+		if err := SetUp(p, tokens["operator"]); err != nil {
+			return err
+		}
 	}
-	if err := os.WriteFile(filepath.Join(o.dir, "loading"), nil, 0o600); err != nil {
+	if err := os.WriteFile(filepath.Join(o.Dir, "loading"), nil, 0o600); err != nil {
 		return err
 	}
 	received := drive(o, p, tokens, faults)
@@ -76,17 +68,17 @@
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(filepath.Join(o.dir, "received.json"), data, 0o600)
+	return os.WriteFile(filepath.Join(o.Dir, "received.json"), data, 0o600)
 }
 
 // drive runs all clients and faults at once and returns what was received.
-func drive(o loadOptions, p demoPlan, tokens map[string]string, faults []timedFault) standin.Received {
-	ends := time.Now().Add(o.duration)
+func drive(o LoadOptions, p Plan, tokens map[string]string, faults []timedFault) standin.Received {
+	ends := time.Now().Add(o.Duration)
 	run, release := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer release()
 	submitting, stop := context.WithDeadline(run, ends)
 	defer stop()
-	receiving, cancel := context.WithDeadline(run, ends.Add(o.limit))
+	receiving, cancel := context.WithDeadline(run, ends.Add(o.Limit))
 	defer cancel()
 	received := standin.Received{Trainers: make([]standin.TrainerLog, len(models))}
 	answers := make([][]standin.Answer, callersInAll)
@@ -114,14 +106,14 @@
 	return received
 }
 
-func newCaller(p demoPlan, token string, i int) *standin.Caller {
+func newCaller(p Plan, token string, i int) *standin.Caller {
 	return standin.NewCaller(standin.CallerOptions{
 		Name: fmt.Sprintf("caller-%d", i+1), Hosts: []string{p.Balancer}, Token: token, Models: models,
 		Class: liveClass, Lookups: lookupRoute, Claims: claimRoute, Deadline: callerDeadline, Seed: p.Seed*1000 + uint64(i),
 	})
 }
 
-func newTrainer(p demoPlan, tokens map[string]string, model string, i int) *standin.Trainer {
+func newTrainer(p Plan, tokens map[string]string, model string, i int) *standin.Trainer {
 	return standin.NewTrainer(standin.TrainerOptions{
 		Name: trainerName(model), Model: model, Hosts: p.Entries, Token: tokens[trainerName(model)],
 		OperatorToken: tokens["operator"], Bound: demoBound, Scorer: scoringService,
@@ -129,7 +121,8 @@
 	})
 }
 
-func readTokens(dir string) (map[string]string, error) {
+// ReadTokens returns the tokens of a run by principal.
+func ReadTokens(dir string) (map[string]string, error) {
 	files, err := os.ReadDir(filepath.Join(dir, "tokens"))
 	if err != nil {
 		return nil, err
@@ -145,25 +138,25 @@
 	return tokens, nil
 }
 
-// setUp fills the host list, writes the configuration and waits until every
+// SetUp fills the host list, writes the configuration and waits until every
 // entry host is ready.
-func setUp(p demoPlan, operator string) error {
+func SetUp(p Plan, operator string) error {
 	deadline := time.Now().Add(setupLimit)
 	hosts := map[string]any{"hosts": p.Hosts}
 	if err := eventually(deadline, func() error {
-		return sendJSON(http.MethodPost, "http://"+p.Platform+"/admin/hosts", "", hosts)
+		return SendJSON(http.MethodPut, "http://"+p.Platform+"/admin/hosts", "", hosts)
 	}); err != nil {
 		return err
 	}
 	config := map[string]any{"expected_version": 0, "author": "demo", "config": p.Config}
 	if err := eventually(deadline, func() error {
-		return sendJSON(http.MethodPut, "http://"+p.Entries[0]+"/v1/config", operator, config)
+		return SendJSON(http.MethodPut, "http://"+p.Entries[0]+"/v1/config", operator, config)
 	}); err != nil {
 		return err
 	}
 	for _, entry := range p.Entries {
 		if err := eventually(deadline, func() error {
-			return sendJSON(http.MethodGet, "http://"+entry+"/readyz", "", nil)
+			return SendJSON(http.MethodGet, "http://"+entry+"/readyz", "", nil)
 		}); err != nil {
 			return err
 		}
@@ -181,7 +174,8 @@
 	}
 }
 
-func sendJSON(method, url, token string, body any) error {
+// SendJSON sends a request with a JSON body and fails on another status than 2xx.
+func SendJSON(method, url, token string, body any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return err
--- a/cmd/lavender-demo/plan.go
+++ b/demo/plan.go
@@ -1,4 +1,6 @@
-package main
+// Package demo plans, drives and judges a run of the whole system as separate
+// processes on loopback. It starts no process itself: demo/run.sh or a test does.
+package demo
 
 import (
 	"crypto/rand"
@@ -10,14 +12,13 @@
 	"path/filepath"
 	"strings"
 
-	"github.com/spf13/cobra"
-
 	"github.com/lavenderstand/lavenderstand/plan"
 	"github.com/lavenderstand/lavenderstand/platform"
 )
 
+// Parts of a run.
 const (
-	minEntryHosts = 3
+	MinEntryHosts = 3
 	zones         = 2
 
 	lookupRoute, claimRoute = "items", "claims"
@@ -28,8 +29,8 @@
 
 var models = []string{"matching", "dial"}
 
-// demoPlan is the file plan.json: everything the load needs to know.
-type demoPlan struct {
+// Plan is the file plan.json: everything the load needs to know.
+type Plan struct {
 	Seed      uint64                `json:"seed"`
 	Balancer  string                `json:"balancer"`
 	Platform  string                `json:"platform"` // address of all four services
@@ -50,44 +51,33 @@
 type planner struct {
 	dir       string
 	ip        string
-	plan      demoPlan
+	plan      Plan
 	processes []process
 	reserved  []net.Listener // keep ports distinct until the plan is written
 }
 
-type planOptions struct {
-	dir              string
-	seed             uint64
-	entries, engines int
-}
-
-func planCommand() *cobra.Command {
-	var o planOptions
-	c := &cobra.Command{Use: "plan", Short: "Write settings, tokens and the process list of a run", RunE: func(*cobra.Command, []string) error {
-		return writePlan(o)
-	}}
-	c.Flags().StringVar(&o.dir, "dir", "", "directory to write to")
-	c.Flags().Uint64Var(&o.seed, "seed", 1, "seed of all random choices")
-	c.Flags().IntVar(&o.entries, "entries", minEntryHosts, "entry hosts")
-	c.Flags().IntVar(&o.engines, "engines", 6, "model engines")
-	_ = c.MarkFlagRequired("dir")
-	return c
+// Options configure WritePlan.
+type Options struct {
+	Dir              string
+	Seed             uint64
+	Entries, Engines int
 }
 
-func writePlan(o planOptions) error {
-	if o.entries < minEntryHosts || o.engines < len(models) {
-		return fmt.Errorf("need at least %d entry hosts and %d engines", minEntryHosts, len(models))
+// WritePlan writes settings, tokens and the process list of a run.
+func WritePlan(o Options) error {
+	if o.Entries < MinEntryHosts || o.Engines < len(models) {
+		return fmt.Errorf("need at least %d entry hosts and %d engines", MinEntryHosts, len(models))
 	}
 	ip, err := loopbackIP()
 	if err != nil {
 		return err
 	}
-	p := &planner{dir: o.dir, ip: ip, plan: demoPlan{Seed: o.seed, Addresses: make(map[string]string)}}
+	p := &planner{dir: o.Dir, ip: ip, plan: Plan{Seed: o.Seed, Addresses: make(map[string]string)}}
 	defer p.release()
 	steps := []func() error{
 		p.makeDirectories, p.writeTokens, p.addPlatform,
-		func() error { return p.addBackends(o.engines) },
-		func() error { return p.addOwn(o.entries) },
+		func() error { return p.addBackends(o.Engines) },
+		func() error { return p.addOwn(o.Entries) },
 		p.addBalancer, p.writeFiles,
 	}
 	for _, step := range steps {
@@ -162,8 +152,9 @@
 	return os.WriteFile(p.path("processes.txt"), []byte(list.String()), 0o600)
 }
 
-func readPlan(dir string) (demoPlan, error) {
-	var p demoPlan
+// ReadPlan reads the plan of a run.
+func ReadPlan(dir string) (Plan, error) {
+	var p Plan
 	data, err := os.ReadFile(filepath.Join(dir, "plan.json"))
 	if err != nil {
 		return p, err
--- a/cmd/lavender-demo/plan_processes.go
+++ b/demo/plan_processes.go
@@ -1,4 +1,4 @@
-package main
+package demo
 
 import (
 	"crypto/rand"
--- /dev/null
+++ b/e2e/harness_test.go
@@ -0,0 +1,216 @@
+// Package e2e tests the built programs as separate processes on loopback, with
+// the stand-ins as the only outside systems and their ledgers as the judge.
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/demo"
+)
+
+// binaries holds the programs that TestMain builds once.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "lavender-e2e")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir+"/", "../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	return m.Run()
+}
+
+// deployment is a run of the whole system. Processes are named as in the plan:
+// entry-1, controller-1, engine-1, service-1, scoring-1, platform, balancer.
+type deployment struct {
+	t         *testing.T
+	dir       string
+	plan      demo.Plan
+	tokens    map[string]string
+	commands  map[string][]string
+	processes map[string]*exec.Cmd
+}
+
+// plan writes the files of a run and starts nothing.
+func newDeployment(t *testing.T, seed uint64) *deployment {
+	t.Helper()
+	dir := t.TempDir()
+	require.NoError(t, demo.WritePlan(demo.Options{Dir: dir, Seed: seed, Entries: 3, Engines: 4}))
+	p, err := demo.ReadPlan(dir)
+	require.NoError(t, err)
+	tokens, err := demo.ReadTokens(dir)
+	require.NoError(t, err)
+	d := &deployment{
+		t: t, dir: dir, plan: p, tokens: tokens,
+		commands: make(map[string][]string), processes: make(map[string]*exec.Cmd),
+	}
+	list, err := os.ReadFile(filepath.Join(dir, "processes.txt"))
+	require.NoError(t, err)
+	for line := range strings.Lines(string(list)) {
+		fields := strings.Fields(line)
+		d.commands[fields[0]] = fields[1:]
+	}
+	t.Cleanup(d.killAll)
+	return d
+}
+
+// deploy starts every process and waits until all entry hosts are ready.
+func deploy(t *testing.T, seed uint64) *deployment {
+	t.Helper()
+	d := newDeployment(t, seed)
+	for name := range d.commands {
+		d.start(name)
+	}
+	require.NoError(t, demo.SetUp(d.plan, d.tokens["operator"]))
+	return d
+}
+
+// start starts a process of the plan, also again after its end.
+func (d *deployment) start(name string) {
+	d.t.Helper()
+	command := d.commands[name]
+	cmd := exec.Command(filepath.Join(binaries, command[0]), command[1:]...)
+	log, err := os.OpenFile(filepath.Join(d.dir, "logs", name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(d.t, err)
+	cmd.Stdout, cmd.Stderr = log, log
+	require.NoError(d.t, cmd.Start())
+	require.NoError(d.t, log.Close())
+	d.processes[name] = cmd
+}
+
+func (d *deployment) signal(name string, s syscall.Signal) {
+	d.t.Helper()
+	require.NoError(d.t, d.processes[name].Process.Signal(s))
+}
+
+// kill ends a process with SIGKILL and collects it.
+func (d *deployment) kill(name string) {
+	d.t.Helper()
+	d.signal(name, syscall.SIGKILL)
+	_ = d.processes[name].Wait()
+	delete(d.processes, name)
+}
+
+// stop ends a process with SIGTERM; its exit status must be 0.
+func (d *deployment) stop(name string, limit time.Duration) {
+	d.t.Helper()
+	d.signal(name, syscall.SIGTERM)
+	d.waitStopped(name, limit)
+}
+
+func (d *deployment) waitStopped(name string, limit time.Duration) {
+	d.t.Helper()
+	ended := make(chan error, 1)
+	cmd := d.processes[name]
+	go func() { ended <- cmd.Wait() }()
+	select {
+	case err := <-ended:
+		require.NoError(d.t, err, "%s:\n%s", name, d.log(name))
+		delete(d.processes, name)
+	case <-time.After(limit):
+		d.t.Fatalf("%s did not stop within %s:\n%s", name, limit, d.log(name))
+	}
+}
+
+func (d *deployment) killAll() {
+	for _, cmd := range d.processes {
+		_ = cmd.Process.Signal(syscall.SIGKILL)
+		_ = cmd.Wait()
+	}
+	if d.t.Failed() {
+		for name := range d.commands {
+			if strings.HasPrefix(name, "entry") || strings.HasPrefix(name, "controller") {
+				d.t.Logf("%s:\n%s", name, d.log(name))
+			}
+		}
+	}
+}
+
+func (d *deployment) log(name string) string {
+	data, _ := os.ReadFile(filepath.Join(d.dir, "logs", name+".log"))
+	return string(data)
+}
+
+// fault sets a fault of a stand-in.
+func (d *deployment) fault(name, body string) {
+	d.t.Helper()
+	require.NoError(d.t, demo.SendJSON(http.MethodPost, "http://"+d.plan.Addresses[name]+"/admin/faults", "", json.RawMessage(body)))
+}
+
+// reply is the whole answer to a call.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call sends a request to an entry host (index) as a principal.
+func (d *deployment) call(entry int, principal, method, path, body string, headers ...string) reply {
+	req, err := http.NewRequest(method, "http://"+d.plan.Entries[entry]+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+d.tokens[principal])
+	req.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := (&http.Client{Timeout: 30 * time.Second}).Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+// eventually repeats a call until ok accepts its answer.
+func (d *deployment) eventually(limit time.Duration, call func() reply, ok func(reply) bool) {
+	d.t.Helper()
+	deadline := time.Now().Add(limit)
+	for {
+		r := call()
+		if ok(r) {
+			return
+		}
+		if time.Now().After(deadline) {
+			d.t.Fatalf("not within %s; last answer: %d %s %v", limit, r.status, r.body, r.err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// load drives callers and trainers for a duration while during runs, then
+// judges everything received against the ledgers.
+func (d *deployment) load(duration time.Duration, during func()) {
+	d.t.Helper()
+	done := make(chan error, 1)
+	go func() {
+		done <- demo.Load(demo.LoadOptions{Dir: d.dir, Duration: duration, Limit: 20 * time.Second, IsSetUp: true})
+	}()
+	during()
+	require.NoError(d.t, <-done)
+	require.NoError(d.t, demo.JudgeRun(d.dir))
+}
--- a/handler/platform_lease.go
+++ b/handler/platform_lease.go
@@ -31,11 +31,17 @@
 func (p *Platform) readLeases(ctx context.Context, _ command.ReadLeases) event.Event {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	rows, err := p.Leases(ctx)
+	return event.LeasesRead{Rows: rows, Failure: event.FailureOf(err)}
+}
+
+// Leases reads the lease rows; peer.ControllerRouter looks for holders with it.
+func (p *Platform) Leases(ctx context.Context) ([]event.LeaseRow, error) {
 	rows, err := p.Tables.Scan(ctx, lease.Prefix)
 	if err != nil {
-		return event.LeasesRead{Failure: event.FailureOf(err)}
+		return nil, err
 	}
-	return event.LeasesRead{Rows: decodeRows(p, "lease", rows, decodeLease)}
+	return decodeRows(p, "lease", rows, decodeLease), nil
 }
 
 // writeLease takes SentAt before the first copy of the write is sent, which is
--- a/system/membership.go
+++ b/system/membership.go
@@ -10,10 +10,6 @@
 	"github.com/lavenderstand/lavenderstand/table"
 )
 
-// missingLimit is how long the row of a server that is no longer listed is kept,
-// in case it returns. Without a limit, daily replacements would add rows forever.
-const missingLimit = 10 * time.Minute
-
 // Membership keeps the backend rows in line with the platform's host list and
 // reads the list every period. A failed read changes no row: the list lags
 // anyway, and the servers' own reports tell of departures meanwhile.
@@ -40,20 +36,13 @@
 		return
 	}
 	for _, b := range t.Backends.All() {
-		if !b.ListMissing {
-			b.ListMissing, b.MissingSince = true, now
-		}
+		b.ListMissing = true
 	}
 	for _, h := range read.Hosts {
 		if h.Kind != "entry" {
 			applyListedBackend(now, t, h)
 		}
 	}
-	for name, b := range t.Backends.All() {
-		if b.ListMissing && now-b.MissingSince > missingLimit {
-			t.Backends.Delete(name)
-		}
-	}
 }
 
 func applyListedBackend(now time.Duration, t *table.Tables, h platform.ListedHost) {
@@ -65,7 +54,7 @@
 	b.Kind, b.Model = table.BackendKind(h.Kind), h.Model
 	b.Address, b.Zone = h.Address, h.Zone
 	b.ChecksFence, b.ChecksIdentity = h.ChecksFence, h.ChecksIdentity
-	b.ListMissing, b.MissingSince = false, 0
+	b.ListMissing = false
 	b.ListLeaving = h.State != platform.StateLive
 	if !b.ListLeaving {
 		b.ListSeen = now
--- a/traffic/claims.go
+++ b/traffic/claims.go
@@ -28,8 +28,11 @@
 // ClaimOutcome is the result of Claimer.Claim.
 type ClaimOutcome struct {
 	State  ClaimState
-	Stored Reply  // with ClaimFinished
-	Token  string // with ClaimCreated: passed to Finish
+	Stored Reply // with ClaimFinished
+	// Finish, set with ClaimCreated, records the outcome, best effort. With
+	// verdict.NotRun the claim may be released, so that the caller can repeat
+	// the request with its key.
+	Finish func(ctx context.Context, v verdict.Verdict, reply Reply) error
 }
 
 // Claimer records which non-idempotent requests were sent.
@@ -37,9 +40,6 @@
 	// Claim creates the claim of a request before it is sent. An error means
 	// that it is unknown whether the claim exists; nothing may be sent then.
 	Claim(ctx context.Context, caller, route, key, hash string) (ClaimOutcome, error)
-	// Finish records the outcome, best effort. With verdict.NotRun the claim
-	// may be released, so that the caller can repeat the request with its key.
-	Finish(ctx context.Context, token string, v verdict.Verdict, reply Reply) error
 }
 
 // finishTimeout bounds the best effort to record an outcome.
@@ -79,18 +79,18 @@
 		return Reply{}, verdict.New(verdict.NotRun, verdict.ReasonInternal, "unknown claim state %d", outcome.State)
 	}
 	reply, err := send(ctx)
-	r.finishClaim(ctx, outcome.Token, reply, err)
+	r.finishClaim(ctx, outcome, reply, err)
 	return reply, err
 }
 
 // finishClaim does not delay the answer.
-func (r *Router) finishClaim(ctx context.Context, token string, reply Reply, err error) {
+func (r *Router) finishClaim(ctx context.Context, claim ClaimOutcome, reply Reply, err error) {
 	r.Flights.Hold()
 	go func() {
 		defer r.Flights.Leave()
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
 		defer cancel()
-		_ = r.Claims.Finish(ctx, token, verdict.Of(err), reply)
+		_ = claim.Finish(ctx, verdict.Of(err), reply)
 	}()
 }
 
--- a/traffic/fakes_test.go
+++ b/traffic/fakes_test.go
@@ -111,6 +111,7 @@
 type fakeClaims struct {
 	mu     sync.Mutex
 	claims map[string]ClaimOutcome
+	hashes map[string]string
 	down   bool
 }
 
@@ -122,30 +123,30 @@
 	}
 	id := caller + "/" + route + "/" + key
 	if found, ok := f.claims[id]; ok {
-		if found.Token != hash {
+		if f.hashes[id] != hash {
 			found.State = ClaimMismatch
 		}
 		return found, nil
 	}
 	if f.claims == nil {
 		f.claims = make(map[string]ClaimOutcome)
+		f.hashes = make(map[string]string)
 	}
-	f.claims[id] = ClaimOutcome{State: ClaimOpen, Token: hash}
-	return ClaimOutcome{State: ClaimCreated, Token: id}, nil
+	f.claims[id], f.hashes[id] = ClaimOutcome{State: ClaimOpen}, hash
+	return ClaimOutcome{State: ClaimCreated, Finish: func(_ context.Context, v verdict.Verdict, reply Reply) error {
+		return f.finish(id, v, reply)
+	}}, nil
 }
 
-func (f *fakeClaims) Finish(ctx context.Context, token string, v verdict.Verdict, reply Reply) error {
+func (f *fakeClaims) finish(id string, v verdict.Verdict, reply Reply) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	switch claim := f.claims[token]; v {
+	switch claim := f.claims[id]; v {
 	case verdict.NotRun:
-		delete(f.claims, token)
+		delete(f.claims, id)
 	case verdict.Ran:
 		claim.State, claim.Stored = ClaimFinished, reply
-		f.claims[token] = claim
+		f.claims[id] = claim
 	}
 	return nil
 }
--- a/traffic/proxy_test.go
+++ b/traffic/proxy_test.go
@@ -34,9 +34,7 @@
 }
 
 func send(ctx context.Context, r *Router, address string) error {
-	// net/http considers requests with this header safe to repeat.
-	header := http.Header{"Idempotency-Key": {"k"}}
-	_, err := r.Sender.Send(ctx, &backendList(address).Backends[0], Call{Method: http.MethodPost, Path: "/", Header: header, Body: []byte("x")})
+	_, err := r.Sender.Send(ctx, &backendList(address).Backends[0], Call{Method: http.MethodPost, Path: "/", Body: []byte("x")})
 	return err
 }
 
--- a/traffic/router.go
+++ b/traffic/router.go
@@ -44,7 +44,8 @@
 // Router routes requests by the newest plan.
 type Router struct {
 	Options
-	budgets budgets
+	budgets  budgets
+	estimate estimates
 }
 
 // NewRouter returns a router.
@@ -128,7 +129,7 @@
 		picked.End(b, &req.query)
 		r.reportAttempt(b, err)
 		if err == nil {
-			observeDuration(b, r.Clock()-started)
+			r.estimate.observe(b, r.Clock()-started)
 			return nil
 		}
 		err = timeCause(ctx, err)
