Add package transport: one client that knows whether a request was written

Cause: traffic and engine each had their own counting connection, trace and non-rewindable body, and the client of plain services followed redirects, which is a second request that the verdict knows nothing of. Change: package transport holds client, trace and body; both use it; no redirect is followed. Result: engine, traffic, transport and api tests pass with -race.

--- a/api/callers_test.go
+++ b/api/callers_test.go
@@ -19,6 +19,7 @@
 	"github.com/lavenderstand/lavenderstand/engine"
 	"github.com/lavenderstand/lavenderstand/plan"
 	"github.com/lavenderstand/lavenderstand/traffic"
+	"github.com/lavenderstand/lavenderstand/transport"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -65,7 +66,7 @@
 	})
 	router := traffic.NewRouter(traffic.Options{
 		Plans: cell, Clock: func() time.Duration { return 0 }, Engines: e, Claims: c,
-		Sender: &traffic.Sender{Client: &http.Client{Transport: traffic.NewTransport()}, MaxAnswerBytes: 1 << 20}})
+		Sender: &traffic.Sender{Client: transport.NewClient(), MaxAnswerBytes: 1 << 20}})
 	front := echo.New()
 	front.HTTPErrorHandler = api.HandleError
 	(&api.Callers{Router: router, MaxBody: 500, Longest: time.Minute}).Register(front, func(next echo.HandlerFunc) echo.HandlerFunc {
--- a/cmd/lavender-entry/entry.go
+++ b/cmd/lavender-entry/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"sync/atomic"
 
 	"github.com/oklog/run"
@@ -17,6 +16,7 @@
 	"github.com/lavenderstand/lavenderstand/status"
 	"github.com/lavenderstand/lavenderstand/table"
 	"github.com/lavenderstand/lavenderstand/traffic"
+	"github.com/lavenderstand/lavenderstand/transport"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -68,7 +68,7 @@
 		Plans:   e.plans,
 		Clock:   e.Clock,
 		Zone:    e.Self.Zone,
-		Sender:  &traffic.Sender{Client: &http.Client{Transport: traffic.NewTransport()}, MaxAnswerBytes: maxAnswerBytes},
+		Sender:  &traffic.Sender{Client: transport.NewClient(), MaxAnswerBytes: maxAnswerBytes},
 		Engines: e.Engines,
 		Claims:  e.newClaims(),
 		Reports: e.Inbox,
--- a/engine/client.go
+++ b/engine/client.go
@@ -1,13 +1,13 @@
 package engine
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
 
+	"github.com/lavenderstand/lavenderstand/transport"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -28,10 +28,7 @@
 // NewClient returns a client. token, if not empty, authenticates orders to
 // engines that check the issuer.
 func NewClient(token string) *Client {
-	return &Client{token: token, http: &http.Client{
-		Transport:     newTransport(),
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	return &Client{token: token, http: transport.NewClient()}
 }
 
 // CloseIdle closes idle connections.
@@ -129,8 +126,8 @@
 
 // send makes one attempt and returns the answer's head.
 func (c *Client) send(ctx context.Context, method, address, path string, body []byte) (*http.Response, error) {
-	var a attempt
-	req, err := http.NewRequestWithContext(a.trace(ctx), method, "http://"+address+path, &onceReader{reader: bytes.NewReader(body)})
+	var trace transport.Trace
+	req, err := http.NewRequestWithContext(trace.Attach(ctx), method, "http://"+address+path, transport.Body(body))
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, "build request")
 	}
@@ -143,7 +140,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, a.failure(err)
+		return nil, failure(&trace, err)
 	}
 	return resp, nil
 }
@@ -181,10 +178,3 @@
 	}
 	return verdict.New(verdict.NotRun, verdict.ReasonBackendRefused, "refused before running: %.100s", r.Reason)
 }
-
-// onceReader hides the type of its reader, so that net/http cannot rewind the
-// body and never repeats a request by itself.
-type onceReader struct{ reader io.Reader }
-
-// Read implements io.Reader.
-func (r *onceReader) Read(p []byte) (int, error) { return r.reader.Read(p) }
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -1,11 +1,8 @@
 package engine
 
 import (
-	"bytes"
 	"context"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -86,25 +83,3 @@
 	_, err = NewClient("").State(context.Background(), addressOf(server))
 	require.Equal(t, verdict.ReasonBadAnswer, verdict.ReasonOf(err))
 }
-
-// TestSealedConnection guards against bytes that leave after "not run" was
-// reported.
-func TestSealedConnection(t *testing.T) {
-	a, b := net.Pipe()
-	defer func() { _, _ = a.Close(), b.Close() }()
-	require.NoError(t, a.SetWriteDeadline(time.Now().Add(time.Second))) // nobody reads
-	c := &countingConn{Conn: a}
-	require.True(t, c.seal(c.count()))
-	_, err := c.Write([]byte("x"))
-	require.True(t, errors.Is(err, errSealed))
-
-	d := &countingConn{Conn: discardConn{}}
-	base := d.count()
-	_, err = d.Write([]byte("x"))
-	require.NoError(t, err)
-	require.False(t, d.seal(base))
-}
-
-type discardConn struct{ net.Conn }
-
-func (discardConn) Write(p []byte) (int, error) { return new(bytes.Buffer).Write(p) }
--- /dev/null
+++ b/engine/failure.go
@@ -0,0 +1,30 @@
+package engine
+
+import (
+	"context"
+	"errors"
+
+	"github.com/lavenderstand/lavenderstand/transport"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// failure turns an error of a round trip into one with a verdict.
+func failure(trace *transport.Trace, err error) error {
+	v, reason := verdict.MayHaveRun, verdict.ReasonConnectionLost
+	if trace.NothingSent() {
+		v, reason = verdict.NotRun, verdict.ReasonConnectFailed
+	}
+	return verdict.Wrap(err, v, contextReason(err, reason), "call backend server")
+}
+
+// contextReason returns the reason of an ended context, otherwise fallback.
+func contextReason(err error, fallback verdict.Reason) verdict.Reason {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return verdict.ReasonDeadline
+	case errors.Is(err, context.Canceled):
+		return verdict.ReasonCanceled
+	default:
+		return fallback
+	}
+}
--- a/traffic/fakes_test.go
+++ b/traffic/fakes_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +13,7 @@
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/ledger"
 	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/transport"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -65,11 +65,11 @@
 func newRouter(t testing.TB, p *plan.Plan) (*Router, *recorder) {
 	cell, reports, start := new(plan.Cell), new(recorder), time.Now()
 	cell.Publish(p)
-	transport := NewTransport()
-	t.Cleanup(transport.CloseIdleConnections)
+	client := transport.NewClient()
+	t.Cleanup(client.CloseIdleConnections)
 	return NewRouter(Options{
 		Plans: cell, Clock: func() time.Duration { return time.Since(start) }, Reports: reports,
-		Sender: &Sender{Client: &http.Client{Transport: transport}, MaxAnswerBytes: 1 << 20}, Longest: 10 * time.Second,
+		Sender: &Sender{Client: client, MaxAnswerBytes: 1 << 20}, Longest: 10 * time.Second,
 	}), reports
 }
 
--- a/traffic/proxy.go
+++ b/traffic/proxy.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/transport"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -35,7 +36,7 @@
 )
 
 // Sender sends one attempt to one backend server. The client's transport should
-// come from NewTransport; with another one, a failure after a connection was
+// come from transport.NewClient; with another one, a failure after a connection was
 // available counts as MayHaveRun.
 type Sender struct {
 	Client         *http.Client
@@ -45,21 +46,21 @@
 // Send makes one attempt. The error's verdict is NotRun only if no byte of the
 // request was written or the backend server said that it refused before running.
 func (s *Sender) Send(ctx context.Context, b *plan.Backend, call Call) (Reply, error) {
-	var trace sendTrace
-	req, err := newRequest(trace.attach(ctx), b, call)
+	var trace transport.Trace
+	req, err := newRequest(trace.Attach(ctx), b, call)
 	if err != nil {
 		return Reply{}, verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, "build request")
 	}
 	resp, err := s.Client.Do(req)
 	if err != nil {
-		return Reply{}, sendError(err, trace.nothingSent())
+		return Reply{}, sendError(err, trace.NothingSent())
 	}
 	defer func() { _ = resp.Body.Close() }()
 	return s.readReply(resp)
 }
 
 func newRequest(ctx context.Context, b *plan.Backend, call Call) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+b.Address+call.Path, &onceReader{data: call.Body})
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+b.Address+call.Path, transport.Body(call.Body))
 	if err != nil {
 		return nil, err
 	}
@@ -95,20 +96,3 @@
 	}
 	return verdict.New(verdict.NotRun, verdict.ReasonBackendRefused, "backend server refused the request")
 }
-
-// onceReader is a body that net/http cannot rewind, so that its transport never
-// repeats a request by itself.
-type onceReader struct {
-	data []byte
-	read int
-}
-
-// Read implements io.Reader.
-func (r *onceReader) Read(p []byte) (int, error) {
-	if r.read >= len(r.data) {
-		return 0, io.EOF
-	}
-	n := copy(p, r.data[r.read:])
-	r.read += n
-	return n, nil
-}
--- a/traffic/proxy_test.go
+++ b/traffic/proxy_test.go
@@ -110,22 +110,6 @@
 	requireVerdict(t, verdict.NotRun, verdict.ReasonConnectFailed, send(ctx, r, server.Listener.Addr().String()))
 }
 
-// TestSealedConnectionWritesNothing guards against a request that the transport
-// writes after its attempt was called not run.
-func TestSealedConnectionWritesNothing(t *testing.T) {
-	a, b := net.Pipe()
-	defer func() { _ = b.Close() }()
-	c := &countedConn{Conn: a}
-	var trace sendTrace
-	trace.conns = []tracedConn{{conn: c}}
-	require.True(t, trace.nothingSent())
-	_, err := c.Write([]byte("x"))
-	require.ErrorIs(t, err, errSealed)
-	c = &countedConn{Conn: a, writes: 1}
-	trace.conns = []tracedConn{{conn: c}}
-	require.False(t, trace.nothingSent())
-}
-
 // TestHopHeadersAreNotForwarded guards against connection headers and the
 // caller's token reaching a backend server.
 func TestHopHeadersAreNotForwarded(t *testing.T) {
--- /dev/null
+++ b/transport/transport.go
@@ -0,0 +1,53 @@
+// Package transport provides HTTP clients for calls to backend servers that can
+// tell whether any byte of a request was written, which decides between the
+// verdicts NotRun and MayHaveRun.
+package transport
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	dialTimeout     = 2 * time.Second
+	idleConnTimeout = 30 * time.Second
+	maxIdlePerHost  = 256
+	maxHeaderBytes  = 64 << 10
+)
+
+// NewClient returns a client whose connections count writes. It follows no
+// redirect, because a followed redirect is a second request.
+func NewClient() *http.Client {
+	return &http.Client{
+		Transport:     newTransport(),
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countingConn{Conn: c}, nil
+		},
+		Protocols:              http1(),
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+}
+
+// http1 allows HTTP/1 only: with one request per connection at a time, the
+// bytes written to a connection belong to that request.
+func http1() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	return p
+}
