Give orders to engines a token of their own

Cause: the client of engines sent the process token with every call. Engines are outside the system; one that is taken over could have called the system's own processes with it. Change: setting identity.order_token_file; the token goes out with weight orders only.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,10 +66,14 @@
 	if err != nil {
 		return nil, err
 	}
+	orderToken, err := optionalSecret(s.Identity.OrderTokenFile)
+	if err != nil {
+		return nil, err
+	}
 	b := &Base{
 		Settings: s, Self: self, Log: log, Principals: principals, start: time.Now(),
 		Inbox: control.NewInbox(control.InboxSize), Waiters: control.NewWaiters(),
-		Dialer: peer.NewDialer(token), Engines: engine.NewClient(token),
+		Dialer: peer.NewDialer(token), Engines: engine.NewClient(orderToken),
 		NewOp: platform.OpIDs(rand.Uint64), stop: newStop(),
 	}
 	b.Ctx, b.Cancel = context.WithCancel(context.Background())
@@ -85,12 +89,9 @@
 
 func (b *Base) connectPlatform() error {
 	p := b.Settings.Platform
-	token := ""
-	if p.TokenFile != "" {
-		var err error
-		if token, err = identity.ReadSecret(p.TokenFile); err != nil {
-			return err
-		}
+	token, err := optionalSecret(p.TokenFile)
+	if err != nil {
+		return err
 	}
 	client := &http.Client{Timeout: platformTimeout, Transport: &platform.BearerTransport{Token: token}}
 	b.Tables = platform.NewTablesClient(p.Tables, client)
@@ -99,6 +100,14 @@
 	return nil
 }
 
+// optionalSecret reads a secret, empty without a file.
+func optionalSecret(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	return identity.ReadSecret(path)
+}
+
 // newPool registers the executors that both programs use.
 func (b *Base) newPool() {
 	b.Pool = control.NewPool(b.Ctx, b.Inbox, func(c command.Command) {
--- a/demo/plan_processes.go
+++ b/demo/plan_processes.go
@@ -44,6 +44,11 @@
 		}
 		file.Principal = append(file.Principal, principal{Name: r[0], Role: r[1], TokenFile: p.tokenFile(r[0])})
 	}
+	// The token for orders is no principal: it opens nothing on the system's
+	// own interfaces.
+	if err := os.WriteFile(p.tokenFile("orders"), []byte(rand.Text()+"\n"), 0o600); err != nil {
+		return err
+	}
 	data, err := toml.Marshal(file)
 	if err != nil {
 		return err
@@ -105,7 +110,7 @@
 		args = append(args, "--checks-fence")
 	}
 	if h.ChecksIdentity {
-		args = append(args, "--checks-identity", "--token-file", p.tokenFile("process"))
+		args = append(args, "--checks-identity", "--token-file", p.tokenFile("orders"))
 	}
 	return p.addBackend(h, "engine", args...)
 }
@@ -155,7 +160,7 @@
 	s.Listen = settings.Listen{HTTP: http, GRPC: grpc}
 	base := "http://" + p.plan.Platform
 	s.Platform = settings.Platform{Tables: base, Objects: base, Hosts: base}
-	s.Identity = settings.Identity{PrincipalsFile: p.path("principals.toml"), ProcessTokenFile: p.tokenFile("process")}
+	s.Identity = settings.Identity{PrincipalsFile: p.path("principals.toml"), ProcessTokenFile: p.tokenFile("process"), OrderTokenFile: p.tokenFile("orders")}
 	s.Timing.DrainDelaySeconds, s.Timing.DrainLimitSeconds = demoDrainDelaySeconds, demoDrainLimitSeconds
 	data, err := toml.Marshal(s)
 	if err != nil {
--- a/engine/client.go
+++ b/engine/client.go
@@ -41,10 +41,13 @@
 	return s, err
 }
 
+// wantedPath takes orders; only there the client presents its token.
+const wantedPath = "/v1/wanted"
+
 // SetWanted sends an order. A refusal for an old fence or an unknown issuer has
 // verdict NotRun and reason stale_fence or forbidden.
 func (c *Client) SetWanted(ctx context.Context, address string, w Wanted) error {
-	return c.call(ctx, http.MethodPut, address, "/v1/wanted", w, nil)
+	return c.call(ctx, http.MethodPut, address, wantedPath, w, nil)
 }
 
 // CacheEvents reads the cache events after a sequence number.
@@ -135,7 +138,7 @@
 	if len(body) > 0 {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	if c.token != "" {
+	if c.token != "" && path == wantedPath {
 		req.Header.Set("Authorization", "Bearer "+c.token)
 	}
 	resp, err := c.http.Do(req)
--- a/settings/load.go
+++ b/settings/load.go
@@ -59,7 +59,7 @@
 }
 
 func (p *Process) resolve(dir string) {
-	for _, name := range []*string{&p.Platform.TokenFile, &p.Identity.PrincipalsFile, &p.Identity.ProcessTokenFile} {
+	for _, name := range []*string{&p.Platform.TokenFile, &p.Identity.PrincipalsFile, &p.Identity.ProcessTokenFile, &p.Identity.OrderTokenFile} {
 		if *name != "" && !filepath.IsAbs(*name) {
 			*name = filepath.Join(dir, *name)
 		}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,8 +40,13 @@
 type Identity struct {
 	// PrincipalsFile lists the principals and their token files.
 	PrincipalsFile string `toml:"principals_file" validate:"omitempty,secret_file" require:"required"`
-	// ProcessTokenFile holds the token that this process presents to others.
+	// ProcessTokenFile holds the token that this process presents to the
+	// system's other processes.
 	ProcessTokenFile string `toml:"process_token_file" validate:"omitempty,secret_file" require:"required"`
+	// OrderTokenFile holds the token for orders to engines that check the
+	// issuer. It is not the process token, because engines are not trusted to
+	// call the system's own processes.
+	OrderTokenFile string `toml:"order_token_file" validate:"omitempty,secret_file"`
 }
 
 // Limits bound what one request and one principal may use.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -60,6 +60,6 @@
 		for _, line := range strings.Split(err.Error(), "\n") {
 			require.Contains(t, line, "is empty or cannot be read")
 		}
-		require.Equal(t, 3, strings.Count(err.Error(), "cannot be read"))
+		require.Equal(t, 4, strings.Count(err.Error(), "cannot be read"))
 	}
 }
