--- a/cmd/lavender-controller/systems.go
+++ b/cmd/lavender-controller/systems.go
@@ -1,10 +1,15 @@
 package main
 
 import (
+	"time"
+
 	"github.com/lavenderstand/lavenderstand/daemon"
 	"github.com/lavenderstand/lavenderstand/system"
 )
 
+// claimSweepPeriod is short against the retention of claims, 24 h.
+const claimSweepPeriod = time.Hour
+
 // systems returns the systems of a controller in their order. The leases system
 // is first: it notices a lapsed lease before any other decision of the tick.
 func (c *controller) systems() []system.Named {
@@ -28,5 +33,6 @@
 	}
 	systems := []system.Named{background[0]}
 	systems = append(systems, shared...)
-	return append(systems, background[1:]...)
+	systems = append(systems, background[1:]...)
+	return append(systems, system.Named{Name: "claims", Run: system.Claims(claimSweepPeriod)})
 }
--- a/command/training.go
+++ b/command/training.go
@@ -163,3 +163,9 @@
 
 // Name implements Command.
 func (OrderWeights) Name() string { return "order_weights" }
+
+// SweepClaims deletes the claims whose retention has passed.
+type SweepClaims struct{}
+
+// Name implements Command.
+func (SweepClaims) Name() string { return "sweep_claims" }
--- a/event/training.go
+++ b/event/training.go
@@ -200,3 +200,13 @@
 
 // Name implements Event.
 func (OrderAnswered) Name() string { return "order_answered" }
+
+// ClaimsSwept is the answer to command.SweepClaims. Deleted counts the rows that
+// were deleted before a failure too.
+type ClaimsSwept struct {
+	Deleted int
+	Failure *Failure
+}
+
+// Name implements Event.
+func (ClaimsSwept) Name() string { return "claims_swept" }
--- a/handler/platform.go
+++ b/handler/platform.go
@@ -71,6 +71,7 @@
 	control.Handle(pool, commitsAtOnce, p.commitRows)
 	control.Handle(pool, deletesAtOnce, p.deleteObjects)
 	control.Handle(pool, readsAtOnce, p.readWeights)
+	control.Handle(pool, readsAtOnce, p.sweepClaims)
 }
 
 func (p *Platform) count(counter string, tags map[string]string) {
--- /dev/null
+++ b/handler/platform_claims.go
@@ -0,0 +1,84 @@
+package handler
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/claim"
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/platform"
+)
+
+const (
+	// sweepBatch and sweepPause keep the deletion of expired claims at 20 of
+	// the table service's several hundred writes a second.
+	sweepBatch = 20
+	sweepPause = time.Second
+	// sweepLimit bounds one sweep; the next one takes what is left.
+	sweepLimit = 30 * time.Minute
+)
+
+// sweepClaims deletes the claims whose retention has passed. A row that changed
+// after it was read stays for the next sweep.
+func (p *Platform) sweepClaims(ctx context.Context, c command.SweepClaims) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, sweepLimit)
+	defer cancel()
+	rows, err := p.Tables.Scan(ctx, claim.Prefix)
+	if err != nil {
+		return event.ClaimsSwept{Failure: event.FailureOf(err)}
+	}
+	expired := expiredClaims(rows, time.Now())
+	deleted := 0
+	for len(expired) > 0 {
+		batch := expired[:min(sweepBatch, len(expired))]
+		expired = expired[len(batch):]
+		n, err := p.deleteRows(ctx, c.Name(), batch)
+		deleted += n
+		if err == nil {
+			err = sleep(ctx, sweepPause)
+		}
+		if err != nil {
+			return event.ClaimsSwept{Deleted: deleted, Failure: event.FailureOf(err)}
+		}
+	}
+	return event.ClaimsSwept{Deleted: deleted}
+}
+
+func expiredClaims(rows []platform.Row, now time.Time) []platform.Row {
+	var expired []platform.Row
+	for _, row := range rows {
+		if claim.Expired(row, now) {
+			expired = append(expired, row)
+		}
+	}
+	return expired
+}
+
+// deleteRows deletes rows that still have the version that was read. A conflict
+// leaves the whole batch in place.
+func (p *Platform) deleteRows(ctx context.Context, name string, rows []platform.Row) (int, error) {
+	txn := platform.Txn{Op: p.NewOp()}
+	for _, row := range rows {
+		txn.If = append(txn.If, platform.Condition{Key: row.Key, Version: row.Version})
+		txn.Delete = append(txn.Delete, row.Key)
+	}
+	resolve := p.resolve(name)
+	resolve.AbsentIsCommitted = true
+	result, err := platform.CommitResolved(ctx, p.Tables, txn, resolve)
+	if err != nil || !result.Committed {
+		return 0, err
+	}
+	return len(rows), nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/table/training.go
+++ b/table/training.go
@@ -190,7 +190,9 @@
 	WeightsPending bool
 	WeightsNext    time.Duration
 	LastID         uint64 // of commits
-	Released       bool   // of a planned stop: every lease has been handed over
+	SweepPending   bool
+	SweepNext      time.Duration // next deletion of expired claims
+	Released       bool          // of a planned stop: every lease has been handed over
 }
 
 // Weights is a model's wanted weight version and the progress of its rollout.
