Send the configuration in a contact only to a host that lacks it

Cause: each Contact of an outage carried the whole configuration, every 2 s from every peer, against a budget of 2 KB/s for control. Change: the request names the sender's version; the body follows only if the peer's is higher.

--- a/command/routing.go
+++ b/command/routing.go
@@ -61,8 +61,12 @@
 // Name implements Command.
 func (ReadConfig) Name() string { return "read_config" }
 
-// ContactHost asks a peer for its view of the configuration.
-type ContactHost struct{ HostID, Address string }
+// ContactHost asks a peer for its view of the configuration. The answer carries
+// the body only if the peer's version is above ConfigVersion.
+type ContactHost struct {
+	HostID, Address string
+	ConfigVersion   uint64 // of this process
+}
 
 // Name implements Command.
 func (ContactHost) Name() string { return "contact_host" }
--- a/event/routing.go
+++ b/event/routing.go
@@ -133,7 +133,7 @@
 	PendingVersion uint64        // prepared, outcome unknown; 0 if none
 	StoreReadAge   time.Duration // since the last successful read of the row
 	EverRead       bool          // the row was read since process start
-	Body           plan.Config   // of ConfigVersion
+	Body           plan.Config   // of ConfigVersion; absent if the asking process has that version
 }
 
 // ContactMade is the answer to command.ContactHost.
