--- a/api/errors.go
+++ b/api/errors.go
@@ -33,7 +33,27 @@
 	}}
 }
 
+// keyError holds the error of a request that was refused or failed.
+const keyError = "lavenderstand.error"
+
+// CountErrors reports the reason and verdict of each error answer, whichever
+// middleware or handler wrote it.
+func CountErrors(count func(verdict.Reason, verdict.Verdict)) echo.MiddlewareFunc {
+	return func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			if err := next(c); err != nil {
+				c.Error(err)
+			}
+			if failed, ok := c.Get(keyError).(error); ok {
+				count(verdict.ReasonOf(failed), verdict.Of(failed))
+			}
+			return nil
+		}
+	}
+}
+
 func writeError(c echo.Context, err error) error {
+	c.Set(keyError, err)
 	return c.JSON(statusOf(verdict.ReasonOf(err)), errorBody(c.Response().Header().Get(headerRequestID), err))
 }
 
@@ -65,7 +85,9 @@
 	if reason == verdict.ReasonInternal {
 		v = verdict.MayHaveRun
 	}
-	_ = c.JSON(httpError.Code, errorBody(c.Response().Header().Get(headerRequestID), verdict.New(v, reason, "%v", httpError.Message)))
+	refusal := verdict.New(v, reason, "%v", httpError.Message)
+	c.Set(keyError, error(refusal))
+	_ = c.JSON(httpError.Code, errorBody(c.Response().Header().Get(headerRequestID), refusal))
 }
 
 func statusOf(reason verdict.Reason) int {
--- a/api/stream.go
+++ b/api/stream.go
@@ -41,6 +41,7 @@
 	case err != nil && !w.started:
 		return writeError(w.c, err)
 	case err != nil:
+		w.c.Set(keyError, err)
 		return w.event(errorBody(w.id, err))
 	}
 	if err := w.event(w.answer(w.form.streamObject, w.form.part(""), &done)); err != nil {
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -16,6 +16,7 @@
 	"github.com/lavenderstand/lavenderstand/system"
 	"github.com/lavenderstand/lavenderstand/table"
 	"github.com/lavenderstand/lavenderstand/telemetry"
+	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
 const (
@@ -40,6 +41,9 @@
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.HTTPErrorHandler = api.HandleError
+	e.Use(api.CountErrors(func(reason verdict.Reason, v verdict.Verdict) {
+		b.Count("http_errors", map[string]string{"reason": string(reason), "verdict": v.String()})
+	}))
 	api.RegisterHealth(e, ready)
 	e.GET("/metrics", echo.WrapHandler(b.Metrics.Handler))
 	return e
