Keep the host list's polling state in the tables; do not tick while it is read

Cause: the membership system asked for its next deadline while a read was under way; once the deadline had passed the loop ticked every 5 ms until the answer came. Change: table.Poll; a deadline only when no read is pending.

--- a/system/membership.go
+++ b/system/membership.go
@@ -14,20 +14,23 @@
 // reads the list every period. A failed read changes no row: the list lags
 // anyway, and the servers' own reports tell of departures meanwhile.
 func Membership(period time.Duration) System {
-	var next time.Duration
-	var pending bool
 	return func(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+		l := &t.HostList
 		for _, e := range in {
 			if read, ok := e.(event.HostListRead); ok {
-				pending = false
+				l.Pending = false
 				applyHostList(now, t, read)
 			}
 		}
-		if !pending && now >= next {
-			pending, next = true, now+period
+		if !l.Pending && now >= l.Next {
+			l.Pending, l.Next = true, now+period
 			out.Add(command.ReadHostList{})
 		}
-		out.WakeAt(next)
+		// While a read is pending its answer wakes the loop; a deadline that has
+		// passed would make it tick without a pause.
+		if !l.Pending {
+			out.WakeAt(l.Next)
+		}
 	}
 }
 
--- a/table/tables.go
+++ b/table/tables.go
@@ -1,11 +1,14 @@
 package table
 
+import "time"
+
 // Tables is the whole control state of one process. An entry host fills the
 // tables of routing, a controller those of background work; both fill hosts,
 // backends and configuration.
 type Tables struct {
 	Self     Self
 	Config   Config
+	HostList Poll
 	Hosts    Table[Host]    // keyed by host row id
 	Backends Table[Backend] // keyed by backend name
 	Classes  Table[Class]   // keyed by class name
@@ -26,3 +29,9 @@
 
 // New returns empty tables for the process described by self.
 func New(self Self) *Tables { return &Tables{Self: self} }
+
+// Poll is the progress of a read that is repeated.
+type Poll struct {
+	Pending bool
+	Next    time.Duration // earliest time of the next read
+}
