Readable error messages; host names in metric tags as they are

Cause: error bodies and lavenderctl showed errorx type names and the reason twice ('lavenderstand.refusal: ... {reason: bad_request} (bad_request, not_run)'), and metric tags turned host-1 into host_1. Change: verdict.Message for people and peers; a sanitizer that keeps dashes and dots in tag values. Result: tests of verdict, api, peer, telemetry and lavenderctl pass.

--- a/api/errors.go
+++ b/api/errors.go
@@ -29,7 +29,7 @@
 
 func errorBody(requestID string, err error) ErrorBody {
 	return ErrorBody{Error: ErrorDetail{
-		Message: err.Error(), Type: errorType, Reason: verdict.ReasonOf(err), Verdict: verdict.Of(err), RequestID: requestID,
+		Message: verdict.Message(err), Type: errorType, Reason: verdict.ReasonOf(err), Verdict: verdict.Of(err), RequestID: requestID,
 	}}
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -19,7 +19,7 @@
 	if err == nil {
 		return nil
 	}
-	return &Failure{Verdict: verdict.Of(err), Reason: verdict.ReasonOf(err), Message: err.Error()}
+	return &Failure{Verdict: verdict.Of(err), Reason: verdict.ReasonOf(err), Message: verdict.Message(err)}
 }
 
 // DrainRequested begins the planned stop of this process.
--- a/peer/status.go
+++ b/peer/status.go
@@ -17,7 +17,7 @@
 		return nil
 	}
 	reason := verdict.ReasonOf(err)
-	s := status.New(codeOf(reason), err.Error())
+	s := status.New(codeOf(reason), verdict.Message(err))
 	detailed, detailErr := s.WithDetails(&peerpb.RefusalDetail{
 		Verdict: verdict.Of(err).String(),
 		Reason:  string(reason),
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -40,7 +40,7 @@
 	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: metricPrefix, Tags: tags, CachedReporter: reporter,
-		Separator: tallyprom.DefaultSeparator, SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
+		Separator: tallyprom.DefaultSeparator, SanitizeOptions: sanitizer(),
 		OmitCardinalityMetrics: true,
 	}, reportEvery)
 	return &Metrics{
@@ -49,5 +49,15 @@
 	}
 }
 
+// sanitizer keeps dashes and dots in tag values, such as host names, which
+// Prometheus allows and the default replaces.
+func sanitizer() *tally.SanitizeOptions {
+	o := tallyprom.DefaultSanitizerOpts
+	o.ValueCharacters = tally.ValidCharacters{
+		Ranges: tally.AlphanumericRange, Characters: tally.UnderscoreDashDotCharacters,
+	}
+	return &o
+}
+
 // Close stops reporting.
 func (m *Metrics) Close() error { return m.closer.Close() }
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -57,7 +57,7 @@
 
 var (
 	verdictProperty = errorx.RegisterProperty("verdict")
-	reasonProperty  = errorx.RegisterPrintableProperty("reason")
+	reasonProperty  = errorx.RegisterProperty("reason")
 )
 
 // New returns an error that carries a verdict and a reason.
@@ -101,3 +101,24 @@
 	value, _ := carrier.Property(key)
 	return value
 }
+
+// Message returns the text of err and its causes for people and for other
+// processes, without the error types that Error adds.
+func Message(err error) string {
+	carrier := errorx.Cast(err)
+	if carrier == nil {
+		return text(err)
+	}
+	message := carrier.Message()
+	if cause := carrier.Cause(); cause != nil {
+		return message + ": " + Message(cause)
+	}
+	return message
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/verdict/verdict_test.go
+++ b/verdict/verdict_test.go
@@ -30,6 +30,15 @@
 	require.Equal(t, verdict.MayHaveRun, verdict.Of(outer))
 }
 
+// Guards against error types in texts that callers read, and against lost causes.
+func TestMessageNamesCausesWithoutTypes(t *testing.T) {
+	cause := verdict.Wrap(errors.New("reset"), verdict.MayHaveRun, verdict.ReasonConnectionLost, "call backend server")
+	err := verdict.Wrap(cause, verdict.MayHaveRun, verdict.ReasonBackendFailed, "attempt 2")
+	require.Equal(t, "attempt 2: call backend server: reset", verdict.Message(err))
+	require.Equal(t, "class live: "+cause.Error(), verdict.Message(fmt.Errorf("class live: %w", cause)))
+	require.Empty(t, verdict.Message(nil))
+}
+
 // Guards against a message with an unknown verdict being read as some verdict.
 func TestVerdictText(t *testing.T) {
 	for _, v := range []verdict.Verdict{verdict.NotRun, verdict.MayHaveRun, verdict.Ran} {
