Add lavender-bench: decisions measured on a virtual clock

Cause: no measurement compared the policies with their baselines.

Change: package bench runs the systems of 9 entry hosts and one holder over their tables on a virtual clock, with seeded fakes of engines, plain services, the table service, the host list, trainers and callers. Routing uses plan.Pick, Begin and End; admission and retries use traffic.Decisions, which exposes the functions of the router without goroutines. cmd/lavender-bench and make bench print tables and write JSON and SVG.

Result: TestSameSeedSameResult passes.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PROTO_GEN_VERSION = v1.36.12
 BIN = bin
 
-.PHONY: build test lint vet format generate demo clean
+.PHONY: build test lint vet format generate demo bench clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -24,6 +24,12 @@
 demo: build
 	demo/run.sh $(DEMO_ARGS)
 
+# Compares policies on a virtual clock at peak load; BENCH_ARGS go to
+# lavender-bench. docs/measurements.md explains the figures.
+bench: build
+	$(BIN)/lavender-bench --deployment pamoja $(BENCH_ARGS)
+	$(BIN)/lavender-bench --deployment cymru $(BENCH_ARGS)
+
 # Needs buf, protoc-gen-go and protoc-gen-go-grpc on the PATH. The output is
 # committed, so a build does not need it.
 generate:
--- /dev/null
+++ b/bench/bench_test.go
@@ -0,0 +1,22 @@
+package bench
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSameSeedSameResult guards against figures that depend on map order or on
+// the real clock.
+func TestSameSeedSameResult(t *testing.T) {
+	d := Pamoja()
+	s := Setup{Deployment: d, Load: "off_peak", Policy: Policies(d)[0], Fault: "crash", Seed: 7}
+	var encoded [2][]byte
+	for i := range encoded {
+		var err error
+		encoded[i], err = json.Marshal(Run(s))
+		require.NoError(t, err)
+	}
+	require.Equal(t, string(encoded[0]), string(encoded[1]))
+}
--- /dev/null
+++ b/bench/compare.go
@@ -0,0 +1,43 @@
+package bench
+
+import (
+	"sync"
+)
+
+// Row is a policy of a comparison with its results by seed.
+type Row struct {
+	Name    string    `json:"name"`
+	Fault   string    `json:"fault"`
+	Results []*Result `json:"results"`
+}
+
+// Comparison is a set of policies over the same seeds.
+type Comparison struct {
+	Deployment string `json:"deployment"`
+	Load       string `json:"load"`
+	Seeds      int    `json:"seeds"`
+	Rows       []Row  `json:"rows"`
+}
+
+// Compare runs every policy under every fault with the seeds 1 to seeds. Runs are
+// independent; workers bounds how many run at once.
+func Compare(d Deployment, load string, policies []Policy, faults []string, seeds, workers int) Comparison {
+	c := Comparison{Deployment: d.Name, Load: load, Seeds: seeds}
+	limit := make(chan struct{}, workers)
+	var running sync.WaitGroup
+	for _, fault := range faults {
+		for _, p := range policies {
+			row := Row{Name: p.Name, Fault: fault, Results: make([]*Result, seeds)}
+			c.Rows = append(c.Rows, row)
+			for i := range seeds {
+				running.Go(func() {
+					limit <- struct{}{}
+					defer func() { <-limit }()
+					row.Results[i] = Run(Setup{Deployment: d, Load: load, Policy: p, Fault: fault, Seed: uint64(i + 1)})
+				})
+			}
+		}
+	}
+	running.Wait()
+	return c
+}
--- /dev/null
+++ b/bench/controller.go
@@ -0,0 +1,225 @@
+package bench
+
+import (
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/system"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+func exp(x float64) float64 { return math.Exp(x) }
+
+var leases = system.LeaseOptions{Partitions: 4, Length: 6 * time.Second, Margin: 2 * time.Second, Order: 2 * time.Second}
+
+// newController returns the holder of all partitions.
+func (w *world) newController() *node {
+	background := system.Background(leases)
+	systems := append([]system.Named{
+		background[0],
+		{Name: "membership", Run: system.Membership(hostListPeriod)},
+		{Name: "load", Run: system.Load(statePeriod)},
+	}, background[1:]...)
+	n := w.newNode("c1", 0, table.RoleController, systems)
+	n.execute = n.executeBackground
+	return n
+}
+
+var storeDown = &event.Failure{Verdict: verdict.NotRun, Reason: verdict.ReasonStoreUnavailable}
+
+func (n *node) executeBackground(c command.Command) bool {
+	w, sent := n.w, n.w.now
+	switch c := c.(type) {
+	case command.ReadLeases:
+		n.store(func(f *event.Failure) event.Event { return event.LeasesRead{Rows: w.store.leaseRows(f), Failure: f} })
+	case command.WriteLease:
+		n.store(func(f *event.Failure) event.Event {
+			row, ok := c.Row, false
+			if f == nil {
+				row, ok = w.store.writeLease(c.Row)
+			}
+			return event.LeaseWritten{Row: row, Committed: ok, SentAt: sent, Failure: f}
+		})
+	case command.LoadTrainer:
+		n.store(func(f *event.Failure) event.Event {
+			loaded := w.store.load(c.Trainer)
+			loaded.Failure = f
+			return loaded
+		})
+	case command.CommitRows:
+		n.store(func(f *event.Failure) event.Event {
+			if f != nil {
+				return event.RowsCommitted{ID: c.ID, Failure: f}
+			}
+			versions, ok := w.store.commit(c.Rows)
+			return event.RowsCommitted{ID: c.ID, Committed: ok, Versions: versions}
+		})
+	case command.ReadWeights:
+		n.store(func(f *event.Failure) event.Event { return event.WeightsRead{Rows: w.store.weightRows(f), Failure: f} })
+	case command.OrderWeights:
+		s := w.servers[c.Backend]
+		w.after(w.zoneDelay(n.zone, s.zone), func() { n.orderWeights(s, c) })
+	case command.GenerateSample:
+		n.generate(c)
+	case command.AnswerPull, command.AnswerConfirm:
+		w.answerTrainer(c)
+	default:
+		return false
+	}
+	return true
+}
+
+// store answers after the table service's delay, with a failure in an outage.
+func (n *node) store(answer func(*event.Failure) event.Event) {
+	n.w.after(storeDelay, func() {
+		var f *event.Failure
+		if n.w.store.down {
+			f = storeDown
+		}
+		n.post(answer(f))
+	})
+}
+
+func (n *node) orderWeights(s *server, c command.OrderWeights) {
+	answer := event.OrderAnswered{Backend: c.Backend, Model: c.Wanted.Model}
+	if s.down {
+		answer.Failure = unreachable
+	} else {
+		n.w.applyOrder(s, c.Wanted)
+	}
+	n.w.after(n.w.zoneDelay(n.zone, s.zone), func() { n.post(answer) })
+}
+
+// generate runs one sample on an entry host.
+func (n *node) generate(c command.GenerateSample) {
+	w := n.w
+	h := w.hostByID(c.EntryID)
+	sent := w.now
+	r := &request{
+		host: h, class: c.Class, engine: true, idempotent: true, urgent: c.Urgent, maxTokens: float64(c.Spec.MaxTokens),
+		tokens: w.sampleTokens(c), deadline: w.now + 10*time.Minute,
+		query: plan.Query{Hashes: w.hashes(c.Trainer, c.Spec.Prompt), Training: true, MinVersion: c.MinVersion},
+	}
+	r.done = func(r *request, err error) {
+		if err == nil && ledger.Oldest(r.ranges) < c.MinVersion {
+			err = verdict.New(verdict.MayHaveRun, verdict.ReasonVersionChanged, "too old")
+		}
+		e := event.SampleGenerated{
+			Trainer: c.Trainer, EntryID: c.EntryID, Failure: event.FailureOf(err),
+			Record: ledger.SampleRecord{Group: c.Spec.ID, Index: c.Index, Attempt: c.Attempt, Tokens: r.tokens, Ranges: r.ranges},
+		}
+		w.after(w.zoneDelay(n.zone, h.zone), func() {
+			e.Took = w.now - sent
+			n.post(e)
+		})
+	}
+	w.after(w.zoneDelay(n.zone, h.zone), r.start)
+}
+
+// sampleTokens draws a sample's length. It depends only on the seed and on what
+// is generated, so that all policies get the same lengths; a hedged request is a
+// second draw.
+func (w *world) sampleTokens(c command.GenerateSample) int {
+	group := rand.New(rand.NewPCG(w.setup.Seed, xxhash.Sum64String(c.Trainer+"/"+c.Spec.ID)))
+	key := c.Trainer + "/" + c.Spec.ID + "/" + strconv.Itoa(c.Index) + "/" + strconv.Itoa(c.Attempt) + "/" + strconv.FormatBool(c.Hedge)
+	own := rand.New(rand.NewPCG(w.setup.Seed, xxhash.Sum64String(key)))
+	median := lognormal(group, sampleMedian, groupSigma)
+	return max(1, min(int(lognormal(own, median, sampleSigma)), longestSample))
+}
+
+// store is a memory model of the table service.
+type store struct {
+	down     bool
+	rows     map[string]command.RowWrite
+	versions map[string]uint64
+	leases   map[int]event.LeaseRow
+	weights  event.WeightsRow
+}
+
+func newStore() *store {
+	return &store{
+		rows: make(map[string]command.RowWrite), versions: make(map[string]uint64), leases: make(map[int]event.LeaseRow),
+		weights: event.WeightsRow{Model: modelName, RowVersion: 1, Version: 1},
+	}
+}
+
+func (s *store) leaseRows(f *event.Failure) []event.LeaseRow {
+	var rows []event.LeaseRow
+	for _, partition := range slices.Sorted(maps.Keys(s.leases)) {
+		if f == nil {
+			rows = append(rows, s.leases[partition])
+		}
+	}
+	return rows
+}
+
+func (s *store) weightRows(f *event.Failure) []event.WeightsRow {
+	if f != nil {
+		return nil
+	}
+	return []event.WeightsRow{s.weights}
+}
+
+func (s *store) writeLease(row event.LeaseRow) (event.LeaseRow, bool) {
+	if current := s.leases[row.Partition]; row.RowVersion != current.RowVersion {
+		return current, false
+	}
+	row.RowVersion++
+	s.leases[row.Partition] = row
+	return row, true
+}
+
+func (s *store) current(key string) uint64 {
+	if _, ok := s.rows[key]; !ok {
+		return 0
+	}
+	return s.versions[key]
+}
+
+func (s *store) commit(rows []command.RowWrite) (map[string]uint64, bool) {
+	for _, r := range rows {
+		if !r.Any && s.current(r.Key) != r.If {
+			return nil, false
+		}
+	}
+	versions := make(map[string]uint64)
+	for _, r := range rows {
+		if r.Delete {
+			delete(s.rows, r.Key)
+			continue
+		}
+		s.versions[r.Key]++
+		s.rows[r.Key], versions[r.Key] = r, s.versions[r.Key]
+	}
+	return versions, true
+}
+
+func (s *store) load(trainer string) event.TrainerLoaded {
+	e := event.TrainerLoaded{Trainer: event.TrainerRow{Name: trainer}}
+	for _, key := range slices.Sorted(maps.Keys(s.rows)) {
+		r := s.rows[key]
+		switch {
+		case key == ledger.TrainerKey(trainer):
+			e.Trainer.RowVersion, e.Trainer.Record = s.versions[key], *r.Trainer
+		case strings.HasPrefix(key, "group/"+trainer+"/"):
+			e.Groups = append(e.Groups, event.GroupRow{Trainer: trainer, RowVersion: s.versions[key], Record: *r.Group})
+		case strings.HasPrefix(key, "sample/"+trainer+"/"):
+			e.Samples = append(e.Samples, event.SampleRow{Trainer: trainer, Record: *r.Sample})
+		case strings.HasPrefix(key, "lot/"+trainer+"/"):
+			e.Lots = append(e.Lots, *r.Lot)
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/bench/node.go
@@ -0,0 +1,143 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/control"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/system"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// Periods of a process, as in its default settings.
+const (
+	hostListPeriod = time.Second
+	statePeriod    = 500 * time.Millisecond
+)
+
+// node is a process with tables of its own: an entry host or the controller.
+type node struct {
+	w       *world
+	zone    int
+	tables  *table.Tables
+	loop    *control.Loop
+	inbox   []event.Event
+	ticked  time.Duration
+	nextAt  time.Duration
+	execute func(command.Command) bool // commands of this role; false if unknown
+}
+
+func (w *world) newNode(id string, zone int, role table.Role, systems []system.Named) *node {
+	n := &node{w: w, zone: zone, nextAt: -1}
+	n.tables = table.New(table.Self{ID: id, Host: id, Zone: zoneName(zone), Role: role, Address: id})
+	n.tables.Config.Version, n.tables.Config.Confirmed = 1, true
+	n.tables.Config.Body = w.config()
+	n.loop = control.NewLoop(control.Options{Tables: n.tables, Systems: systems})
+	return n
+}
+
+// post delivers an event; the loop ticks as soon as its shortest period allows.
+func (n *node) post(e event.Event) {
+	n.inbox = append(n.inbox, e)
+	n.tickAt(max(n.w.now, n.ticked+control.MinTick))
+}
+
+func (n *node) tickAt(t time.Duration) {
+	if n.nextAt >= 0 && n.nextAt <= t {
+		return
+	}
+	n.nextAt = t
+	n.w.at(t, func() {
+		if n.nextAt == t {
+			n.tick()
+		}
+	})
+}
+
+func (n *node) tick() {
+	in := n.inbox
+	n.inbox, n.ticked, n.nextAt = nil, n.w.now, -1
+	commands, next := n.loop.Step(n.w.now, in)
+	for _, c := range commands {
+		if !n.execute(c) {
+			n.executeCommon(c)
+		}
+	}
+	n.tickAt(next)
+}
+
+// executeCommon runs the commands that both roles have.
+func (n *node) executeCommon(c command.Command) {
+	w := n.w
+	switch c := c.(type) {
+	case command.Count:
+		w.result.count(w, c)
+	case command.ReadHostList:
+		w.after(2*time.Millisecond, func() { n.post(event.HostListRead{Hosts: w.list.visible(w.now)}) })
+	case command.ReadState:
+		s := w.servers[c.Backend]
+		w.after(2*w.zoneDelay(n.zone, s.zone), func() { n.readState(s) })
+	case command.ReadCacheEvents:
+		s := w.servers[c.Backend]
+		w.after(2*w.zoneDelay(n.zone, s.zone), func() { n.readCache(s, c.After) })
+	}
+}
+
+func (n *node) readState(s *server) {
+	if s.down {
+		n.post(event.StateReported{Backend: s.name, Failure: unreachable})
+		return
+	}
+	state := s.reported
+	state.AgeMS = (n.w.now - s.reportedAt).Milliseconds()
+	n.post(event.StateReported{Backend: s.name, State: state})
+}
+
+func (n *node) readCache(s *server, after uint64) {
+	read := event.CacheReported{Backend: s.name}
+	if s.down {
+		read.Failure = unreachable
+	} else if len(s.cacheVisible) > 0 {
+		for _, e := range s.cache.after(after, s.cacheVisible[0]) {
+			if n.w.random.Float64() >= cacheLoss {
+				read.Events.Events = append(read.Events.Events, e)
+			}
+		}
+	}
+	n.post(read)
+}
+
+var unreachable = &event.Failure{Verdict: verdict.NotRun, Reason: verdict.ReasonConnectFailed}
+
+// host is an entry host.
+type host struct {
+	*node
+	id        string
+	plan      *plan.Plan
+	decisions decisions
+}
+
+func (w *world) newHost(i int) *host {
+	id := "e" + string(rune('1'+i))
+	h := &host{id: id}
+	h.node = w.newNode(id, i%w.setup.Deployment.Zones, table.RoleEntry, []system.Named{
+		{Name: "membership", Run: system.Membership(hostListPeriod)},
+		{Name: "load", Run: system.Load(statePeriod)},
+		{Name: "departure", Run: system.Departure()},
+		{Name: "ejection", Run: system.Ejection()},
+		{Name: "classes", Run: system.Classes()},
+		{Name: "prefixes", Run: system.Prefixes()},
+		{Name: "routing", Run: system.Routing(system.RoutingOptions{})},
+	})
+	h.execute = func(c command.Command) bool {
+		published, ok := c.(command.PublishPlan)
+		if ok {
+			h.plan = published.Plan
+		}
+		return ok
+	}
+	return h
+}
--- /dev/null
+++ b/bench/plot.go
@@ -0,0 +1,106 @@
+package bench
+
+import (
+	"encoding/xml"
+	"fmt"
+	"io"
+)
+
+// Sizes of the plot, in pixels.
+const (
+	plotLabel  = 210
+	plotPanel  = 240
+	plotGap    = 30
+	plotRow    = 22
+	plotTop    = 50
+	plotMargin = 20
+)
+
+type svg struct {
+	XMLName xml.Name `xml:"svg"`
+	XMLNS   string   `xml:"xmlns,attr"`
+	Width   int      `xml:"width,attr"`
+	Height  int      `xml:"height,attr"`
+	Texts   []svgText
+	Bars    []svgRect
+	Ranges  []svgLine
+}
+
+type svgText struct {
+	XMLName xml.Name `xml:"text"`
+	X       float64  `xml:"x,attr"`
+	Y       float64  `xml:"y,attr"`
+	Size    int      `xml:"font-size,attr"`
+	Font    string   `xml:"font-family,attr"`
+	Text    string   `xml:",chardata"`
+}
+
+type svgRect struct {
+	XMLName xml.Name `xml:"rect"`
+	X       float64  `xml:"x,attr"`
+	Y       float64  `xml:"y,attr"`
+	Width   float64  `xml:"width,attr"`
+	Height  float64  `xml:"height,attr"`
+	Fill    string   `xml:"fill,attr"`
+}
+
+type svgLine struct {
+	XMLName xml.Name `xml:"line"`
+	X1      float64  `xml:"x1,attr"`
+	Y1      float64  `xml:"y1,attr"`
+	X2      float64  `xml:"x2,attr"`
+	Y2      float64  `xml:"y2,attr"`
+	Stroke  string   `xml:"stroke,attr"`
+}
+
+// plotted are the figures that get a panel.
+var plotted = []string{"idle %", "mean", "callers %"}
+
+// WritePlot writes a bar chart: a panel per figure, a bar per policy with its
+// median, a line for the range over the seeds.
+func (c Comparison) WritePlot(out io.Writer) error {
+	p := svg{
+		XMLNS: "http://www.w3.org/2000/svg", Width: plotLabel + len(plotted)*(plotPanel+plotGap) + plotMargin,
+		Height: plotTop + len(c.Rows)*plotRow + plotMargin,
+	}
+	p.text(plotMargin, 18, 14, fmt.Sprintf("%s, %s load, %d seeds", c.Deployment, c.Load, c.Seeds))
+	for i, row := range c.Rows {
+		p.text(plotMargin, float64(plotTop+i*plotRow+15), 11, row.Fault+" / "+row.Name)
+	}
+	for i, name := range plotted {
+		for _, column := range columns {
+			if column.name == name {
+				p.panel(c.Rows, column, float64(plotLabel+i*(plotPanel+plotGap)))
+			}
+		}
+	}
+	if _, err := io.WriteString(out, xml.Header); err != nil {
+		return err
+	}
+	return xml.NewEncoder(out).Encode(p)
+}
+
+func (p *svg) text(x, y float64, size int, text string) {
+	p.Texts = append(p.Texts, svgText{X: x, Y: y, Size: size, Font: "sans-serif", Text: text})
+}
+
+func (p *svg) panel(rows []Row, column column, x float64) {
+	top := 0.0
+	for _, row := range rows {
+		_, _, high := row.spread(column.value)
+		top = max(top, high)
+	}
+	if top == 0 {
+		top = 1
+	}
+	scale := plotPanel / top * 0.85 // leaves room for the number
+	p.text(x, plotTop-8, 12, column.name)
+	for i, row := range rows {
+		low, median, high := row.spread(column.value)
+		y := float64(plotTop + i*plotRow)
+		p.Bars = append(p.Bars, svgRect{X: x, Y: y + 3, Width: median * scale, Height: plotRow - 8, Fill: "#7da7d9"})
+		middle := y + plotRow/2 - 1
+		p.Ranges = append(p.Ranges, svgLine{X1: x + low*scale, Y1: middle, X2: x + high*scale, Y2: middle, Stroke: "#222222"})
+		p.text(x+high*scale+4, y+15, 10, fmt.Sprintf(column.format, median))
+	}
+}
--- /dev/null
+++ b/bench/request.go
@@ -0,0 +1,245 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/traffic"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+type decisions = traffic.Decisions
+
+// maxPicks and priorityStep are those of package traffic.
+const (
+	maxPicks     = 4
+	priorityStep = 2
+)
+
+// request is the row of one request at an entry host. It follows the steps of
+// traffic.Router with the same pickers and decisions.
+type request struct {
+	host       *host
+	class      string
+	engine     bool
+	tokens     int // true work: tokens, or units of a plain service
+	maxTokens  float64
+	idempotent bool
+	urgent     bool
+	deadline   time.Duration // 0 without one
+	query      plan.Query
+	done       func(r *request, err error)
+
+	planned    plan.Class
+	started    time.Duration
+	plan       *plan.Plan
+	backend    *plan.Backend
+	sentAt     time.Duration
+	current    *sequence
+	attempts   int
+	produced   int
+	ranges     []ledger.Range
+	mayHaveRun bool
+	ended      bool
+}
+
+// start admits the request.
+func (r *request) start() {
+	w, h := r.host.w, r.host
+	r.started, r.plan = w.now, h.plan
+	class, ok := r.plan.Classes[r.class]
+	if !ok || class.Share <= 0 {
+		r.end(verdict.New(verdict.NotRun, verdict.ReasonOverload, "no share"))
+		return
+	}
+	if w.setup.Policy.NoShares {
+		class.Share = 1
+	}
+	r.planned = class
+	r.query.Share, r.query.Zone = class.Share, h.tables.Self.Zone
+	h.decisions.Earn(r.class)
+	if r.deadline > 0 {
+		w.at(r.deadline, r.expire)
+	}
+	r.try()
+}
+
+// try picks a server and sends an attempt.
+func (r *request) try() {
+	b, err := r.pick()
+	if err != nil {
+		r.end(err)
+		return
+	}
+	w := r.host.w
+	r.attempts++
+	r.backend, r.sentAt = b, w.now
+	if r.engine {
+		r.host.post(event.PrefixSent{Backend: b.Name, Hashes: r.query.Hashes})
+	}
+	s := w.servers[b.Name]
+	q := &sequence{request: r, attempt: r.attempts, priority: r.planned.Priority * priorityStep}
+	if r.urgent {
+		q.priority++
+	}
+	r.current = q
+	w.after(w.zoneDelay(r.host.zone, s.zone), func() { w.arrive(s, q) })
+}
+
+func (r *request) pick() (*plan.Backend, error) {
+	w := r.host.w
+	r.plan = r.host.plan
+	pool := r.plan.Services[serviceName]
+	if r.engine {
+		pool = r.plan.Models[modelName]
+	}
+	if pool == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoBackend, "no pool")
+	}
+	for range maxPicks {
+		r.query.Random = w.random.Uint64()
+		var b *plan.Backend
+		if w.setup.Policy.Oracle {
+			b = w.oracle(r, pool)
+		} else {
+			b = r.plan.Pick(pool, &r.query)
+		}
+		if b == nil {
+			break
+		}
+		if r.deadline > 0 && !w.setup.Policy.Oracle && r.host.decisions.Wait(r.plan, b, r.maxTokens) > r.deadline-w.now {
+			return nil, verdict.New(verdict.NotRun, verdict.ReasonOverload, "estimated wait")
+		}
+		if r.plan.Begin(b, &r.query) {
+			return b, nil
+		}
+	}
+	if r.query.Training {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonOverload, "no share of a server")
+	}
+	return nil, verdict.New(verdict.NotRun, verdict.ReasonNoBackend, "no server")
+}
+
+// attemptEnded takes in the end of an attempt.
+func (r *request) attemptEnded(q *sequence, err error) {
+	if r.ended || r.current != q {
+		return
+	}
+	w, h := r.host.w, r.host
+	for _, part := range q.ranges {
+		r.ranges = ledger.AppendRange(r.ranges, part.To-part.From, part.Version)
+	}
+	r.produced += q.produced
+	r.closeAttempt(err)
+	if err == nil {
+		h.decisions.Observe(r.backend, w.now-r.sentAt)
+		r.end(nil)
+		return
+	}
+	r.mayHaveRun = r.mayHaveRun || verdict.Of(err) != verdict.NotRun
+	switch {
+	case !traffic.Repeatable(err, r.idempotent):
+		r.end(err)
+		return
+	case !h.decisions.TakeRetry(r.class):
+		r.end(verdict.Wrap(err, verdict.Of(err), verdict.ReasonRetryBudget, "budget"))
+		return
+	}
+	wait := 1 + time.Duration(w.random.Int64N(int64(traffic.LongestBackoff(r.attempts))))
+	if r.deadline > 0 && r.deadline-w.now <= wait {
+		r.end(err)
+		return
+	}
+	w.result.retried(w, r.class, verdict.ReasonOf(err))
+	r.query.Tried = append(r.query.Tried, r.backend.Name)
+	w.after(wait, func() {
+		if !r.ended {
+			r.try()
+		}
+	})
+}
+
+// closeAttempt reports the end of the attempt as the router does.
+func (r *request) closeAttempt(err error) {
+	r.plan.End(r.backend, &r.query)
+	ended := event.AttemptEnded{Backend: r.backend.Name, Verdict: verdict.Of(err)}
+	if err != nil {
+		ended.Reason = verdict.ReasonOf(err)
+	}
+	r.host.post(ended)
+	r.current = nil
+}
+
+// expire ends a request whose deadline has passed and cancels its attempt.
+func (r *request) expire() {
+	if r.ended {
+		return
+	}
+	v := verdict.NotRun
+	if q := r.current; q != nil {
+		w, s := r.host.w, r.host.w.servers[r.backend.Name]
+		v = verdict.MayHaveRun
+		w.after(w.zoneDelay(r.host.zone, s.zone), func() { w.remove(s, q) })
+		r.closeAttempt(verdict.New(v, verdict.ReasonDeadline, "deadline"))
+	}
+	r.end(verdict.New(v, verdict.ReasonDeadline, "deadline"))
+}
+
+func (r *request) end(err error) {
+	r.ended = true
+	w := r.host.w
+	if err != nil && r.mayHaveRun && verdict.Of(err) == verdict.NotRun {
+		err = verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonOf(err), "an earlier attempt may have run")
+	}
+	ended := event.RequestEnded{Class: r.class, Verdict: verdict.Of(err), Latency: w.now - r.started}
+	if err != nil {
+		ended.Reason = verdict.ReasonOf(err)
+		w.result.refused(w, r.class, ended.Reason)
+	}
+	r.host.post(ended)
+	r.done(r, err)
+}
+
+// oracle picks the server where the request would end first, from the true state
+// and the true lengths.
+func (w *world) oracle(r *request, pool *plan.Pool) *plan.Backend {
+	var best *plan.Backend
+	var soonest float64
+	for i := range pool.Backends {
+		b := &pool.Backends[i]
+		s := w.servers[b.Name]
+		if s.down || s.refusing || r.query.MinVersion > s.active || r.query.Training && len(s.running)+len(s.queue) >= int(r.query.Share*float64(s.slots)) {
+			continue
+		}
+		work := float64(r.tokens)
+		for _, q := range s.queue {
+			if q.priority >= r.planned.Priority*priorityStep {
+				work += float64(q.request.tokens) / float64(s.slots)
+			}
+		}
+		if len(s.running) >= s.slots {
+			work += s.soonestFree()
+		}
+		if estimate := work / s.rate(); best == nil || estimate < soonest {
+			best, soonest = b, estimate
+		}
+	}
+	return best
+}
+
+// soonestFree returns the work until the first running sequence ends.
+func (s *server) soonestFree() float64 {
+	left := s.running[0].begun + s.running[0].work
+	for _, q := range s.running {
+		left = min(left, q.begun+q.work)
+	}
+	return left - s.progress
+}
+
+// lognormal draws a length with the given median.
+func lognormal(random *rand.Rand, median, sigma float64) float64 {
+	return median * exp(sigma*random.NormFloat64())
+}
--- a/traffic/admit.go
+++ b/traffic/admit.go
@@ -54,11 +54,10 @@
 // checkWait refuses a request that would still wait at its deadline.
 func (r *Router) checkWait(ctx context.Context, req *request, b *plan.Backend) error {
 	deadline, ok := ctx.Deadline()
-	if !ok || b.Stale || b.Report.Slots <= 0 {
+	if !ok {
 		return nil
 	}
-	waiting := req.plan.Load(b) - float64(b.Report.Slots)
-	wait := time.Duration(waiting * float64(r.estimate.perRequest(b, req.units)))
+	wait := r.estimate.wait(req.plan, b, req.units)
 	if left := time.Until(deadline); wait > left {
 		return verdict.New(verdict.NotRun, verdict.ReasonOverload, "estimated wait of %v exceeds the %v left", wait, left)
 	}
--- a/traffic/retry.go
+++ b/traffic/retry.go
@@ -55,8 +55,7 @@
 // backOff waits before the next attempt. It returns false, without waiting, if
 // the request's time would be over by then.
 func (r *Router) backOff(ctx context.Context, attempts int) bool {
-	longest := min(firstBackoff<<min(attempts-1, 10), longestBackoff)
-	wait := rand.N(longest) + 1
+	wait := rand.N(LongestBackoff(attempts)) + 1
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= wait {
 		return false
 	}
