Spread samples over the entry hosts of all zones

The controller preferred entry hosts of its own zone up to 256 samples each, but a host may fill only its own part of the training share, about 16 samples, so the hosts of the two other zones received none.

Change: chooseEntry takes the host with the fewest samples, whatever its zone.

--- a/system/generate.go
+++ b/system/generate.go
@@ -17,9 +17,6 @@
 	// samplesPerTick bounds the samples that one tick sends out, so that a new
 	// submission of 8,192 samples does not delay lease renewals.
 	samplesPerTick = 1024
-	// samplesPerEntry bounds the samples of this controller on one entry host
-	// before hosts of other zones are used.
-	samplesPerEntry = 256
 	// urgentPart is the share of a group's samples, one in urgentPart, that are
 	// sent with raised priority.
 	urgentPart = 4
@@ -59,25 +56,19 @@
 	return entries
 }
 
-// chooseEntry returns the entry host with the fewest samples of this controller,
-// in the same zone unless all hosts of the zone are at samplesPerEntry.
-func chooseEntry(t *table.Tables, entries []*table.Host) *table.Host {
+// chooseEntry returns the entry host with the fewest samples of this controller.
+// Zones don't count: each host fills only its own part of the engines' slots, and
+// a delay of milliseconds is nothing beside a sample's seconds.
+func chooseEntry(entries []*table.Host) *table.Host {
 	var best *table.Host
 	for _, h := range entries {
-		if best == nil || entryCost(t, h) < entryCost(t, best) {
+		if best == nil || h.Samples < best.Samples {
 			best = h
 		}
 	}
 	return best
 }
 
-func entryCost(t *table.Tables, h *table.Host) int {
-	if h.Zone == t.Self.Zone {
-		return h.Samples
-	}
-	return h.Samples + samplesPerEntry
-}
-
 // dispatch sends samples of one trainer in one tick.
 type dispatch struct {
 	now     time.Duration
@@ -146,7 +137,7 @@
 		d.out.WakeAt(d.now)
 		return false
 	}
-	entry := chooseEntry(d.t, d.entries)
+	entry := chooseEntry(d.entries)
 	d.budget--
 	entry.Samples++
 	s.InFlight++
