Hold samples at the controller while all entry hosts are full

The controller sent every waiting sample at once; each refusal counted as a failure of the sample and put it off by up to 5 s, in random order, while slots became free.

Change: a refusal for want of a free share says how many samples the entry host takes. The refused sample is sent next and gets no backoff, so that the order of groups holds.

--- a/system/generate.go
+++ b/system/generate.go
@@ -56,19 +56,6 @@
 	return entries
 }
 
-// chooseEntry returns the entry host with the fewest samples of this controller.
-// Zones don't count: each host fills only its own part of the engines' slots, and
-// a delay of milliseconds is nothing beside a sample's seconds.
-func chooseEntry(entries []*table.Host) *table.Host {
-	var best *table.Host
-	for _, h := range entries {
-		if best == nil || h.Samples < best.Samples {
-			best = h
-		}
-	}
-	return best
-}
-
 // dispatch sends samples of one trainer in one tick.
 type dispatch struct {
 	now     time.Duration
@@ -137,7 +124,10 @@
 		d.out.WakeAt(d.now)
 		return false
 	}
-	entry := chooseEntry(d.entries)
+	entry := chooseEntry(d.now, d.entries, d.out)
+	if entry == nil {
+		return false
+	}
 	d.budget--
 	entry.Samples++
 	s.InFlight++
--- a/system/samples.go
+++ b/system/samples.go
@@ -16,9 +16,7 @@
 // applyGenerated takes in a result. Only the first one of a sample counts; it
 // must be completely labelled and within the staleness bound.
 func applyGenerated(now time.Duration, t *table.Tables, e event.SampleGenerated, out *command.Outbox) {
-	if h := t.Hosts.Find(e.EntryID); h != nil && h.Samples > 0 {
-		h.Samples--
-	}
+	noteEntry(now, t, e)
 	r := &e.Record
 	tr := t.Trainers.Find(e.Trainer)
 	g := t.Groups.Find(table.GroupKey(e.Trainer, r.Group))
@@ -61,12 +59,16 @@
 func sampleFailed(now time.Duration, g *table.Group, s *table.Sample, e event.SampleGenerated, reason string, out *command.Outbox) {
 	countReason(out, "sample_failed", reason)
 	removeObject(e, out)
-	s.Failures++
 	if s.InFlight > 0 || s.Phase != table.SampleRunning {
 		return
 	}
-	s.Phase, s.RetryAt = table.SampleWaiting, now+backoff(s.Failures)
+	s.Phase = table.SampleWaiting
 	g.Waiting++
+	if shareRefused(e.Failure) {
+		return // the entry host was full; noteEntry paces the next attempt
+	}
+	s.Failures++
+	s.RetryAt = now + backoff(s.Failures)
 }
 
 // discard drops a result that no row will ever name.
--- a/table/routing.go
+++ b/table/routing.go
@@ -47,7 +47,11 @@
 	StoreReachable bool
 	ContactPending bool
 
-	Samples  int           // samples that this controller runs on the entry host
+	Samples int // samples that this controller runs on the entry host
+	// After a refusal for want of a free share: the samples it held then.
+	Full     bool
+	Room     int
+	FullAt   time.Duration
 	LapsedAt time.Duration // when a lease of this controller lapsed on our clock, zero if none
 }
 
