system: benchmark an entry host's control loop by number of servers

The existing benchmark of a tick mixes the cost of being woken, of events and of plan builds, so it cannot be extrapolated. The new ones measure each alone and the whole loop for one second of simulated time.

--- /dev/null
+++ b/system/capacity_bench_test.go
@@ -0,0 +1,309 @@
+package system_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/control"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/system"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// backendCounts are the sizes at which the systems of an entry host are measured.
+var backendCounts = []int{10, 100, 1_000, 10_000}
+
+func backendName(i int) string { return fmt.Sprintf("engine-%05d", i) }
+
+func listOf(n int) event.HostListRead {
+	read := event.HostListRead{Hosts: make([]platform.ListedHost, n)}
+	for i := range n {
+		read.Hosts[i] = platform.ListedHost{
+			Name: backendName(i), Kind: "engine", Model: "match", Address: "127.0.0.1:9000", Zone: "a", State: "live",
+		}
+	}
+	return read
+}
+
+// entryWorld is an entry host whose backend servers have all reported once.
+type entryWorld struct {
+	systems []system.Named
+	tables  *table.Tables
+	out     command.Outbox
+	now     time.Duration
+}
+
+func newEntryWorld(backends int) *entryWorld {
+	w := &entryWorld{
+		tables: table.New(table.Self{ID: "entry-1", Host: "entry-1", Zone: "a", Role: table.RoleEntry}),
+		systems: []system.Named{
+			{Name: "membership", Run: system.Membership(time.Hour)},
+			{Name: "load", Run: system.Load(time.Hour)},
+			{Name: "departure", Run: system.Departure()},
+			{Name: "ejection", Run: system.Ejection()},
+			{Name: "classes", Run: system.Classes()},
+			{Name: "prefixes", Run: system.Prefixes()},
+			{Name: "drain", Run: system.Drain(time.Second)},
+			{Name: "routing", Run: system.Routing(system.RoutingOptions{})},
+		},
+	}
+	in := []event.Event{listOf(backends)}
+	for i := range backends {
+		in = append(in, reported(backendName(i), "boot-1", i%64, 200))
+	}
+	w.tick(in)
+	w.now += time.Minute // the polls of the first period are under way
+	w.tick(nil)
+	return w
+}
+
+func (w *entryWorld) tick(in []event.Event) {
+	for _, s := range w.systems {
+		s.Run(w.now, w.tables, in, &w.out)
+	}
+	w.out.Take()
+}
+
+// BenchmarkEntryTickIdle is the cost of a tick without events, shorter than the
+// period of plan builds after the one before: the cost of being woken.
+func BenchmarkEntryTickIdle(b *testing.B) {
+	for _, n := range backendCounts {
+		b.Run(fmt.Sprintf("backends=%d", n), func(b *testing.B) {
+			w := newEntryWorld(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				w.tick(nil)
+			}
+		})
+	}
+}
+
+// BenchmarkEntrySecond is one second of an entry host's control loop: every
+// command is answered in the tick after it, and ticks follow each other at the
+// shortest period while there is work. core-ms/s is the processor time.
+func BenchmarkEntrySecond(b *testing.B) {
+	for _, n := range []int{10, 100, 1_000, 5_100, 10_000} {
+		b.Run(fmt.Sprintf("backends=%d", n), func(b *testing.B) {
+			loop := newEntryLoop(n)
+			loop.run(5 * time.Second)
+			loop.polls, loop.ticks = 0, 0
+			for b.Loop() {
+				loop.run(time.Second)
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/1000/float64(b.N), "core-ms/s")
+			b.ReportMetric(float64(loop.polls)/float64(b.N), "polls/s")
+			b.ReportMetric(float64(loop.ticks)/float64(b.N), "ticks/s")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// entryLoop is the control loop of an entry host in simulated time.
+type entryLoop struct {
+	loop         *control.Loop
+	now          time.Duration
+	in           []event.Event
+	list         event.HostListRead
+	polls, ticks int
+}
+
+func newEntryLoop(backends int) *entryLoop {
+	return &entryLoop{list: listOf(backends), loop: control.NewLoop(control.Options{
+		Tables: table.New(table.Self{ID: "entry-1", Host: "entry-1", Zone: "a", Role: table.RoleEntry}),
+		Systems: []system.Named{
+			{Name: "membership", Run: system.Membership(time.Second)},
+			{Name: "load", Run: system.Load(500 * time.Millisecond)},
+			{Name: "departure", Run: system.Departure()},
+			{Name: "ejection", Run: system.Ejection()},
+			{Name: "classes", Run: system.Classes()},
+			{Name: "prefixes", Run: system.Prefixes()},
+			{Name: "routing", Run: system.Routing(system.RoutingOptions{})},
+		},
+	})}
+}
+
+func (l *entryLoop) run(d time.Duration) {
+	for end := l.now + d; l.now < end; l.ticks++ {
+		commands, next := l.loop.Step(l.now, l.in)
+		l.in = l.in[:0]
+		for _, c := range commands {
+			l.answer(c)
+		}
+		if len(l.in) > 0 {
+			next = min(next, l.now+control.MinTick)
+		}
+		l.now = next
+	}
+}
+
+func (l *entryLoop) answer(c command.Command) {
+	switch c := c.(type) {
+	case command.ReadHostList:
+		l.in = append(l.in, l.list)
+	case command.ReadState:
+		l.polls++
+		l.in = append(l.in, reported(c.Backend, "boot-1", l.polls%64, 200))
+	case command.ReadCacheEvents:
+		l.polls++
+		l.in = append(l.in, event.CacheReported{Backend: c.Backend})
+	}
+}
+
+// BenchmarkEntryEvent is the cost of one event of each frequent kind, in batches
+// of 1,000 on 5,000 backend servers, without the tick itself.
+func BenchmarkEntryEvent(b *testing.B) {
+	const batch = 1000
+	kinds := map[string]func(i int) event.Event{
+		"state_report":  func(i int) event.Event { return reported(backendName(i%5000), "boot-1", i%64, 200) },
+		"attempt_ended": func(i int) event.Event { return ended(backendName(i%5000), "") },
+		"request_ended": func(int) event.Event { return event.RequestEnded{Class: "live", Latency: time.Millisecond} },
+		"prefix_sent": func(i int) event.Event {
+			return event.PrefixSent{Backend: backendName(i % 5000), Hashes: []uint64{uint64(i), 2, 3, 4}}
+		},
+	}
+	for name, make := range kinds {
+		b.Run(name, func(b *testing.B) {
+			w := newEntryWorld(5000)
+			in := []event.Event{}
+			for i := range batch {
+				in = append(in, make(i))
+			}
+			var idle time.Duration
+			for b.Loop() {
+				w.tick(in)
+				before := time.Now()
+				w.tick(nil)
+				idle += time.Since(before)
+			}
+			b.ReportMetric(float64(b.Elapsed()-2*idle)/float64(b.N*batch), "ns/event")
+		})
+	}
+}
+
+// BenchmarkPlanBuild is a build and its comparison with the plan before, with one
+// changed report; bytes are those of the new plan.
+func BenchmarkPlanBuild(b *testing.B) {
+	for _, n := range backendCounts {
+		b.Run(fmt.Sprintf("backends=%d", n), func(b *testing.B) {
+			w := newEntryWorld(n)
+			routing := w.systems[len(w.systems)-1]
+			in := []event.Event{reported(backendName(0), "boot-1", 1, 0)}
+			b.ReportAllocs()
+			for b.Loop() {
+				w.now += 100 * time.Millisecond
+				w.tables.Backends.Find(backendName(0)).Report.Running++
+				routing.Run(w.now, w.tables, in, &w.out)
+				w.out.Take()
+			}
+		})
+	}
+}
+
+// BenchmarkHostListApply is the cost of applying a host list of n servers.
+func BenchmarkHostListApply(b *testing.B) {
+	for _, n := range backendCounts {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			w, membership := newEntryWorld(n), system.Membership(time.Hour)
+			in := []event.Event{listOf(n)}
+			b.ReportAllocs()
+			for b.Loop() {
+				membership(w.now, w.tables, in, &w.out)
+				w.out.Take()
+			}
+		})
+	}
+}
+
+// BenchmarkHostRowsApply is the cost of applying a read of all host rows.
+func BenchmarkHostRowsApply(b *testing.B) {
+	for _, n := range []int{20, 720} {
+		b.Run(fmt.Sprintf("rows=%d", n), func(b *testing.B) {
+			tables, hosts := table.New(table.Self{ID: "entry-1", Role: table.RoleEntry}), system.Hosts(15*time.Second)
+			var out command.Outbox
+			read := event.HostRowsRead{}
+			for i := range n {
+				read.Rows = append(read.Rows, event.HostRow{ID: fmt.Sprint("host-", i), Host: fmt.Sprint(i), Zone: "a", Role: "entry", RowVersion: 1})
+			}
+			now := time.Duration(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				now += 5 * time.Second
+				hosts(now, tables, []event.Event{read, event.HostRowWritten{}}, &out)
+				out.Take()
+			}
+		})
+	}
+}
+
+// BenchmarkTableMemory is the memory per row with its key and index, of rows as
+// the systems fill them; prefix hints are full.
+func BenchmarkTableMemory(b *testing.B) {
+	const rows = 10_000
+	fills := map[string]func() any{
+		"backend": func() any { return newEntryWorld(rows) },
+		"backend_with_hints": func() any {
+			w := newEntryWorld(rows / 10)
+			for _, row := range w.tables.Backends.All() {
+				for i := range table.MaxHints {
+					row.Hints.Add(uint64(i), time.Duration(i))
+				}
+				row.Hints.Build(0)
+			}
+			return w
+		},
+		"host": func() any {
+			var hosts table.Table[table.Host]
+			for i := range rows {
+				id := fmt.Sprintf("entry-%05d-1764837000000000000", i)
+				h, _ := hosts.Upsert(id)
+				*h = table.Host{ID: id, Host: fmt.Sprintf("entry-%05d", i), Zone: "a", Address: "127.0.0.1:9000"}
+			}
+			return &hosts
+		},
+		"partition": func() any {
+			var partitions table.Table[table.Partition]
+			for i := range rows {
+				p, _ := partitions.Upsert(table.PartitionKey(i))
+				*p = table.Partition{Number: i}
+			}
+			return &partitions
+		},
+		"sampler_rollout": func() any {
+			w := table.Weights{Samplers: make(map[string]*table.SamplerRollout)}
+			for i := range rows {
+				w.Samplers[backendName(i)] = &table.SamplerRollout{BootID: "boot-1"}
+			}
+			return &w
+		},
+		"plan_backend": func() any {
+			p := plan.Pool{Backends: make([]plan.Backend, rows)}
+			return &p
+		},
+	}
+	for name, fill := range fills {
+		b.Run(name, func(b *testing.B) {
+			count := rows
+			if name == "backend_with_hints" {
+				count /= 10
+			}
+			for b.Loop() {
+				before := heapBytes()
+				kept := fill()
+				b.ReportMetric(float64(heapBytes()-before)/float64(count), "bytes/row")
+				runtime.KeepAlive(kept)
+			}
+		})
+	}
+}
+
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
