system: allocate plans at their size and hash a server's spread once

A plan build hashed the name of each server and grew each pool by appending. Pools are now allocated at the size of the last plan, and the spread is kept in the row.

--- a/system/membership.go
+++ b/system/membership.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/plan"
@@ -45,11 +47,17 @@
 	}
 }
 
+// hostSpread returns a fixed number from 0 to 1 for a host and a server.
+func hostSpread(host, server string) float64 {
+	return float64(xxhash.Sum64String(host+"/"+server)>>11) / (1 << 53)
+}
+
 func applyListedBackend(now time.Duration, t *table.Tables, h platform.ListedHost) {
 	b, created := t.Backends.Upsert(h.Name)
 	if created {
 		b.Name = h.Name
 		b.Counters = new(plan.Counters)
+		b.Spread = hostSpread(t.Self.Host, h.Name)
 	}
 	b.Kind, b.Model = table.BackendKind(h.Kind), h.Model
 	b.Address, b.Zone = h.Address, h.Zone
--- a/system/routing.go
+++ b/system/routing.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/plan"
@@ -88,14 +86,33 @@
 		}
 		pool := pools[b.Model]
 		if pool == nil {
-			pool = &plan.Pool{Next: r.position(prefix + b.Model)}
+			pool = &plan.Pool{
+				Next:     r.position(prefix + b.Model),
+				Backends: make([]plan.Backend, 0, r.lastSize(b)),
+			}
 			pools[b.Model] = pool
 		}
-		pool.Backends = append(pool.Backends, planBackend(t.Self.Host, b))
+		pool.Backends = append(pool.Backends, planBackend(b))
 	}
 	return p
 }
 
+// lastSize returns the size of the backend's pool in the last plan, the likely
+// one of the new plan.
+func (r *router) lastSize(b *table.Backend) int {
+	if r.last == nil {
+		return 0
+	}
+	pools := r.last.Services
+	if b.Kind == table.KindEngine {
+		pools = r.last.Models
+	}
+	if pool := pools[b.Model]; pool != nil {
+		return len(pool.Backends)
+	}
+	return 0
+}
+
 func (r *router) validUntil(t *table.Tables) time.Duration {
 	switch {
 	case r.options.ConfirmWithin == 0:
@@ -133,12 +150,12 @@
 	return max(1, len(entries)), entries
 }
 
-func planBackend(self string, b *table.Backend) plan.Backend {
+func planBackend(b *table.Backend) plan.Backend {
 	return plan.Backend{
 		Name: b.Name, Address: b.Address, Zone: b.Zone, BootID: b.BootID,
 		Version: b.Active, Report: b.Report, SentAtReport: b.SentAtReport,
 		Probe: b.Probing, Stale: b.ReportStale || b.ReportSeen == 0,
-		Spread:   float64(xxhash.Sum64String(self+"/"+b.Name)>>11) / (1 << 53),
+		Spread:   b.Spread,
 		Counters: b.Counters, Prefixes: b.Hints.Set,
 	}
 }
--- a/table/routing.go
+++ b/table/routing.go
@@ -112,6 +112,8 @@
 	LastEjected         time.Duration
 	Probing             bool
 
+	// Spread is 0 to 1 and differs by host, see plan.Backend.
+	Spread   float64        `json:"-"`
 	Counters *plan.Counters `json:"-"` // shared with traffic; requests in flight and sent
 }
 
