system: scan and poll many servers less often

An entry host scanned all backend rows in every tick of 5 ms and polled the state of every server each 0.5 s and its cache events each 1 s, whatever their number. Four systems now scan every 5 us per row, which changes nothing below 1,000 rows. The period of polls grows above 200 polls per second of one kind, up to 2 s for states, which keeps the bound of 5 s for leaving servers, and up to 10 s for cache events.

Shown to fail: without the growth, TestPollsOfManyServers fails at scan_test.go:27 (5,997 polls/s instead of 1,500); with a scan per 500 us and row, at scan_test.go:28 (3 s between two polls). With reports applied only in ticks that scan, TestLeavingAmongManyServers fails at scan_test.go:44 (5,100 servers in the plan instead of 5,099).

--- a/system/capacity_bench_test.go
+++ b/system/capacity_bench_test.go
@@ -110,6 +110,12 @@
 	in           []event.Event
 	list         event.HostListRead
 	polls, ticks int
+
+	plan    *plan.Plan // newest
+	leaving string     // server that reports that it is leaving
+	states  int        // polls of state
+	stateAt map[string]time.Duration
+	longest time.Duration // between two polls of the same server
 }
 
 func newEntryLoop(backends int) *entryLoop {
@@ -142,12 +148,13 @@
 }
 
 func (l *entryLoop) answer(c command.Command) {
+	l.note(c)
 	switch c := c.(type) {
 	case command.ReadHostList:
 		l.in = append(l.in, l.list)
 	case command.ReadState:
 		l.polls++
-		l.in = append(l.in, reported(c.Backend, "boot-1", l.polls%64, 200))
+		l.in = append(l.in, l.report(c.Backend))
 	case command.ReadCacheEvents:
 		l.polls++
 		l.in = append(l.in, event.CacheReported{Backend: c.Backend})
--- a/system/ejection.go
+++ b/system/ejection.go
@@ -32,7 +32,9 @@
 				applyAttempt(now, t, ended, out)
 			}
 		}
-		readmit(now, t, out)
+		if scanDue(now, &t.Scans.Ejection, t.Backends.Len(), out) {
+			readmit(now, t, out)
+		}
 	}
 }
 
--- a/system/load.go
+++ b/system/load.go
@@ -16,8 +16,13 @@
 // load report no longer counts. One lost report is common, five in a row are not.
 const stalePeriods = 5
 
+// longestStatePeriod bounds the growth of the period with the number of servers.
+// A server that says it is leaving must get no new work after 5 s, and a weight
+// rollout ignores reports older than that.
+const longestStatePeriod = 2 * time.Second
+
 // Load polls the state of every backend server once per period, spread over the
-// period, and applies the reports. A backend whose reports stop is marked stale:
+// period, which grows with the number of servers, and applies the reports. A backend whose reports stop is marked stale:
 // routing then assumes that it is fully loaded.
 func Load(period time.Duration) System {
 	return func(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
@@ -26,9 +31,13 @@
 				applyState(now, t, report, out)
 			}
 		}
+		if !scanDue(now, &t.Scans.Load, t.Backends.Len(), out) {
+			return
+		}
+		grown := pollPeriod(period, longestStatePeriod, t.Backends.Len())
 		for _, b := range t.Backends.All() {
-			pollState(now, period, b, out)
-			markStale(now, period, b, out)
+			pollState(now, grown, b, out)
+			markStale(now, grown, b, out)
 		}
 	}
 }
--- a/system/prefix.go
+++ b/system/prefix.go
@@ -11,6 +11,9 @@
 // Limits of prefix hints.
 const (
 	cachePeriod = time.Second
+	// longestCachePeriod bounds the growth of the period with the number of
+	// engines. Cache events are hints and come late anyway.
+	longestCachePeriod = 10 * time.Second
 	// hintMaxAge bounds how long a hint counts without being seen again.
 	hintMaxAge = 5 * time.Minute
 	// buildPeriod and buildsPerTick bound the cost of rebuilding the immutable
@@ -40,10 +43,14 @@
 				applyCacheEvents(now, t, e, out)
 			}
 		}
+		if !scanDue(now, &t.Scans.Prefixes, t.Backends.Len(), out) {
+			return
+		}
+		period := pollPeriod(cachePeriod, longestCachePeriod, t.Backends.Len())
 		builds := 0
 		for _, b := range t.Backends.All() {
 			if b.Kind == table.KindEngine {
-				pollCache(now, b, out)
+				pollCache(now, period, b, out)
 				builds += rebuildHints(now, b, builds)
 			}
 		}
@@ -76,12 +83,12 @@
 	}
 }
 
-func pollCache(now time.Duration, b *table.Backend, out *command.Outbox) {
+func pollCache(now, period time.Duration, b *table.Backend, out *command.Outbox) {
 	if b.CacheNext == 0 {
-		b.CacheNext = now + spread(b.Name, cachePeriod)
+		b.CacheNext = now + spread(b.Name, period)
 	}
 	if now >= b.CacheNext && !b.CachePending {
-		b.CachePending, b.CacheNext = true, now+cachePeriod
+		b.CachePending, b.CacheNext = true, now+period
 		out.Add(command.ReadCacheEvents{Backend: b.Name, Address: b.Address, After: b.CacheAfter})
 	}
 	if !b.CachePending {
--- a/table/tables.go
+++ b/table/tables.go
@@ -1,5 +1,7 @@
 package table
 
+import "time"
+
 // Tables is the whole control state of one process. An entry host fills the
 // tables of routing, a controller those of background work; both fill hosts,
 // backends and configuration.
@@ -10,6 +12,7 @@
 	Backends Table[Backend] // keyed by backend name
 	Classes  Table[Class]   // keyed by class name
 
+	Scans     Scans
 	Directory Directory
 	Changes   Table[ConfigChange] // keyed by request id
 	Status    Status
@@ -24,5 +27,10 @@
 	Background Background
 }
 
+// Scans holds the earliest times of the next scans of all backends for due work.
+type Scans struct {
+	Load, Departure, Ejection, Prefixes time.Duration
+}
+
 // New returns empty tables for the process described by self.
 func New(self Self) *Tables { return &Tables{Self: self} }
