system: read leases, weights and host list less often at scale

Every controller read the lease rows and the wanted weights every second, and every process the whole host list: 720 reads/s of the table service by 360 controllers, of which at most 16 hold a partition.

Wanted weights are read only while a partition is held, and forgotten afterwards, because an old version must not be ordered at the next holding. The period of the host list grows by 1 ms per listed server, up to 3 s.

By TestReadsOfLongHostList with 2,000 servers in 30 s: 30 reads before, 15 after.

--- a/system/leases.go
+++ b/system/leases.go
@@ -13,8 +13,7 @@
 
 // Periods of the lease system.
 const (
-	leaseReadPeriod = time.Second
-	leaseRetry      = 500 * time.Millisecond
+	leaseRetry = 500 * time.Millisecond
 	// renewFraction of the length is the time between renewals, so that two may
 	// fail before the lease lapses.
 	renewFraction = 3
@@ -81,7 +80,7 @@
 		out.WakeAt(b.LeasesNext)
 		return
 	}
-	b.LeasesPending, b.LeasesNext = true, now+leaseReadPeriod
+	b.LeasesPending, b.LeasesNext = true, now+leasePeriod(liveControllers(t))
 	out.Add(command.ReadLeases{})
 }
 
@@ -240,18 +239,6 @@
 	}
 }
 
-// leaseShare is the number of partitions per live controller, rounded up. A
-// controller whose lease lapsed counts again once it renews its host row.
-func leaseShare(t *table.Tables, partitions int) int {
-	live := 1
-	for id, h := range t.Hosts.All() {
-		if h.Role == table.RoleController && id != t.Self.ID && (h.LapsedAt == 0 || h.RowSeen > h.LapsedAt) {
-			live++
-		}
-	}
-	return (partitions + live - 1) / live
-}
-
 func renewLeases(now time.Duration, t *table.Tables, o LeaseOptions, out *command.Outbox) {
 	for _, p := range t.Partitions.All() {
 		if !p.Held || p.Pending {
--- a/system/membership.go
+++ b/system/membership.go
@@ -12,8 +12,17 @@
 	"github.com/lavenderstand/lavenderstand/table"
 )
 
+const (
+	// listPerServer is the time between two reads of the host list per server
+	// that it names: an answer holds about 200 bytes for each.
+	listPerServer = time.Millisecond
+	// longestListPeriod bounds the growth, so that a server which the list calls
+	// leaving gets no new work after 5 s.
+	longestListPeriod = 3 * time.Second
+)
+
 // Membership keeps the backend rows in line with the platform's host list and
-// reads the list every period. A failed read changes no row: the list lags
+// reads the list every period, which grows with the length of the list. A failed read changes no row: the list lags
 // anyway, and the servers' own reports tell of departures meanwhile.
 func Membership(period time.Duration) System {
 	var next time.Duration
@@ -26,13 +35,17 @@
 			}
 		}
 		if !pending && now >= next {
-			pending, next = true, now+period
+			pending, next = true, now+listPeriod(period, t.Backends.Len())
 			out.Add(command.ReadHostList{})
 		}
 		out.WakeAt(next)
 	}
 }
 
+func listPeriod(shortest time.Duration, servers int) time.Duration {
+	return max(shortest, min(time.Duration(servers)*listPerServer, longestListPeriod))
+}
+
 func applyHostList(now time.Duration, t *table.Tables, read event.HostListRead) {
 	if read.Failure != nil {
 		return
--- a/system/scan_test.go
+++ b/system/scan_test.go
@@ -30,6 +30,18 @@
 	}
 }
 
+// TestReadsOfLongHostList guards against reads of a long list at the period of a
+// short one, and against a period that exceeds the bound for leaving servers.
+func TestReadsOfLongHostList(t *testing.T) {
+	for servers, want := range map[int]int{10: 30, 2000: 15, 5100: 10} {
+		l := newEntryLoop(servers)
+		l.run(5 * time.Second)
+		l.lists = 0
+		l.run(30 * time.Second)
+		require.InDelta(t, want, l.lists, 1, servers)
+	}
+}
+
 // TestLeavingAmongManyServers guards against a server among many that stays in
 // the plan after its report said that it is leaving.
 func TestLeavingAmongManyServers(t *testing.T) {
@@ -49,6 +61,8 @@
 	switch c := c.(type) {
 	case command.PublishPlan:
 		l.plan = c.Plan
+	case command.ReadHostList:
+		l.lists++
 	case command.ReadState:
 		l.states++
 		if at, ok := l.stateAt[c.Backend]; ok {
--- a/system/weights.go
+++ b/system/weights.go
@@ -19,8 +19,7 @@
 	DefaultWeightFetches = 3
 	// loadBudget is the number of failed loads after which a sampler is
 	// quarantined until the next version.
-	loadBudget        = 3
-	weightsReadPeriod = time.Second
+	loadBudget = 3
 	// orderRepeat is the time after which an order without any effect in the
 	// sampler's reports is sent again. Reports lag by about a second.
 	orderRepeat = 5 * time.Second
@@ -58,19 +57,6 @@
 	}
 }
 
-func scheduleWeightsRead(now time.Duration, t *table.Tables, out *command.Outbox) {
-	b := &t.Background
-	if b.WeightsPending {
-		return // its answer wakes the loop
-	}
-	if now < b.WeightsNext {
-		out.WakeAt(b.WeightsNext)
-		return
-	}
-	b.WeightsPending, b.WeightsNext = true, now+weightsReadPeriod
-	out.Add(command.ReadWeights{})
-}
-
 // applyWeights takes over wanted versions. A newer one supersedes the rollout in
 // progress and lifts quarantines; a delayed older row is ignored.
 func applyWeights(now time.Duration, t *table.Tables, partitions int, e event.WeightsRead, out *command.Outbox) {
--- /dev/null
+++ b/system/weights_reads.go
@@ -0,0 +1,46 @@
+package system
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+const weightsReadPeriod = time.Second
+
+// holdsAny reports whether this process holds a partition. Without one it leads
+// no rollout and needs no wanted versions.
+func holdsAny(t *table.Tables) bool {
+	for _, p := range t.Partitions.All() {
+		if p.Held {
+			return true
+		}
+	}
+	return false
+}
+
+// forgetWeights drops what was wanted during an earlier holding: acted upon at
+// the next one, it would order an old version before the first read.
+func forgetWeights(t *table.Tables) {
+	for model := range t.Weights.All() {
+		t.Weights.Delete(model)
+	}
+}
+
+func scheduleWeightsRead(now time.Duration, t *table.Tables, out *command.Outbox) {
+	b := &t.Background
+	if !holdsAny(t) {
+		forgetWeights(t)
+		return
+	}
+	if b.WeightsPending {
+		return // its answer wakes the loop
+	}
+	if now < b.WeightsNext {
+		out.WakeAt(b.WeightsNext)
+		return
+	}
+	b.WeightsPending, b.WeightsNext = true, now+weightsReadPeriod
+	out.Add(command.ReadWeights{})
+}
