--- /dev/null
+++ b/api/capacity_bench_test.go
@@ -0,0 +1,100 @@
+package api_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/api"
+	"github.com/lavenderstand/lavenderstand/engine"
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/traffic"
+)
+
+// tokensPerChunk is the stand-in engine's number.
+const tokensPerChunk = 8
+
+// streamingEngine sends the chunks that max_tokens asks for, each flushed.
+func streamingEngine(b *testing.B) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var req engine.GenerateRequest
+		_ = json.NewDecoder(r.Body).Decode(&req)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for at := 0; at < req.MaxTokens; at += tokensPerChunk {
+			c := engine.Chunk{RequestID: req.RequestID, BootID: "engine-1-1889f0c2b1a4e3d7", Offset: at, Text: " eight tokens of about four bytes", Version: 7}
+			for i := range tokensPerChunk {
+				c.Tokens = append(c.Tokens, 10000+at+i)
+			}
+			if c.Done = at+tokensPerChunk >= req.MaxTokens; c.Done {
+				c.FinishReason = "length"
+			}
+			data, _ := json.Marshal(c)
+			_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
+			w.(http.Flusher).Flush()
+		}
+	}))
+	b.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// entryFront is the HTTP front of an entry host with one engine.
+func entryFront(b *testing.B, address string) string {
+	pool := &plan.Pool{Next: new(atomic.Uint64), Backends: []plan.Backend{{
+		Name: "b", Address: address, Version: 7, Report: plan.Report{Slots: 64}, Counters: new(plan.Counters)}}}
+	cell := new(plan.Cell)
+	cell.Publish(&plan.Plan{ConfigVersion: 1, ValidUntil: math.MaxInt64, Models: map[string]*plan.Pool{"dial": pool}})
+	client := engine.NewClient("")
+	b.Cleanup(client.CloseIdle)
+	router := traffic.NewRouter(traffic.Options{Plans: cell, Clock: func() time.Duration { return 0 }, Engines: client})
+	e := echo.New()
+	(&api.Callers{Router: router, MaxBody: 1 << 20, Longest: time.Minute}).Register(e)
+	server := httptest.NewServer(e)
+	b.Cleanup(server.Close)
+	return server.URL
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkStream reports the processor time of a streamed completion and its
+// bytes to the caller, straight from the engine and through an entry host. The
+// difference is the entry host's cost: its engine client and its HTTP front.
+func BenchmarkStream(b *testing.B) {
+	address := streamingEngine(b)
+	front := entryFront(b, address)
+	for _, chunks := range []int{1, 64, 512} {
+		for name, url := range map[string]string{"direct": "http://" + address + "/v1/generate", "entry": front + "/v1/completions"} {
+			b.Run(fmt.Sprintf("%s/chunks=%d", name, chunks), func(b *testing.B) {
+				body := fmt.Sprintf(`{"request_id":"0123456789abcdef01234567","model":"dial","prompt":%q,"max_tokens":%d,"stream":true}`,
+					strings.Repeat("p", 1024), chunks*tokensPerChunk)
+				var received int64
+				start := processorTime()
+				for b.Loop() {
+					resp, err := http.Post(url, "application/json", strings.NewReader(body))
+					require.NoError(b, err)
+					n, err := io.Copy(io.Discard, resp.Body)
+					require.NoError(b, err)
+					require.Equal(b, http.StatusOK, resp.StatusCode)
+					_ = resp.Body.Close()
+					received += n
+				}
+				b.ReportMetric(float64((processorTime()-start).Microseconds())/float64(b.N), "core-us/request")
+				b.ReportMetric(float64(received)/float64(b.N), "B/request")
+			})
+		}
+	}
+}
--- /dev/null
+++ b/handler/wire_peer_test.go
@@ -0,0 +1,85 @@
+package handler
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+
+	"github.com/lavenderstand/lavenderstand/peer"
+	"github.com/lavenderstand/lavenderstand/peer/peerpb"
+)
+
+// wireEntry answers the calls of the Entry service with messages of usual size.
+type wireEntry struct {
+	peerpb.UnimplementedEntryServer
+	config []byte
+}
+
+func (e *wireEntry) Generate(_ context.Context, r *peerpb.GenerateRequest) (*peerpb.GenerateResponse, error) {
+	s := sampleAt(int(r.GetIndex()))
+	return &peerpb.GenerateResponse{Sample: &peerpb.Sample{
+		Group: s.Group, Index: int32(s.Index), Attempt: 1, Tokens: 1500, ObjectKey: s.ObjectKey, Backend: s.Backend,
+		Ranges: []*peerpb.Range{{To: 900, Version: 4711}, {From: 900, To: 1500, Version: 4712}},
+	}}, nil
+}
+
+func (e *wireEntry) Contact(context.Context, *peerpb.ContactRequest) (*peerpb.ContactResponse, error) {
+	return &peerpb.ContactResponse{Host: "entry-00001", ConfigVersion: 11000, StoreReadAgeMs: 4000, EverRead: true, Config: e.config}, nil
+}
+
+func (e *wireEntry) Prepare(context.Context, *peerpb.PrepareRequest) (*peerpb.PrepareResponse, error) {
+	return &peerpb.PrepareResponse{}, nil
+}
+
+func (e *wireEntry) Announce(context.Context, *peerpb.AnnounceRequest) (*peerpb.AnnounceResponse, error) {
+	return &peerpb.AnnounceResponse{}, nil
+}
+
+// BenchmarkWirePeer reports the bytes of each call between own processes.
+func BenchmarkWirePeer(b *testing.B) {
+	ctx, w := context.Background(), listenWire(b)
+	config, err := json.Marshal(configOf(100))
+	require.NoError(b, err)
+	server := grpc.NewServer()
+	peerpb.RegisterEntryServer(server, &wireEntry{config: config})
+	go func() { _ = server.Serve(w) }()
+	b.Cleanup(server.Stop)
+	dialer := peer.NewDialer(strings.Repeat("t", 32))
+	b.Cleanup(dialer.Close)
+	conn, err := dialer.Conn(w.Addr().String())
+	require.NoError(b, err)
+	client := peerpb.NewEntryClient(conn)
+	spec := &peerpb.GroupSpec{Id: "step-00042-group-0001", Model: "matching", Prompt: strings.Repeat("p", 1024), Samples: 16, MaxTokens: 2048, StalenessBound: 2, Scorer: "scorer"}
+	for _, x := range []struct {
+		name string
+		run  func() error
+	}{
+		{"generate_prompt_1024", func() error {
+			_, err := client.Generate(ctx, &peerpb.GenerateRequest{Trainer: "trainer-1", Class: "class-11", Spec: spec, Index: 3, Attempt: 1, MinVersion: 4709})
+			return err
+		}},
+		{"contact_of_100_routes", func() error {
+			_, err := client.Contact(ctx, &peerpb.ContactRequest{From: "entry-00002"})
+			return err
+		}},
+		{"prepare", func() error { _, err := client.Prepare(ctx, &peerpb.PrepareRequest{Version: 11001}); return err }},
+		{"announce_of_100_routes", func() error {
+			_, err := client.Announce(ctx, &peerpb.AnnounceRequest{Version: 11001, Config: config})
+			return err
+		}},
+	} {
+		b.Run(x.name, func(b *testing.B) {
+			require.NoError(b, x.run())
+			in, out := w.in.Load(), w.out.Load()
+			for b.Loop() {
+				require.NoError(b, x.run())
+			}
+			b.ReportMetric(float64(w.in.Load()-in)/float64(b.N), "B-sent/op")
+			b.ReportMetric(float64(w.out.Load()-out)/float64(b.N), "B-received/op")
+		})
+	}
+}
--- /dev/null
+++ b/traffic/capacity_bench_test.go
@@ -0,0 +1,27 @@
+package traffic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkCompletion is the request path without HTTP: admission, pick,
+// assembly and reports, against the number of chunks of two tokens.
+func BenchmarkCompletion(b *testing.B) {
+	for _, chunks := range []int{1, 64, 512} {
+		b.Run(fmt.Sprintf("chunks=%d", chunks), func(b *testing.B) {
+			r, reports := newRouter(b, planOf(backendList("a", "b", "c")))
+			fake := engines(generate(2*chunks, 1))
+			r.Engines = fake
+			c := completion(0)
+			c.MaxTokens = 2 * chunks
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := r.Complete(b.Context(), c, func(Part) error { return nil }); err != nil {
+					b.Fatal(err)
+				}
+				fake.requests, reports.events = fake.requests[:0], reports.events[:0]
+			}
+		})
+	}
+}
