table: bound the prefix hints of all servers together

Each server had up to 1,024 hints of 95,470 bytes together, whatever their number: 487 MB for 5,100 servers. The bound of one server is now 65,536 divided by the number of servers, between 16 and 1,024; up to 64 servers nothing changes.

--- a/system/capacity_bench_test.go
+++ b/system/capacity_bench_test.go
@@ -241,6 +241,9 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				now += 5 * time.Second
+				for i := range read.Rows {
+					read.Rows[i].RowVersion++ // renewed
+				}
 				hosts(now, tables, []event.Event{read, event.HostRowWritten{}}, &out)
 				out.Take()
 			}
@@ -254,10 +257,20 @@
 	const rows = 10_000
 	fills := map[string]func() any{
 		"backend": func() any { return newEntryWorld(rows) },
+		"prefix_hint": func() any {
+			hints := make([]table.PrefixHints, rows/table.MaxHints+1)
+			for i := range rows {
+				hints[i/table.MaxHints].Add(uint64(i), time.Duration(i))
+			}
+			for i := range hints {
+				hints[i].Build(0)
+			}
+			return hints
+		},
 		"backend_with_hints": func() any {
-			w := newEntryWorld(rows / 10)
+			w := newEntryWorld(rows)
 			for _, row := range w.tables.Backends.All() {
-				for i := range table.MaxHints {
+				for i := range table.MaxHints { // more than the limit
 					row.Hints.Add(uint64(i), time.Duration(i))
 				}
 				row.Hints.Build(0)
@@ -295,14 +308,10 @@
 	}
 	for name, fill := range fills {
 		b.Run(name, func(b *testing.B) {
-			count := rows
-			if name == "backend_with_hints" {
-				count /= 10
-			}
 			for b.Loop() {
 				before := heapBytes()
 				kept := fill()
-				b.ReportMetric(float64(heapBytes()-before)/float64(count), "bytes/row")
+				b.ReportMetric(float64(heapBytes()-before)/rows, "bytes/row")
 				runtime.KeepAlive(kept)
 			}
 		})
--- a/system/prefix.go
+++ b/system/prefix.go
@@ -47,9 +47,10 @@
 			return
 		}
 		period := pollPeriod(cachePeriod, longestCachePeriod, t.Backends.Len())
-		builds := 0
+		limit, builds := table.HintLimit(t.Backends.Len()), 0
 		for _, b := range t.Backends.All() {
 			if b.Kind == table.KindEngine {
+				b.Hints.SetLimit(limit)
 				pollCache(now, period, b, out)
 				builds += rebuildHints(now, b, builds)
 			}
