--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PROTO_GEN_VERSION = v1.36.12
 BIN = bin
 
-.PHONY: build test lint vet format generate demo clean
+.PHONY: build test lint vet format generate demo capacity capacity-processes clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -24,6 +24,14 @@
 demo: build
 	demo/run.sh $(DEMO_ARGS)
 
+# Prints the slopes that docs/CAPACITY.md extrapolates.
+capacity:
+	GO=$(GO) ./scripts/capacity.sh
+
+# Processor time and memory of the two programs; MEASURE_ARGS go to the script.
+capacity-processes: build
+	scripts/measure-processes.sh $(MEASURE_ARGS)
+
 # Needs buf, protoc-gen-go and protoc-gen-go-grpc on the PATH. The output is
 # committed, so a build does not need it.
 generate:
--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# Runs the benchmarks whose results docs/CAPACITY.md extrapolates, and prints
+# them by package. Takes about two minutes; run it on an otherwise idle machine.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go=${GO:-go}
+
+bench() { # package, pattern, benchtime
+  "$go" test -p 2 -run '^$' -bench "$2" -benchtime "$3" -benchmem "$1" | grep -E '^(pkg|Benchmark|FAIL|---|panic)'
+}
+
+"$go" version
+bench ./system '^BenchmarkEntrySecond$' 20x
+bench ./system '^Benchmark(EntryTickIdle|EntryEvent|PlanBuild|HostListApply|HostRowsApply|Tick|StatusAtScale)$' 200ms
+bench ./system '^Benchmark(TableMemory|RowMemory|Lot)$' 3x
+bench ./plan '^BenchmarkPick$' 200ms
+bench ./traffic '^BenchmarkCompletion$' 300x
+bench ./api '^BenchmarkStream$' 300x
+bench ./handler '^Benchmark(Wire|WirePeer)$' 20x
+bench ./lease '^BenchmarkRenewal$' 200ms
+bench ./claim '^BenchmarkClaim$' 200ms
+bench ./configstore '^BenchmarkChange$' 200ms
