peer: send the configuration in a contact only if the peer has not got it

During an outage of the table service every entry host contacts every other each 2 s, and each answer carried the whole configuration. The request now names the version that its sender knows, and the answer has the body of a higher one only. A request without a version gets the body as before.

Shown to fail: with the body always sent, TestConfigCallsCarryAllFields fails at config_test.go:100.

--- a/command/routing.go
+++ b/command/routing.go
@@ -62,7 +62,10 @@
 func (ReadConfig) Name() string { return "read_config" }
 
 // ContactHost asks a peer for its view of the configuration.
-type ContactHost struct{ HostID, Address string }
+type ContactHost struct {
+	HostID, Address string
+	ConfigVersion   uint64 // known here; a peer sends the body of a higher one only
+}
 
 // Name implements Command.
 func (ContactHost) Name() string { return "contact_host" }
--- a/handler/wire_peer_test.go
+++ b/handler/wire_peer_test.go
@@ -5,18 +5,22 @@
 	"encoding/json"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
 
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/peer"
 	"github.com/lavenderstand/lavenderstand/peer/peerpb"
+	"github.com/lavenderstand/lavenderstand/plan"
 )
 
 // wireEntry answers the calls of the Entry service with messages of usual size.
 type wireEntry struct {
 	peerpb.UnimplementedEntryServer
-	config []byte
+	body plan.Config
 }
 
 func (e *wireEntry) Generate(_ context.Context, r *peerpb.GenerateRequest) (*peerpb.GenerateResponse, error) {
@@ -27,8 +31,13 @@
 	}}, nil
 }
 
-func (e *wireEntry) Contact(context.Context, *peerpb.ContactRequest) (*peerpb.ContactResponse, error) {
-	return &peerpb.ContactResponse{Host: "entry-00001", ConfigVersion: 11000, StoreReadAgeMs: 4000, EverRead: true, Config: e.config}, nil
+func (e *wireEntry) Contact(ctx context.Context, r *peerpb.ContactRequest) (*peerpb.ContactResponse, error) {
+	server := &peer.ConfigServer{Ask: func(_ context.Context, id string, _ event.Event) (command.Command, error) {
+		return command.AnswerContact{RequestID: id, Contact: event.Contact{
+			Host: "entry-00001", ConfigVersion: 11000, StoreReadAge: 4 * time.Second, EverRead: true, Body: e.body,
+		}}, nil
+	}}
+	return server.Contact(ctx, r)
 }
 
 func (e *wireEntry) Prepare(context.Context, *peerpb.PrepareRequest) (*peerpb.PrepareResponse, error) {
@@ -45,7 +54,7 @@
 	config, err := json.Marshal(configOf(100))
 	require.NoError(b, err)
 	server := grpc.NewServer()
-	peerpb.RegisterEntryServer(server, &wireEntry{config: config})
+	peerpb.RegisterEntryServer(server, &wireEntry{body: configOf(100)})
 	go func() { _ = server.Serve(w) }()
 	b.Cleanup(server.Stop)
 	dialer := peer.NewDialer(strings.Repeat("t", 32))
@@ -66,6 +75,10 @@
 			_, err := client.Contact(ctx, &peerpb.ContactRequest{From: "entry-00002"})
 			return err
 		}},
+		{"contact_of_known_version", func() error {
+			_, err := client.Contact(ctx, &peerpb.ContactRequest{From: "entry-00002", ConfigVersion: 11000})
+			return err
+		}},
 		{"prepare", func() error { _, err := client.Prepare(ctx, &peerpb.PrepareRequest{Version: 11001}); return err }},
 		{"announce_of_100_routes", func() error {
 			_, err := client.Announce(ctx, &peerpb.AnnounceRequest{Version: 11001, Config: config})
--- a/peer/config.go
+++ b/peer/config.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return event.Contact{}, err
 	}
-	r, err := peerpb.NewEntryClient(conn).Contact(ctx, &peerpb.ContactRequest{From: from})
+	r, err := peerpb.NewEntryClient(conn).Contact(ctx, &peerpb.ContactRequest{From: from, ConfigVersion: c.ConfigVersion})
 	if err != nil {
 		return event.Contact{}, ErrorOf(err)
 	}
@@ -40,6 +40,9 @@
 		StoreReadAge:   time.Duration(r.GetStoreReadAgeMs()) * time.Millisecond,
 		EverRead:       r.GetEverRead(),
 	}
+	if contact.ConfigVersion <= c.ConfigVersion {
+		return contact, nil // the body is known and may be missing
+	}
 	if err := json.Unmarshal(r.GetConfig(), &contact.Body); err != nil {
 		return event.Contact{}, verdict.Wrap(err, verdict.Ran, verdict.ReasonBadAnswer, "decode configuration")
 	}
--- a/peer/config_server.go
+++ b/peer/config_server.go
@@ -32,9 +32,11 @@
 		return nil, StatusOf(err)
 	}
 	contact := answer.Contact
-	body, err := json.Marshal(contact.Body)
-	if err != nil {
-		return nil, StatusOf(verdict.Wrap(err, verdict.NotRun, verdict.ReasonInternal, "encode configuration"))
+	var body []byte
+	if known := r.GetConfigVersion(); known == 0 || contact.ConfigVersion > known {
+		if body, err = json.Marshal(contact.Body); err != nil {
+			return nil, StatusOf(verdict.Wrap(err, verdict.NotRun, verdict.ReasonInternal, "encode configuration"))
+		}
 	}
 	return &peerpb.ContactResponse{
 		Host:           contact.Host,
--- a/peer/config_test.go
+++ b/peer/config_test.go
@@ -93,6 +93,12 @@
 	})
 	require.Equal(t, []event.Event{event.ContactMade{HostID: "h2", Contact: contact}},
 		run(t, "right", command.ContactHost{HostID: "h2", Address: address}))
+	require.Equal(t, []event.Event{event.ContactMade{HostID: "h2", Contact: contact}},
+		run(t, "right", command.ContactHost{HostID: "h2", Address: address, ConfigVersion: 6}))
+	known := contact
+	known.Body = plan.Config{} // not sent again
+	require.Equal(t, []event.Event{event.ContactMade{HostID: "h2", Contact: known}},
+		run(t, "right", command.ContactHost{HostID: "h2", Address: address, ConfigVersion: 7}))
 	require.Equal(t, []event.Event{event.PrepareAnswered{RequestID: "r", HostID: "h2"}},
 		run(t, "right", command.PrepareHost{RequestID: "r", HostID: "h2", Address: address, Version: 8}))
 	refused := run(t, "right", command.PrepareHost{HostID: "h2", Address: address, Version: 7})
--- a/system/configuration_confirm.go
+++ b/system/configuration_confirm.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		h.ContactPending, h.ContactSentAt, h.NextContact = true, now, now+contactEvery
-		out.Add(command.ContactHost{HostID: id, Address: h.Address})
+		out.Add(command.ContactHost{HostID: id, Address: h.Address, ConfigVersion: t.Config.Version})
 	}
 }
 
