system: read many host rows less often

A read of 720 host rows takes 127 KB and was made every 5 s by each process. The period now grows by 20 ms per row, at most to that of renewals (15 s), so that a host that renews never seems expired.

--- a/system/hosts.go
+++ b/system/hosts.go
@@ -15,8 +15,11 @@
 	HostRowExpiry = 60 * time.Second
 	// hostRowRetry is the pause after a failed read or write.
 	hostRowRetry = time.Second
-	// hostRowsRead is the period of reading the host rows.
+	// hostRowsRead is the shortest period of reading the host rows.
 	hostRowsRead = 5 * time.Second
+	// readPerHost lengthens the period with the number of rows, at most to the
+	// period of renewals: a read of 720 rows takes 127 KB.
+	readPerHost = 20 * time.Millisecond
 )
 
 // Hosts renews the row of this process every period and keeps t.Hosts in line
@@ -27,7 +30,7 @@
 			applyHostEvent(now, t, e, period, out)
 		}
 		if d := &t.Directory; !d.ReadPending && now >= d.NextRead {
-			d.ReadPending, d.NextRead = true, now+min(period, hostRowsRead)
+			d.ReadPending, d.NextRead = true, now+hostRowsPeriod(period, t.Hosts.Len())
 			out.Add(command.ReadHostRows{})
 		}
 		writeOwnRow(now, t, period, out)
@@ -37,6 +40,11 @@
 	}
 }
 
+// hostRowsPeriod returns the period of reads of a number of host rows.
+func hostRowsPeriod(renewal time.Duration, hosts int) time.Duration {
+	return min(renewal, max(hostRowsRead, time.Duration(hosts)*readPerHost))
+}
+
 func applyHostEvent(now time.Duration, t *table.Tables, e event.Event, period time.Duration, out *command.Outbox) {
 	d := &t.Directory
 	switch e := e.(type) {
--- a/system/reads_test.go
+++ b/system/reads_test.go
@@ -1,6 +1,7 @@
 package system_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -65,3 +66,42 @@
 	run(time.Second, tables, nil, &out)
 	require.Zero(t, tables.Weights.Len())
 }
+
+// TestReadsOfManyHostRows guards against reads of many rows at the period of
+// few, and against a period above that of renewals, with which hosts that renew
+// would expire.
+func TestReadsOfManyHostRows(t *testing.T) {
+	for hosts, want := range map[int]int{20: 12, 720: 4, 2000: 4} {
+		tables, run := table.New(table.Self{ID: "e1"}), system.Hosts(15*time.Second)
+		var out command.Outbox
+		var in []event.Event
+		reads := 0
+		for now := time.Duration(0); now < 90*time.Second; now += time.Second {
+			run(now, tables, in, &out)
+			in = in[:0]
+			for _, c := range out.Take() {
+				switch c.(type) {
+				case command.ReadHostRows:
+					reads++
+					in = append(in, renewedRows(hosts, now))
+				case command.WriteHostRow:
+					in = append(in, event.HostRowWritten{})
+				}
+			}
+			if now == 30*time.Second {
+				reads = 0
+			}
+		}
+		require.InDelta(t, want, reads, 1, hosts)
+		require.Equal(t, hosts, tables.Hosts.Len())
+	}
+}
+
+// renewedRows are rows that are renewed every 15 s.
+func renewedRows(hosts int, now time.Duration) event.HostRowsRead {
+	read := event.HostRowsRead{}
+	for i := range hosts {
+		read.Rows = append(read.Rows, event.HostRow{ID: strconv.Itoa(i), Role: "entry", RowVersion: uint64(now/(15*time.Second)) + 1})
+	}
+	return read
+}
