--- /dev/null
+++ b/handler/client_bench_test.go
@@ -0,0 +1,103 @@
+package handler
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/engine"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/platform"
+)
+
+// cannedServer answers each request on a connection with the answer that the URL
+// gives now, without reading or building HTTP, so that nearly all processor time
+// of a benchmark is the client's.
+func cannedServer(b *testing.B, url string) string {
+	resp, err := http.Get(url)
+	require.NoError(b, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(b, err)
+	require.NoError(b, resp.Body.Close())
+	answer := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				request := make([]byte, 16<<10) // each request arrives in one piece
+				for {
+					if _, err := conn.Read(request); err != nil {
+						return
+					}
+					if _, err := conn.Write(answer); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkClient reports the processor time of a periodic read in the process
+// that makes it, decoding included.
+func BenchmarkClient(b *testing.B) {
+	ctx := context.Background()
+	w := newWireWorld(b)
+	w.fill("host/", 720, func(i int) any { h := hostRowAt(i); return hostValue{h.Host, h.Zone, h.Role, h.Address} })
+	list := make([]platform.ListedHost, 5100)
+	for i := range list {
+		list[i] = platform.ListedHost{Name: fmt.Sprintf("engine-%05d", i), Kind: "engine", Model: "matching", Address: "10.120.130.140:9001", Zone: "region-1-zone-a", State: platform.StateLive}
+	}
+	w.services.Hosts.Set(list)
+	base := "http://" + w.platform.Addr().String()
+	engineAddress := cannedServer(b, "http://"+w.address+"/v1/state")
+	hosts := Platform{Hosts: platform.NewHostListClient("http://"+cannedServer(b, base+"/v1/hosts"), &http.Client{})}
+	rows := Platform{Tables: platform.NewTablesClient("http://"+cannedServer(b, base+"/v1/rows?prefix=host/&limit=1000"), &http.Client{})}
+	backends := Backends{Client: engine.NewClient(strings.Repeat("t", 32))}
+	for _, x := range []struct {
+		name string
+		run  func() error
+	}{
+		{"state_report", func() error {
+			return failureOf(backends.readState(ctx, command.ReadState{Backend: "engine-00001", Address: engineAddress}).(event.StateReported).Failure)
+		}},
+		{"host_list_of_5100", func() error {
+			return failureOf(hosts.readHostList(ctx, command.ReadHostList{}).(event.HostListRead).Failure)
+		}},
+		{"host_rows_of_720", func() error {
+			return failureOf(rows.readHostRows(ctx, command.ReadHostRows{}).(event.HostRowsRead).Failure)
+		}},
+	} {
+		b.Run(x.name, func(b *testing.B) {
+			require.NoError(b, x.run())
+			start := processorTime()
+			for b.Loop() {
+				require.NoError(b, x.run())
+			}
+			b.ReportMetric(float64((processorTime()-start).Nanoseconds())/1000/float64(b.N), "core-us/op")
+		})
+	}
+}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -17,6 +17,7 @@
 bench ./traffic '^BenchmarkCompletion$' 300x
 bench ./api '^BenchmarkStream$' 300x
 bench ./handler '^Benchmark(Wire|WirePeer)$' 20x
+bench ./handler '^BenchmarkClient$' 200ms
 bench ./lease '^BenchmarkRenewal$' 200ms
 bench ./claim '^BenchmarkClaim$' 200ms
 bench ./configstore '^BenchmarkChange$' 200ms
--- a/scripts/measure-processes.sh
+++ b/scripts/measure-processes.sh
@@ -73,6 +73,7 @@
 ticks_per_second=$(getconf CLK_TCK)
 cpu_ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
 resident_kb() { awk '/^VmRSS/ {print $2}' "/proc/$1/status"; }
+anonymous_kb() { awk '/^RssAnon/ {print $2}' "/proc/$1/status"; }
 
 measure() { # phase
   local e c
@@ -81,8 +82,8 @@
   e=$(($(cpu_ticks "$entry") - e)) c=$(($(cpu_ticks "$controller") - c))
   for line in "entry $e $entry" "controller $c $controller"; do
     read -r name ticks pid <<<"$line"
-    awk -v n="$name" -v p="$1" -v t="$ticks" -v hz="$ticks_per_second" -v s="$seconds" -v m="$(resident_kb "$pid")" -v g="$engines" -v l="$listed" \
-      'BEGIN {printf "%s %s engines=%d listed=%d core=%.2f%% resident=%.1fMB\n", p, n, g, l, 100 * t / hz / s, m / 1024}'
+    awk -v n="$name" -v p="$1" -v t="$ticks" -v hz="$ticks_per_second" -v s="$seconds" -v m="$(resident_kb "$pid")" -v a="$(anonymous_kb "$pid")" -v g="$engines" -v l="$listed" \
+      'BEGIN {printf "%s %s engines=%d listed=%d core=%.2f%% resident=%.1fMB anonymous=%.1fMB\n", p, n, g, l, 100 * t / hz / s, m / 1024, a / 1024}'
   done
 }
 
