--- a/handler/wire_peer_test.go
+++ b/handler/wire_peer_test.go
@@ -53,6 +53,8 @@
 	ctx, w := context.Background(), listenWire(b)
 	config, err := json.Marshal(configOf(100))
 	require.NoError(b, err)
+	short, err := json.Marshal(configOf(10))
+	require.NoError(b, err)
 	server := grpc.NewServer()
 	peerpb.RegisterEntryServer(server, &wireEntry{body: configOf(100)})
 	go func() { _ = server.Serve(w) }()
@@ -80,6 +82,10 @@
 			return err
 		}},
 		{"prepare", func() error { _, err := client.Prepare(ctx, &peerpb.PrepareRequest{Version: 11001}); return err }},
+		{"announce_of_10_routes", func() error {
+			_, err := client.Announce(ctx, &peerpb.AnnounceRequest{Version: 11001, Config: short})
+			return err
+		}},
 		{"announce_of_100_routes", func() error {
 			_, err := client.Announce(ctx, &peerpb.AnnounceRequest{Version: 11001, Config: config})
 			return err
