--- a/command/routing.go
+++ b/command/routing.go
@@ -61,11 +61,10 @@
 // Name implements Command.
 func (ReadConfig) Name() string { return "read_config" }
 
-// ContactHost asks a peer for its view of the configuration. The answer carries
-// the body only if the peer's version is above ConfigVersion.
+// ContactHost asks a peer for its view of the configuration.
 type ContactHost struct {
 	HostID, Address string
-	ConfigVersion   uint64 // of this process
+	ConfigVersion   uint64 // known here; a peer sends the body of a higher one only
 }
 
 // Name implements Command.
--- a/peer/config.go
+++ b/peer/config.go
@@ -41,7 +41,7 @@
 		EverRead:       r.GetEverRead(),
 	}
 	if contact.ConfigVersion <= c.ConfigVersion {
-		return contact, nil
+		return contact, nil // the body is known and may be missing
 	}
 	if err := json.Unmarshal(r.GetConfig(), &contact.Body); err != nil {
 		return event.Contact{}, verdict.Wrap(err, verdict.Ran, verdict.ReasonBadAnswer, "decode configuration")
--- a/peer/config_server.go
+++ b/peer/config_server.go
@@ -33,7 +33,7 @@
 	}
 	contact := answer.Contact
 	var body []byte
-	if contact.ConfigVersion > r.GetConfigVersion() {
+	if known := r.GetConfigVersion(); known == 0 || contact.ConfigVersion > known {
 		if body, err = json.Marshal(contact.Body); err != nil {
 			return nil, StatusOf(verdict.Wrap(err, verdict.NotRun, verdict.ReasonInternal, "encode configuration"))
 		}
--- a/system/membership.go
+++ b/system/membership.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/plan"
@@ -10,9 +12,19 @@
 	"github.com/lavenderstand/lavenderstand/table"
 )
 
+const (
+	// listPerServer is the time between two reads of the host list per server
+	// that it names: an answer holds about 200 bytes for each.
+	listPerServer = time.Millisecond
+	// longestListPeriod bounds the growth, so that a server which the list calls
+	// leaving gets no new work after 5 s.
+	longestListPeriod = 3 * time.Second
+)
+
 // Membership keeps the backend rows in line with the platform's host list and
-// reads the list every period. A failed read changes no row: the list lags
-// anyway, and the servers' own reports tell of departures meanwhile.
+// reads the list every period, which grows with the length of the list. A failed
+// read changes no row: the list lags anyway, and the servers' own reports tell of
+// departures meanwhile.
 func Membership(period time.Duration) System {
 	return func(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
 		l := &t.HostList
@@ -23,7 +35,7 @@
 			}
 		}
 		if !l.Pending && now >= l.Next {
-			l.Pending, l.Next = true, now+period
+			l.Pending, l.Next = true, now+listPeriod(period, t.Backends.Len())
 			out.Add(command.ReadHostList{})
 		}
 		// While a read is pending its answer wakes the loop; a deadline that has
@@ -34,6 +46,10 @@
 	}
 }
 
+func listPeriod(shortest time.Duration, servers int) time.Duration {
+	return max(shortest, min(time.Duration(servers)*listPerServer, longestListPeriod))
+}
+
 func applyHostList(now time.Duration, t *table.Tables, read event.HostListRead) {
 	if read.Failure != nil {
 		return
@@ -48,11 +64,17 @@
 	}
 }
 
+// hostSpread returns a fixed number from 0 to 1 for a host and a server.
+func hostSpread(host, server string) float64 {
+	return float64(xxhash.Sum64String(host+"/"+server)>>11) / (1 << 53)
+}
+
 func applyListedBackend(now time.Duration, t *table.Tables, h platform.ListedHost) {
 	b, created := t.Backends.Upsert(h.Name)
 	if created {
 		b.Name = h.Name
 		b.Counters = new(plan.Counters)
+		b.Spread = hostSpread(t.Self.Host, h.Name)
 	}
 	b.Kind, b.Model = table.BackendKind(h.Kind), h.Model
 	b.Address, b.Zone = h.Address, h.Zone
--- a/table/tables.go
+++ b/table/tables.go
@@ -13,6 +13,7 @@
 	Backends Table[Backend] // keyed by backend name
 	Classes  Table[Class]   // keyed by class name
 
+	Scans     Scans
 	Directory Directory
 	Changes   Table[ConfigChange] // keyed by request id
 	Status    Status
@@ -27,6 +28,11 @@
 	Background Background
 }
 
+// Scans holds the earliest times of the next scans of all backends for due work.
+type Scans struct {
+	Load, Departure, Ejection, Prefixes time.Duration
+}
+
 // New returns empty tables for the process described by self.
 func New(self Self) *Tables { return &Tables{Self: self} }
 
