Read few host rows every second; wait for the configuration in the demo

Cause: host rows were read every 5 s, so that a controller gave a new entry host no samples and a change of the configuration was not announced to it for so long. Change: the shortest period is 1 s, which for 20 processes costs 20 of 2,000 reads a second; it grows by 20 ms a row as before. The demo waits until every entry host has the configuration.

--- a/demo/load.go
+++ b/demo/load.go
@@ -155,6 +155,9 @@
 		return err
 	}
 	for _, entry := range p.Entries {
+		if err := eventually(deadline, func() error { return configured(entry, operator) }); err != nil {
+			return err
+		}
 		if err := eventually(deadline, func() error {
 			return SendJSON(http.MethodGet, "http://"+entry+"/readyz", "", nil)
 		}); err != nil {
@@ -164,6 +167,31 @@
 	return nil
 }
 
+// configured fails until an entry host has the configuration: another host
+// accepted it, and it is in effect everywhere only within seconds.
+func configured(entry, operator string) error {
+	var current struct {
+		Version uint64 `json:"version"`
+	}
+	req, err := http.NewRequest(http.MethodGet, "http://"+entry+"/v1/config", nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+operator)
+	resp, err := (&http.Client{Timeout: callTimeout}).Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(&current); err != nil {
+		return err
+	}
+	if current.Version == 0 {
+		return fmt.Errorf("%s has no configuration yet", entry)
+	}
+	return nil
+}
+
 func eventually(deadline time.Time, fn func() error) error {
 	for {
 		err := fn()
--- a/system/hosts.go
+++ b/system/hosts.go
@@ -15,8 +15,10 @@
 	HostRowExpiry = 60 * time.Second
 	// hostRowRetry is the pause after a failed read or write.
 	hostRowRetry = time.Second
-	// hostRowsRead is the shortest period of reading the host rows.
-	hostRowsRead = 5 * time.Second
+	// hostRowsRead is the shortest period of reading the host rows. Until it has
+	// read the row of an entry host, a controller gives it no samples and a
+	// change of the configuration is not announced to it.
+	hostRowsRead = time.Second
 	// readPerHost lengthens the period with the number of rows, at most to the
 	// period of renewals: a read of 720 rows takes 127 KB.
 	readPerHost = 20 * time.Millisecond
