traffic: read a service's refusal from its body again

A plain service that refuses because it is leaving was therefore taken for one that is overloaded, and stayed in the plan until its report or the host list said so. Ruled out: a fault of the departure system; it never got the reason. Measured: go test ./traffic passes.

--- a/traffic/fakes_test.go
+++ b/traffic/fakes_test.go
@@ -133,7 +133,10 @@
 		f.hashes = make(map[string]string)
 	}
 	f.claims[id], f.hashes[id] = ClaimOutcome{State: ClaimOpen}, hash
-	return ClaimOutcome{State: ClaimCreated, Finish: func(_ context.Context, v verdict.Verdict, reply Reply) error {
+	return ClaimOutcome{State: ClaimCreated, Finish: func(ctx context.Context, v verdict.Verdict, reply Reply) error {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 		return f.finish(id, v, reply)
 	}}, nil
 }
--- a/traffic/proxy.go
+++ b/traffic/proxy.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 
+	"github.com/lavenderstand/lavenderstand/engine"
 	"github.com/lavenderstand/lavenderstand/plan"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
@@ -27,12 +29,9 @@
 	Body   []byte
 }
 
-// Headers by which a plain service states that it refused before running.
-const (
-	headerVerdict = "X-Verdict"
-	headerReason  = "X-Reason"
-	reasonLeaving = "leaving"
-)
+// headerVerdict is the header by which a plain service states that it refused
+// before running.
+const headerVerdict = "X-Verdict"
 
 // Sender sends one attempt to one backend server. The client's transport should
 // come from NewTransport; with another one, a failure after a connection was
@@ -84,13 +83,17 @@
 		return Reply{}, verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "answer is larger than %d bytes", s.MaxAnswerBytes)
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerVerdict) == verdict.NotRun.String() {
-		return Reply{}, refusal(resp)
+		return Reply{}, refusal(resp, body)
 	}
 	return Reply{Status: resp.StatusCode, Header: forwardedHeader(resp.Header), Body: body}, nil
 }
 
-func refusal(resp *http.Response) error {
-	if resp.Close || resp.Header.Get(headerReason) == reasonLeaving {
+// refusal recognizes a server that leaves by its reason or because it closes the
+// connection.
+func refusal(resp *http.Response, body []byte) error {
+	var stated engine.Refusal
+	_ = json.Unmarshal(body, &stated) // the body is optional
+	if resp.Close || stated.Reason == engine.ReasonLeaving {
 		return verdict.New(verdict.NotRun, verdict.ReasonBackendLeaving, "backend server is leaving")
 	}
 	return verdict.New(verdict.NotRun, verdict.ReasonBackendRefused, "backend server refused the request")
--- a/traffic/proxy_test.go
+++ b/traffic/proxy_test.go
@@ -34,7 +34,9 @@
 }
 
 func send(ctx context.Context, r *Router, address string) error {
-	_, err := r.Sender.Send(ctx, &backendList(address).Backends[0], Call{Method: http.MethodPost, Path: "/", Body: []byte("x")})
+	// net/http considers requests with this header safe to repeat.
+	header := http.Header{"Idempotency-Key": {"k"}}
+	_, err := r.Sender.Send(ctx, &backendList(address).Backends[0], Call{Method: http.MethodPost, Path: "/", Header: header, Body: []byte("x")})
 	return err
 }
 
--- a/traffic/service_test.go
+++ b/traffic/service_test.go
@@ -53,10 +53,10 @@
 	switch b {
 	case refuses, leaves:
 		w.Header().Set(headerVerdict, "not_run")
+		w.WriteHeader(http.StatusServiceUnavailable)
 		if b == leaves {
-			w.Header().Set(headerReason, reasonLeaving)
+			_, _ = fmt.Fprint(w, `{"verdict":"not_run","reason":"leaving"}`)
 		}
-		w.WriteHeader(http.StatusServiceUnavailable)
 	case breaks:
 		panic(http.ErrAbortHandler)
 	default:
