entry: end a planned stop that an operator began

Cause: the planned stop waited for a signal only. After POST /v1/drain the host became not ready and refused requests, but its process and host row remained. Ruled out: the outage of the table service during the stop; another host that got SIGTERM in the same outage stopped. Change: AddStop also begins when the plan refuses new requests.

--- a/cmd/lavender-controller/controller.go
+++ b/cmd/lavender-controller/controller.go
@@ -57,7 +57,7 @@
 		return err
 	}
 	c.AddControl(&g, c.systems())
-	c.AddStop(&g, c.finish)
+	c.AddStop(&g, nil, c.finish)
 	return g.Run()
 }
 
--- a/cmd/lavender-entry/entry.go
+++ b/cmd/lavender-entry/entry.go
@@ -59,7 +59,7 @@
 		return err
 	}
 	e.AddControl(&g, e.systems())
-	e.AddStop(&g, e.finish)
+	e.AddStop(&g, e.refusing, e.finish)
 	return g.Run()
 }
 
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -29,15 +29,18 @@
 func (s *stop) deleted() { s.once.Do(func() { close(s.removed) }) }
 
 // AddStop adds the planned stop: the first SIGTERM or SIGINT begins it, further
-// ones have no effect. finish returns when all work has ended; its error is the
-// error of the process.
-func (b *Base) AddStop(g *run.Group, finish func(ctx context.Context) error) {
+// ones have no effect. It also begins when begun is closed, which may be nil:
+// an operator's request reaches the control loop without a signal. finish
+// returns when all work has ended; its error is the error of the process.
+func (b *Base) AddStop(g *run.Group, begun <-chan struct{}, finish func(ctx context.Context) error) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	g.Add(func() error {
 		select {
 		case <-signals:
 			return b.Stop(finish)
+		case <-begun:
+			return b.Stop(finish)
 		case <-b.Ctx.Done():
 			return nil
 		}
