Withdraw the preparation of a configuration change that was not accepted

Cause: a change that was refused during an outage of the table service left its version pending on the hosts that had prepared it. A pending version forbids to continue without the store, so one attempt of an operator stopped all callers' requests config_confirm_within after the outage began. Ruled out: hosts that do not count towards a majority yet; the test waits until they do, and without any attempted change the service continues. Change: the accepting host withdraws a change that was certainly not accepted (no majority, or a commit with verdict not_run). Preparations are kept by change, so another change of the same version remains pending. After an unknown outcome nothing is withdrawn.

--- a/command/routing.go
+++ b/command/routing.go
@@ -77,6 +77,12 @@
 // Name implements Command.
 func (PrepareHost) Name() string { return "prepare_host" }
 
+// WithdrawHost tells a peer that a prepared change will never be accepted.
+type WithdrawHost struct{ Change, Address string }
+
+// Name implements Command.
+func (WithdrawHost) Name() string { return "withdraw_host" }
+
 // CommitConfig writes a configuration, conditional on the version before it.
 type CommitConfig struct {
 	RequestID       string
--- a/event/routing.go
+++ b/event/routing.go
@@ -111,12 +111,19 @@
 // PrepareRequested asks this process to note a pending configuration version.
 type PrepareRequested struct {
 	RequestID string
+	Change    string
 	Version   uint64
 }
 
 // Name implements Event.
 func (PrepareRequested) Name() string { return "prepare_requested" }
 
+// PrepareWithdrawn says that a prepared change will never be accepted.
+type PrepareWithdrawn struct{ Change string }
+
+// Name implements Event.
+func (PrepareWithdrawn) Name() string { return "prepare_withdrawn" }
+
 // ContactRequested asks for this process's view of the configuration.
 type ContactRequested struct {
 	RequestID string
--- a/handler/peer_config.go
+++ b/handler/peer_config.go
@@ -14,8 +14,8 @@
 // reach a few hundred hosts within the timeouts of package peer.
 const configCalls = 64
 
-// RegisterConfig adds the executors of ContactHost, PrepareHost and
-// AnnounceConfig. from is the name of this host.
+// RegisterConfig adds the executors of ContactHost, PrepareHost,
+// WithdrawHost and AnnounceConfig. from is the name of this host.
 func RegisterConfig(pool *control.Pool, dialer *peer.Dialer, from string) {
 	control.Handle(pool, configCalls, func(ctx context.Context, c command.ContactHost) event.Event {
 		contact, err := peer.ContactHost(ctx, dialer, c, from)
@@ -25,6 +25,11 @@
 		err := peer.PrepareHost(ctx, dialer, c)
 		return event.PrepareAnswered{RequestID: c.RequestID, HostID: c.HostID, Failure: event.FailureOf(err)}
 	})
+	control.Handle(pool, configCalls, func(ctx context.Context, c command.WithdrawHost) event.Event {
+		// A peer that misses it learns the outcome from the store or a peer.
+		_ = peer.WithdrawHost(ctx, dialer, c)
+		return nil
+	})
 	control.Handle(pool, configCalls, func(ctx context.Context, c command.AnnounceConfig) event.Event {
 		// A peer that misses the announcement polls the row.
 		_ = peer.AnnounceConfig(ctx, dialer, c)
--- a/peer/config.go
+++ b/peer/config.go
@@ -54,7 +54,19 @@
 	if err != nil {
 		return err
 	}
-	_, err = peerpb.NewEntryClient(conn).Prepare(ctx, &peerpb.PrepareRequest{Version: c.Version})
+	_, err = peerpb.NewEntryClient(conn).Prepare(ctx, &peerpb.PrepareRequest{Version: c.Version, Change: c.RequestID})
+	return ErrorOf(err)
+}
+
+// WithdrawHost tells a peer that a prepared change will never be accepted.
+func WithdrawHost(ctx context.Context, dialer *Dialer, c command.WithdrawHost) error {
+	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
+	defer cancel()
+	conn, err := dial(dialer, c.Address)
+	if err != nil {
+		return err
+	}
+	_, err = peerpb.NewEntryClient(conn).Withdraw(ctx, &peerpb.WithdrawRequest{Change: c.Change})
 	return ErrorOf(err)
 }
 
--- a/peer/config_server.go
+++ b/peer/config_server.go
@@ -49,7 +49,7 @@
 // Prepare implements peerpb.EntryServer.
 func (s *ConfigServer) Prepare(ctx context.Context, r *peerpb.PrepareRequest) (*peerpb.PrepareResponse, error) {
 	id := s.requestID("prepare")
-	answer, err := askControl[command.AnswerPrepare](ctx, s, id, event.PrepareRequested{RequestID: id, Version: r.GetVersion()})
+	answer, err := askControl[command.AnswerPrepare](ctx, s, id, event.PrepareRequested{RequestID: id, Change: r.GetChange(), Version: r.GetVersion()})
 	if err == nil {
 		err = answer.Failure.Err()
 	}
@@ -59,6 +59,14 @@
 	return &peerpb.PrepareResponse{}, nil
 }
 
+// Withdraw implements peerpb.EntryServer.
+func (s *ConfigServer) Withdraw(ctx context.Context, r *peerpb.WithdrawRequest) (*peerpb.WithdrawResponse, error) {
+	if err := s.Deliver(ctx, event.PrepareWithdrawn{Change: r.GetChange()}); err != nil {
+		return nil, StatusOf(verdict.Wrap(err, verdict.NotRun, verdict.ReasonCanceled, "deliver withdrawal"))
+	}
+	return &peerpb.WithdrawResponse{}, nil
+}
+
 // Announce implements peerpb.EntryServer and peerpb.ControllerServer.
 func (s *ConfigServer) Announce(ctx context.Context, r *peerpb.AnnounceRequest) (*peerpb.AnnounceResponse, error) {
 	var body plan.Config
--- a/peer/config_test.go
+++ b/peer/config_test.go
@@ -71,6 +71,8 @@
 // is lost between two processes.
 func TestConfigCallsCarryAllFields(t *testing.T) {
 	announced := make(chan event.ConfigAnnounced, 1)
+	withdrawn := make(chan event.PrepareWithdrawn, 1)
+	prepared := make(chan string, 2)
 	contact := event.Contact{
 		Host: "e2", ConfigVersion: 7, PendingVersion: 8, StoreReadAge: 1500 * time.Millisecond, EverRead: true,
 		Body: plan.Config{Routes: map[string]plan.RouteConfig{"claims": {Service: "listing"}}},
@@ -82,12 +84,15 @@
 				out.Add(command.AnswerContact{RequestID: e.RequestID, Contact: contact})
 			case event.PrepareRequested:
 				answer := command.AnswerPrepare{RequestID: e.RequestID}
+				prepared <- e.Change
 				if e.Version < 8 {
 					answer.Failure = &event.Failure{Verdict: verdict.NotRun, Reason: verdict.ReasonConflict, Message: "old"}
 				}
 				out.Add(answer)
 			case event.ConfigAnnounced:
 				announced <- e
+			case event.PrepareWithdrawn:
+				withdrawn <- e
 			}
 		}
 	})
@@ -95,6 +100,9 @@
 		run(t, "right", command.ContactHost{HostID: "h2", Address: address}))
 	require.Equal(t, []event.Event{event.PrepareAnswered{RequestID: "r", HostID: "h2"}},
 		run(t, "right", command.PrepareHost{RequestID: "r", HostID: "h2", Address: address, Version: 8}))
+	require.Equal(t, "r", <-prepared)
+	run(t, "right", command.WithdrawHost{Change: "r", Address: address})
+	require.Equal(t, event.PrepareWithdrawn{Change: "r"}, <-withdrawn)
 	refused := run(t, "right", command.PrepareHost{HostID: "h2", Address: address, Version: 7})
 	require.Equal(t, verdict.ReasonConflict, refused[0].(event.PrepareAnswered).Failure.Reason)
 	require.Equal(t, verdict.NotRun, refused[0].(event.PrepareAnswered).Failure.Verdict)
--- a/peer/entry_server.go
+++ b/peer/entry_server.go
@@ -37,6 +37,11 @@
 	return s.Config.Prepare(ctx, r)
 }
 
+// Withdraw implements peerpb.EntryServer.
+func (s *EntryServer) Withdraw(ctx context.Context, r *peerpb.WithdrawRequest) (*peerpb.WithdrawResponse, error) {
+	return s.Config.Withdraw(ctx, r)
+}
+
 // Announce implements peerpb.EntryServer.
 func (s *EntryServer) Announce(ctx context.Context, r *peerpb.AnnounceRequest) (*peerpb.AnnounceResponse, error) {
 	return s.Config.Announce(ctx, r)
--- a/system/configuration.go
+++ b/system/configuration.go
@@ -75,7 +75,9 @@
 	case event.ContactRequested:
 		out.Add(command.AnswerContact{RequestID: e.RequestID, Contact: ownContact(now, t)})
 	case event.PrepareRequested:
-		out.Add(command.AnswerPrepare{RequestID: e.RequestID, Failure: prepare(now, t, e.Version)})
+		out.Add(command.AnswerPrepare{RequestID: e.RequestID, Failure: prepare(now, t, e.Change, e.Version)})
+	case event.PrepareWithdrawn:
+		withdraw(t, e.Change)
 	}
 }
 
@@ -94,7 +96,7 @@
 		c.CountsVote = true
 	}
 	if c.Pending != 0 && c.ReadSentAt >= c.PendingSince+prepareHold {
-		c.Pending = 0
+		clearPending(c)
 	}
 }
 
@@ -108,7 +110,7 @@
 		}})
 	}
 	if c.Pending <= c.Version {
-		c.Pending = 0
+		clearPending(c)
 	}
 }
 
--- a/system/configuration_change.go
+++ b/system/configuration_change.go
@@ -11,7 +11,7 @@
 
 // prepare notes a version that may be accepted soon. A version that this
 // process already has cannot win any more.
-func prepare(now time.Duration, t *table.Tables, version uint64) *event.Failure {
+func prepare(now time.Duration, t *table.Tables, change string, version uint64) *event.Failure {
 	c := &t.Config
 	if version <= c.Version {
 		return &event.Failure{
@@ -19,6 +19,10 @@
 			Message: "a configuration of this or a higher version is already accepted",
 		}
 	}
+	if c.Prepared == nil {
+		c.Prepared = make(map[string]uint64)
+	}
+	c.Prepared[change] = version
 	c.Pending, c.PendingSince = max(c.Pending, version), now
 	return nil
 }
@@ -33,6 +37,7 @@
 		}
 	case event.RequestAbandoned:
 		if change := t.Changes.Find(e.RequestID); change != nil && change.Phase != table.ChangeCommitting {
+			withdrawEverywhere(t, e.RequestID, change, out)
 			t.Changes.Delete(e.RequestID)
 		}
 	case event.PrepareAnswered:
@@ -84,7 +89,7 @@
 	change.Phase, change.Until = table.ChangePreparing, now+prepareWithin
 	change.Known = len(knownHosts(t))
 	change.Acknowledged, change.Refused = make(map[string]bool), make(map[string]bool)
-	if t.Self.Role == table.RoleEntry && prepare(now, t, version) == nil {
+	if t.Self.Role == table.RoleEntry && prepare(now, t, id, version) == nil {
 		change.Acknowledged[t.Self.Host] = true
 	}
 	for hostID, h := range t.Hosts.All() {
@@ -123,12 +128,15 @@
 	out.Add(command.AnswerConfigChange{RequestID: id, Failure: &event.Failure{
 		Verdict: verdict.NotRun, Reason: reason, Message: message,
 	}})
+	if change := t.Changes.Find(id); change != nil {
+		withdrawEverywhere(t, id, change, out)
+	}
 	t.Changes.Delete(id)
 }
 
 // finishChange takes over the outcome of a commit, announces an accepted
-// version and answers the operator. After an unknown outcome the prepared
-// version stays pending until the row is read.
+// version and answers the operator. A version that was certainly not accepted is
+// withdrawn; after an unknown outcome it stays pending until the row is read.
 func finishChange(t *table.Tables, e event.ConfigCommitted, out *command.Outbox) {
 	change := t.Changes.Find(e.RequestID)
 	if change == nil {
@@ -145,6 +153,9 @@
 		t.Config.ConfirmedAt = max(t.Config.ConfirmedAt, change.CommitSentAt)
 		announce(t, e, out)
 	}
+	if e.Failure != nil && e.Failure.Verdict == verdict.NotRun {
+		withdrawEverywhere(t, e.RequestID, change, out)
+	}
 	out.Add(answer)
 }
 
--- a/system/configuration_cluster_test.go
+++ b/system/configuration_cluster_test.go
@@ -158,10 +158,16 @@
 				return event.ContactMade{HostID: c.HostID, Contact: answer.(command.AnswerContact).Contact}
 			}, event.ContactMade{HostID: c.HostID, Failure: unreachable})
 	case command.PrepareHost:
-		w.call(n, c.Address, func(id string) event.Event { return event.PrepareRequested{RequestID: id, Version: c.Version} },
+		w.call(n, c.Address, func(id string) event.Event {
+			return event.PrepareRequested{RequestID: id, Change: c.RequestID, Version: c.Version}
+		},
 			func(answer command.Command) event.Event {
 				return event.PrepareAnswered{RequestID: c.RequestID, HostID: c.HostID, Failure: answer.(command.AnswerPrepare).Failure}
 			}, event.PrepareAnswered{RequestID: c.RequestID, HostID: c.HostID, Failure: unreachable})
+	case command.WithdrawHost:
+		if to := w.find(c.Address); to != nil && to.side == n.side {
+			w.send(to, worldLatency, event.PrepareWithdrawn{Change: c.Change})
+		}
 	case command.AnnounceConfig:
 		if to := w.find(c.Address); to != nil && to.side == n.side {
 			w.send(to, worldLatency, event.ConfigAnnounced{Version: c.Version, Body: c.Body})
--- /dev/null
+++ b/system/configuration_withdraw.go
@@ -0,0 +1,41 @@
+package system
+
+import (
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// withdrawEverywhere takes back the preparation of a change that certainly was
+// not accepted. Without it, a change that is refused at the start of an outage
+// leaves its version pending on a majority of hosts, and all of them would stop
+// serving although the configuration cannot have changed.
+func withdrawEverywhere(t *table.Tables, id string, change *table.ConfigChange, out *command.Outbox) {
+	if change.Acknowledged == nil { // never prepared
+		return
+	}
+	withdraw(t, id)
+	for _, h := range t.Hosts.All() {
+		if isPeer(t, h) {
+			out.Add(command.WithdrawHost{Change: id, Address: h.Address})
+		}
+	}
+}
+
+// withdraw forgets one prepared change. Other changes of the same version remain
+// pending, and a withdrawal that overtakes its preparation has no effect.
+func withdraw(t *table.Tables, change string) {
+	c := &t.Config
+	if _, found := c.Prepared[change]; !found {
+		return
+	}
+	delete(c.Prepared, change)
+	c.Pending = 0
+	for _, version := range c.Prepared {
+		c.Pending = max(c.Pending, version)
+	}
+	if c.Pending <= c.Version {
+		clearPending(c)
+	}
+}
+
+func clearPending(c *table.Config) { c.Pending, c.Prepared = 0, nil }
--- a/table/routing.go
+++ b/table/routing.go
@@ -168,14 +168,15 @@
 	NextRead    time.Duration
 	Confirmed   bool // this process may serve new requests
 
-	Started      bool          // the fields below have their initial values
-	EverRead     bool          // the row was read since process start
-	CountsVote   bool          // the row was read after prepares of an earlier start lapsed
-	ReadSentAt   time.Duration // when the newest read was sent
-	Pending      uint64        // prepared version with unknown outcome, 0 if none
-	PendingSince time.Duration // when Pending was last prepared
-	ReadyKnown   bool          // readiness was reported
-	Ready        bool          // readiness as last reported
+	Started      bool              // the fields below have their initial values
+	EverRead     bool              // the row was read since process start
+	CountsVote   bool              // the row was read after prepares of an earlier start lapsed
+	ReadSentAt   time.Duration     // when the newest read was sent
+	Pending      uint64            // prepared version with unknown outcome, 0 if none
+	Prepared     map[string]uint64 // versions behind Pending by change
+	PendingSince time.Duration     // when Pending was last prepared
+	ReadyKnown   bool              // readiness was reported
+	Ready        bool              // readiness as last reported
 }
 
 // Leaving reports whether any source says that the backend is leaving.
