traffic: claim requests with a key also before the first configuration

Cause: before the first configuration a service is reachable by its own name, and such requests were sent without a claim. A key sent to three entry hosts ran three times. Change: a request with an Idempotency-Key is claimed there too.

--- /dev/null
+++ b/e2e/claims_helpers_test.go
@@ -0,0 +1,184 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/standin"
+)
+
+// Verdicts and reasons as callers see them.
+const (
+	notRun     = "not_run"
+	mayHaveRun = "may_have_run"
+)
+
+// explain returns reason and verdict of an error answer.
+func (r reply) explain() (reason, verdict string) {
+	var body struct {
+		Error struct{ Reason, Verdict string }
+	}
+	_ = json.Unmarshal([]byte(r.body), &body)
+	return body.Error.Reason, body.Error.Verdict
+}
+
+// claims sends requests that must run at most once and keeps all answers by key.
+type claims struct {
+	d       *deployment
+	mu      sync.Mutex
+	answers map[string][]reply
+	hidden  map[string]bool // sent through the load balancer
+}
+
+func newClaims(d *deployment) *claims {
+	return &claims{d: d, answers: make(map[string][]reply), hidden: make(map[string]bool)}
+}
+
+// send sends the request of a key to an entry host, -1 for the load balancer.
+func (c *claims) send(entry int, key string, headers ...string) reply {
+	headers = append([]string{"Idempotency-Key", key}, headers...)
+	host := c.d.plan.Balancer
+	if entry >= 0 {
+		host = c.d.plan.Entries[entry]
+	}
+	r := c.d.callHost(host, "app", http.MethodPost, "/services/claims/"+key, "bundle "+key, headers...)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answers[key] = append(c.answers[key], r)
+	c.hidden[key] = c.hidden[key] || entry < 0
+	return r
+}
+
+// begin sends a request and returns where its answer will arrive.
+func (c *claims) begin(entry int, key string, headers ...string) <-chan reply {
+	answer := make(chan reply, 1)
+	go func() { answer <- c.send(entry, key, headers...) }()
+	return answer
+}
+
+// executions returns how often the plain services ran each key.
+func (c *claims) executions() map[string]int {
+	c.d.t.Helper()
+	files, err := filepath.Glob(filepath.Join(c.d.dir, "ledgers", "service-*.jsonl"))
+	require.NoError(c.d.t, err)
+	runs := make(map[string]int)
+	for _, file := range files {
+		entries, err := standin.ReadJournal(file)
+		require.NoError(c.d.t, err)
+		for _, e := range entries {
+			if e.Kind == standin.EntryRun && e.Key != "" {
+				runs[e.Key]++
+			}
+		}
+	}
+	return runs
+}
+
+// judge compares all answers with the ledgers of the plain services. It returns
+// the number of keys that ran and of keys that were refused as not run. A load
+// balancer that repeats a request hides the answer to the first copy, so "not
+// run" is judged only for keys that were never sent through it.
+func (c *claims) judge() (ran, refused int) {
+	c.d.t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	runs := c.executions()
+	for key, answers := range c.answers {
+		allNotRun, confirmed := true, false
+		for _, r := range answers {
+			_, verdict := r.explain()
+			allNotRun = allNotRun && r.err == nil && verdict == notRun
+			if r.status == http.StatusOK && r.err == nil {
+				confirmed = true
+				require.Equal(c.d.t, standin.ServiceAnswer(http.MethodPost, "/"+key, []byte("bundle "+key)), r.body, "answer of another request")
+			}
+		}
+		require.LessOrEqual(c.d.t, runs[key], 1, "%s ran more than once: %+v", key, answers)
+		if confirmed {
+			require.Equal(c.d.t, 1, runs[key], "%s was confirmed and did not run", key)
+		}
+		if allNotRun && !c.hidden[key] {
+			require.Zero(c.d.t, runs[key], "%s ran although refused as not run: %+v", key, answers)
+			refused++
+		}
+		ran += runs[key]
+	}
+	return ran, refused
+}
+
+// requireOpen checks that a repetition is refused because the first may have run.
+func (c *claims) requireOpen(entry int, key string) {
+	c.d.t.Helper()
+	r := c.send(entry, key)
+	require.NoError(c.d.t, r.err)
+	reason, verdict := r.explain()
+	require.Equal(c.d.t, http.StatusConflict, r.status, r.body)
+	require.Equal(c.d.t, []string{"duplicate_request", mayHaveRun}, []string{reason, verdict})
+}
+
+// services sets a fault of all plain services.
+func (d *deployment) services(body string) {
+	d.t.Helper()
+	d.fault("service-1", body)
+	d.fault("service-2", body)
+}
+
+// tables sets a fault of the table service only; empty for none.
+func (d *deployment) tables(fault string) {
+	d.t.Helper()
+	if fault != "" {
+		fault = "," + fault
+	}
+	d.fault("platform", `{"role":"tables"`+fault+`}`)
+}
+
+// rowExists asks the table service itself.
+func (d *deployment) rowExists(key string) bool {
+	d.t.Helper()
+	resp, err := http.Get("http://" + d.plan.Platform + "/v1/row?key=" + key)
+	require.NoError(d.t, err)
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// restart kills a process and starts it again.
+func (d *deployment) restart(name string) {
+	d.t.Helper()
+	d.kill(name)
+	d.start(name)
+}
+
+func entryName(index int) string { return fmt.Sprintf("entry-%d", index+1) }
+
+// freeze stops a process with SIGSTOP for a while.
+func (d *deployment) freeze(name string, during func()) {
+	d.t.Helper()
+	d.signal(name, syscall.SIGSTOP)
+	defer d.signal(name, syscall.SIGCONT)
+	during()
+}
+
+// serving waits until every entry host has the configuration and the backend
+// servers; an entry host is ready before that.
+func (d *deployment) serving() *deployment {
+	d.t.Helper()
+	for entry := range d.plan.Entries {
+		d.servingHost(entry)
+	}
+	return d
+}
+
+func (d *deployment) servingHost(entry int) {
+	d.t.Helper()
+	for _, path := range []string{"/services/items/oak", "/readyz"} {
+		d.eventually(12*time.Second, func() reply { return d.call(entry, "app", http.MethodGet, path, "") },
+			func(r reply) bool { return r.status == http.StatusOK })
+	}
+}
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -54,9 +54,16 @@
 
 // plan writes the files of a run and starts nothing.
 func newDeployment(t *testing.T, seed uint64) *deployment {
+	t.Helper()
+	return newDeploymentOf(t, demo.Options{Seed: seed, Entries: 3, Engines: 4})
+}
+
+// newDeploymentOf is newDeployment with other numbers of hosts.
+func newDeploymentOf(t *testing.T, o demo.Options) *deployment {
 	t.Helper()
 	dir := t.TempDir()
-	require.NoError(t, demo.WritePlan(demo.Options{Dir: dir, Seed: seed, Entries: 3, Engines: 4}))
+	o.Dir = dir
+	require.NoError(t, demo.WritePlan(o))
 	p, err := demo.ReadPlan(dir)
 	require.NoError(t, err)
 	tokens, err := demo.ReadTokens(dir)
@@ -79,11 +86,17 @@
 func deploy(t *testing.T, seed uint64) *deployment {
 	t.Helper()
 	d := newDeployment(t, seed)
+	d.startAll()
+	return d
+}
+
+// startAll starts every process and waits until all entry hosts are ready.
+func (d *deployment) startAll() {
+	d.t.Helper()
 	for name := range d.commands {
 		d.start(name)
 	}
-	require.NoError(t, demo.SetUp(d.plan, d.tokens["operator"]))
-	return d
+	require.NoError(d.t, demo.SetUp(d.plan, d.tokens["operator"]))
 }
 
 // start starts a process of the plan, also again after its end.
@@ -168,10 +181,16 @@
 
 // call sends a request to an entry host (index) as a principal.
 func (d *deployment) call(entry int, principal, method, path, body string, headers ...string) reply {
-	req, err := http.NewRequest(method, "http://"+d.plan.Entries[entry]+path, bytes.NewReader([]byte(body)))
+	return d.callHost(d.plan.Entries[entry], principal, method, path, body, headers...)
+}
+
+// callHost is call with the address of an entry host or the load balancer.
+func (d *deployment) callHost(host, principal, method, path, body string, headers ...string) reply {
+	req, err := http.NewRequest(method, "http://"+host+path, io.NopCloser(bytes.NewReader([]byte(body))))
 	if err != nil {
 		return reply{err: err}
 	}
+	req.ContentLength = int64(len(body)) // the client must not repeat a request itself
 	req.Header.Set("Authorization", "Bearer "+d.tokens[principal])
 	req.Header.Set("Content-Type", "application/json")
 	for i := 0; i+1 < len(headers); i += 2 {
--- a/traffic/service.go
+++ b/traffic/service.go
@@ -31,7 +31,7 @@
 	if err := r.admit(ctx, req); err != nil {
 		return Reply{}, err
 	}
-	route, claims, err := findRoute(req.plan, s.Route)
+	route, claims, err := findRoute(req.plan, s.Route, s.Key)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -62,14 +62,15 @@
 }
 
 // findRoute returns the route and whether its requests need claims. Before the
-// first configuration the services are reachable by their own names, without
-// claims and without a repetition after MayHaveRun.
-func findRoute(p *plan.Plan, name string) (route plan.RouteConfig, claims bool, err error) {
+// first configuration the services are reachable by their own names, without a
+// repetition after MayHaveRun; a request with a key then needs a claim, because
+// its caller may repeat it.
+func findRoute(p *plan.Plan, name, key string) (route plan.RouteConfig, claims bool, err error) {
 	if route, ok := p.Routes[name]; ok {
 		return route, !route.Idempotent, nil
 	}
 	if p.ConfigVersion == 0 && p.Services[name] != nil {
-		return plan.RouteConfig{Service: name}, false, nil
+		return plan.RouteConfig{Service: name}, key != "", nil
 	}
 	return route, false, verdict.New(verdict.NotRun, verdict.ReasonUnknownRoute, "unknown route %q", name)
 }
