--- /dev/null
+++ b/e2e/answers_helpers_test.go
@@ -0,0 +1,151 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/engine"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/standin"
+)
+
+// completion is a request for a completion and what its caller received.
+type completion struct {
+	model, prompt string
+	maxTokens     int
+	stream        bool
+	only          ledger.Version
+	reply         reply
+}
+
+// longPrompts returns n prompts whose completions have exactly tokens tokens.
+func longPrompts(label string, n, tokens int) []string {
+	var prompts []string
+	for i := 0; len(prompts) < n; i++ {
+		prompt := fmt.Sprintf("%s %d", label, i)
+		if _, limited := standin.Length(prompt, tokens); limited {
+			prompts = append(prompts, prompt)
+		}
+	}
+	return prompts
+}
+
+// complete sends completions at once, every second as a stream, to entry hosts
+// in turn, and returns them with their answers.
+func (d *deployment) complete(model, label string, n, tokens int, only ledger.Version) []*completion {
+	var all []*completion
+	var wg sync.WaitGroup
+	for i, prompt := range longPrompts(label, n, tokens) {
+		c := &completion{model: model, prompt: prompt, maxTokens: tokens, stream: i%2 == 0, only: only}
+		all = append(all, c)
+		wg.Go(func() { c.reply = d.sendCompletion(i%len(d.plan.Entries), c) })
+	}
+	wg.Wait()
+	return all
+}
+
+func (d *deployment) sendCompletion(entry int, c *completion) reply {
+	body, _ := json.Marshal(map[string]any{
+		"model": c.model, "prompt": c.prompt, "max_tokens": c.maxTokens, "stream": c.stream,
+	})
+	headers := []string{"X-Class", "live"}
+	if c.only != 0 {
+		headers = append(headers, "X-Only-Version", fmt.Sprint(c.only))
+	}
+	return d.call(entry, "app", http.MethodPost, "/v1/completions", string(body), headers...)
+}
+
+// received returns text and version ranges of an answer and whether it ended as
+// a complete one does.
+func (c *completion) received() (text string, ranges []ledger.Range, whole bool) {
+	parts := []string{c.reply.body}
+	whole = c.reply.err == nil && c.reply.status == http.StatusOK
+	if strings.HasPrefix(c.reply.header.Get("Content-Type"), "text/event-stream") {
+		parts, whole = nil, false
+		reader := engine.NewEventReader(strings.NewReader(c.reply.body), engine.MaxEventBytes)
+		for data, err := reader.Next(); err == nil && !whole; data, err = reader.Next() {
+			whole = string(data) == "[DONE]"
+			parts = append(parts, string(data))
+		}
+	}
+	for _, part := range parts {
+		var answer struct {
+			Choices  []struct{ Text string }
+			Lavender struct{ Ranges []ledger.Range }
+		}
+		if json.Unmarshal([]byte(part), &answer) == nil {
+			for _, choice := range answer.Choices {
+				text += choice.Text
+			}
+			ranges = append(ranges, answer.Lavender.Ranges...)
+		}
+	}
+	return text, ranges, whole
+}
+
+// judgeCompletions requires that each answer is whole, with the labels of the
+// engines' ledgers, or a prefix that does not end as a whole one does. It
+// returns the number of whole answers.
+func (d *deployment) judgeCompletions(all []*completion) (whole int) {
+	d.t.Helper()
+	runs := standin.Runs(d.engineLedgers())
+	for _, c := range all {
+		want := standin.CompletionText(c.prompt, c.maxTokens)
+		text, ranges, ok := c.received()
+		if !ok {
+			require.True(d.t, strings.HasPrefix(want, text), "%s: %q is no prefix of %q", c.prompt, text, want)
+			continue
+		}
+		whole++
+		require.Equal(d.t, want, text, "stream %v", c.stream)
+		tokens, _ := standin.Length(c.prompt, c.maxTokens)
+		require.NoError(d.t, standin.CheckLabels(runs[standin.PromptID(c.prompt)], ranges, tokens))
+		if c.only != 0 {
+			require.Equal(d.t, []ledger.Range{{From: 0, To: tokens, Version: c.only}}, ranges)
+		}
+	}
+	return whole
+}
+
+// engineLedgers returns the entries of all engines' ledgers.
+func (d *deployment) engineLedgers() []standin.Entry {
+	d.t.Helper()
+	files, err := filepath.Glob(filepath.Join(d.dir, "ledgers", "engine-*.jsonl"))
+	require.NoError(d.t, err)
+	var all []standin.Entry
+	for _, file := range files {
+		entries, err := standin.ReadJournal(file)
+		require.NoError(d.t, err)
+		all = append(all, entries...)
+	}
+	return all
+}
+
+// starts returns the number of completions that an engine accepted so far.
+func (d *deployment) starts(engine string) (n int) {
+	d.t.Helper()
+	entries, err := standin.ReadJournal(filepath.Join(d.dir, "ledgers", engine+".jsonl"))
+	require.NoError(d.t, err)
+	for _, e := range entries {
+		if e.Kind == standin.EntryStart {
+			n++
+		}
+	}
+	return n
+}
+
+// requireWhole fails with the first answer that is not whole.
+func requireWhole(t *testing.T, all []*completion, label string) {
+	t.Helper()
+	for _, c := range all {
+		_, _, ok := c.received()
+		require.True(t, ok, "%s, stream %v: %d %v %s", label, c.stream, c.reply.status, c.reply.err, c.reply.body)
+	}
+}
--- /dev/null
+++ b/e2e/configuration_helpers_test.go
@@ -0,0 +1,119 @@
+package e2e
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/plan"
+)
+
+// inForceWithin is the time within which accepted configuration is in force on
+// every host.
+const inForceWithin = 10 * time.Second
+
+// change is an operator's change of the configuration and its answer.
+type change struct {
+	expected uint64
+	author   string
+	reply    reply
+	at       time.Time // of the answer
+}
+
+// changeConfig replaces the configuration at an entry host (index).
+func (d *deployment) changeConfig(entry int, expected uint64, author string, config plan.Config) change {
+	body, _ := json.Marshal(map[string]any{"expected_version": expected, "author": author, "config": config})
+	r := d.call(entry, "operator", http.MethodPut, "/v1/config", string(body))
+	return change{expected: expected, author: author, reply: r, at: time.Now()}
+}
+
+func (c change) accepted() bool { return c.reply.err == nil && c.reply.status == http.StatusOK }
+
+// versionOn returns the version in force on an entry host, 0 without an answer.
+func (d *deployment) versionOn(entry int) uint64 {
+	var body struct{ Version uint64 }
+	r := d.call(entry, "operator", http.MethodGet, "/v1/config", "")
+	if r.err == nil && r.status == http.StatusOK {
+		_ = json.Unmarshal([]byte(r.body), &body)
+	}
+	return body.Version
+}
+
+// knowEachOther waits until every entry host knows all others.
+func (d *deployment) knowEachOther() {
+	d.t.Helper()
+	for entry := range d.plan.Entries {
+		d.eventually(20*time.Second, func() reply { return d.call(entry, "operator", http.MethodGet, "/v1/hosts", "") },
+			func(r reply) bool { return strings.Count(r.body, `"role":"entry"`) >= len(d.plan.Entries)-1 })
+	}
+}
+
+// history returns the author of each version as the table service has it.
+func (d *deployment) history() map[uint64]string {
+	d.t.Helper()
+	var records []struct {
+		Version uint64
+		Author  string
+	}
+	r := d.call(0, "operator", http.MethodGet, "/v1/config/history", "")
+	require.NoError(d.t, json.Unmarshal([]byte(r.body), &records), r.body)
+	authors := make(map[uint64]string)
+	for _, record := range records {
+		require.NotContains(d.t, authors, record.Version)
+		authors[record.Version] = record.Author
+	}
+	return authors
+}
+
+// withRoute returns the run's configuration with the idempotent route renamed.
+func (d *deployment) withRoute(name string) plan.Config {
+	config := d.plan.Config
+	config.Routes = map[string]plan.RouteConfig{name: config.Routes["items"], "claims": config.Routes["claims"]}
+	return config
+}
+
+// requireInForce waits until an accepted version is in force on the entry hosts.
+func (d *deployment) requireInForce(version uint64, accepted time.Time, entries ...int) {
+	d.t.Helper()
+	for _, entry := range entries {
+		for d.versionOn(entry) < version {
+			require.Less(d.t, time.Since(accepted), inForceWithin, "%s has not version %d", entryName(entry), version)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// judgeChanges compares the answers to changes with the history.
+func (d *deployment) judgeChanges(changes []change) {
+	d.t.Helper()
+	history := d.history()
+	byAuthor := make(map[string]uint64)
+	for version, author := range history {
+		// The table service has the operator's principal with the given name.
+		name := strings.TrimSuffix(strings.TrimPrefix(author, "operator ("), ")")
+		byAuthor[name] = version
+	}
+	for _, c := range changes {
+		_, verdict := c.reply.explain()
+		switch {
+		case c.accepted():
+			require.Equal(d.t, c.expected+1, byAuthor[c.author], "%s was accepted", c.author)
+		case c.reply.status == http.StatusConflict:
+			var body struct {
+				Winner struct {
+					Version uint64
+					Author  string
+				}
+			}
+			require.NoError(d.t, json.Unmarshal([]byte(c.reply.body), &body))
+			require.Greater(d.t, body.Winner.Version, c.expected, c.reply.body)
+			require.Equal(d.t, history[body.Winner.Version], body.Winner.Author)
+			require.Zero(d.t, byAuthor[c.author], "%s lost", c.author)
+		case verdict == notRun:
+			require.Zero(d.t, byAuthor[c.author], "%s was refused as not run", c.author)
+		}
+	}
+}
--- /dev/null
+++ b/e2e/configuration_test.go
@@ -0,0 +1,193 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/demo"
+)
+
+// TestRacingOperators guards against two accepted changes for one version, a
+// change that is lost or reported wrongly when the table service is slow or
+// loses answers, a version that falls on any host, and one that is not in force
+// everywhere in time.
+func TestRacingOperators(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t, 31)
+	store := d.relayTables("entry-3")
+	d.startAll()
+	d.serving()
+	d.knowEachOther()
+	var stopped atomic.Bool
+	var watchers sync.WaitGroup
+	fell := make([]string, len(d.plan.Entries))
+	for entry := range d.plan.Entries {
+		watchers.Go(func() {
+			for highest := uint64(0); !stopped.Load(); time.Sleep(10 * time.Millisecond) {
+				version := d.versionOn(entry)
+				if version != 0 && version < highest {
+					fell[entry] = fmt.Sprintf("%d after %d", version, highest)
+				}
+				highest = max(highest, version)
+			}
+		})
+	}
+	var changes []change
+	version := uint64(1)
+	for round, fault := range []string{``, `"lose_answer_share":0.3,"jitter_ms":400`, `"lose_requests":2,"late_writes":2,"late_ms":500`, `"slow_ms":300`} {
+		d.tables(fault)
+		raced := d.race(version, round)
+		d.tables("")
+		accepted := 0
+		for _, c := range raced {
+			if c.accepted() {
+				accepted++
+				d.requireInForce(version+1, c.at, 0, 1, 2)
+			}
+		}
+		require.LessOrEqual(t, accepted, 1)
+		require.True(t, fault != "" || accepted == 1, "nobody won without a fault")
+		changes = append(changes, raced...)
+		time.Sleep(600 * time.Millisecond) // late writes take effect
+		for v := range d.history() {
+			version = max(version, v)
+		}
+		t.Logf("fault %q: %d accepted, version %d", fault, accepted, version)
+	}
+	// Answers to reads arrive after the announcement of a newer version.
+	store.delay.Store(int64(400 * time.Millisecond))
+	for began := time.Now(); time.Since(began) < 4500*time.Millisecond; time.Sleep(50 * time.Millisecond) {
+		c := d.changeConfig(0, version, fmt.Sprint("late-", version), d.plan.Config)
+		require.True(t, c.accepted(), c.reply.body)
+		changes, version = append(changes, c), version+1
+	}
+	d.requireInForce(version, time.Now(), 0, 1, 2)
+	stopped.Store(true)
+	watchers.Wait()
+	require.Equal(t, make([]string, len(fell)), fell, "a version fell")
+	d.judgeChanges(changes)
+}
+
+// race lets 20 operators change the same version at once, on all entry hosts.
+func (d *deployment) race(version uint64, round int) []change {
+	const operators = 20
+	changes := make([]change, operators)
+	var wg sync.WaitGroup
+	for i := range operators {
+		wg.Go(func() {
+			author := fmt.Sprintf("round%d-operator%d", round, i)
+			changes[i] = d.changeConfig(i%len(d.plan.Entries), version, author, d.plan.Config)
+		})
+	}
+	wg.Wait()
+	return changes
+}
+
+// TestConfigurationWithoutStore uses one deployment for both failures, because a
+// host counts towards a majority only some time after its start.
+func TestConfigurationWithoutStore(t *testing.T) {
+	t.Parallel()
+	d := newDeploymentOf(t, demo.Options{Seed: 32, Entries: 5, Engines: 2})
+	store := d.relayTables(entryName(cutHost))
+	started := time.Now()
+	d.startAll()
+	d.serving()
+	d.knowEachOther()
+	time.Sleep(time.Until(started.Add(countsAfter)))
+	if !t.Run("isolated hosts serve no old configuration", func(t *testing.T) { isolateHosts(t, d, store) }) {
+		return
+	}
+	t.Run("outage for all stops no idempotent call", func(t *testing.T) { outageForAll(t, d) })
+}
+
+const (
+	cutHost, frozenHost = 3, 4 // indexes of entry hosts
+	// countsAfter is the age from which on a host counts towards a majority:
+	// it has read the configuration after the prepares of an earlier start lapsed.
+	countsAfter = 18 * time.Second
+)
+
+// isolateHosts guards against old configuration on a host that is cut from the
+// table service only, and on one that was frozen for longer than a confirmation
+// counts.
+func isolateHosts(t *testing.T, d *deployment, store *relay) {
+	const cut, frozen = cutHost, frozenHost
+	get := func(entry int, route string) reply {
+		return d.call(entry, "app", http.MethodGet, "/services/"+route+"/oak", "")
+	}
+	d.signal(entryName(frozen), syscall.SIGSTOP)
+	store.set(true)
+	won := d.changeConfig(0, 1, "first", d.withRoute("renamed"))
+	require.True(t, won.accepted(), won.reply.body)
+	d.requireInForce(2, won.at, 0, 1, 2)
+
+	// The host without the store refuses in time although its peers answer.
+	d.eventually(inForceWithin-time.Since(won.at), func() reply { return get(cut, "renamed") }, func(r reply) bool {
+		reason, verdict := r.explain()
+		return reason == "config_unconfirmed" && verdict == notRun
+	})
+	require.Equal(t, http.StatusServiceUnavailable, d.call(cut, "app", http.MethodGet, "/readyz", "").status)
+	time.Sleep(time.Until(won.at.Add(inForceWithin)))
+	var wg sync.WaitGroup
+	answers := make([]reply, 12)
+	for i := range answers {
+		wg.Go(func() { answers[i] = get(frozen, "items") })
+	}
+	for range 10 {
+		require.NotEqual(t, http.StatusOK, get(cut, "items").status)
+	}
+	time.Sleep(200 * time.Millisecond) // the requests wait in the frozen process's sockets
+	d.signal(entryName(frozen), syscall.SIGCONT)
+	for range 50 {
+		require.NotEqual(t, http.StatusOK, get(frozen, "items").status)
+	}
+	wg.Wait()
+	for _, r := range answers {
+		require.NoError(t, r.err)
+		require.NotEqual(t, http.StatusOK, r.status, "old configuration after the resume")
+	}
+	store.set(false)
+	for _, entry := range []int{cut, frozen, 0, 1, 2} {
+		d.eventually(inForceWithin, func() reply { return get(entry, "renamed") },
+			func(r reply) bool { return r.status == http.StatusOK })
+		require.Equal(t, http.StatusNotFound, get(entry, "items").status)
+	}
+}
+
+// outageForAll guards against a service that stops, or accepts configuration,
+// when no host can read the table service, against a change refused during the
+// outage whose version stays pending and stops the service, and against a host
+// that starts meanwhile and serves without configuration.
+func outageForAll(t *testing.T, d *deployment) {
+	d.tables(`"down":true`)
+	began := time.Now()
+	d.restart(entryName(frozenHost))
+	var changes []change
+	for round := 0; time.Since(began) < 11*time.Second; round++ {
+		if round%40 == 0 {
+			c := d.changeConfig(round%2, 2, fmt.Sprint("outage-", round), d.withRoute("items"))
+			require.False(t, c.accepted())
+			changes = append(changes, c)
+		}
+		for entry := range frozenHost {
+			r := d.call(entry, "app", http.MethodGet, "/services/renamed/oak", "")
+			require.Equal(t, http.StatusOK, r.status, "%s after %s: %s", entryName(entry), time.Since(began), r.body)
+		}
+		r := d.call(frozenHost, "app", http.MethodGet, "/services/renamed/oak", "")
+		reason, verdict := r.explain()
+		require.True(t, r.err != nil || reason == "config_unconfirmed" && verdict == notRun, "started during the outage: %d %s", r.status, r.body)
+		time.Sleep(25 * time.Millisecond)
+	}
+	d.tables("")
+	d.judgeChanges(changes)
+	d.eventually(inForceWithin, func() reply { return d.changeConfig(0, 2, "after", d.withRoute("items")).reply },
+		func(r reply) bool { return r.status == http.StatusOK })
+	d.servingHost(frozenHost)
+}
--- /dev/null
+++ b/e2e/departure_test.go
@@ -0,0 +1,113 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/demo"
+	"github.com/lavenderstand/lavenderstand/engine"
+	"github.com/lavenderstand/lavenderstand/platform"
+)
+
+// leavesWithin is the time after the first sign within which a leaving backend
+// server receives no new work any more.
+const leavesWithin = 5 * time.Second
+
+// fakeService is a plain service that may say that it is leaving and still
+// accept work, so that only the sender's decision keeps work away.
+type fakeService struct {
+	name     string
+	began    time.Time
+	accepted atomic.Int64
+	refused  atomic.Int64
+	leaving  atomic.Bool // in its own report
+	refuse   atomic.Bool // requests, as leaving
+	frozen   atomic.Bool // its report is as old as the process
+}
+
+func (f *fakeService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/state" {
+		state := engine.State{Name: f.name, BootID: f.name, Model: "listing", Slots: 64, Leaving: f.leaving.Load()}
+		if f.frozen.Load() {
+			state.AgeMS = time.Since(f.began).Milliseconds()
+		}
+		_ = json.NewEncoder(w).Encode(state)
+		return
+	}
+	if f.refuse.Load() {
+		f.refused.Add(1)
+		w.Header().Set("X-Verdict", "not_run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(w).Encode(engine.Refusal{Verdict: notRun, Reason: engine.ReasonLeaving})
+		return
+	}
+	f.accepted.Add(1)
+	_, _ = fmt.Fprint(w, "fake")
+}
+
+// addFake starts a fake service and adds it to the plan's hosts.
+func (d *deployment) addFake(name string) *fakeService {
+	d.t.Helper()
+	f := &fakeService{name: name, began: time.Now()}
+	server := httptest.NewServer(f)
+	d.t.Cleanup(server.Close)
+	d.plan.Hosts = append(d.plan.Hosts, platform.ListedHost{
+		Name: name, Kind: "service", Model: "listing", Zone: "a", State: platform.StateLive,
+		Address: strings.TrimPrefix(server.URL, "http://"),
+	})
+	return f
+}
+
+// TestLeavingServersGetNoNewWork guards against new work for a backend server
+// after the time it has to leave, whichever source says so, while cached prompt
+// prefixes pull work toward it and the host list is stale and then unreachable.
+func TestLeavingServersGetNoNewWork(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t, 51)
+	reports, refuses := d.addFake("fake-reports"), d.addFake("fake-refuses")
+	d.startAll()
+	d.serving()
+
+	var stopped atomic.Bool
+	var traffic sync.WaitGroup
+	defer traffic.Wait()
+	defer stopped.Store(true)
+	prefix := strings.Repeat("shared instructions ", 16)
+	for entry := range d.plan.Entries {
+		traffic.Go(func() {
+			for i := 0; !stopped.Load(); i++ {
+				d.call(entry, "app", http.MethodGet, "/services/items/oak", "")
+				d.sendCompletion(entry, &completion{model: "dial", prompt: fmt.Sprint(prefix, i%3), maxTokens: 8})
+			}
+		})
+	}
+	for begun := time.Now(); reports.accepted.Load() == 0 || refuses.accepted.Load() == 0 || d.starts("engine-2") < 5; time.Sleep(20 * time.Millisecond) {
+		require.Less(t, time.Since(begun), 10*time.Second, "no work before the departure")
+	}
+	require.NoError(t, demo.SendJSON(http.MethodPost, "http://"+d.plan.Platform+"/admin/hosts/state", "",
+		map[string]string{"Name": "engine-2", "State": platform.StateLeaving}))
+	reports.leaving.Store(true)
+	refuses.frozen.Store(true)
+	refuses.refuse.Store(true)
+	left := time.Now()
+	time.Sleep(2 * time.Second)
+	d.fault("platform", `{"role":"hosts","down":true}`)
+	time.Sleep(time.Until(left.Add(leavesWithin)))
+	require.Positive(t, refuses.refused.Load())
+	byList, byReport, byRefusal := d.starts("engine-2"), reports.accepted.Load(), refuses.refused.Load()
+	others := d.starts("engine-4")
+	time.Sleep(2 * time.Second)
+	require.Equal(t, byList, d.starts("engine-2"), "leaving according to the host list")
+	require.Equal(t, byReport, reports.accepted.Load(), "leaving according to its own report")
+	require.Greater(t, d.starts("engine-4"), others, "the traffic went on")
+	require.Equal(t, byRefusal, refuses.refused.Load(), "leaving according to its refusals")
+}
--- /dev/null
+++ b/e2e/stop_load_test.go
@@ -0,0 +1,49 @@
+package e2e
+
+import (
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestPlannedStopUnderLoad guards against a planned stop that cuts off a long
+// stream or loses work under load: of one entry host by SIGTERM, repeated, and of
+// another by an operator, while the table service is down.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	d := deploy(t, 41).serving()
+	d.load(6*time.Second, func() {
+		for _, engine := range []string{"engine-2", "engine-4"} {
+			d.fault(engine, `{"slow":5}`) // the streams outlast the drain delay and the removal of the host row
+			defer d.fault(engine, `{}`)
+		}
+		var all []*completion
+		var streams sync.WaitGroup
+		for i, prompt := range longPrompts("long", 16, 700) {
+			c := &completion{model: "dial", prompt: prompt, maxTokens: 700, stream: i%4 != 0}
+			all = append(all, c)
+			streams.Go(func() { c.reply = d.sendCompletion(1+i%2, c) })
+		}
+		time.Sleep(500 * time.Millisecond)
+		d.tables(`"down":true`)
+		d.signal("entry-2", syscall.SIGTERM)
+		require.Equal(t, http.StatusAccepted, d.call(2, "operator", http.MethodPost, "/v1/drain", "").status)
+		for _, entry := range []int{1, 2} {
+			d.eventually(time.Second, func() reply { return d.call(entry, "app", http.MethodGet, "/readyz", "") },
+				func(r reply) bool { return r.status == http.StatusServiceUnavailable })
+		}
+		time.Sleep(500 * time.Millisecond)
+		d.signal("entry-2", syscall.SIGTERM)
+		begun := time.Now()
+		streams.Wait()
+		require.Greater(t, time.Since(begun), 7*time.Second, "the streams ended too early")
+		requireWhole(t, all, "stream across a planned stop")
+		d.judgeCompletions(all)
+		d.tables("")
+		d.waitStopped("entry-2", 20*time.Second)
+		d.waitStopped("entry-3", 20*time.Second)
+	})
+}
