Leave refusals that servers did not cause out of class targets

Claims of the class live were refused with store_unavailable, the class missed its target, and the shares of checks and rollouts fell to 0 on every entry host.

Change: store_unavailable, config_unconfirmed, draining and rate_limited no longer count in a class's window.

Golden files are unchanged.

--- a/system/classes.go
+++ b/system/classes.go
@@ -96,7 +96,7 @@
 
 func countOutcome(c *table.Class, ended event.RequestEnded) {
 	switch {
-	case c == nil || callersFault(ended.Reason):
+	case c == nil || callersFault(ended.Reason) || unrelated(ended.Reason):
 	case ended.Reason != "" && ended.Verdict == verdict.NotRun:
 		c.Refused++
 	case ended.Reason != "":
@@ -119,6 +119,18 @@
 	}
 }
 
+// unrelated reports refusals that have nothing to do with the backend servers. If
+// they counted, an outage of the table service would take the engines from
+// classes that do not need it.
+func unrelated(reason verdict.Reason) bool {
+	switch reason {
+	case verdict.ReasonStoreUnavailable, verdict.ReasonConfigUnconfirmed, verdict.ReasonDraining, verdict.ReasonRateLimited:
+		return true
+	default:
+		return false
+	}
+}
+
 func evaluateClasses(now time.Duration, t *table.Tables, out *command.Outbox) {
 	due := false
 	for _, c := range t.Classes.All() {
