Route around engines that produce tokens clearly slower

The corrected policy counts requests only, so the slow engine got as many as the others, and its late live calls cut the training share on all engines.

Change: the plan marks engines whose reported token rate per running sequence is half of the pool's median or less. The corrected policy scales their load, and their part of the training share shrinks in proportion.

Ruled out: the hedge, which by design does not start within the fault's length.

Golden files are unchanged.

--- a/plan/picker.go
+++ b/plan/picker.go
@@ -120,9 +120,11 @@
 // trainingLimit is this host's part of the share. Spread rounds the fraction up
 // on some hosts and down on others, so that the hosts' sum meets the share.
 func (p *Plan) trainingLimit(b *Backend, share float64) int64 {
-	return int64(share*b.slots()/float64(max(p.Hosts, 1)) + b.Spread)
+	return int64(share*b.slots()/b.slowness()/float64(max(p.Hosts, 1)) + b.Spread)
 }
 
+func (b *Backend) slowness() float64 { return max(b.Slowness, 1) }
+
 func (b *Backend) slots() float64 { return float64(max(b.Report.Slots, 1)) }
 
 // Load estimates the requests at the backend: the report corrected by this
@@ -136,7 +138,9 @@
 }
 
 func (p *Plan) score(b *Backend, q *Query) float64 {
-	score := p.Load(b) / b.slots()
+	// A slow server with room still takes longer, so its slowness counts even
+	// without load.
+	score := p.Load(b)/b.slots()*b.slowness() + b.slowness() - 1
 	if b.Zone != q.Zone {
 		score += zonePenalty
 	}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -60,11 +60,14 @@
 	Report  Report
 	// SentAtReport is Counters.Sent when the report arrived.
 	SentAtReport uint64
-	Probe        bool    // only one request at a time, after an ejection
-	Stale        bool    // no recent report: Report may not reflect the load
-	Spread       float64 // 0 to 1, differs by host, rounds this host's part of a share
-	Counters     *Counters
-	Prefixes     *PrefixSet // nil if nothing is known
+	Probe        bool // only one request at a time, after an ejection
+	Stale        bool // no recent report: Report may not reflect the load
+	// Slowness is how many times longer a sequence takes than on the pool's median
+	// server, by the reported token rates; 0 or 1 if it is not clearly slower.
+	Slowness float64 `json:",omitempty"`
+	Spread   float64 // 0 to 1, differs by host, rounds this host's part of a share
+	Counters *Counters
+	Prefixes *PrefixSet // nil if nothing is known
 }
 
 // Report is a load report of a backend server.
--- a/system/routing.go
+++ b/system/routing.go
@@ -93,6 +93,9 @@
 		}
 		pool.Backends = append(pool.Backends, planBackend(t.Self.Host, b))
 	}
+	for _, pool := range p.Models {
+		markSlow(pool.Backends)
+	}
 	return p
 }
 
