Raise a lower class's share only when late answers are made up for

Cause: at Cymru's peak 99.35% of live calls were on time against a target of 99.5%, and in 60% of the 30 s windows the class was below its target while training was served. A window of 2 s on one host holds about 20 requests, so it mostly meets the target, and the share rose in 9 of 10 windows.

Change: late answers beyond the target are a debt of the class (at most 3, with half an answer of credit). A miss lowers the lowest share only while there is a debt; the share rises only without one.

--- a/bench/compare.go
+++ b/bench/compare.go
@@ -33,7 +33,9 @@
 				running.Go(func() {
 					limit <- struct{}{}
 					defer func() { <-limit }()
-					row.Results[i] = Run(Setup{Deployment: d, Load: load, Policy: p, Fault: fault, Seed: uint64(i + 1)})
+					row.Results[i] = Run(Setup{
+						Deployment: d, Load: load, Policy: p, Fault: fault, Seed: uint64(i + 1), WarmUp: DefaultWarmUp, Measure: DefaultMeasure,
+					})
 				})
 			}
 		}
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -66,8 +66,9 @@
 	callSigma     = 0.4
 	longestSample = 4096
 
-	warmUp  = 4 * time.Minute
-	measure = 15 * time.Minute
+	// DefaultWarmUp is left out of the figures; DefaultMeasure is measured after it.
+	DefaultWarmUp  = 4 * time.Minute
+	DefaultMeasure = 15 * time.Minute
 )
 
 // Pamoja is the timber reuse platform.
@@ -163,4 +164,6 @@
 	Policy     Policy
 	Fault      string
 	Seed       uint64
+	WarmUp     time.Duration
+	Measure    time.Duration
 }
--- a/system/classes.go
+++ b/system/classes.go
@@ -21,6 +21,11 @@
 	shareFactor = 0.5
 	lowestShare = 0.05 // a lower result becomes 0
 	wholeShare  = 1.0
+	// longestDebt bounds the answers that a class has to make up for before lower
+	// classes get more, so that the end of an outage is followed by recovery.
+	longestDebt = 3.0
+	// longestCredit is the number of late answers that earlier ones on time pay for.
+	longestCredit = 0.5
 )
 
 // Classes derives the priority and the share of engine slots of each class from
@@ -137,14 +142,17 @@
 		due = due || now >= c.LastEvaluated+classWindow
 	}
 	if due {
-		highestMiss := 0 // priority of the highest class below its target
+		highestMiss, highestDebt := 0, 0 // priorities of the highest such classes
 		for _, c := range t.Classes.All() {
 			closeWindow(now, c)
 			if c.Missed {
 				highestMiss = max(highestMiss, c.Priority)
 			}
+			if c.Debt > 0 {
+				highestDebt = max(highestDebt, c.Priority)
+			}
 		}
-		adjustShares(t, highestMiss, out)
+		adjustShares(t, highestMiss, highestDebt, out)
 	}
 	for _, c := range t.Classes.All() {
 		out.WakeAt(c.LastEvaluated + classWindow)
@@ -157,19 +165,26 @@
 	if total > 0 {
 		c.OnTimeShare = float64(c.OnTime) / float64(total)
 		c.Missed = c.Target.Latency > 0 && c.OnTimeShare < c.Target.OnTimeShare
+		missed := float64(total-c.OnTime) - (1-c.Target.OnTimeShare)*float64(total)
+		if c.Target.Latency > 0 {
+			c.Debt = min(max(c.Debt+missed, -longestCredit), longestDebt)
+			c.Missed = c.Missed && c.Debt > 0
+		}
 	}
 	c.OnTime, c.Late, c.Failed, c.Refused, c.LastEvaluated = 0, 0, 0, 0, now
 }
 
 // adjustShares takes from the lowest class that still has a share while a class
-// above it misses its target, otherwise gives to the highest without a whole one.
-func adjustShares(t *table.Tables, highestMiss int, out *command.Outbox) {
+// above it misses its target. It gives to the highest without a whole one once no
+// class above owes answers on time: a window holds few requests, so that a target
+// of 99.5% is mostly met in it even while more than 0.5% are late.
+func adjustShares(t *table.Tables, highestMiss, highestDebt int, out *command.Outbox) {
 	var lowest, highest *table.Class
 	for _, c := range t.Classes.All() {
 		if c.Priority < highestMiss && c.Share > 0 && (lowest == nil || c.Priority < lowest.Priority) {
 			lowest = c
 		}
-		if c.Priority >= highestMiss && c.Share < wholeShare && (highest == nil || c.Priority > highest.Priority) {
+		if c.Priority >= max(highestMiss, highestDebt) && c.Share < wholeShare && (highest == nil || c.Priority > highest.Priority) {
 			highest = c
 		}
 	}
--- a/table/routing.go
+++ b/table/routing.go
@@ -159,6 +159,7 @@
 	OnTime, Late, Failed, Refused uint64
 	LastEvaluated                 time.Duration
 	OnTimeShare                   float64 // of the last evaluated window
+	Debt                          float64 // late answers beyond the target that are not made up for
 	Missed                        bool    // the last window with requests missed the target
 }
 
