--- a/system/routing.go
+++ b/system/routing.go
@@ -94,6 +94,9 @@
 		}
 		pool.Backends = append(pool.Backends, planBackend(b))
 	}
+	for _, pool := range p.Models {
+		markSlow(pool.Backends)
+	}
 	return p
 }
 
