Give samplers of an older version no training work

Cause: quarantine was known only to the holder of the model's partition.

Change: every controller notes when the first sampler reports the wanted version as active. 5 s later (activation is ordered on all samplers at once, reports lag by about 1 s) this version is the floor of the version that samples of the model may be produced by. The same excludes restarted samplers and samplers that obeyed an old order. Ruled out: passing names of quarantined samplers with each sample, because the trainer's holder is often not the model's holder.

--- /dev/null
+++ b/e2e/training_test.go
@@ -0,0 +1,212 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/demo"
+	"github.com/lavenderstand/lavenderstand/engine"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/settings"
+	"github.com/lavenderstand/lavenderstand/standin"
+)
+
+const (
+	trainer      = "trainer-matching"
+	manualGroups = 3
+	// restLimit is the time in which trainers receive the rest after faults. It
+	// covers two take-overs of 8 s.
+	restLimit = 30 * time.Second
+	// noFaults clears all faults of a stand-in.
+	noFaults = `{}`
+)
+
+// train drives callers and trainers while during runs, judges everything
+// received and returns it.
+func (d *deployment) train(duration time.Duration, during func()) standin.Received {
+	d.t.Helper()
+	done := make(chan error, 1)
+	go func() {
+		done <- demo.Load(demo.LoadOptions{Dir: d.dir, Duration: duration, Limit: restLimit, IsSetUp: true})
+	}()
+	during()
+	require.NoError(d.t, <-done)
+	require.NoError(d.t, demo.JudgeRun(d.dir))
+	data, err := os.ReadFile(filepath.Join(d.dir, "received.json"))
+	require.NoError(d.t, err)
+	var received standin.Received
+	require.NoError(d.t, json.Unmarshal(data, &received))
+	return received
+}
+
+// getJSON reads a page of a stand-in.
+func getJSON(url string, into any) error {
+	resp, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+// holder returns the controller process that holds the partition of a trainer or
+// model.
+func (d *deployment) holder(unit string) string {
+	d.t.Helper()
+	partition := ledger.PartitionOf(unit, settings.Default().Training.Partitions)
+	var holder string
+	require.Eventually(d.t, func() bool {
+		var row struct {
+			Value struct {
+				Holder string `json:"holder"`
+			} `json:"value"`
+		}
+		err := getJSON(fmt.Sprintf("http://%s/v1/row?key=lease/%d", d.plan.Platform, partition), &row)
+		holder = row.Value.Holder
+		return err == nil && holder != ""
+	}, 10*time.Second, 50*time.Millisecond)
+	number := strings.TrimPrefix(holder, "host-")
+	return "controller-" + number[:strings.Index(number, "-")]
+}
+
+// freeze stops a process with SIGSTOP for a duration.
+func (d *deployment) freeze(name string, duration time.Duration) {
+	d.signal(name, syscall.SIGSTOP)
+	time.Sleep(duration)
+	d.signal(name, syscall.SIGCONT)
+}
+
+func (d *deployment) restart(name string) {
+	d.kill(name)
+	d.start(name)
+}
+
+// engineState returns the report of an engine.
+func (d *deployment) engineState(name string) (s engine.State) {
+	_ = getJSON("http://"+d.plan.Addresses[name]+"/v1/state", &s)
+	return s
+}
+
+func (d *deployment) publish(model string, version, expected int) {
+	d.t.Helper()
+	d.eventually(10*time.Second, func() reply {
+		return d.call(0, "operator", http.MethodPut, "/v1/weights/"+model,
+			fmt.Sprintf(`{"version":%d,"expected_version":%d}`, version, expected))
+	}, func(r reply) bool { return r.status == http.StatusOK })
+}
+
+// ledgerOf returns the ledger of a stand-in.
+func (d *deployment) ledgerOf(name string) []standin.Entry {
+	d.t.Helper()
+	entries, err := standin.ReadJournal(filepath.Join(d.dir, "ledgers", name+".jsonl"))
+	require.NoError(d.t, err)
+	return entries
+}
+
+// submitGroups declares version 1 and submits groups g1, g2 and so on.
+func (d *deployment) submitGroups(count int) {
+	d.t.Helper()
+	var specs []ledger.GroupSpec
+	for i := range count {
+		specs = append(specs, ledger.GroupSpec{
+			ID: "g" + strconv.Itoa(i+1), Model: "matching", Prompt: fmt.Sprint("manual ", i), Samples: 4, MaxTokens: 32, StalenessBound: 2,
+		})
+	}
+	body, err := json.Marshal(map[string]any{"groups": specs})
+	require.NoError(d.t, err)
+	ok := func(r reply) bool { return r.status == http.StatusOK }
+	d.eventually(15*time.Second, func() reply { return d.declare(0, 1) }, ok)
+	d.eventually(15*time.Second, func() reply {
+		return d.call(0, trainer, http.MethodPost, "/v1/trainers/"+trainer+"/groups", string(body))
+	}, ok)
+}
+
+func (d *deployment) declare(entry, version int) reply {
+	return d.call(entry, trainer, http.MethodPut, "/v1/trainers/"+trainer+"/version", fmt.Sprintf(`{"version":%d}`, version))
+}
+
+func (d *deployment) pull(entry, step, version int, wait time.Duration) reply {
+	return d.call(entry, trainer, http.MethodPost, "/v1/trainers/"+trainer+"/pull",
+		fmt.Sprintf(`{"step":%d,"version":%d,"groups":1,"wait_ms":%d}`, step, version, wait.Milliseconds()))
+}
+
+// waitComplete waits until the texts of all samples are stored and their rows
+// committed, so that a pull finds a lot at once.
+func (d *deployment) waitComplete(samples int) {
+	d.t.Helper()
+	require.Eventually(d.t, func() bool {
+		var page struct {
+			Rows []json.RawMessage `json:"rows"`
+		}
+		err := getJSON("http://"+d.plan.Platform+"/v1/rows?prefix=sample/&after=&limit=1000", &page)
+		return err == nil && len(page.Rows) >= samples
+	}, 15*time.Second, 50*time.Millisecond)
+}
+
+func lotOf(t *testing.T, r reply) standin.Lot {
+	t.Helper()
+	require.Equal(t, http.StatusOK, r.status, "%s %v", r.body, r.err)
+	var lot standin.Lot
+	require.NoError(t, json.Unmarshal([]byte(r.body), &lot))
+	return lot
+}
+
+// sampleNames returns the samples of a lot in their order.
+func sampleNames(lot standin.Lot) []string {
+	var names []string
+	for _, s := range lot.Samples {
+		names = append(names, fmt.Sprint(s.Group, "/", s.Index))
+	}
+	return names
+}
+
+// counter sums a counter over the controllers that run.
+func (d *deployment) counter(name string) float64 {
+	var sum float64
+	for process := range d.processes {
+		if !strings.HasPrefix(process, "controller") {
+			continue
+		}
+		s, err := settings.LoadComplete(filepath.Join(d.dir, "settings", process+".toml"))
+		require.NoError(d.t, err)
+		resp, err := http.Get("http://" + s.Listen.HTTP + "/metrics")
+		if err != nil {
+			continue
+		}
+		data, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		for line := range strings.Lines(string(data)) {
+			fields := strings.Fields(line)
+			if len(fields) == 2 && strings.HasPrefix(fields[0], name) {
+				value, _ := strconv.ParseFloat(fields[1], 64)
+				sum += value
+			}
+		}
+	}
+	return sum
+}
+
+// seedOfRun returns the seed of a random test; E2E_SEED repeats one.
+func seedOfRun(t *testing.T) uint64 {
+	t.Helper()
+	seed := rand.Uint64N(1 << 32)
+	if text := os.Getenv("E2E_SEED"); text != "" {
+		var err error
+		seed, err = strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err)
+	}
+	t.Logf("E2E_SEED=%d", seed)
+	return seed
+}
--- /dev/null
+++ b/system/floor.go
@@ -0,0 +1,52 @@
+package system
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// activationGrace is the time after the first sampler's activation of a version
+// from which samplers of an older one get no training work. Activation is
+// ordered on all samplers at once, and reports lag by about a second; one that
+// still runs an older version is quarantined, restarted or obeyed a false order.
+const activationGrace = 5 * time.Second
+
+// raiseFloors notes the activations that samplers report. Every controller does
+// so, because the holder of a trainer's partition may not be that of its model.
+func raiseFloors(now time.Duration, t *table.Tables, out *command.Outbox) {
+	for _, w := range t.Weights.All() {
+		if w.Version == 0 || w.Floor == w.Version {
+			continue
+		}
+		if w.FirstActive == 0 && isActive(t, w) {
+			w.FirstActive = now
+		}
+		switch {
+		case w.FirstActive == 0:
+		case now < w.FirstActive+activationGrace:
+			out.WakeAt(w.FirstActive + activationGrace)
+		default:
+			w.Floor = w.Version
+		}
+	}
+}
+
+func isActive(t *table.Tables, w *table.Weights) bool {
+	for _, b := range t.Backends.All() {
+		if b.Kind == table.KindEngine && b.Model == w.Model && b.Active == w.Version {
+			return true
+		}
+	}
+	return false
+}
+
+// trainingFloor returns the oldest version that may produce samples of a model.
+func trainingFloor(t *table.Tables, model string) ledger.Version {
+	if w := t.Weights.Find(model); w != nil {
+		return w.Floor
+	}
+	return 0
+}
--- a/system/generate.go
+++ b/system/generate.go
@@ -154,7 +154,7 @@
 		EntryID: entry.ID, Address: entry.Address, Trainer: d.tr.Name,
 		Class: d.t.Config.Body.Trainers[d.tr.Name].Class, Spec: g.Record.Spec,
 		Index: s.Index, Attempt: g.Record.Attempt, Urgent: urgent, Hedge: hedge,
-		MinVersion: max(0, d.tr.Record.Version-ledger.Version(g.Record.Spec.StalenessBound)),
+		MinVersion: max(trainingFloor(d.t, g.Record.Spec.Model), d.tr.Record.Version-ledger.Version(g.Record.Spec.StalenessBound)),
 	})
 	return true
 }
--- a/system/weights.go
+++ b/system/weights.go
@@ -43,6 +43,7 @@
 			}
 		}
 		scheduleWeightsRead(now, t, out)
+		raiseFloors(now, t, out)
 		for _, w := range t.Weights.All() {
 			p := t.Partitions.Find(table.PartitionKey(w.Partition))
 			if p == nil || !p.Held || p.Releasing || w.Version == 0 {
@@ -89,7 +90,7 @@
 		}
 		*w = table.Weights{
 			Model: row.Model, RowVersion: row.RowVersion, Version: row.Version, Previous: w.Version,
-			Partition: ledger.PartitionOf(row.Model, partitions), StartedAt: now,
+			Partition: ledger.PartitionOf(row.Model, partitions), StartedAt: now, Floor: w.Floor,
 		}
 		logRollout(out, "weight rollout started", w, "")
 	}
--- a/table/training.go
+++ b/table/training.go
@@ -205,6 +205,9 @@
 	Activating bool          // all samplers had the version; later ones activate on their own
 	HeldFence  uint64        // fence under which Samplers was filled
 	Samplers   map[string]*SamplerRollout
+
+	FirstActive time.Duration  // when a sampler first reported the version as active, zero before
+	Floor       ledger.Version // oldest version that gets training work
 }
 
 // SamplerRollout is the progress of a rollout on one sampler.
