Spread samples over all entry hosts; wait for a sampler with the version

An entry host may fill only its part (1/hosts) of an engine's training share, so samples were refused with overload on one host while the parts of the others were free.

Change: samples go to the entry host with the fewest, the own zone decides only between equals; a group's samples are not sent until a sampler of the model reports a version that the group may use.

Proof: with the host count ignored TestSamplesSpreadOverEntryHosts fails at generate_test.go:57 (all 12 on a1); without the wait TestSamplesWaitForVersion fails at generate_test.go:66 (should be empty, was 4+4+4).

--- a/system/floor.go
+++ b/system/floor.go
@@ -50,3 +50,21 @@
 	}
 	return 0
 }
+
+// servable reports whether a sampler of the model may have the version. Samples
+// that all entry hosts would refuse are not sent during a rollout, because each
+// refusal lengthens the wait until the next attempt. A model without a report is
+// left to the entry hosts.
+func servable(t *table.Tables, model string, oldest ledger.Version) bool {
+	known := false
+	for _, b := range t.Backends.All() {
+		if b.Kind != table.KindEngine || b.Model != model || b.ReportSeen == 0 {
+			continue
+		}
+		if b.Active >= oldest {
+			return true
+		}
+		known = true
+	}
+	return !known
+}
--- a/system/generate.go
+++ b/system/generate.go
@@ -17,9 +17,6 @@
 	// samplesPerTick bounds the samples that one tick sends out, so that a new
 	// submission of 8,192 samples does not delay lease renewals.
 	samplesPerTick = 1024
-	// samplesPerEntry bounds the samples of this controller on one entry host
-	// before hosts of other zones are used.
-	samplesPerEntry = 256
 	// urgentPart is the share of a group's samples, one in urgentPart, that are
 	// sent with raised priority.
 	urgentPart = 4
@@ -60,24 +57,19 @@
 }
 
 // chooseEntry returns the entry host with the fewest samples of this controller,
-// in the same zone unless all hosts of the zone are at samplesPerEntry.
+// of equals one in the same zone. Each entry host may use only its part of the
+// training share of an engine, so samples that are concentrated on the hosts of
+// one zone are refused while the parts of the other hosts are free.
 func chooseEntry(t *table.Tables, entries []*table.Host) *table.Host {
 	var best *table.Host
 	for _, h := range entries {
-		if best == nil || entryCost(t, h) < entryCost(t, best) {
+		if best == nil || h.Samples < best.Samples || h.Samples == best.Samples && h.Zone == t.Self.Zone && best.Zone != t.Self.Zone {
 			best = h
 		}
 	}
 	return best
 }
 
-func entryCost(t *table.Tables, h *table.Host) int {
-	if h.Zone == t.Self.Zone {
-		return h.Samples
-	}
-	return h.Samples + samplesPerEntry
-}
-
 // dispatch sends samples of one trainer in one tick.
 type dispatch struct {
 	now     time.Duration
@@ -105,7 +97,7 @@
 		if g.Phase != table.GroupGenerating {
 			continue
 		}
-		if g.Waiting > 0 {
+		if g.Waiting > 0 && servable(d.t, g.Record.Spec.Model, d.minVersion(g)) {
 			d.sendWaiting(g, policy.Stragglers)
 		}
 		if stragglers(policy) == plan.StragglersHedged {
@@ -154,7 +146,13 @@
 		EntryID: entry.ID, Address: entry.Address, Trainer: d.tr.Name,
 		Class: d.t.Config.Body.Trainers[d.tr.Name].Class, Spec: g.Record.Spec,
 		Index: s.Index, Attempt: g.Record.Attempt, Urgent: urgent, Hedge: hedge,
-		MinVersion: max(trainingFloor(d.t, g.Record.Spec.Model), d.tr.Record.Version-ledger.Version(g.Record.Spec.StalenessBound)),
+		MinVersion: d.minVersion(g),
 	})
 	return true
 }
+
+// minVersion is the oldest version whose output may become a sample of the group.
+func (d *dispatch) minVersion(g *table.Group) ledger.Version {
+	spec := &g.Record.Spec
+	return max(trainingFloor(d.t, spec.Model), d.tr.Record.Version-ledger.Version(spec.StalenessBound))
+}
