demo: publish weights at a pace rollouts can follow; wait for hosts to know the deployment

The load also began before two of three entry hosts had read configuration and host list: about 180 calls were refused, the live class missed its target, and the share of training was halved, which takes 20 s to recover.

Change: a version every 8 steps; SetUp waits until each entry host reports the configuration and all backend servers at /v1/status.

--- a/demo/fake_entry_test.go
+++ b/demo/fake_entry_test.go
@@ -40,6 +40,9 @@
 	ok := func(c echo.Context) error { return c.JSON(http.StatusOK, map[string]any{}) }
 	e.GET("/readyz", ok)
 	e.PUT("/v1/config", ok)
+	e.GET("/v1/status", func(c echo.Context) error {
+		return c.JSON(http.StatusOK, map[string]any{"config": map[string]int{"version": 1}, "backends": f.plan.Hosts})
+	})
 	e.PUT("/v1/trainers/:name/version", ok)
 	e.PUT("/v1/weights/:model", f.weights)
 	e.POST("/v1/completions", f.completion)
--- a/demo/load.go
+++ b/demo/load.go
@@ -23,6 +23,7 @@
 	setupPoll    = 100 * time.Millisecond
 	callTimeout  = 2 * time.Second
 	minRollouts  = 2
+	versionEvery = 8 // steps; a rollout takes up to 5 s
 	demoBound    = 2 // staleness of samples, in weight versions
 	callersInAll = 6
 
@@ -117,7 +118,7 @@
 	return standin.NewTrainer(standin.TrainerOptions{
 		Name: trainerName(model), Model: model, Hosts: p.Entries, Token: tokens[trainerName(model)],
 		OperatorToken: tokens["operator"], Bound: demoBound, Scorer: scoringService,
-		Rollouts: minRollouts, Seed: p.Seed*1000 + uint64(i),
+		Rollouts: minRollouts, VersionEvery: versionEvery, Seed: p.Seed*1000 + uint64(i),
 	})
 }
 
@@ -139,7 +140,8 @@
 }
 
 // SetUp fills the host list, writes the configuration and waits until every
-// entry host is ready.
+// entry host is ready and knows both. Requests that are refused before count as
+// missed targets and reduce the share of training for most of a run.
 func SetUp(p Plan, operator string) error {
 	deadline := time.Now().Add(setupLimit)
 	hosts := map[string]any{"hosts": p.Hosts}
@@ -160,6 +162,27 @@
 		}); err != nil {
 			return err
 		}
+		if err := eventually(deadline, func() error { return knowsDeployment(entry, operator, p) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// knowsDeployment fails unless an entry host has read the configuration and the
+// host list.
+func knowsDeployment(entry, operator string, p Plan) error {
+	var status struct {
+		Config struct {
+			Version int64 `json:"version"`
+		} `json:"config"`
+		Backends []json.RawMessage `json:"backends"`
+	}
+	if err := exchangeJSON(http.MethodGet, "http://"+entry+"/v1/status", operator, nil, &status); err != nil {
+		return err
+	}
+	if status.Config.Version == 0 || len(status.Backends) < len(p.Hosts)-len(p.Entries) {
+		return fmt.Errorf("%s knows configuration %d and %d backend servers", entry, status.Config.Version, len(status.Backends))
 	}
 	return nil
 }
@@ -176,6 +199,11 @@
 
 // SendJSON sends a request with a JSON body and fails on another status than 2xx.
 func SendJSON(method, url, token string, body any) error {
+	return exchangeJSON(method, url, token, body, nil)
+}
+
+// exchangeJSON also reads the answer's body, unless into is nil.
+func exchangeJSON(method, url, token string, body, into any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return err
@@ -198,5 +226,8 @@
 	if resp.StatusCode/100 != 2 {
 		return fmt.Errorf("%s %s: status %d", method, url, resp.StatusCode)
 	}
-	return nil
+	if into == nil {
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(into)
 }
