--- a/e2e/claims_helpers_test.go
+++ b/e2e/claims_helpers_test.go
@@ -148,17 +148,10 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// restart kills a process and starts it again.
-func (d *deployment) restart(name string) {
-	d.t.Helper()
-	d.kill(name)
-	d.start(name)
-}
-
 func entryName(index int) string { return fmt.Sprintf("entry-%d", index+1) }
 
-// freeze stops a process with SIGSTOP for a while.
-func (d *deployment) freeze(name string, during func()) {
+// whileFrozen stops a process with SIGSTOP while during runs.
+func (d *deployment) whileFrozen(name string, during func()) {
 	d.t.Helper()
 	d.signal(name, syscall.SIGSTOP)
 	defer d.signal(name, syscall.SIGCONT)
--- a/e2e/claims_test.go
+++ b/e2e/claims_test.go
@@ -31,7 +31,7 @@
 	c.requireOpen(1, "killed-running")
 	frozen := c.begin(1, "frozen-running")
 	time.Sleep(300 * time.Millisecond)
-	d.freeze("entry-2", func() {
+	d.whileFrozen("entry-2", func() {
 		c.requireOpen(2, "frozen-running")
 		time.Sleep(1200 * time.Millisecond)
 		c.requireOpen(2, "frozen-running")
@@ -49,7 +49,7 @@
 	frozen = c.begin(1, "frozen-claiming", "X-Deadline-Ms", "1200")
 	time.Sleep(300 * time.Millisecond)
 	d.kill("entry-1")
-	d.freeze("entry-2", func() {
+	d.whileFrozen("entry-2", func() {
 		time.Sleep(1200 * time.Millisecond)
 		d.tables("")
 		require.Error(t, (<-lost).err)
--- a/system/generate.go
+++ b/system/generate.go
@@ -83,7 +83,7 @@
 		if g.Phase != table.GroupGenerating {
 			continue
 		}
-		if g.Waiting > 0 {
+		if g.Waiting > 0 && servable(d.t, g.Record.Spec.Model, d.minVersion(g)) {
 			d.sendWaiting(g, policy.Stragglers)
 		}
 		if stragglers(policy) == plan.StragglersHedged {
@@ -135,7 +135,13 @@
 		EntryID: entry.ID, Address: entry.Address, Trainer: d.tr.Name,
 		Class: d.t.Config.Body.Trainers[d.tr.Name].Class, Spec: g.Record.Spec,
 		Index: s.Index, Attempt: g.Record.Attempt, Urgent: urgent, Hedge: hedge,
-		MinVersion: max(0, d.tr.Record.Version-ledger.Version(g.Record.Spec.StalenessBound)),
+		MinVersion: d.minVersion(g),
 	})
 	return true
 }
+
+// minVersion is the oldest version whose output may become a sample of the group.
+func (d *dispatch) minVersion(g *table.Group) ledger.Version {
+	spec := &g.Record.Spec
+	return max(trainingFloor(d.t, spec.Model), d.tr.Record.Version-ledger.Version(spec.StalenessBound))
+}
