handler: let 512 reads and orders of engines run at once

With 64 orders at once and 100 ms between regions, most of 5,100 orders of an activation would pass their deadline of 2 s before they are sent; 64 reads at once would reach each server every 8 s only, later than the 5 s within which a leaving server must be seen. Today's sizes stay far below either limit.

Run: go test -race -run Distant ./handler. With a limit of 64, TestOrdersToManyDistantServers fails at backend_limits_test.go:52 (deadline_exceeded).

--- a/handler/backend.go
+++ b/handler/backend.go
@@ -16,9 +16,11 @@
 	backendReadTimeout = time.Second // of a state report or a page of cache events
 	scoreTimeout       = 30 * time.Second
 
-	// Calls of each kind that run at once.
-	readLimit  = 64
-	orderLimit = 64
+	// Calls of each kind that run at once. With 64 reads at 100 ms between
+	// regions 5,100 servers could be read every 8 s only, and of 5,100 orders
+	// at once 3,800 would outlive their deadline of 2 s before they are sent.
+	readLimit  = 512
+	orderLimit = 512
 	scoreLimit = 16
 )
 
--- /dev/null
+++ b/handler/backend_limits_test.go
@@ -0,0 +1,54 @@
+package handler
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/control"
+	"github.com/lavenderstand/lavenderstand/engine"
+	"github.com/lavenderstand/lavenderstand/event"
+)
+
+// TestOrdersToManyDistantServers guards against orders that wait for others
+// until their deadline has passed: the server answers only when 256 are under
+// way at once.
+func TestOrdersToManyDistantServers(t *testing.T) {
+	const orders = 256
+	var arrived sync.WaitGroup
+	arrived.Add(orders)
+	all := make(chan struct{})
+	go func() { arrived.Wait(); close(all) }()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // without it the end of the connection goes unnoticed
+		arrived.Done()
+		select {
+		case <-all:
+		case <-r.Context().Done():
+		}
+		w.WriteHeader(http.StatusAccepted)
+	}))
+	defer server.Close()
+	inbox := control.NewInbox(orders)
+	pool := control.NewPool(context.Background(), inbox, func(command.Command) {})
+	client := engine.NewClient("")
+	defer client.CloseIdle()
+	start := time.Now()
+	RegisterBackends(pool, Backends{Client: client, Clock: func() time.Duration { return time.Since(start) }})
+	for range orders {
+		pool.Execute(command.OrderWeights{Backend: "e", Address: server.Listener.Addr().String(), Deadline: 5 * time.Second})
+	}
+	pool.Wait()
+	answers := inbox.Drain()
+	require.Len(t, answers, orders)
+	for _, e := range answers {
+		require.Nil(t, e.(event.OrderAnswered).Failure)
+	}
+}
