measure-processes: give the programs an identity

Cause: the settings of complete processes require principals and a token since the programs were wired together, so that the script's processes ended at once.

--- a/scripts/measure-processes.sh
+++ b/scripts/measure-processes.sh
@@ -60,8 +60,18 @@
 tables = "http://$address:9000"
 objects = "http://$address:9000"
 hosts = "http://$address:9000"
+[identity]
+principals_file = "$dir/principals.toml"
+process_token_file = "$dir/token"
 TOML
 }
+head -c 24 /dev/urandom | base64 >"$dir/token"
+cat >"$dir/principals.toml" <<TOML
+[[principal]]
+name = "process"
+role = "process"
+token_file = "$dir/token"
+TOML
 settings entry-1 8000 >"$dir/entry.toml"
 settings controller-1 8100 >"$dir/controller.toml"
 start "$bin/lavender-entry" --settings "$dir/entry.toml"
