--- a/control/session_test.go
+++ b/control/session_test.go
@@ -25,5 +25,6 @@
 	}})
 	s.Step(time.Second)
 	s.Step(1100*time.Millisecond, event.HostListRead{})
+	s.Step(12*time.Minute, event.HostListRead{})
 	goldie.New(t).Assert(t, "membership", s.Bytes())
 }
--- a/plan/picker_test.go
+++ b/plan/picker_test.go
@@ -35,6 +35,8 @@
 			q := &Query{Tried: []string{"b0"}, Random: rand.Uint64(), Training: true, Share: 0.5}
 			require.Equal(t, "b3", p.Pick(pool, q).Name, policy)
 		}
+		require.False(t, p.Begin(&pool.Backends[2], &Query{Training: true, Share: 0.5}))
+		require.EqualValues(t, 4, pool.Backends[2].Counters.Training.Load())
 		p.End(&pool.Backends[1], &Query{})
 		require.Nil(t, p.Pick(pool, &Query{Tried: []string{"b0", "b1", "b2", "b3"}}))
 		require.Nil(t, p.Pick(&Pool{Next: new(atomic.Uint64)}, &Query{}))
@@ -53,6 +55,8 @@
 	pool.Backends[0].Counters.Sent.Store(2) // 2 requests of each of 2 hosts
 	require.Equal(t, "b1", p.Pick(pool, q).Name)
 	pool.Backends[0].Counters.Done.Store(2)
+	pool.Backends[0].SentAtReport = 2
+	require.Equal(t, "b0", p.Pick(pool, q).Name)
 	pool.Backends[0].Stale = true
 	require.Equal(t, "b1", p.Pick(pool, q).Name)
 }
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -84,6 +84,7 @@
 	Sent     atomic.Uint64
 	Done     atomic.Uint64
 	Training atomic.Int64 // training samples in flight
+	Duration atomic.Int64 // smoothed time of a request that did not wait, in ns
 	probing  atomic.Bool  // a probe is in flight
 }
 
--- a/system/membership.go
+++ b/system/membership.go
@@ -19,6 +19,10 @@
 	// longestListPeriod bounds the growth, so that a server which the list calls
 	// leaving gets no new work after 5 s.
 	longestListPeriod = 3 * time.Second
+	// missingLimit is how long the row of a server that is no longer listed is
+	// kept, in case it returns. Without a limit, daily replacements would add
+	// rows forever.
+	missingLimit = 10 * time.Minute
 )
 
 // Membership keeps the backend rows in line with the platform's host list and
@@ -55,13 +59,20 @@
 		return
 	}
 	for _, b := range t.Backends.All() {
-		b.ListMissing = true
+		if !b.ListMissing {
+			b.ListMissing, b.MissingSince = true, now
+		}
 	}
 	for _, h := range read.Hosts {
 		if h.Kind != "entry" {
 			applyListedBackend(now, t, h)
 		}
 	}
+	for name, b := range t.Backends.All() {
+		if b.ListMissing && now-b.MissingSince > missingLimit {
+			t.Backends.Delete(name)
+		}
+	}
 }
 
 // hostSpread returns a fixed number from 0 to 1 for a host and a server.
@@ -79,7 +90,7 @@
 	b.Kind, b.Model = table.BackendKind(h.Kind), h.Model
 	b.Address, b.Zone = h.Address, h.Zone
 	b.ChecksFence, b.ChecksIdentity = h.ChecksFence, h.ChecksIdentity
-	b.ListMissing = false
+	b.ListMissing, b.MissingSince = false, 0
 	b.ListLeaving = h.State != platform.StateLive
 	if !b.ListLeaving {
 		b.ListSeen = now
--- a/system/routing_session_test.go
+++ b/system/routing_session_test.go
@@ -114,6 +114,7 @@
 	s.Step(200*ms, ended("m1", lost), ended("m2", lost), ended("m2", lost), ended("m2", lost))
 	s.Step(300*ms, ended("m3", lost), ended("m3", lost), ended("m3", lost), ended("m4", verdict.ReasonBackendRefused))
 	s.Step(1200 * ms)
+	s.Step(1250*ms, ended("m4", lost), ended("m4", lost), ended("m4", lost)) // two servers are being probed
 	s.Step(1300*ms, ended("m1", lost), ended("m2", ""))
 	s.Step(3200 * ms)
 	s.Step(3300*ms, ended("m1", lost), ended("m3", lost))
--- a/table/routing.go
+++ b/table/routing.go
@@ -78,6 +78,7 @@
 	// Each source that says the backend is leaving counts on its own.
 	ListLeaving    bool
 	ListMissing    bool // absent from the newest list
+	MissingSince   time.Duration
 	ReportLeaving  bool
 	RefusedLeaving bool // a refusal or connection shutdown said so
 	RefusedAt      time.Duration
--- a/traffic/admit.go
+++ b/traffic/admit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/plan"
@@ -57,43 +56,49 @@
 	if !ok {
 		return nil
 	}
-	wait := r.estimate.wait(req.plan, b, req.units)
+	wait := estimatedWait(req.plan, b, req.units)
 	if left := time.Until(deadline); wait > left {
 		return verdict.New(verdict.NotRun, verdict.ReasonOverload, "estimated wait of %v exceeds the %v left", wait, left)
 	}
 	return nil
 }
 
-// estimates learns how long plain services take per request.
-type estimates struct {
-	byPool sync.Map // *plan.Counters -> time.Duration, smoothed
-}
-
 // smoothing is the weight of the newest duration.
 const smoothing = 0.1
 
-// observe learns only from requests to a server with free slots, because the
-// duration of others includes their wait.
-func (e *estimates) observe(b *plan.Backend, took time.Duration) {
+// observeDuration learns how long a plain service takes per request, only from
+// servers with free slots, because the duration of others includes their wait.
+func observeDuration(b *plan.Backend, took time.Duration) {
 	if b.Stale || b.Report.Running+b.Report.Queued >= b.Report.Slots {
 		return
 	}
-	if old, ok := e.byPool.Load(b.Counters); ok {
-		took = old.(time.Duration) + time.Duration(smoothing*float64(took-old.(time.Duration)))
+	old := b.Counters.Duration.Load()
+	if old != 0 {
+		took = time.Duration(old) + time.Duration(smoothing*float64(took-time.Duration(old)))
+	}
+	// A concurrent update may be lost, which an estimate can bear.
+	b.Counters.Duration.CompareAndSwap(old, int64(took))
+}
+
+// estimatedWait is 0 if nothing is known about the backend's load.
+func estimatedWait(p *plan.Plan, b *plan.Backend, tokens float64) time.Duration {
+	if b.Stale || b.Report.Slots <= 0 {
+		return 0
 	}
-	e.byPool.Store(b.Counters, took)
+	waiting := p.Load(b) - float64(b.Report.Slots)
+	return time.Duration(waiting * float64(perRequest(b, tokens)))
 }
 
 // perRequest estimates the time by which one waiting request delays the next. An
-// engine's follows from its reported token rate, 0 if nothing is known.
-func (e *estimates) perRequest(b *plan.Backend, tokens float64) time.Duration {
-	if tokens > 0 && b.Report.TokensPerSecond > 0 {
+// engine's follows from its reported token rate. It is 0 if nothing is known.
+func perRequest(b *plan.Backend, tokens float64) time.Duration {
+	if tokens > 0 {
+		if b.Report.TokensPerSecond <= 0 {
+			return 0
+		}
 		return time.Duration(tokens / b.Report.TokensPerSecond * float64(time.Second))
 	}
-	if took, ok := e.byPool.Load(b.Counters); ok {
-		return took.(time.Duration) / time.Duration(b.Report.Slots)
-	}
-	return 0
+	return time.Duration(b.Counters.Duration.Load()) / time.Duration(b.Report.Slots)
 }
 
 // contextError returns the refusal for a request whose time is over before it
--- a/traffic/completion_test.go
+++ b/traffic/completion_test.go
@@ -73,9 +73,11 @@
 	_, err := r.Complete(t.Context(), completion(0), func(Part) error { return nil })
 	requireVerdict(t, verdict.MayHaveRun, verdict.ReasonForeignAnswer, err)
 	require.Len(t, fake.requests, 1)
-	r.Engines = engines(foreign, generate(8, 1))
+	fake = engines(foreign, generate(8, 1))
+	r.Engines = fake
 	done, err := r.Complete(t.Context(), completion(0), nil)
 	require.NoError(t, err, "nothing was delivered yet, so the whole answer may start anew")
+	require.Empty(t, fake.requests[1].PrefixTokens)
 	require.Equal(t, wholeText, done.Text)
 }
 
--- a/traffic/decisions.go
+++ b/traffic/decisions.go
@@ -9,10 +9,7 @@
 // Decisions are the decisions of the request path that need no connection and no
 // goroutine. A Router takes the same ones; measurements call them on a virtual
 // clock.
-type Decisions struct {
-	budgets  budgets
-	estimate estimates
-}
+type Decisions struct{ budgets budgets }
 
 // Earn adds the part of a retry that a request of the class earns.
 func (d *Decisions) Earn(class string) { d.budgets.earn(class) }
@@ -21,12 +18,12 @@
 func (d *Decisions) TakeRetry(class string) bool { return d.budgets.take(class) }
 
 // Observe learns from the duration of an answered request.
-func (d *Decisions) Observe(b *plan.Backend, took time.Duration) { d.estimate.observe(b, took) }
+func (d *Decisions) Observe(b *plan.Backend, took time.Duration) { observeDuration(b, took) }
 
 // Wait estimates how long a request of the given tokens, 0 for plain services,
 // would wait at the backend.
 func (d *Decisions) Wait(p *plan.Plan, b *plan.Backend, tokens float64) time.Duration {
-	return d.estimate.wait(p, b, tokens)
+	return estimatedWait(p, b, tokens)
 }
 
 // Repeatable reports whether another backend may do better after the error.
@@ -36,12 +33,3 @@
 func LongestBackoff(attempts int) time.Duration {
 	return min(firstBackoff<<min(attempts-1, 10), longestBackoff)
 }
-
-// wait is 0 if nothing is known about the backend's load.
-func (e *estimates) wait(p *plan.Plan, b *plan.Backend, tokens float64) time.Duration {
-	if b.Stale || b.Report.Slots <= 0 {
-		return 0
-	}
-	waiting := p.Load(b) - float64(b.Report.Slots)
-	return time.Duration(waiting * float64(e.perRequest(b, tokens)))
-}
--- a/traffic/router.go
+++ b/traffic/router.go
@@ -44,8 +44,7 @@
 // Router routes requests by the newest plan.
 type Router struct {
 	Options
-	budgets  budgets
-	estimate estimates
+	budgets budgets
 }
 
 // NewRouter returns a router.
@@ -129,7 +128,7 @@
 		picked.End(b, &req.query)
 		r.reportAttempt(b, err)
 		if err == nil {
-			r.estimate.observe(b, r.Clock()-started)
+			observeDuration(b, r.Clock()-started)
 			return nil
 		}
 		err = timeCause(ctx, err)
