--- /dev/null
+++ b/e2e/labels_test.go
@@ -0,0 +1,112 @@
+package e2e
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/demo"
+	"github.com/lavenderstand/lavenderstand/standin"
+)
+
+// mixedSamples counts the received samples with more than one weight version.
+func mixedSamples(r standin.Received) int {
+	mixed := 0
+	for _, t := range r.Trainers {
+		for _, lot := range t.Lots {
+			for _, s := range lot.Samples {
+				if len(s.Ranges) > 1 {
+					mixed++
+				}
+			}
+		}
+	}
+	return mixed
+}
+
+// TestSwapsInMidGeneration guards against samples labelled with one version
+// although a swap took effect while they were generated, and against labels taken
+// from orders when swaps fail partway or load reports lag behind.
+func TestSwapsInMidGeneration(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 21)
+	received := d.train(9*time.Second, func() {
+		for _, name := range []string{"engine-1", "engine-2", "engine-3", "engine-4"} {
+			d.fault(name, `{"slow":3}`)
+		}
+		for version := 2; version <= 6; version++ {
+			switch version {
+			case 3:
+				d.fault("engine-1", `{"slow":3,"load_failures":2}`)
+				d.fault("engine-2", `{"slow":3,"load_failures":2}`)
+				d.fault("platform", `{"role":"weights","lose_answers":2}`)
+			case 5:
+				d.fault("engine-3", `{"slow":3,"freeze_reports":true}`)
+				d.fault("engine-4", `{"slow":3,"freeze_reports":true}`)
+			}
+			expected := version - 1
+			if version == 2 {
+				expected = 0 // nothing was published yet
+			}
+			for _, model := range []string{"matching", "dial"} {
+				d.publish(model, version, expected)
+			}
+			time.Sleep(1800 * time.Millisecond)
+		}
+		for _, name := range []string{"engine-1", "engine-2", "engine-3", "engine-4"} {
+			d.fault(name, noFaults)
+		}
+	})
+	require.Positive(t, mixedSamples(received), "no swap took effect in mid-generation")
+}
+
+// TestEngineRestartsBetweenReportAndAnswer guards against labels and routing that
+// rely on the report of an engine that has restarted since.
+func TestEngineRestartsBetweenReportAndAnswer(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 22)
+	d.train(8*time.Second, func() {
+		for _, name := range []string{"engine-2", "engine-1", "engine-3"} {
+			time.Sleep(2 * time.Second)
+			d.restart(name)
+		}
+	})
+}
+
+// TestEngineObeysOldOrder guards against labels that follow orders: an engine
+// that checks no fence obeys orders with an old one and runs an old version. The
+// rollout brings it back to the wanted version.
+func TestEngineObeysOldOrder(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 23)
+	old := json.RawMessage(`{"fence":0,"order_id":"old","model":"dial","preload":1,"active":1,"deadline_ms":2000}`)
+	received := d.train(8*time.Second, func() {
+		for range 4 {
+			time.Sleep(1500 * time.Millisecond)
+			require.NoError(t, demo.SendJSON(http.MethodPut, "http://"+d.plan.Addresses["engine-2"]+"/v1/wanted", "", old))
+		}
+	})
+	require.NotEmpty(t, received.Trainers)
+	require.Eventually(t, func() bool {
+		v := d.engineState("engine-4").Active
+		return v > 1 && d.engineState("engine-2").Active == v
+	}, 10*time.Second, 100*time.Millisecond, "the old version stays active")
+}
+
+// TestMissingVersions guards against samples that are delivered although a chunk
+// named no version.
+func TestMissingVersions(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 24)
+	d.train(10*time.Second, func() {
+		for range 9 { // past the first swaps
+			for _, name := range []string{"engine-1", "engine-2", "engine-3", "engine-4"} {
+				d.fault(name, `{"streams":4,"no_version":true}`)
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
--- a/e2e/leases_test.go
+++ b/e2e/leases_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/lavenderstand/lavenderstand/ledger"
 	"github.com/lavenderstand/lavenderstand/standin"
 )
 
@@ -16,22 +15,35 @@
 // that do not, and against a rollout that stops with its holder.
 func TestFrozenHolderSendsNoLateOrder(t *testing.T) {
 	t.Parallel()
-	d := deploy(t, 41)
-	d.train(17*time.Second, func() {
-		require.Eventually(t, func() bool { return d.engineState("engine-2").Active > 1 }, 10*time.Second, 20*time.Millisecond)
-		d.freeze(d.holder("dial"), 11*time.Second)
-	})
-	for _, name := range []string{"engine-2", "engine-4"} {
-		newest, fences := uint64(0), make(map[uint64]ledger.Version)
-		for _, e := range d.ledgerOf(name) {
-			if e.Kind != standin.EntryOrder || !e.Obeyed {
-				continue
+	// Engines of the model matching check the fence, those of dial do not.
+	for model, engines := range map[string][2]string{"matching": {"engine-1", "engine-3"}, "dial": {"engine-2", "engine-4"}} {
+		t.Run(model, func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t, 41)
+			d.train(17*time.Second, func() {
+				require.Eventually(t, func() bool { return d.engineState(engines[0]).Active > 1 }, 10*time.Second, 20*time.Millisecond)
+				d.freeze(d.holder(model), 11*time.Second)
+			})
+			for _, name := range engines {
+				requireOrdersOfTwoHolders(t, name, d.ledgerOf(name))
 			}
-			require.GreaterOrEqual(t, e.Fence, newest, "%s obeyed order %s", name, e.OrderID)
-			newest, fences[e.Fence] = e.Fence, e.Version
+		})
+	}
+}
+
+// requireOrdersOfTwoHolders checks that no order was obeyed after one with a
+// higher fence, and that more than one holder gave orders.
+func requireOrdersOfTwoHolders(t *testing.T, name string, entries []standin.Entry) {
+	t.Helper()
+	newest, fences := uint64(0), make(map[uint64]bool)
+	for _, e := range entries {
+		if e.Kind != standin.EntryOrder || !e.Obeyed {
+			continue
 		}
-		require.Greater(t, len(fences), 1, "the rollout did not go on under the next holder")
+		require.GreaterOrEqual(t, e.Fence, newest, "%s obeyed order %s", name, e.OrderID)
+		newest, fences[e.Fence] = e.Fence, true
 	}
+	require.Greater(t, len(fences), 1, "%s: the rollout did not go on under the next holder", name)
 }
 
 // TestFailedLoadsAreQuarantined guards against a sampler whose loads keep failing
--- /dev/null
+++ b/e2e/once_test.go
@@ -0,0 +1,112 @@
+package e2e
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestLostWriteAnswers guards against a lot, sample or claim that is written
+// twice or forgotten because the answer to its write was lost.
+func TestLostWriteAnswers(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 11)
+	d.train(6*time.Second, func() {
+		d.fault("platform", `{"role":"tables","lose_answers":20}`)
+		time.Sleep(2 * time.Second)
+		d.fault("platform", `{"role":"tables","lose_answer_share":0.1,"late_writes":5,"late_ms":400,"seed":11}`)
+		time.Sleep(3 * time.Second)
+		d.fault("platform", noFaults)
+	})
+}
+
+// TestFrozenHolderDeliversOnce guards against a trainer's holder that commits or
+// delivers after its lease lapsed while it was stopped in the middle of a step.
+func TestFrozenHolderDeliversOnce(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 12)
+	d.train(4*time.Second, func() {
+		time.Sleep(1500 * time.Millisecond)
+		d.freeze(d.holder(trainer), 10*time.Second)
+	})
+}
+
+// TestOneLotForTwoHosts guards against two lots for one step when a trainer asks
+// several entry hosts at once or retries on another one.
+func TestOneLotForTwoHosts(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 13)
+	d.submitGroups(manualGroups)
+	d.waitComplete(4 * manualGroups)
+	delivered := make(map[string]bool)
+	for step := 1; step <= manualGroups; step++ {
+		replies := make(chan reply, len(d.plan.Entries))
+		for entry := range d.plan.Entries {
+			go func() { replies <- d.pull(entry, step, 1, 5*time.Second) }()
+		}
+		first := lotOf(t, <-replies)
+		for range len(d.plan.Entries) - 1 {
+			other := lotOf(t, <-replies)
+			require.Equal(t, first.LotID, other.LotID)
+			require.Equal(t, sampleNames(first), sampleNames(other))
+		}
+		require.Len(t, first.Samples, 4)
+		for _, name := range sampleNames(first) {
+			require.False(t, delivered[name], "%s was delivered before", name)
+			delivered[name] = true
+		}
+	}
+	require.NotEqual(t, http.StatusOK, d.pull(0, 1, 1, 0).status, "step 1 was acknowledged by the pull of step 2")
+	require.Len(t, delivered, 4*manualGroups)
+}
+
+// TestAllControllersRestart guards against work that exists only in the memory
+// of controllers.
+func TestAllControllersRestart(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 14)
+	d.train(4*time.Second, func() {
+		time.Sleep(2 * time.Second)
+		for _, name := range []string{"controller-1", "controller-2", "controller-3"} {
+			d.kill(name)
+		}
+		for _, name := range []string{"controller-1", "controller-2", "controller-3"} {
+			d.start(name)
+		}
+	})
+}
+
+// TestEntryKilledWhileItDelivers guards against a lot that is lost or replaced
+// because the entry host that fetched it died.
+func TestEntryKilledWhileItDelivers(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 15)
+	d.train(6*time.Second, func() {
+		d.fault("platform", `{"role":"objects","slow_ms":150}`)
+		for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+			time.Sleep(1500 * time.Millisecond)
+			d.restart(name)
+		}
+		d.fault("platform", noFaults)
+	})
+}
+
+// TestRollingRestart guards against work that is lost or doubled when every own
+// process is replaced by planned stops under load.
+func TestRollingRestart(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 16)
+	d.train(10*time.Second, func() {
+		for i, number := range []string{"1", "2", "3"} {
+			d.stop("controller-"+number, 20*time.Second)
+			d.start("controller-" + number)
+			d.stop("entry-"+number, 20*time.Second)
+			d.start("entry-" + number)
+			d.eventually(10*time.Second, func() reply {
+				return d.call(i, "app", http.MethodGet, "/readyz", "")
+			}, func(r reply) bool { return r.status == http.StatusOK })
+		}
+	})
+}
--- a/e2e/training_test.go
+++ b/e2e/training_test.go
@@ -139,7 +139,8 @@
 
 func (d *deployment) pull(entry, step, version int, wait time.Duration) reply {
 	return d.call(entry, trainer, http.MethodPost, "/v1/trainers/"+trainer+"/pull",
-		fmt.Sprintf(`{"step":%d,"version":%d,"groups":1,"wait_ms":%d}`, step, version, wait.Milliseconds()))
+		fmt.Sprintf(`{"step":%d,"version":%d,"groups":1,"wait_ms":%d}`, step, version, wait.Milliseconds()),
+		"X-Request-Id", fmt.Sprintf("pull-%d-entry-%d", step, entry))
 }
 
 // waitComplete waits until the texts of all samples are stored and their rows
