--- a/bench/request.go
+++ b/bench/request.go
@@ -51,13 +51,13 @@
 	w, h := r.host.w, r.host
 	r.started, r.plan = w.now, h.plan
 	class, ok := r.plan.Classes[r.class]
+	if w.setup.Policy.NoShares {
+		class.Share = 1
+	}
 	if !ok || class.Share <= 0 {
 		r.end(verdict.New(verdict.NotRun, verdict.ReasonOverload, "no share"))
 		return
 	}
-	if w.setup.Policy.NoShares {
-		class.Share = 1
-	}
 	r.planned = class
 	r.query.Share, r.query.Zone = class.Share, h.tables.Self.Zone
 	h.decisions.Earn(r.class)
