Bound the end of the HTTP server at 2 s, so that the wait for requests is tested

Change: shutdownLimit 2 s; the test's slow request outlasts it. Result: TestPlannedStopInterruptsNoRequest passes; with the wait broken (flights.Wait skipped) it fails at stop_test.go:36 'Should be empty'.

--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -21,9 +21,9 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	// shutdownLimit bounds the end of idle connections; requests in flight have
-	// ended before.
-	shutdownLimit = 10 * time.Second
+	// shutdownLimit bounds what remains when no request is in flight: the last
+	// answers being written.
+	shutdownLimit = 2 * time.Second
 )
 
 // AddControl adds the control loop and the watch over its inbox.
--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -19,7 +19,7 @@
 	status := func(code int) func(reply) bool { return func(r reply) bool { return r.status == code } }
 	d.eventually(10*time.Second, func() reply { return get("/services/items/oak") }, status(http.StatusOK))
 	for i := range 2 {
-		d.fault(fmt.Sprintf("service-%d", i+1), `{"slow_ms":4000}`)
+		d.fault(fmt.Sprintf("service-%d", i+1), `{"slow_ms":7000}`)
 	}
 	slow := make(chan reply, 1)
 	go func() { slow <- get("/services/items/slow") }()
@@ -32,7 +32,7 @@
 	require.Equal(t, http.StatusOK, get("/services/items/oak").status, "the load balancer has not noticed yet")
 	d.eventually(3*time.Second, func() reply { return get("/services/items/oak") }, status(http.StatusServiceUnavailable))
 	d.signal("entry-1", syscall.SIGTERM)
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(3 * time.Second) // longer than the server's own shutdown limit
 	require.Empty(t, slow, "the slow request is still in flight")
 	r := <-slow
 	require.NoError(t, r.err)
