Share the memory model of rows between the bench and the sessions

Cause: bench and the tests of package system each had the same model of conditional transactions, lease rows and the load of a trainer. Change: standin.Rows; both use it.

--- a/bench/controller.go
+++ b/bench/controller.go
@@ -1,12 +1,9 @@
 package bench
 
 import (
-	"maps"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +12,7 @@
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/ledger"
 	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/standin"
 	"github.com/lavenderstand/lavenderstand/system"
 	"github.com/lavenderstand/lavenderstand/table"
 	"github.com/lavenderstand/lavenderstand/verdict"
@@ -48,13 +46,13 @@
 		n.store(func(f *event.Failure) event.Event {
 			row, ok := c.Row, false
 			if f == nil {
-				row, ok = w.store.writeLease(c.Row)
+				row, ok = w.store.WriteLease(c.Row)
 			}
 			return event.LeaseWritten{Row: row, Committed: ok, SentAt: sent, Failure: f}
 		})
 	case command.LoadTrainer:
 		n.store(func(f *event.Failure) event.Event {
-			loaded := w.store.load(c.Trainer)
+			loaded := w.store.Load(c.Trainer)
 			loaded.Failure = f
 			return loaded
 		})
@@ -63,7 +61,7 @@
 			if f != nil {
 				return event.RowsCommitted{ID: c.ID, Failure: f}
 			}
-			versions, ok := w.store.commit(c.Rows)
+			versions, ok := w.store.Commit(c.Rows)
 			return event.RowsCommitted{ID: c.ID, Committed: ok, Versions: versions}
 		})
 	case command.ReadWeights:
@@ -139,30 +137,22 @@
 	return max(1, min(int(lognormal(own, median, sampleSigma)), longestSample))
 }
 
-// store is a memory model of the table service.
+// store is the table service: rows, the wanted weights and whether it is down.
 type store struct {
-	down     bool
-	rows     map[string]command.RowWrite
-	versions map[string]uint64
-	leases   map[int]event.LeaseRow
-	weights  event.WeightsRow
+	*standin.Rows
+	down    bool
+	weights event.WeightsRow
 }
 
 func newStore() *store {
-	return &store{
-		rows: make(map[string]command.RowWrite), versions: make(map[string]uint64), leases: make(map[int]event.LeaseRow),
-		weights: event.WeightsRow{Model: modelName, RowVersion: 1, Version: 1},
-	}
+	return &store{Rows: standin.NewRows(), weights: event.WeightsRow{Model: modelName, RowVersion: 1, Version: 1}}
 }
 
 func (s *store) leaseRows(f *event.Failure) []event.LeaseRow {
-	var rows []event.LeaseRow
-	for _, partition := range slices.Sorted(maps.Keys(s.leases)) {
-		if f == nil {
-			rows = append(rows, s.leases[partition])
-		}
+	if f != nil {
+		return nil
 	}
-	return rows
+	return s.Leases()
 }
 
 func (s *store) weightRows(f *event.Failure) []event.WeightsRow {
@@ -171,55 +161,3 @@
 	}
 	return []event.WeightsRow{s.weights}
 }
-
-func (s *store) writeLease(row event.LeaseRow) (event.LeaseRow, bool) {
-	if current := s.leases[row.Partition]; row.RowVersion != current.RowVersion {
-		return current, false
-	}
-	row.RowVersion++
-	s.leases[row.Partition] = row
-	return row, true
-}
-
-func (s *store) current(key string) uint64 {
-	if _, ok := s.rows[key]; !ok {
-		return 0
-	}
-	return s.versions[key]
-}
-
-func (s *store) commit(rows []command.RowWrite) (map[string]uint64, bool) {
-	for _, r := range rows {
-		if !r.Any && s.current(r.Key) != r.If {
-			return nil, false
-		}
-	}
-	versions := make(map[string]uint64)
-	for _, r := range rows {
-		if r.Delete {
-			delete(s.rows, r.Key)
-			continue
-		}
-		s.versions[r.Key]++
-		s.rows[r.Key], versions[r.Key] = r, s.versions[r.Key]
-	}
-	return versions, true
-}
-
-func (s *store) load(trainer string) event.TrainerLoaded {
-	e := event.TrainerLoaded{Trainer: event.TrainerRow{Name: trainer}}
-	for _, key := range slices.Sorted(maps.Keys(s.rows)) {
-		r := s.rows[key]
-		switch {
-		case key == ledger.TrainerKey(trainer):
-			e.Trainer.RowVersion, e.Trainer.Record = s.versions[key], *r.Trainer
-		case strings.HasPrefix(key, "group/"+trainer+"/"):
-			e.Groups = append(e.Groups, event.GroupRow{Trainer: trainer, RowVersion: s.versions[key], Record: *r.Group})
-		case strings.HasPrefix(key, "sample/"+trainer+"/"):
-			e.Samples = append(e.Samples, event.SampleRow{Trainer: trainer, Record: *r.Sample})
-		case strings.HasPrefix(key, "lot/"+trainer+"/"):
-			e.Lots = append(e.Lots, *r.Lot)
-		}
-	}
-	return e
-}
--- /dev/null
+++ b/standin/rows.go
@@ -0,0 +1,107 @@
+package standin
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/ledger"
+)
+
+// Rows is a memory model of the table service for control loops that run without
+// executors: conditional transactions over typed rows whose versions rise across
+// deletions, and lease rows.
+type Rows struct {
+	Written  int // rows put or deleted
+	rows     map[string]command.RowWrite
+	versions map[string]uint64
+	leases   map[int]event.LeaseRow
+}
+
+// NewRows returns an empty model.
+func NewRows() *Rows {
+	return &Rows{
+		rows: make(map[string]command.RowWrite), versions: make(map[string]uint64),
+		leases: make(map[int]event.LeaseRow),
+	}
+}
+
+// Leases returns the lease rows in order of partitions.
+func (s *Rows) Leases() []event.LeaseRow {
+	var rows []event.LeaseRow
+	for _, partition := range slices.Sorted(maps.Keys(s.leases)) {
+		rows = append(rows, s.leases[partition])
+	}
+	return rows
+}
+
+// WriteLease writes a lease row if its version is the current one; otherwise it
+// returns the current row.
+func (s *Rows) WriteLease(row event.LeaseRow) (event.LeaseRow, bool) {
+	if current := s.leases[row.Partition]; row.RowVersion != current.RowVersion {
+		return current, false
+	}
+	row.RowVersion++
+	s.leases[row.Partition] = row
+	return row, true
+}
+
+// SetLease replaces a lease row, as if another program had written it.
+func (s *Rows) SetLease(row event.LeaseRow) { s.leases[row.Partition] = row }
+
+// Row returns a row and whether it exists.
+func (s *Rows) Row(key string) (command.RowWrite, bool) {
+	r, ok := s.rows[key]
+	return r, ok
+}
+
+// Keys returns the keys of all rows in order.
+func (s *Rows) Keys() []string { return slices.Sorted(maps.Keys(s.rows)) }
+
+func (s *Rows) current(key string) uint64 {
+	if _, ok := s.rows[key]; !ok {
+		return 0
+	}
+	return s.versions[key]
+}
+
+// Commit runs a transaction; it returns the new versions of the rows put.
+func (s *Rows) Commit(rows []command.RowWrite) (map[string]uint64, bool) {
+	for _, r := range rows {
+		if !r.Any && s.current(r.Key) != r.If {
+			return nil, false
+		}
+	}
+	versions := make(map[string]uint64)
+	for _, r := range rows {
+		s.Written++
+		if r.Delete {
+			delete(s.rows, r.Key)
+			continue
+		}
+		s.versions[r.Key]++
+		s.rows[r.Key], versions[r.Key] = r, s.versions[r.Key]
+	}
+	return versions, true
+}
+
+// Load returns all rows of a trainer.
+func (s *Rows) Load(trainer string) event.TrainerLoaded {
+	e := event.TrainerLoaded{Trainer: event.TrainerRow{Name: trainer}}
+	for _, key := range s.Keys() {
+		r := s.rows[key]
+		switch {
+		case r.Trainer != nil && key == ledger.TrainerKey(trainer):
+			e.Trainer.RowVersion, e.Trainer.Record = s.versions[key], *r.Trainer
+		case r.Group != nil && strings.HasPrefix(key, "group/"+trainer+"/"):
+			e.Groups = append(e.Groups, event.GroupRow{Trainer: trainer, RowVersion: s.versions[key], Record: *r.Group})
+		case r.Sample != nil && strings.HasPrefix(key, "sample/"+trainer+"/"):
+			e.Samples = append(e.Samples, event.SampleRow{Trainer: trainer, Record: *r.Sample})
+		case r.Lot != nil && strings.HasPrefix(key, "lot/"+trainer+"/"):
+			e.Lots = append(e.Lots, *r.Lot)
+		}
+	}
+	return e
+}
--- a/system/bench_test.go
+++ b/system/bench_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/ledger"
+	"github.com/lavenderstand/lavenderstand/standin"
 )
 
 // benchSamples are the samples of a group at the scale of two years.
@@ -69,7 +70,7 @@
 		runtime.GC()
 		runtime.ReadMemStats(&before)
 		large, holder := fill(b, rows)
-		large.store, large.queue = newStore(), nil
+		large.store, large.queue = standin.NewRows(), nil
 		large.log.Reset()
 		runtime.GC()
 		runtime.ReadMemStats(&after)
@@ -97,7 +98,7 @@
 			s.ID = "n" + s.ID
 			scored = append(scored, s)
 		}
-		before := w.store.written
+		before := w.store.Written
 		w.submit(n, specs...)
 		pull := w.pull(n, 1, 1, groups)
 		w.run(15 * time.Second)
@@ -105,12 +106,12 @@
 		row, err := json.Marshal(w.lot(b, pull))
 		require.NoError(b, err)
 		b.ReportMetric(float64(len(row)), "bytes/lot-row")
-		delivered := w.store.written - before
+		delivered := w.store.Written - before
 		w.submit(n, scored[:1]...)
 		w.pull(n, 2, 1, 1)
 		w.run(15 * time.Second)
 		require.Less(b, n.t.Groups.Len(), 3)
 		b.ReportMetric(float64(delivered), "rows/lot")
-		b.ReportMetric(float64(w.store.written-before-delivered), "rows/deletion")
+		b.ReportMetric(float64(w.store.Written-before-delivered), "rows/deletion")
 	}
 }
--- a/system/samples_test.go
+++ b/system/samples_test.go
@@ -61,7 +61,8 @@
 	require.NotContains(t, w.answers, pull)
 	w.run(3 * time.Second)
 	require.Len(t, w.lot(t, pull).Samples, 1)
-	require.True(t, w.store.rows[ledger.GroupKey("t", "g1")].Group.Scored)
+	row, _ := w.store.Row(ledger.GroupKey("t", "g1"))
+	require.True(t, row.Group.Scored)
 }
 
 // TestStragglerPolicies guards against priorities or hedged requests under a
--- a/system/session_test.go
+++ b/system/session_test.go
@@ -109,7 +109,7 @@
 	w.run(time.Second)
 	require.Equal(t, 1, w.lot(t, pull).Attempt)
 	require.Equal(t, verdict.ReasonNotHolder, w.answers[stale].(command.AnswerConfirm).Failure.Reason)
-	require.Equal(t, uint64(2), w.store.lease[0].Fence)
+	require.Equal(t, uint64(2), w.store.Leases()[0].Fence)
 	golden(t, w)
 }
 
@@ -184,9 +184,9 @@
 	w.run(time.Second)
 	require.Equal(t, verdict.ReasonConflict, w.answers[wrong].(command.AnswerPull).Failure.Reason)
 	require.Equal(t, []string{"g2"}, w.lot(t, next).Groups)
-	require.NotContains(t, w.store.rows, ledger.GroupKey("t", "g1"))
-	require.NotContains(t, w.store.rows, ledger.SampleKey("t", "g1", 1, 0))
-	require.NotContains(t, w.store.rows, ledger.LotKey("t", 1, 1))
+	require.NotContains(t, w.store.Keys(), ledger.GroupKey("t", "g1"))
+	require.NotContains(t, w.store.Keys(), ledger.SampleKey("t", "g1", 1, 0))
+	require.NotContains(t, w.store.Keys(), ledger.LotKey("t", 1, 1))
 	golden(t, w)
 }
 
--- a/system/world_test.go
+++ b/system/world_test.go
@@ -10,6 +10,7 @@
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/ledger"
 	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/standin"
 	"github.com/lavenderstand/lavenderstand/system"
 	"github.com/lavenderstand/lavenderstand/table"
 	"github.com/lavenderstand/lavenderstand/verdict"
@@ -30,7 +31,7 @@
 	nodes   []*node
 	queue   agenda
 	order   int
-	store   store
+	store   *standin.Rows
 	version ledger.Version // that samples are generated with
 	fate    func(n *node, c command.Command) fate
 	// generated, if set, receives each sample that an engine produced.
@@ -84,7 +85,7 @@
 func newWorld(controllers int) *world { return newWorldOf(controllers, testLease) }
 
 func newWorldOf(controllers int, o system.LeaseOptions) *world {
-	w := &world{options: o, version: 1, answers: make(map[string]command.Command), store: newStore()}
+	w := &world{options: o, version: 1, answers: make(map[string]command.Command), store: standin.NewRows()}
 	w.fate = func(*node, command.Command) fate { return fate{} }
 	for i := range controllers {
 		w.addNode(fmt.Sprintf("c%d", i+1), controllers)
@@ -195,22 +196,22 @@
 	}
 	switch c := c.(type) {
 	case command.ReadLeases:
-		return event.LeasesRead{Rows: w.store.leases(), Failure: fail}
+		return event.LeasesRead{Rows: w.store.Leases(), Failure: fail}
 	case command.WriteLease:
 		if f.fail != nil {
 			return event.LeaseWritten{Row: c.Row, Failure: fail}
 		}
-		row, ok := w.store.writeLease(c.Row)
+		row, ok := w.store.WriteLease(c.Row)
 		return event.LeaseWritten{Row: row, Committed: ok && fail == nil, SentAt: sent, Failure: fail}
 	case command.LoadTrainer:
-		loaded := w.store.load(c.Trainer)
+		loaded := w.store.Load(c.Trainer)
 		loaded.Failure = fail
 		return loaded
 	case command.CommitRows:
 		if f.fail != nil {
 			return event.RowsCommitted{ID: c.ID, Failure: fail}
 		}
-		versions, ok := w.store.commit(c.Rows)
+		versions, ok := w.store.Commit(c.Rows)
 		if f.lost {
 			return event.RowsCommitted{ID: c.ID, Failure: fail}
 		}
