Move the fixtures of the cost measurements to package bench

Cause: the simulated entry loop, the counting listener and messages of target size are parts of the measuring tool, but lived in test files of two packages. Change: bench.EntryLoop, bench.Wire, bench.TargetConfig and others.

--- /dev/null
+++ b/bench/entryloop.go
@@ -0,0 +1,89 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/control"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/plan"
+	"github.com/lavenderstand/lavenderstand/system"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// EntryLoop is the control loop of an entry host in simulated time, without
+// requests. Each command is answered in the tick after it.
+type EntryLoop struct {
+	Events []event.Event // of the next tick
+	Plan   *plan.Plan    // newest
+	Polls  int           // of states and cache events
+	States int           // polls of states
+	Ticks  int
+	// StateAt, if set, records the newest poll of each server's state, and
+	// Longest the longest time between two polls of the same server.
+	StateAt map[string]time.Duration
+	Longest time.Duration
+
+	loop   *control.Loop
+	now    time.Duration
+	list   event.HostListRead
+	report func(backend string, polls int) event.Event
+}
+
+// NewEntryLoop returns the loop of a host with the given host list and reports.
+func NewEntryLoop(list event.HostListRead, report func(backend string, polls int) event.Event) *EntryLoop {
+	return &EntryLoop{list: list, report: report, loop: control.NewLoop(control.Options{
+		Tables: table.New(table.Self{ID: "entry-1", Host: "entry-1", Zone: "a", Role: table.RoleEntry}),
+		Systems: []system.Named{
+			{Name: "membership", Run: system.Membership(time.Second)},
+			{Name: "load", Run: system.Load(500 * time.Millisecond)},
+			{Name: "departure", Run: system.Departure()},
+			{Name: "ejection", Run: system.Ejection()},
+			{Name: "classes", Run: system.Classes()},
+			{Name: "prefixes", Run: system.Prefixes()},
+			{Name: "routing", Run: system.Routing(system.RoutingOptions{})},
+		},
+	})}
+}
+
+// Run ticks for d of simulated time.
+func (l *EntryLoop) Run(d time.Duration) {
+	for end := l.now + d; l.now < end; l.Ticks++ {
+		commands, next := l.loop.Step(l.now, l.Events)
+		l.Events = l.Events[:0]
+		for _, c := range commands {
+			l.answer(c)
+		}
+		if len(l.Events) > 0 {
+			next = min(next, l.now+control.MinTick)
+		}
+		l.now = next
+	}
+}
+
+func (l *EntryLoop) answer(c command.Command) {
+	switch c := c.(type) {
+	case command.PublishPlan:
+		l.Plan = c.Plan
+	case command.ReadHostList:
+		l.Events = append(l.Events, l.list)
+	case command.ReadState:
+		l.noteState(c.Backend)
+		l.Polls++
+		l.Events = append(l.Events, l.report(c.Backend, l.Polls))
+	case command.ReadCacheEvents:
+		l.Polls++
+		l.Events = append(l.Events, event.CacheReported{Backend: c.Backend})
+	}
+}
+
+func (l *EntryLoop) noteState(backend string) {
+	l.States++
+	if l.StateAt == nil {
+		return
+	}
+	if at, ok := l.StateAt[backend]; ok {
+		l.Longest = max(l.Longest, l.now-at)
+	}
+	l.StateAt[backend] = l.now
+}
--- a/handler/client_bench_test.go
+++ b/handler/client_bench_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/lavenderstand/lavenderstand/bench"
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/engine"
 	"github.com/lavenderstand/lavenderstand/event"
@@ -67,7 +68,7 @@
 func BenchmarkClient(b *testing.B) {
 	ctx := context.Background()
 	w := newWireWorld(b)
-	w.fill("host/", 720, func(i int) any { h := hostRowAt(i); return hostValue{h.Host, h.Zone, h.Role, h.Address} })
+	w.fill("host/", 720, func(i int) any { h := bench.TargetHostRow(i); return hostValue{h.Host, h.Zone, h.Role, h.Address} })
 	list := make([]platform.ListedHost, 5100)
 	for i := range list {
 		list[i] = platform.ListedHost{Name: fmt.Sprintf("engine-%05d", i), Kind: "engine", Model: "matching", Address: "10.120.130.140:9001", Zone: "region-1-zone-a", State: platform.StateLive}
--- a/handler/wire_bench_test.go
+++ b/handler/wire_bench_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/lavenderstand/lavenderstand/bench"
 	"github.com/lavenderstand/lavenderstand/claim"
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/engine"
@@ -23,11 +24,11 @@
 func BenchmarkWire(b *testing.B) {
 	ctx := context.Background()
 	w := newWireWorld(b)
-	w.fill("host/", 720, func(i int) any { h := hostRowAt(i); return hostValue{h.Host, h.Zone, h.Role, h.Address} })
+	w.fill("host/", 720, func(i int) any { h := bench.TargetHostRow(i); return hostValue{h.Host, h.Zone, h.Role, h.Address} })
 	w.fill("lease/", 16, func(i int) any {
-		return map[string]any{"holder": hostRowAt(i).ID, "address": hostRowAt(i).Address, "fence": 12, "length_ms": 6000}
+		return map[string]any{"holder": bench.TargetHostRow(i).ID, "address": bench.TargetHostRow(i).Address, "fence": 12, "length_ms": 6000}
 	})
-	raw, _ := json.Marshal(configOf(100))
+	raw, _ := json.Marshal(bench.TargetConfig(100))
 	_, err := w.config("fill").Commit(ctx, 0, "operator-1", raw)
 	require.NoError(b, err)
 	list := make([]platform.ListedHost, 5100)
@@ -36,7 +37,7 @@
 	}
 	w.services.Hosts.Set(list)
 	var leaseVersion, configVersion uint64
-	claims := &claim.Store{Tables: w.Tables, Entry: hostRowAt(1).ID, NewOp: w.NewOp, Now: time.Now, Resolve: w.resolve("claim")}
+	claims := &claim.Store{Tables: w.Tables, Entry: bench.TargetHostRow(1).ID, NewOp: w.NewOp, Now: time.Now, Resolve: w.resolve("claim")}
 	n := 0
 	for _, x := range []struct {
 		name string
@@ -49,18 +50,18 @@
 			return failureOf(w.readHostRows(ctx, command.ReadHostRows{}).(event.HostRowsRead).Failure)
 		}},
 		{"host_row_renewal", func() error {
-			return failureOf(w.writeHostRow(ctx, command.WriteHostRow{Row: hostRowAt(1)}).(event.HostRowWritten).Failure)
+			return failureOf(w.writeHostRow(ctx, command.WriteHostRow{Row: bench.TargetHostRow(1)}).(event.HostRowWritten).Failure)
 		}},
 		{"leases_of_16", func() error { return failureOf(w.readLeases(ctx, command.ReadLeases{}).(event.LeasesRead).Failure) }},
 		{"lease_renewal", func() error {
-			a := w.writeLease(ctx, command.WriteLease{Row: event.LeaseRow{Partition: 99, RowVersion: leaseVersion, Holder: hostRowAt(1).ID, Address: hostRowAt(1).Address, Fence: 1, Length: 6 * time.Second}}).(event.LeaseWritten)
+			a := w.writeLease(ctx, command.WriteLease{Row: event.LeaseRow{Partition: 99, RowVersion: leaseVersion, Holder: bench.TargetHostRow(1).ID, Address: bench.TargetHostRow(1).Address, Fence: 1, Length: 6 * time.Second}}).(event.LeaseWritten)
 			leaseVersion = a.Row.RowVersion
 			return failureOf(a.Failure)
 		}},
 		{"config_poll_of_100_routes", func() error { return failureOf(w.readConfig(ctx, command.ReadConfig{}).(event.ConfigRead).Failure) }},
 		{"config_change_of_100_routes", func() error {
 			configVersion++
-			return failureOf(w.commitConfig(ctx, command.CommitConfig{ExpectedVersion: configVersion, Author: "operator-1", Body: configOf(100)}).(event.ConfigCommitted).Failure)
+			return failureOf(w.commitConfig(ctx, command.CommitConfig{ExpectedVersion: configVersion, Author: "operator-1", Body: bench.TargetConfig(100)}).(event.ConfigCommitted).Failure)
 		}},
 		{"weights_poll", func() error { return failureOf(w.readWeights(ctx, command.ReadWeights{}).(event.WeightsRead).Failure) }},
 		{"claim_and_outcome", func() error {
@@ -75,7 +76,7 @@
 			n++
 			rows := make([]command.RowWrite, 512)
 			for i := range rows {
-				s := sampleAt(i)
+				s := bench.TargetSample(i)
 				rows[i] = command.RowWrite{Key: fmt.Sprintf("sample/trainer-1/%d/%s/%d", n, s.Group, s.Index), Sample: &s}
 			}
 			return failureOf(w.commitRows(ctx, command.CommitRows{Rows: rows}).(event.RowsCommitted).Failure)
@@ -84,7 +85,7 @@
 			n++
 			return failureOf(w.commitRows(ctx, command.CommitRows{Rows: []command.RowWrite{
 				{Key: fmt.Sprint("trainer/", n), Trainer: &ledger.TrainerRecord{LotStep: 42}},
-				{Key: fmt.Sprint("lot/trainer-1/", n), Lot: lotOf(8192)},
+				{Key: fmt.Sprint("lot/trainer-1/", n), Lot: bench.TargetLot(8192)},
 			}}).(event.RowsCommitted).Failure)
 		}},
 		{"state_report", func() error {
@@ -95,19 +96,19 @@
 		}},
 		{"weight_order", func() error {
 			return failureOf(w.orderWeights(ctx, command.OrderWeights{Backend: "engine-00001", Address: w.address, Deadline: time.Hour,
-				Wanted: engine.Wanted{Fence: 12, OrderID: "matching/12/engine-00001/1234567890", Model: "matching", Preload: 4711, Active: 4711, IssuedBy: hostRowAt(1).ID}}).(event.OrderAnswered).Failure)
+				Wanted: engine.Wanted{Fence: 12, OrderID: "matching/12/engine-00001/1234567890", Model: "matching", Preload: 4711, Active: 4711, IssuedBy: bench.TargetHostRow(1).ID}}).(event.OrderAnswered).Failure)
 		}},
 	} {
 		b.Run(x.name, func(b *testing.B) {
 			require.NoError(b, x.run()) // opens the connection
-			before, in, out := w.services.Tables.Store.Ledger(), w.platform.in.Load()+w.engine.in.Load(), w.platform.out.Load()+w.engine.out.Load()
+			before, in, out := w.services.Tables.Store.Ledger(), w.platform.In.Load()+w.engine.In.Load(), w.platform.Out.Load()+w.engine.Out.Load()
 			for b.Loop() {
 				require.NoError(b, x.run())
 			}
 			after := w.services.Tables.Store.Ledger()
 			per := func(v int64) float64 { return float64(v) / float64(b.N) }
-			b.ReportMetric(per(w.platform.in.Load()+w.engine.in.Load()-in), "B-sent/op")
-			b.ReportMetric(per(w.platform.out.Load()+w.engine.out.Load()-out), "B-received/op")
+			b.ReportMetric(per(w.platform.In.Load()+w.engine.In.Load()-in), "B-sent/op")
+			b.ReportMetric(per(w.platform.Out.Load()+w.engine.Out.Load()-out), "B-received/op")
 			b.ReportMetric(per(int64(after.RowsWritten-before.RowsWritten)), "rows-written/op")
 			b.ReportMetric(per(int64(after.Reads-before.Reads)), "reads/op")
 		})
--- a/handler/wire_peer_test.go
+++ b/handler/wire_peer_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
 
+	"github.com/lavenderstand/lavenderstand/bench"
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/peer"
@@ -24,7 +25,7 @@
 }
 
 func (e *wireEntry) Generate(_ context.Context, r *peerpb.GenerateRequest) (*peerpb.GenerateResponse, error) {
-	s := sampleAt(int(r.GetIndex()))
+	s := bench.TargetSample(int(r.GetIndex()))
 	return &peerpb.GenerateResponse{Sample: &peerpb.Sample{
 		Group: s.Group, Index: int32(s.Index), Attempt: 1, Tokens: 1500, ObjectKey: s.ObjectKey, Backend: s.Backend,
 		Ranges: []*peerpb.Range{{To: 900, Version: 4711}, {From: 900, To: 1500, Version: 4712}},
@@ -51,12 +52,12 @@
 // BenchmarkWirePeer reports the bytes of each call between own processes.
 func BenchmarkWirePeer(b *testing.B) {
 	ctx, w := context.Background(), listenWire(b)
-	config, err := json.Marshal(configOf(100))
+	config, err := json.Marshal(bench.TargetConfig(100))
 	require.NoError(b, err)
-	short, err := json.Marshal(configOf(10))
+	short, err := json.Marshal(bench.TargetConfig(10))
 	require.NoError(b, err)
 	server := grpc.NewServer()
-	peerpb.RegisterEntryServer(server, &wireEntry{body: configOf(100)})
+	peerpb.RegisterEntryServer(server, &wireEntry{body: bench.TargetConfig(100)})
 	go func() { _ = server.Serve(w) }()
 	b.Cleanup(server.Stop)
 	dialer := peer.NewDialer(strings.Repeat("t", 32))
@@ -93,12 +94,12 @@
 	} {
 		b.Run(x.name, func(b *testing.B) {
 			require.NoError(b, x.run())
-			in, out := w.in.Load(), w.out.Load()
+			in, out := w.In.Load(), w.Out.Load()
 			for b.Loop() {
 				require.NoError(b, x.run())
 			}
-			b.ReportMetric(float64(w.in.Load()-in)/float64(b.N), "B-sent/op")
-			b.ReportMetric(float64(w.out.Load()-out)/float64(b.N), "B-received/op")
+			b.ReportMetric(float64(w.In.Load()-in)/float64(b.N), "B-sent/op")
+			b.ReportMetric(float64(w.Out.Load()-out)/float64(b.N), "B-received/op")
 		})
 	}
 }
--- a/system/capacity_bench_test.go
+++ b/system/capacity_bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/lavenderstand/lavenderstand/bench"
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/plan"
@@ -82,21 +83,26 @@
 	}
 }
 
+// steadyReport is the load report of a server that serves.
+func steadyReport(backend string, polls int) event.Event {
+	return reported(backend, "boot-1", polls%64, 200)
+}
+
 // BenchmarkEntrySecond is one second of an entry host's control loop: every
 // command is answered in the tick after it, and ticks follow each other at the
 // shortest period while there is work. core-ms/s is the processor time.
 func BenchmarkEntrySecond(b *testing.B) {
 	for _, n := range []int{10, 100, 1_000, 5_100, 10_000} {
 		b.Run(fmt.Sprintf("backends=%d", n), func(b *testing.B) {
-			loop := newEntryLoop(n)
-			loop.run(5 * time.Second)
-			loop.polls, loop.ticks = 0, 0
+			loop := bench.NewEntryLoop(listOf(n), steadyReport)
+			loop.Run(5 * time.Second)
+			loop.Polls, loop.Ticks = 0, 0
 			for b.Loop() {
-				loop.run(time.Second)
+				loop.Run(time.Second)
 			}
 			b.ReportMetric(float64(b.Elapsed().Microseconds())/1000/float64(b.N), "core-ms/s")
-			b.ReportMetric(float64(loop.polls)/float64(b.N), "polls/s")
-			b.ReportMetric(float64(loop.ticks)/float64(b.N), "ticks/s")
+			b.ReportMetric(float64(loop.Polls)/float64(b.N), "polls/s")
+			b.ReportMetric(float64(loop.Ticks)/float64(b.N), "ticks/s")
 			b.ReportMetric(0, "ns/op")
 		})
 	}
--- a/system/scan_test.go
+++ b/system/scan_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/lavenderstand/lavenderstand/bench"
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/system"
@@ -19,15 +20,15 @@
 func TestPollsOfManyServers(t *testing.T) {
 	for servers, wantPerSecond := range map[int]int{10: 20, 100: 200, 3000: 1500} {
 		t.Run(fmt.Sprint(servers), func(t *testing.T) {
-			l := newEntryLoop(servers)
-			l.run(4 * time.Second)
-			l.stateAt = make(map[string]time.Duration)
-			l.longest, l.states = 0, 0
+			l := bench.NewEntryLoop(listOf(servers), steadyReport)
+			l.Run(4 * time.Second)
+			l.StateAt = make(map[string]time.Duration)
+			l.Longest, l.States = 0, 0
 			const length = 8 * time.Second
-			l.run(length)
-			require.Len(t, l.stateAt, servers)
-			require.InDelta(t, wantPerSecond, float64(l.states)/length.Seconds(), 0.1*float64(wantPerSecond))
-			require.LessOrEqual(t, l.longest, 2200*time.Millisecond)
+			l.Run(length)
+			require.Len(t, l.StateAt, servers)
+			require.InDelta(t, wantPerSecond, float64(l.States)/length.Seconds(), 0.1*float64(wantPerSecond))
+			require.LessOrEqual(t, l.Longest, 2200*time.Millisecond)
 		})
 	}
 }
@@ -55,35 +56,18 @@
 // TestLeavingAmongManyServers guards against a server among many that stays in
 // the plan after its report said that it is leaving.
 func TestLeavingAmongManyServers(t *testing.T) {
-	l := newEntryLoop(5100)
-	l.run(4 * time.Second)
-	require.Equal(t, 5100, len(l.plan.Models["match"].Backends))
-	leaving := reported(backendName(7), "boot-1", 1, 0)
-	leaving.State.Leaving = true
-	l.leaving = leaving.Backend
-	l.in = append(l.in, leaving)
-	l.run(100 * time.Millisecond)
-	require.Equal(t, 5099, len(l.plan.Models["match"].Backends))
-}
-
-// note records the commands that the tests look at.
-func (l *entryLoop) note(c command.Command) {
-	switch c := c.(type) {
-	case command.PublishPlan:
-		l.plan = c.Plan
-	case command.ReadState:
-		l.states++
-		if at, ok := l.stateAt[c.Backend]; ok {
-			l.longest = max(l.longest, l.now-at)
-		}
-		if l.stateAt != nil {
-			l.stateAt[c.Backend] = l.now
-		}
-	}
-}
-
-func (l *entryLoop) report(backend string) event.Event {
-	r := reported(backend, "boot-1", l.polls%64, 200)
-	r.State.Leaving = backend == l.leaving
-	return r
+	leaving := ""
+	l := bench.NewEntryLoop(listOf(5100), func(backend string, polls int) event.Event {
+		r := reported(backend, "boot-1", polls%64, 200)
+		r.State.Leaving = backend == leaving
+		return r
+	})
+	l.Run(4 * time.Second)
+	require.Equal(t, 5100, len(l.Plan.Models["match"].Backends))
+	left := reported(backendName(7), "boot-1", 1, 0)
+	left.State.Leaving = true
+	leaving = left.Backend
+	l.Events = append(l.Events, left)
+	l.Run(100 * time.Millisecond)
+	require.Equal(t, 5099, len(l.Plan.Models["match"].Backends))
 }
