--- a/cmd/lavender-entry/main.go
+++ b/cmd/lavender-entry/main.go
@@ -2,13 +2,14 @@
 package main
 
 import (
-	"fmt"
 	"os"
+
+	"github.com/lavenderstand/lavenderstand/daemon"
 )
 
 func main() {
-	if err := newCommand().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+	c := daemon.NewCommand("lavender-entry", "Serve callers, trainers and operators on one host", serve)
+	if c.Execute() != nil {
 		os.Exit(1)
 	}
 }
--- a/cmd/lavender-entry/command.go
+++ b/daemon/command.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"github.com/spf13/cobra"
@@ -6,11 +6,13 @@
 	"github.com/lavenderstand/lavenderstand/settings"
 )
 
-func newCommand() *cobra.Command {
+// NewCommand returns the command line of a program that reads its settings from
+// a file and serves until a planned stop.
+func NewCommand(use, short string, serve func(settings.Process) error) *cobra.Command {
 	var path string
 	c := &cobra.Command{
-		Use:          "lavender-entry",
-		Short:        "Serve callers, trainers and operators on one host",
+		Use:          use,
+		Short:        short,
 		SilenceUsage: true,
 		RunE: func(*cobra.Command, []string) error {
 			s, err := settings.LoadComplete(path)
