Count all time outside training steps as trainer idle time in the demo

Cause: the demo's trainer counted only the time of pulls as idle. Change: idle time is run time less training steps.

--- a/standin/trainer.go
+++ b/standin/trainer.go
@@ -40,6 +40,7 @@
 
 // Trainer submits groups, pulls a lot per step and publishes new weights.
 type Trainer struct {
+	trained time.Duration // in training steps
 	options TrainerOptions
 	client  *entryClient
 	log     TrainerLog
@@ -65,7 +66,10 @@
 	}
 }
 
-// Run trains until ends and until enough versions are published, then receives what was submitted, until ctx ends.
+// Run trains until ends and until enough versions are published, then receives
+// what was submitted, until ctx ends. All time outside training steps is idle:
+// a trainer that waits for an answer to a submission or a declaration does not
+// train either.
 func (t *Trainer) Run(ctx context.Context, ends time.Time) (TrainerLog, error) {
 	began := time.Now()
 	err := t.declare(ctx)
@@ -76,7 +80,8 @@
 		}
 		err = t.trainStep(ctx, active)
 	}
-	t.log.RunMS = time.Since(began).Milliseconds()
+	run := time.Since(began)
+	t.log.RunMS, t.log.IdleMS = run.Milliseconds(), (run - t.trained).Milliseconds()
 	return t.log, err
 }
 
@@ -90,7 +95,9 @@
 	if err := t.pull(ctx); err != nil {
 		return err
 	}
+	began := time.Now()
 	pause(ctx, t.options.Step)
+	t.trained += time.Since(began)
 	if submit && t.step%int64(t.options.VersionEvery) == 0 {
 		return t.publish(ctx)
 	}
@@ -119,9 +126,8 @@
 	return nil
 }
 
-// pull receives the lot of the step; the time it takes is idle time.
+// pull receives the lot of the step.
 func (t *Trainer) pull(ctx context.Context) error {
-	began := time.Now()
 	request := map[string]any{
 		"step": t.step, "version": t.version, "wait_ms": pullWait.Milliseconds(),
 		"groups": min(t.options.Groups, t.groups-t.pulled),
@@ -139,7 +145,6 @@
 			t.log.Retries++
 			continue
 		}
-		t.log.IdleMS += time.Since(began).Milliseconds()
 		lot.TrainerVersion = t.version
 		t.accept(lot)
 		return nil
