demo: internal checks beside live lookups

Cause: the demo had one class of callers; internal checks between services, which users name as a class of their own, were missing. Change: class and route checks; every third caller uses them.

--- a/demo/load.go
+++ b/demo/load.go
@@ -107,10 +107,15 @@
 	return received
 }
 
+// newCaller returns a caller of live lookups, every third one of internal checks.
 func newCaller(p Plan, token string, i int) *standin.Caller {
+	class, lookups := liveClass, lookupRoute
+	if i%3 == 2 {
+		class, lookups = checkClass, checkRoute
+	}
 	return standin.NewCaller(standin.CallerOptions{
 		Name: fmt.Sprintf("caller-%d", i+1), Hosts: []string{p.Balancer}, Token: token, Models: models,
-		Class: liveClass, Lookups: lookupRoute, Claims: claimRoute, Deadline: callerDeadline, Seed: p.Seed*1000 + uint64(i),
+		Class: class, Lookups: lookups, Claims: claimRoute, Deadline: callerDeadline, Seed: p.Seed*1000 + uint64(i),
 	})
 }
 
--- a/demo/plan.go
+++ b/demo/plan.go
@@ -22,9 +22,11 @@
 	zones         = 2
 
 	lookupRoute, claimRoute = "items", "claims"
+	checkRoute              = "checks" // internal checks between services
 	plainService            = "listing"
 	scoringService          = "scorer"
 	liveClass, trainClass   = "live", "training"
+	checkClass              = "checks"
 )
 
 var models = []string{"matching", "dial"}
--- a/demo/plan_processes.go
+++ b/demo/plan_processes.go
@@ -181,10 +181,12 @@
 	c := plan.Config{
 		Classes: map[string]plan.ClassConfig{
 			liveClass:  {LatencyMS: 5000, OnTimeShare: 0.95},
+			checkClass: {LatencyMS: 8000, OnTimeShare: 0.9},
 			trainClass: {StalenessBound: 2},
 		},
 		Routes: map[string]plan.RouteConfig{
 			lookupRoute: {Service: plainService, Idempotent: true, Class: liveClass},
+			checkRoute:  {Service: plainService, Idempotent: true, Class: checkClass},
 			claimRoute:  {Service: plainService, Class: liveClass},
 		},
 		Trainers: make(map[string]plan.TrainerConfig),
