--- a/api/operators.go
+++ b/api/operators.go
@@ -11,8 +11,8 @@
 
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/status"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -32,7 +32,7 @@
 	Ask     func(ctx context.Context, id string, e event.Event) (command.Command, error)
 	Deliver func(ctx context.Context, e event.Event) error
 	Status  *status.Cell
-	Tables  platform.Tables
+	Tables  tablestore.Tables
 	NewOp   func() string // returns a new operation id
 	// History returns all versions of the configuration, oldest first.
 	History func(context.Context) ([]ConfigRecord, error)
--- a/api/operators_test.go
+++ b/api/operators_test.go
@@ -20,10 +20,10 @@
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/handler"
 	"github.com/lavenderstand/lavenderstand/plan"
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/status"
 	"github.com/lavenderstand/lavenderstand/system"
 	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -31,42 +31,42 @@
 // or after they take effect.
 type memoryTables struct {
 	mu                    sync.Mutex
-	rows                  map[string]platform.Row
+	rows                  map[string]tablestore.Row
 	loseBefore, loseAfter int
 }
 
 var errLost = verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, "answer lost")
 
-func (m *memoryTables) Commit(_ context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (m *memoryTables) Commit(_ context.Context, txn tablestore.Txn) (tablestore.TxnResult, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.loseBefore > 0 {
 		m.loseBefore--
-		return platform.TxnResult{}, errLost
+		return tablestore.TxnResult{}, errLost
 	}
 	for _, c := range txn.If {
 		if m.rows[c.Key].Version != c.Version {
-			return platform.TxnResult{}, nil
+			return tablestore.TxnResult{}, nil
 		}
 	}
 	for _, p := range txn.Put {
-		m.rows[p.Key] = platform.Row{Key: p.Key, Version: m.rows[p.Key].Version + 1, Op: txn.Op, Value: p.Value}
+		m.rows[p.Key] = tablestore.Row{Key: p.Key, Version: m.rows[p.Key].Version + 1, Op: txn.Op, Value: p.Value}
 	}
 	if m.loseAfter > 0 {
 		m.loseAfter--
-		return platform.TxnResult{}, errLost
+		return tablestore.TxnResult{}, errLost
 	}
-	return platform.TxnResult{Committed: true}, nil
+	return tablestore.TxnResult{Committed: true}, nil
 }
 
-func (m *memoryTables) Get(_ context.Context, key string) (platform.Row, bool, error) {
+func (m *memoryTables) Get(_ context.Context, key string) (tablestore.Row, bool, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	row, ok := m.rows[key]
 	return row, ok, nil
 }
 
-func (m *memoryTables) Scan(context.Context, string) (rows []platform.Row, err error) {
+func (m *memoryTables) Scan(context.Context, string) (rows []tablestore.Row, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, row := range m.rows {
@@ -109,7 +109,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); _ = loop.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	tables := &memoryTables{rows: map[string]platform.Row{}}
+	tables := &memoryTables{rows: map[string]tablestore.Row{}}
 	var op sync.Mutex
 	ops := 0
 	e := echo.New()
--- a/api/operators_weights.go
+++ b/api/operators_weights.go
@@ -11,7 +11,7 @@
 
 	"github.com/lavenderstand/lavenderstand/ledger"
 	"github.com/lavenderstand/lavenderstand/plan"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -61,7 +61,7 @@
 	return c.JSON(http.StatusOK, list)
 }
 
-func decodeWeights(row platform.Row) (Weights, error) {
+func decodeWeights(row tablestore.Row) (Weights, error) {
 	var w Weights
 	if err := json.Unmarshal(row.Value, &w); err != nil {
 		return w, verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadAnswer, "row %s", row.Key)
@@ -120,9 +120,9 @@
 	if err != nil {
 		return current, false, verdict.Wrap(err, verdict.NotRun, verdict.ReasonInternal, "encode weights")
 	}
-	txn := platform.Txn{
-		Op: o.NewOp(), If: []platform.Condition{{Key: key, Version: row.Version}},
-		Put: []platform.Put{{Key: key, Value: value}},
+	txn := tablestore.Txn{
+		Op: o.NewOp(), If: []tablestore.Condition{{Key: key, Version: row.Version}},
+		Put: []tablestore.Put{{Key: key, Value: value}},
 	}
 	return o.commitWeights(ctx, txn, want)
 }
@@ -130,7 +130,7 @@
 // commitWeights sends the transaction until its outcome is known. The condition
 // lets at most one copy of it commit. A conflict may stem from an earlier copy,
 // so the row's operation id decides.
-func (o *Operators) commitWeights(ctx context.Context, txn platform.Txn, want Weights) (Weights, bool, error) {
+func (o *Operators) commitWeights(ctx context.Context, txn tablestore.Txn, want Weights) (Weights, bool, error) {
 	for sent := 0; ; sent++ {
 		result, err := o.Tables.Commit(ctx, txn)
 		switch {
@@ -167,7 +167,7 @@
 
 // readBack reads a row until it gets an answer. The outcome stays unknown if
 // ctx ends first.
-func (o *Operators) readBack(ctx context.Context, key string) (platform.Row, error) {
+func (o *Operators) readBack(ctx context.Context, key string) (tablestore.Row, error) {
 	for {
 		row, _, err := o.Tables.Get(ctx, key)
 		if err == nil {
--- a/api/trainers.go
+++ b/api/trainers.go
@@ -10,7 +10,7 @@
 
 	"github.com/lavenderstand/lavenderstand/ledger"
 	"github.com/lavenderstand/lavenderstand/peer"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -40,7 +40,7 @@
 // Trainers serves the trainers' interface.
 type Trainers struct {
 	Calls   TrainerCalls
-	Objects platform.Objects
+	Objects tablestore.Objects
 	MaxBody int64
 }
 
--- a/bench/faults.go
+++ b/bench/faults.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/ledger"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 // Times of the faults. Each repeats, so that a run shows it several times.
@@ -23,10 +23,10 @@
 	switch w.setup.Fault {
 	case "crash":
 		begin = func() { w.crash(s); w.relist(s, "", listLag) }
-		end = func() { w.restart(s); w.relist(s, platform.StateLive, listLag) }
+		end = func() { w.restart(s); w.relist(s, tablestore.StateLive, listLag) }
 	case "lagging_list":
 		begin = func() { w.crash(s); w.relist(s, "", longListLag) }
-		end = func() { w.restart(s); w.relist(s, platform.StateLive, longListLag) }
+		end = func() { w.restart(s); w.relist(s, tablestore.StateLive, longListLag) }
 	case "slow":
 		begin = func() { w.setSpeed(s, slowSpeed) }
 		end = func() { w.setSpeed(s, 1) }
@@ -57,7 +57,7 @@
 
 func (w *world) leave(s *server) {
 	s.leaving = true
-	w.relist(s, platform.StateLeaving, listLag)
+	w.relist(s, tablestore.StateLeaving, listLag)
 	w.after(leaveNotice, func() { s.refusing = true })
 }
 
@@ -67,5 +67,5 @@
 	s.leaving, s.refusing = false, false
 	s.loaded = []ledger.Version{s.active}
 	w.restart(s)
-	w.relist(s, platform.StateLive, listLag)
+	w.relist(s, tablestore.StateLive, listLag)
 }
--- a/bench/servers.go
+++ b/bench/servers.go
@@ -8,7 +8,7 @@
 
 	"github.com/lavenderstand/lavenderstand/engine"
 	"github.com/lavenderstand/lavenderstand/ledger"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -222,8 +222,8 @@
 	}
 }
 
-func (s *server) listed() platform.ListedHost {
-	h := platform.ListedHost{Name: s.name, Kind: "service", Model: serviceName, Address: s.name, Zone: zoneName(s.zone), State: platform.StateLive}
+func (s *server) listed() tablestore.ListedHost {
+	h := tablestore.ListedHost{Name: s.name, Kind: "service", Model: serviceName, Address: s.name, Zone: zoneName(s.zone), State: tablestore.StateLive}
 	if s.engine {
 		h.Kind, h.Model = "engine", modelName
 	}
--- a/bench/world.go
+++ b/bench/world.go
@@ -7,8 +7,8 @@
 
 	"github.com/lavenderstand/lavenderstand/ledger"
 	"github.com/lavenderstand/lavenderstand/plan"
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -185,7 +185,7 @@
 
 // listing is the platform's host list, which shows a change after a lag.
 type listing struct {
-	hosts   []platform.ListedHost
+	hosts   []tablestore.ListedHost
 	changes []listChange
 }
 
@@ -195,14 +195,14 @@
 	to   string // state, empty: not listed
 }
 
-func (l *listing) visible(now time.Duration) []platform.ListedHost {
+func (l *listing) visible(now time.Duration) []tablestore.ListedHost {
 	states := make(map[string]string)
 	for _, c := range l.changes {
 		if c.at <= now {
 			states[c.name] = c.to
 		}
 	}
-	shown := make([]platform.ListedHost, 0, len(l.hosts))
+	shown := make([]tablestore.ListedHost, 0, len(l.hosts))
 	for _, h := range l.hosts {
 		if state, changed := states[h.Name]; changed {
 			h.State = state
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -15,7 +15,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -62,12 +62,12 @@
 
 // Store claims requests over the table service.
 type Store struct {
-	Tables platform.Tables
+	Tables tablestore.Tables
 	Entry  string           // id of this process, stored with each claim
 	NewOp  func() string    // unique operation ids
 	Now    func() time.Time // wall clock, for the retention stamp only
 	// Resolve sets the repetition of calls.
-	Resolve platform.Resolve
+	Resolve tablestore.Resolve
 	// RowsWritten, if set, receives the rows of each committed write.
 	RowsWritten func(rows int)
 }
@@ -162,11 +162,11 @@
 	resolve := s.Resolve
 	// Until this call returns, nobody finishes or releases the new claim, and
 	// rows are deleted only after Retention.
-	resolve.WriteOnce = platform.EveryCreatedRow
-	result, err := platform.CommitResolved(ctx, s.Tables, platform.Txn{
+	resolve.WriteOnce = tablestore.EveryCreatedRow
+	result, err := tablestore.CommitResolved(ctx, s.Tables, tablestore.Txn{
 		Op:  op,
-		If:  []platform.Condition{{Key: h.key, Version: h.version}},
-		Put: []platform.Put{{Key: h.key, Value: value}},
+		If:  []tablestore.Condition{{Key: h.key, Version: h.version}},
+		Put: []tablestore.Put{{Key: h.key, Value: value}},
 	}, resolve)
 	if err != nil || !result.Committed {
 		return 0, err
@@ -178,8 +178,8 @@
 }
 
 // get reads the row, again after a failure, until ctx ends.
-func (s *Store) get(ctx context.Context, key string) (r platform.Row, found bool, err error) {
-	return platform.GetRepeated(ctx, s.Tables, key, s.Resolve)
+func (s *Store) get(ctx context.Context, key string) (r tablestore.Row, found bool, err error) {
+	return tablestore.GetRepeated(ctx, s.Tables, key, s.Resolve)
 }
 
 // unavailable is the rejection of a request that can't be claimed.
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -15,15 +15,15 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lavenderstand/lavenderstand/claim"
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/standin"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
-func store(tables platform.Tables) *claim.Store {
+func store(tables tablestore.Tables) *claim.Store {
 	return &claim.Store{
-		Tables: tables, Entry: "e1", NewOp: platform.OpIDs(rand.Uint64), Now: time.Now,
-		Resolve: platform.Resolve{Random: func() float64 { return 0.1 }},
+		Tables: tables, Entry: "e1", NewOp: tablestore.OpIDs(rand.Uint64), Now: time.Now,
+		Resolve: tablestore.Resolve{Random: func() float64 { return 0.1 }},
 	}
 }
 
@@ -85,7 +85,7 @@
 		var wg sync.WaitGroup
 		for range 6 {
 			wg.Go(func() {
-				s := store(platform.NewTablesClient(server.URL, &http.Client{}))
+				s := store(tablestore.NewTablesClient(server.URL, &http.Client{}))
 				r, err := s.Claim(within(t, 20*time.Second), "a", "r", fmt.Sprint(key), "h")
 				switch {
 				case err == nil && r.Status == claim.Claimed:
@@ -161,7 +161,7 @@
 	require.False(t, claim.Expired(row, time.Now().Add(claim.Retention-time.Minute)))
 	require.True(t, claim.Expired(row, time.Now().Add(claim.Retention+time.Minute)))
 
-	m.Store.Apply(platform.Txn{Put: []platform.Put{{Key: claim.Key("a", "r", "bad"), Value: []byte(`{"state":"x"}`)}}})
+	m.Store.Apply(tablestore.Txn{Put: []tablestore.Put{{Key: claim.Key("a", "r", "bad"), Value: []byte(`{"state":"x"}`)}}})
 	r, err = s.Claim(within(t, time.Second), "a", "r", "bad", "h")
 	require.NoError(t, err)
 	require.Equal(t, claim.InProgress, r.Status)
@@ -172,7 +172,7 @@
 	f.Add([]byte(`{"state":"claimed","keep_until_unix_ms":1,"newer":{}}`))
 	f.Add([]byte(`null`))
 	f.Fuzz(func(_ *testing.T, value []byte) {
-		claim.Expired(platform.Row{Value: value}, time.Now())
+		claim.Expired(tablestore.Row{Value: value}, time.Now())
 	})
 }
 
--- a/claim/row.go
+++ b/claim/row.go
@@ -7,7 +7,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 // Prefix is the prefix of the keys of claim rows.
@@ -58,7 +58,7 @@
 
 // Expired reports whether the retention of a claim row has passed, so that it
 // may be deleted. now is wall-clock time. A malformed row never expires.
-func Expired(r platform.Row, now time.Time) bool {
+func Expired(r tablestore.Row, now time.Time) bool {
 	decoded, err := decodeRow(r.Value)
 	return err == nil && decoded.KeepUntilMS > 0 && now.UnixMilli() > decoded.KeepUntilMS
 }
--- a/configstore/configstore.go
+++ b/configstore/configstore.go
@@ -11,7 +11,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -48,9 +48,9 @@
 
 // Store reads and changes the configuration.
 type Store struct {
-	Tables  platform.Tables
+	Tables  tablestore.Tables
 	NewOp   func() string
-	Resolve platform.Resolve
+	Resolve tablestore.Resolve
 }
 
 // Result is the outcome of Commit. Without Committed, Winner is the version that
@@ -68,7 +68,7 @@
 }
 
 func (s *Store) read(ctx context.Context) (r Record, rowVersion uint64, err error) {
-	row, found, err := platform.GetRepeated(ctx, s.Tables, CurrentKey, s.Resolve)
+	row, found, err := tablestore.GetRepeated(ctx, s.Tables, CurrentKey, s.Resolve)
 	if err != nil || !found {
 		return Record{}, 0, err
 	}
@@ -111,10 +111,10 @@
 	resolve := s.Resolve
 	// The current row is overwritten by the next change, the history row never.
 	resolve.WriteOnce = func(key string) bool { return key == history }
-	result, err := platform.CommitResolved(ctx, s.Tables, platform.Txn{
+	result, err := tablestore.CommitResolved(ctx, s.Tables, tablestore.Txn{
 		Op:  s.NewOp(),
-		If:  []platform.Condition{{Key: history, Version: 0}, {Key: CurrentKey, Version: rowVersion}},
-		Put: []platform.Put{{Key: history, Value: value}, {Key: CurrentKey, Value: value}},
+		If:  []tablestore.Condition{{Key: history, Version: 0}, {Key: CurrentKey, Version: rowVersion}},
+		Put: []tablestore.Put{{Key: history, Value: value}, {Key: CurrentKey, Value: value}},
 	}, resolve)
 	return result.Committed, err
 }
@@ -131,7 +131,7 @@
 
 // Version returns a version from the history.
 func (s *Store) Version(ctx context.Context, version uint64) (r Record, found bool, err error) {
-	row, found, err := platform.GetRepeated(ctx, s.Tables, HistoryKey(version), s.Resolve)
+	row, found, err := tablestore.GetRepeated(ctx, s.Tables, HistoryKey(version), s.Resolve)
 	if err != nil || !found {
 		return Record{}, false, err
 	}
--- a/configstore/configstore_test.go
+++ b/configstore/configstore_test.go
@@ -12,15 +12,15 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lavenderstand/lavenderstand/configstore"
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/standin"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
-func store(tables platform.Tables) *configstore.Store {
+func store(tables tablestore.Tables) *configstore.Store {
 	return &configstore.Store{
-		Tables: tables, NewOp: platform.OpIDs(rand.Uint64),
-		Resolve: platform.Resolve{Random: func() float64 { return 0.05 }},
+		Tables: tables, NewOp: tablestore.OpIDs(rand.Uint64),
+		Resolve: tablestore.Resolve{Random: func() float64 { return 0.05 }},
 	}
 }
 
@@ -37,12 +37,12 @@
 	then      func()
 }
 
-func (o *overtaken) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (o *overtaken) Commit(ctx context.Context, txn tablestore.Txn) (tablestore.TxnResult, error) {
 	o.committed = true
 	return o.MemoryTables.Commit(ctx, txn)
 }
 
-func (o *overtaken) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+func (o *overtaken) Get(ctx context.Context, key string) (tablestore.Row, bool, error) {
 	if f := o.then; o.committed && f != nil {
 		o.then = nil
 		f()
@@ -131,7 +131,7 @@
 // TestNewerProgramsRow guards against a row that an older program can't read.
 func TestNewerProgramsRow(t *testing.T) {
 	m := standin.NewMemoryTables(1)
-	m.Store.Apply(platform.Txn{Put: []platform.Put{{
+	m.Store.Apply(tablestore.Txn{Put: []tablestore.Put{{
 		Key: configstore.CurrentKey, Value: json.RawMessage(`{"version":4,"body":{"new":[1]},"reviewer":"x"}`),
 	}}})
 	r, found, err := store(m).Read(context.Background())
--- a/control/session_test.go
+++ b/control/session_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/lavenderstand/lavenderstand/control"
 	"github.com/lavenderstand/lavenderstand/event"
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/system"
 	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 // TestSessionRecordsMembership guards against a recorder that loses events,
@@ -20,8 +20,8 @@
 	s := control.NewSession(tables, system.Named{Name: "membership", Run: system.Membership(time.Second)})
 	control.Watch(s, "backends", &tables.Backends)
 	s.Step(0)
-	s.Step(10*time.Millisecond, event.HostListRead{Hosts: []platform.ListedHost{
-		{Name: "m1", Kind: "engine", Model: "match", Address: "127.0.0.1:1", Zone: "a", State: platform.StateLive},
+	s.Step(10*time.Millisecond, event.HostListRead{Hosts: []tablestore.ListedHost{
+		{Name: "m1", Kind: "engine", Model: "match", Address: "127.0.0.1:1", Zone: "a", State: tablestore.StateLive},
 	}})
 	s.Step(time.Second)
 	s.Step(1100*time.Millisecond, event.HostListRead{})
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,9 +18,9 @@
 	"github.com/lavenderstand/lavenderstand/handler"
 	"github.com/lavenderstand/lavenderstand/identity"
 	"github.com/lavenderstand/lavenderstand/peer"
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/settings"
 	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/telemetry"
 )
 
@@ -41,9 +41,9 @@
 	Counters   *telemetry.Counters
 	Dialer     *peer.Dialer
 	Principals *identity.Principals
-	Tables     platform.Tables
-	Objects    platform.Objects
-	Hosts      platform.HostList
+	Tables     tablestore.Tables
+	Objects    tablestore.Objects
+	Hosts      tablestore.HostList
 	Engines    *engine.Client
 	NewOp      func() string
 	Platform   handler.Platform
@@ -74,7 +74,7 @@
 		Settings: s, Self: self, Log: log, Principals: principals, start: time.Now(),
 		Inbox: control.NewInbox(control.InboxSize), Waiters: control.NewWaiters(),
 		Dialer: peer.NewDialer(token), Engines: engine.NewClient(orderToken),
-		NewOp: platform.OpIDs(rand.Uint64), stop: newStop(),
+		NewOp: tablestore.OpIDs(rand.Uint64), stop: newStop(),
 	}
 	b.Ctx, b.Cancel = context.WithCancel(context.Background())
 	b.Metrics = telemetry.NewMetrics(map[string]string{"host": self.Host, "role": string(self.Role)},
@@ -93,10 +93,10 @@
 	if err != nil {
 		return err
 	}
-	client := &http.Client{Timeout: platformTimeout, Transport: &platform.BearerTransport{Token: token}}
-	b.Tables = platform.NewTablesClient(p.Tables, client)
-	b.Objects = platform.NewObjectsClient(p.Objects, client)
-	b.Hosts = platform.NewHostListClient(p.Hosts, client)
+	client := &http.Client{Timeout: platformTimeout, Transport: &tablestore.BearerTransport{Token: token}}
+	b.Tables = tablestore.NewTablesClient(p.Tables, client)
+	b.Objects = tablestore.NewObjectsClient(p.Objects, client)
+	b.Hosts = tablestore.NewHostListClient(p.Hosts, client)
 	return nil
 }
 
--- a/demo/plan.go
+++ b/demo/plan.go
@@ -13,7 +13,7 @@
 	"strings"
 
 	"github.com/lavenderstand/lavenderstand/plan"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 // Parts of a run.
@@ -33,13 +33,13 @@
 
 // Plan is the file plan.json: everything the load needs to know.
 type Plan struct {
-	Seed      uint64                `json:"seed"`
-	Balancer  string                `json:"balancer"`
-	Platform  string                `json:"platform"` // address of all four services
-	Entries   []string              `json:"entries"`  // HTTP addresses
-	Hosts     []platform.ListedHost `json:"hosts"`
-	Addresses map[string]string     `json:"addresses"` // of stand-ins by process name
-	Config    plan.Config           `json:"config"`
+	Seed      uint64                  `json:"seed"`
+	Balancer  string                  `json:"balancer"`
+	Platform  string                  `json:"platform"` // address of all four services
+	Entries   []string                `json:"entries"`  // HTTP addresses
+	Hosts     []tablestore.ListedHost `json:"hosts"`
+	Addresses map[string]string       `json:"addresses"` // of stand-ins by process name
+	Config    plan.Config             `json:"config"`
 }
 
 // process is a line of the process list.
--- a/demo/plan_processes.go
+++ b/demo/plan_processes.go
@@ -9,8 +9,8 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/lavenderstand/lavenderstand/plan"
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/settings"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 // Values of the demo that differ from the defaults, so that a run with faults
@@ -86,17 +86,17 @@
 	}
 	for i := range zones {
 		name := fmt.Sprintf("service-%d", i+1)
-		if err := p.addBackend(platform.ListedHost{Name: name, Kind: "service", Model: plainService, Zone: zoneName(i)}, "service"); err != nil {
+		if err := p.addBackend(tablestore.ListedHost{Name: name, Kind: "service", Model: plainService, Zone: zoneName(i)}, "service"); err != nil {
 			return err
 		}
 	}
-	return p.addBackend(platform.ListedHost{Name: "scoring-1", Kind: "scoring", Model: scoringService, Zone: zoneName(0)}, "scoring")
+	return p.addBackend(tablestore.ListedHost{Name: "scoring-1", Kind: "scoring", Model: scoringService, Zone: zoneName(0)}, "scoring")
 }
 
 // addEngine adds an engine. Every third is slow, so that a run has stragglers;
 // every second checks fences, and one checks the issuer of orders.
 func (p *planner) addEngine(i int) error {
-	h := platform.ListedHost{
+	h := tablestore.ListedHost{
 		Name: fmt.Sprintf("engine-%d", i+1), Kind: "engine", Model: models[i%len(models)],
 		Zone: zoneName(i / len(models)), ChecksFence: i%2 == 0, ChecksIdentity: i == 0,
 	}
@@ -115,10 +115,10 @@
 	return p.addBackend(h, "engine", args...)
 }
 
-func (p *planner) addBackend(h platform.ListedHost, role string, args ...string) (err error) {
+func (p *planner) addBackend(h tablestore.ListedHost, role string, args ...string) (err error) {
 	args = append(args, "--name", h.Name, "--model", h.Model, "--zone", h.Zone,
 		"--seed", fmt.Sprint(p.plan.Seed+uint64(len(p.plan.Hosts))), "--ledger", p.path("ledgers", h.Name+".jsonl"))
-	h.State = platform.StateLive
+	h.State = tablestore.StateLive
 	if h.Address, err = p.standin(h.Name, role, args...); err != nil {
 		return err
 	}
@@ -138,8 +138,8 @@
 			}
 			if role == "entry" {
 				p.plan.Entries = append(p.plan.Entries, http)
-				p.plan.Hosts = append(p.plan.Hosts, platform.ListedHost{
-					Name: name, Kind: "entry", Address: http, Zone: zoneName(i), State: platform.StateLive,
+				p.plan.Hosts = append(p.plan.Hosts, tablestore.ListedHost{
+					Name: name, Kind: "entry", Address: http, Zone: zoneName(i), State: tablestore.StateLive,
 				})
 			}
 		}
--- a/e2e/badinput_test.go
+++ b/e2e/badinput_test.go
@@ -17,7 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lavenderstand/lavenderstand/demo"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 // TestBadInputCrashesNothing guards against a process that ends, or stops
@@ -160,8 +160,8 @@
 	}))
 	d.t.Cleanup(server.Close)
 	model := map[string]string{"engine": "matching", "service": "listing", "scoring": "scorer"}[kind]
-	d.plan.Hosts = append(d.plan.Hosts, platform.ListedHost{
-		Name: "garbage-" + kind, Kind: kind, Model: model, Zone: "a", State: platform.StateLive,
+	d.plan.Hosts = append(d.plan.Hosts, tablestore.ListedHost{
+		Name: "garbage-" + kind, Kind: kind, Model: model, Zone: "a", State: tablestore.StateLive,
 		Address: strings.TrimPrefix(server.URL, "http://"),
 	})
 }
--- a/e2e/departure_test.go
+++ b/e2e/departure_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/lavenderstand/lavenderstand/demo"
 	"github.com/lavenderstand/lavenderstand/engine"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 // leavesWithin is the time after the first sign within which a leaving backend
@@ -60,8 +60,8 @@
 	f := &fakeService{name: name, began: time.Now()}
 	server := httptest.NewServer(f)
 	d.t.Cleanup(server.Close)
-	d.plan.Hosts = append(d.plan.Hosts, platform.ListedHost{
-		Name: name, Kind: "service", Model: "listing", Zone: "a", State: platform.StateLive,
+	d.plan.Hosts = append(d.plan.Hosts, tablestore.ListedHost{
+		Name: name, Kind: "service", Model: "listing", Zone: "a", State: tablestore.StateLive,
 		Address: strings.TrimPrefix(server.URL, "http://"),
 	})
 	return f
@@ -94,7 +94,7 @@
 		require.Less(t, time.Since(begun), 10*time.Second, "no work before the departure")
 	}
 	require.NoError(t, demo.SendJSON(http.MethodPost, "http://"+d.plan.Platform+"/admin/hosts/state", "",
-		map[string]string{"Name": "engine-2", "State": platform.StateLeaving}))
+		map[string]string{"Name": "engine-2", "State": tablestore.StateLeaving}))
 	reports.leaving.Store(true)
 	refuses.frozen.Store(true)
 	refuses.refuse.Store(true)
--- a/event/routing.go
+++ b/event/routing.go
@@ -5,13 +5,13 @@
 
 	"github.com/lavenderstand/lavenderstand/engine"
 	"github.com/lavenderstand/lavenderstand/plan"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
 // HostListRead is the answer to command.ReadHostList.
 type HostListRead struct {
-	Hosts   []platform.ListedHost
+	Hosts   []tablestore.ListedHost
 	Failure *Failure
 }
 
--- a/handler/backend.go
+++ b/handler/backend.go
@@ -8,7 +8,7 @@
 	"github.com/lavenderstand/lavenderstand/control"
 	"github.com/lavenderstand/lavenderstand/engine"
 	"github.com/lavenderstand/lavenderstand/event"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -29,7 +29,7 @@
 // process start.
 type Backends struct {
 	Client  *engine.Client
-	Objects platform.Objects
+	Objects tablestore.Objects
 	Clock   func() time.Duration
 }
 
--- a/handler/claims_test.go
+++ b/handler/claims_test.go
@@ -11,19 +11,19 @@
 	"github.com/lavenderstand/lavenderstand/claim"
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/standin"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 // TestSweepDeletesExpiredClaimsOnly guards against claim rows that pile up for
 // ever, and against the deletion of one that still protects its request.
 func TestSweepDeletesExpiredClaimsOnly(t *testing.T) {
 	tables := standin.NewMemoryTables(1)
-	newOp := platform.OpIDs(rand.Uint64)
+	newOp := tablestore.OpIDs(rand.Uint64)
 	for key, age := range map[string]time.Duration{"old": claim.Retention + time.Minute, "new": claim.Retention - time.Minute} {
 		store := &claim.Store{
 			Tables: tables, NewOp: newOp, Now: func() time.Time { return time.Now().Add(-age) },
-			Resolve: platform.Resolve{Random: rand.Float64},
+			Resolve: tablestore.Resolve{Random: rand.Float64},
 		}
 		_, err := store.Claim(t.Context(), "app", "claims", key, "hash")
 		require.NoError(t, err)
--- a/handler/client_bench_test.go
+++ b/handler/client_bench_test.go
@@ -18,7 +18,7 @@
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/engine"
 	"github.com/lavenderstand/lavenderstand/event"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 // cannedServer answers each request on a connection with the answer that the URL
@@ -69,15 +69,15 @@
 	ctx := context.Background()
 	w := newWireWorld(b)
 	w.fill("host/", 720, func(i int) any { h := bench.TargetHostRow(i); return hostValue{h.Host, h.Zone, h.Role, h.Address} })
-	list := make([]platform.ListedHost, 5100)
+	list := make([]tablestore.ListedHost, 5100)
 	for i := range list {
-		list[i] = platform.ListedHost{Name: fmt.Sprintf("engine-%05d", i), Kind: "engine", Model: "matching", Address: "10.120.130.140:9001", Zone: "region-1-zone-a", State: platform.StateLive}
+		list[i] = tablestore.ListedHost{Name: fmt.Sprintf("engine-%05d", i), Kind: "engine", Model: "matching", Address: "10.120.130.140:9001", Zone: "region-1-zone-a", State: tablestore.StateLive}
 	}
 	w.services.Hosts.Set(list)
 	base := "http://" + w.platform.Addr().String()
 	engineAddress := cannedServer(b, "http://"+w.address+"/v1/state")
-	hosts := Platform{Hosts: platform.NewHostListClient("http://"+cannedServer(b, base+"/v1/hosts"), &http.Client{})}
-	rows := Platform{Tables: platform.NewTablesClient("http://"+cannedServer(b, base+"/v1/rows?prefix=host/&limit=1000"), &http.Client{})}
+	hosts := Platform{Hosts: tablestore.NewHostListClient("http://"+cannedServer(b, base+"/v1/hosts"), &http.Client{})}
+	rows := Platform{Tables: tablestore.NewTablesClient("http://"+cannedServer(b, base+"/v1/rows?prefix=host/&limit=1000"), &http.Client{})}
 	backends := Backends{Client: engine.NewClient(strings.Repeat("t", 32))}
 	for _, x := range []struct {
 		name string
--- a/handler/platform.go
+++ b/handler/platform.go
@@ -8,7 +8,7 @@
 	"github.com/lavenderstand/lavenderstand/configstore"
 	"github.com/lavenderstand/lavenderstand/control"
 	"github.com/lavenderstand/lavenderstand/event"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -44,12 +44,12 @@
 
 // Platform is what the platform's executors need.
 type Platform struct {
-	Tables  platform.Tables
-	Objects platform.Objects
-	Hosts   platform.HostList
+	Tables  tablestore.Tables
+	Objects tablestore.Objects
+	Hosts   tablestore.HostList
 	// Clock returns the monotonic offset from process start.
 	Clock func() time.Duration
-	// NewOp returns unique operation ids, see platform.OpIDs.
+	// NewOp returns unique operation ids, see tablestore.OpIDs.
 	NewOp func() string
 	// Random returns numbers in [0, 1), safe for concurrent use.
 	Random func() float64
@@ -81,8 +81,8 @@
 }
 
 // resolve returns the repetition of calls for a command.
-func (p *Platform) resolve(name string) platform.Resolve {
-	return platform.Resolve{
+func (p *Platform) resolve(name string) tablestore.Resolve {
+	return tablestore.Resolve{
 		Random: p.Random,
 		Count: func(reason verdict.Reason) {
 			p.count(CounterRetries, map[string]string{"command": name, "reason": string(reason)})
--- a/handler/platform_claims.go
+++ b/handler/platform_claims.go
@@ -7,7 +7,7 @@
 	"github.com/lavenderstand/lavenderstand/claim"
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 const (
@@ -45,8 +45,8 @@
 	return event.ClaimsSwept{Deleted: deleted}
 }
 
-func expiredClaims(rows []platform.Row, now time.Time) []platform.Row {
-	var expired []platform.Row
+func expiredClaims(rows []tablestore.Row, now time.Time) []tablestore.Row {
+	var expired []tablestore.Row
 	for _, row := range rows {
 		if claim.Expired(row, now) {
 			expired = append(expired, row)
@@ -57,15 +57,15 @@
 
 // deleteRows deletes rows that still have the version that was read. A conflict
 // leaves the whole batch in place.
-func (p *Platform) deleteRows(ctx context.Context, name string, rows []platform.Row) (int, error) {
-	txn := platform.Txn{Op: p.NewOp()}
+func (p *Platform) deleteRows(ctx context.Context, name string, rows []tablestore.Row) (int, error) {
+	txn := tablestore.Txn{Op: p.NewOp()}
 	for _, row := range rows {
-		txn.If = append(txn.If, platform.Condition{Key: row.Key, Version: row.Version})
+		txn.If = append(txn.If, tablestore.Condition{Key: row.Key, Version: row.Version})
 		txn.Delete = append(txn.Delete, row.Key)
 	}
 	resolve := p.resolve(name)
 	resolve.AbsentIsCommitted = true
-	result, err := platform.CommitResolved(ctx, p.Tables, txn, resolve)
+	result, err := tablestore.CommitResolved(ctx, p.Tables, txn, resolve)
 	if err != nil || !result.Committed {
 		return 0, err
 	}
--- a/handler/platform_hosts.go
+++ b/handler/platform_hosts.go
@@ -9,7 +9,7 @@
 
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -22,7 +22,7 @@
 	Address string `json:"address"`
 }
 
-func decodeHost(row platform.Row) (event.HostRow, error) {
+func decodeHost(row tablestore.Row) (event.HostRow, error) {
 	var v hostValue
 	if err := json.Unmarshal(row.Value, &v); err != nil {
 		return event.HostRow{}, err
@@ -37,7 +37,7 @@
 }
 
 // decodeRows decodes all rows and counts and skips malformed ones.
-func decodeRows[T any](p *Platform, kind string, rows []platform.Row, decode func(platform.Row) (T, error)) []T {
+func decodeRows[T any](p *Platform, kind string, rows []tablestore.Row, decode func(tablestore.Row) (T, error)) []T {
 	decoded := make([]T, 0, len(rows))
 	for _, row := range rows {
 		v, err := decode(row)
@@ -72,11 +72,11 @@
 func (p *Platform) putHostRow(ctx context.Context, c command.WriteHostRow) error {
 	key := hostPrefix + c.Row.ID
 	resolve := p.resolve(c.Name())
-	current, found, err := platform.GetRepeated(ctx, p.Tables, key, resolve)
+	current, found, err := tablestore.GetRepeated(ctx, p.Tables, key, resolve)
 	if err != nil || (c.Delete && !found) {
 		return err
 	}
-	txn := platform.Txn{Op: p.NewOp(), If: []platform.Condition{{Key: key, Version: current.Version}}}
+	txn := tablestore.Txn{Op: p.NewOp(), If: []tablestore.Condition{{Key: key, Version: current.Version}}}
 	if c.Delete {
 		txn.Delete = []string{key}
 		resolve.AbsentIsCommitted = true
@@ -85,10 +85,10 @@
 		if err != nil {
 			return verdict.Wrap(err, verdict.NotRun, verdict.ReasonInternal, "encode host row")
 		}
-		txn.Put = []platform.Put{{Key: key, Value: value}}
-		resolve.WriteOnce = platform.EveryCreatedRow // only this process writes the row
+		txn.Put = []tablestore.Put{{Key: key, Value: value}}
+		resolve.WriteOnce = tablestore.EveryCreatedRow // only this process writes the row
 	}
-	result, err := platform.CommitResolved(ctx, p.Tables, txn, resolve)
+	result, err := tablestore.CommitResolved(ctx, p.Tables, txn, resolve)
 	if err == nil && !result.Committed {
 		return verdict.New(verdict.NotRun, verdict.ReasonConflict, "host row %s was changed by another writer", key)
 	}
--- a/handler/platform_lease.go
+++ b/handler/platform_lease.go
@@ -9,10 +9,10 @@
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/lease"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
-func decodeLease(row platform.Row) (event.LeaseRow, error) {
+func decodeLease(row tablestore.Row) (event.LeaseRow, error) {
 	name, _ := lease.Name(row.Key)
 	partition, err := strconv.Atoi(name)
 	if err != nil || partition < 0 || strconv.Itoa(partition) != name {
--- a/handler/platform_rows.go
+++ b/handler/platform_rows.go
@@ -10,7 +10,7 @@
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/ledger"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -34,19 +34,19 @@
 	resolve := p.resolve(c.Name())
 	// A holder changes a row only after it knows the outcome of its creation,
 	// another holder only after takeover, which writeTimeout excludes.
-	resolve.WriteOnce = platform.EveryCreatedRow
+	resolve.WriteOnce = tablestore.EveryCreatedRow
 	resolve.AbsentIsCommitted = true // deletions are cleanup
-	result, err := platform.CommitResolved(ctx, p.Tables, txn, resolve)
+	result, err := tablestore.CommitResolved(ctx, p.Tables, txn, resolve)
 	return event.RowsCommitted{
 		ID: c.ID, Committed: result.Committed, Versions: result.Versions, Failure: event.FailureOf(err),
 	}
 }
 
-func (p *Platform) transaction(rows []command.RowWrite) (platform.Txn, error) {
-	txn := platform.Txn{Op: p.NewOp()}
+func (p *Platform) transaction(rows []command.RowWrite) (tablestore.Txn, error) {
+	txn := tablestore.Txn{Op: p.NewOp()}
 	for _, row := range rows {
 		if !row.Any {
-			txn.If = append(txn.If, platform.Condition{Key: row.Key, Version: row.If})
+			txn.If = append(txn.If, tablestore.Condition{Key: row.Key, Version: row.If})
 		}
 		if row.Delete {
 			txn.Delete = append(txn.Delete, row.Key)
@@ -56,7 +56,7 @@
 		if err != nil {
 			return txn, err
 		}
-		txn.Put = append(txn.Put, platform.Put{Key: row.Key, Value: value})
+		txn.Put = append(txn.Put, tablestore.Put{Key: row.Key, Value: value})
 	}
 	return txn, txn.Check()
 }
@@ -126,8 +126,8 @@
 	return loaded, nil
 }
 
-func groupDecoder(trainer string) func(platform.Row) (event.GroupRow, error) {
-	return func(row platform.Row) (event.GroupRow, error) {
+func groupDecoder(trainer string) func(tablestore.Row) (event.GroupRow, error) {
+	return func(row tablestore.Row) (event.GroupRow, error) {
 		var r ledger.GroupRecord
 		if err := json.Unmarshal(row.Value, &r); err != nil {
 			return event.GroupRow{}, err
@@ -139,8 +139,8 @@
 	}
 }
 
-func sampleDecoder(trainer string) func(platform.Row) (event.SampleRow, error) {
-	return func(row platform.Row) (event.SampleRow, error) {
+func sampleDecoder(trainer string) func(tablestore.Row) (event.SampleRow, error) {
+	return func(row tablestore.Row) (event.SampleRow, error) {
 		var r ledger.SampleRecord
 		if err := json.Unmarshal(row.Value, &r); err != nil {
 			return event.SampleRow{}, err
@@ -155,7 +155,7 @@
 	}
 }
 
-func decodeLot(row platform.Row) (ledger.LotRecord, error) {
+func decodeLot(row tablestore.Row) (ledger.LotRecord, error) {
 	var r ledger.LotRecord
 	if err := json.Unmarshal(row.Value, &r); err != nil {
 		return r, err
@@ -166,7 +166,7 @@
 	return r, nil
 }
 
-func decodeWeights(row platform.Row) (event.WeightsRow, error) {
+func decodeWeights(row tablestore.Row) (event.WeightsRow, error) {
 	var v struct {
 		Version ledger.Version `json:"version"`
 	}
--- a/handler/platform_test.go
+++ b/handler/platform_test.go
@@ -16,8 +16,8 @@
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/ledger"
 	"github.com/lavenderstand/lavenderstand/plan"
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/standin"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -33,7 +33,7 @@
 	f := &fixture{tables: standin.NewMemoryTables(1), objects: standin.NewMemoryObjects(1), counts: map[string]int{}}
 	f.Platform = &Platform{
 		Tables: f.tables, Objects: f.objects, Clock: func() time.Duration { return time.Minute },
-		NewOp: platform.OpIDs(rand.Uint64), Random: func() float64 { return 0.05 },
+		NewOp: tablestore.OpIDs(rand.Uint64), Random: func() float64 { return 0.05 },
 		Count: func(counter string, tags map[string]string) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -44,7 +44,7 @@
 }
 
 func (f *fixture) raw(key, value string) {
-	f.tables.Store.Apply(platform.Txn{Put: []platform.Put{{Key: key, Value: json.RawMessage(value)}}})
+	f.tables.Store.Apply(tablestore.Txn{Put: []tablestore.Put{{Key: key, Value: json.RawMessage(value)}}})
 }
 
 func trainerRows(step int64, version uint64) []command.RowWrite {
@@ -92,7 +92,7 @@
 // rejects as too large and against rows without a record.
 func TestCommitRowsLimits(t *testing.T) {
 	f := newFixture()
-	rows := make([]command.RowWrite, platform.MaxTxnRows+1)
+	rows := make([]command.RowWrite, tablestore.MaxTxnRows+1)
 	for i := range rows {
 		rows[i] = command.RowWrite{Key: fmt.Sprint(i), Delete: true, Any: true}
 	}
@@ -162,7 +162,7 @@
 // would never be answered.
 func TestRegisterPlatform(t *testing.T) {
 	f := newFixture()
-	f.Hosts = platform.NewHostListClient("http://127.0.0.1:1", nil)
+	f.Hosts = tablestore.NewHostListClient("http://127.0.0.1:1", nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	pool := control.NewPool(ctx, control.NewInbox(1), func(c command.Command) { t.Errorf("no executor for %s", c.Name()) })
@@ -182,7 +182,7 @@
 	f.Add("sample/t/g/0", []byte(`{"group":"g","tokens":1,"ranges":[{"from":0,"to":1,"version":1}]}`))
 	f.Add("lot/t/1", []byte(`{"trainer":"t","step":1,"samples":[{}]}`))
 	f.Fuzz(func(_ *testing.T, key string, value []byte) {
-		row := platform.Row{Key: key, Version: 1, Value: value}
+		row := tablestore.Row{Key: key, Version: 1, Value: value}
 		_, _ = decodeLease(row)
 		_, _ = decodeHost(row)
 		_, _ = groupDecoder("t")(row)
--- a/handler/wire_bench_test.go
+++ b/handler/wire_bench_test.go
@@ -16,7 +16,7 @@
 	"github.com/lavenderstand/lavenderstand/engine"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/ledger"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 // BenchmarkWire reports bytes and table-service operations of each exchange
@@ -31,9 +31,9 @@
 	raw, _ := json.Marshal(bench.TargetConfig(100))
 	_, err := w.config("fill").Commit(ctx, 0, "operator-1", raw)
 	require.NoError(b, err)
-	list := make([]platform.ListedHost, 5100)
+	list := make([]tablestore.ListedHost, 5100)
 	for i := range list {
-		list[i] = platform.ListedHost{Name: fmt.Sprintf("engine-%05d", i), Kind: "engine", Model: "matching", Address: "10.120.130.140:9001", Zone: "region-1-zone-a", State: "live"}
+		list[i] = tablestore.ListedHost{Name: fmt.Sprintf("engine-%05d", i), Kind: "engine", Model: "matching", Address: "10.120.130.140:9001", Zone: "region-1-zone-a", State: "live"}
 	}
 	w.services.Hosts.Set(list)
 	var leaseVersion, configVersion uint64
--- a/handler/wire_world_test.go
+++ b/handler/wire_world_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/lavenderstand/lavenderstand/bench"
 	"github.com/lavenderstand/lavenderstand/engine"
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/standin"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 // wireWorld is a platform and an engine behind counted connections.
@@ -42,12 +42,12 @@
 	e.Register(server)
 	serveWire(b, w.engine, server)
 	w.address = w.engine.Addr().String()
-	base, client := "http://"+w.platform.Addr().String(), &http.Client{Transport: &platform.BearerTransport{Token: strings.Repeat("t", 32)}}
+	base, client := "http://"+w.platform.Addr().String(), &http.Client{Transport: &tablestore.BearerTransport{Token: strings.Repeat("t", 32)}}
 	start := time.Now()
 	w.Platform = &Platform{
-		Tables: platform.NewTablesClient(base, client), Objects: platform.NewObjectsClient(base, client),
-		Hosts: platform.NewHostListClient(base, client), Clock: func() time.Duration { return time.Since(start) },
-		NewOp: platform.OpIDs(rand.Uint64), Random: rand.Float64,
+		Tables: tablestore.NewTablesClient(base, client), Objects: tablestore.NewObjectsClient(base, client),
+		Hosts: tablestore.NewHostListClient(base, client), Clock: func() time.Duration { return time.Since(start) },
+		NewOp: tablestore.OpIDs(rand.Uint64), Random: rand.Float64,
 	}
 	w.Backends = Backends{Client: engine.NewClient(strings.Repeat("t", 32)), Clock: w.Platform.Clock}
 	return w
@@ -68,7 +68,7 @@
 func (w *wireWorld) fill(prefix string, rows int, value func(i int) any) {
 	for i := range rows {
 		raw, _ := json.Marshal(value(i))
-		w.services.Tables.Store.Apply(platform.Txn{Op: "0123456789abcdef0123456789abcdef",
-			Put: []platform.Put{{Key: fmt.Sprintf("%s%05d", prefix, i), Value: raw}}})
+		w.services.Tables.Store.Apply(tablestore.Txn{Op: "0123456789abcdef0123456789abcdef",
+			Put: []tablestore.Put{{Key: fmt.Sprintf("%s%05d", prefix, i), Value: raw}}})
 	}
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lavenderstand/lavenderstand/lease"
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/standin"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 const (
@@ -98,7 +98,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	return lease.Write(ctx, m, "3", version, lease.Record{Holder: holder, Fence: 1, Length: length}, op,
-		platform.Resolve{Random: func() float64 { return 0 }})
+		tablestore.Resolve{Random: func() float64 { return 0 }})
 }
 
 // TestWrite guards against two holders after a lost answer.
@@ -123,7 +123,7 @@
 // overtaken lets another process take the lease before the first read back.
 type overtaken struct{ *standin.MemoryTables }
 
-func (o overtaken) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+func (o overtaken) Get(ctx context.Context, key string) (tablestore.Row, bool, error) {
 	if row, _ := o.Store.Read(key); row.Op == "late" {
 		_, _, _ = write(o.MemoryTables, row.Version, "b", "other")
 	}
@@ -140,7 +140,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_, committed, err := lease.Write(ctx, overtaken{m}, "3", version, lease.Record{Holder: "a", Fence: 1, Length: length},
-		"late", platform.Resolve{Random: func() float64 { return 0 }})
+		"late", tablestore.Resolve{Random: func() float64 { return 0 }})
 	require.NoError(t, err)
 	require.False(t, committed)
 }
--- a/lease/row.go
+++ b/lease/row.go
@@ -8,7 +8,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -54,8 +54,8 @@
 // false if another process has written the row; then this process must not act
 // as holder. An error means that the outcome is unknown or, with verdict
 // NotRun, that nothing was written.
-func Write(ctx context.Context, tables platform.Tables, name string, version uint64, r Record,
-	op string, resolve platform.Resolve) (newVersion uint64, committed bool, err error) {
+func Write(ctx context.Context, tables tablestore.Tables, name string, version uint64, r Record,
+	op string, resolve tablestore.Resolve) (newVersion uint64, committed bool, err error) {
 	value, err := Encode(r)
 	if err != nil {
 		return 0, false, err
@@ -63,11 +63,11 @@
 	key := Key(name)
 	// Lease rows are never deleted. A new row that another process has
 	// overwritten counts as lost, like any other overwritten lease.
-	resolve.WriteOnce = platform.EveryCreatedRow
-	result, err := platform.CommitResolved(ctx, tables, platform.Txn{
+	resolve.WriteOnce = tablestore.EveryCreatedRow
+	result, err := tablestore.CommitResolved(ctx, tables, tablestore.Txn{
 		Op:  op,
-		If:  []platform.Condition{{Key: key, Version: version}},
-		Put: []platform.Put{{Key: key, Value: value}},
+		If:  []tablestore.Condition{{Key: key, Version: version}},
+		Put: []tablestore.Put{{Key: key, Value: value}},
 	}, resolve)
 	if err != nil && verdict.ReasonOf(err) == verdict.ReasonConflict {
 		return 0, false, nil // overwritten, whether or not our write came first
--- a/standin/hostlist.go
+++ b/standin/hostlist.go
@@ -11,12 +11,12 @@
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 // HostList serves a host list. Changes become visible after Lag.
 type HostList struct {
-	Listed   []platform.ListedHost // at the start
+	Listed   []tablestore.ListedHost // at the start
 	Lag      time.Duration
 	Injector *PlatformInjector // no faults if nil
 
@@ -27,18 +27,18 @@
 
 type hostChange struct {
 	visible time.Time
-	hosts   []platform.ListedHost
+	hosts   []tablestore.ListedHost
 }
 
 // HostListChange is an entry of the host list's ledger.
 type HostListChange struct {
-	At      time.Time             `json:"at"`
-	Visible time.Time             `json:"visible"`
-	Hosts   []platform.ListedHost `json:"hosts"`
+	At      time.Time               `json:"at"`
+	Visible time.Time               `json:"visible"`
+	Hosts   []tablestore.ListedHost `json:"hosts"`
 }
 
 // Set replaces the list.
-func (h *HostList) Set(hosts []platform.ListedHost) {
+func (h *HostList) Set(hosts []tablestore.ListedHost) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.set(hosts)
@@ -49,7 +49,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	hosts := slices.Clone(h.newest())
-	i := slices.IndexFunc(hosts, func(l platform.ListedHost) bool { return l.Name == name })
+	i := slices.IndexFunc(hosts, func(l tablestore.ListedHost) bool { return l.Name == name })
 	if i < 0 {
 		return false
 	}
@@ -66,7 +66,7 @@
 }
 
 // Hosts returns the list as it is visible now.
-func (h *HostList) Hosts() []platform.ListedHost {
+func (h *HostList) Hosts() []tablestore.ListedHost {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for len(h.changes) > 0 && !time.Now().Before(h.changes[0].visible) {
@@ -82,7 +82,7 @@
 	return slices.Clone(h.ledger)
 }
 
-func (h *HostList) newest() []platform.ListedHost {
+func (h *HostList) newest() []tablestore.ListedHost {
 	if n := len(h.changes); n > 0 {
 		return h.changes[n-1].hosts
 	}
@@ -90,7 +90,7 @@
 }
 
 // set appends a change. A change is never visible before an earlier one.
-func (h *HostList) set(hosts []platform.ListedHost) {
+func (h *HostList) set(hosts []tablestore.ListedHost) {
 	now := time.Now()
 	visible := now.Add(h.Lag)
 	if n := len(h.changes); n > 0 && visible.Before(h.changes[n-1].visible) {
@@ -110,7 +110,7 @@
 		return g.read(c, func() error {
 			hosts := h.Hosts()
 			if hosts == nil {
-				hosts = []platform.ListedHost{}
+				hosts = []tablestore.ListedHost{}
 			}
 			return c.JSON(http.StatusOK, map[string]any{"hosts": hosts})
 		})
@@ -121,7 +121,7 @@
 func (h *HostList) registerAdmin(e *echo.Echo) {
 	e.PUT("/admin/hosts", func(c echo.Context) error {
 		var body struct {
-			Hosts []platform.ListedHost `json:"hosts"`
+			Hosts []tablestore.ListedHost `json:"hosts"`
 		}
 		if err := c.Bind(&body); err != nil {
 			return err
@@ -134,7 +134,7 @@
 		if err := c.Bind(&body); err != nil {
 			return err
 		}
-		if body.State != platform.StateLive && body.State != platform.StateLeaving {
+		if body.State != tablestore.StateLive && body.State != tablestore.StateLeaving {
 			return reject(c, http.StatusBadRequest, "state is neither live nor leaving")
 		}
 		if !h.SetState(body.Name, body.State) {
--- a/standin/platform_http.go
+++ b/standin/platform_http.go
@@ -7,7 +7,7 @@
 	"github.com/labstack/echo/v4"
 	"golang.org/x/time/rate"
 
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -37,7 +37,7 @@
 	if perSecond <= 0 {
 		return rate.NewLimiter(rate.Inf, 0)
 	}
-	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond), platform.MaxTxnRows))
+	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond), tablestore.MaxTxnRows))
 }
 
 // read passes a read on, or answers it with a rejection.
@@ -79,7 +79,7 @@
 // reject answers a request that was not executed.
 func reject(c echo.Context, status int, message string) error {
 	v := verdict.NotRun
-	return c.JSON(status, platform.Rejection{Error: message, Verdict: &v})
+	return c.JSON(status, tablestore.Rejection{Error: message, Verdict: &v})
 }
 
 // closeConnection ends the connection without an answer.
--- a/standin/platform_inprocess.go
+++ b/standin/platform_inprocess.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -17,7 +17,7 @@
 	Injector *PlatformInjector
 
 	mu   sync.Mutex
-	late []platform.Txn
+	late []tablestore.Txn
 }
 
 // NewMemoryTables returns an empty table service without faults.
@@ -25,28 +25,28 @@
 	return &MemoryTables{Store: NewTableStore(), Injector: NewPlatformInjector(seed)}
 }
 
-// Commit implements platform.Tables.
-func (m *MemoryTables) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Commit implements tablestore.Tables.
+func (m *MemoryTables) Commit(ctx context.Context, txn tablestore.Txn) (tablestore.TxnResult, error) {
 	if err := txn.Check(); err != nil {
-		return platform.TxnResult{}, err
+		return tablestore.TxnResult{}, err
 	}
 	d := m.Injector.decide(true)
 	if err := pauseOrRejected(ctx, d); err != nil {
-		return platform.TxnResult{}, err
+		return tablestore.TxnResult{}, err
 	}
 	lost := verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, "answer lost")
 	switch d.kind {
 	case faultRequestLost:
-		return platform.TxnResult{}, lost
+		return tablestore.TxnResult{}, lost
 	case faultLate:
 		m.mu.Lock()
 		m.late = append(m.late, txn)
 		m.mu.Unlock()
-		return platform.TxnResult{}, lost
+		return tablestore.TxnResult{}, lost
 	}
 	result := m.Store.Apply(txn)
 	if d.kind == faultAnswerLost {
-		return platform.TxnResult{}, lost
+		return tablestore.TxnResult{}, lost
 	}
 	return result, nil
 }
@@ -67,17 +67,17 @@
 	return landed
 }
 
-// Get implements platform.Tables.
-func (m *MemoryTables) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+// Get implements tablestore.Tables.
+func (m *MemoryTables) Get(ctx context.Context, key string) (tablestore.Row, bool, error) {
 	if err := pauseOrRejected(ctx, m.Injector.decide(false)); err != nil {
-		return platform.Row{}, false, err
+		return tablestore.Row{}, false, err
 	}
 	row, found := m.Store.Read(key)
 	return row, found, nil
 }
 
-// Scan implements platform.Tables.
-func (m *MemoryTables) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+// Scan implements tablestore.Tables.
+func (m *MemoryTables) Scan(ctx context.Context, prefix string) ([]tablestore.Row, error) {
 	if err := pauseOrRejected(ctx, m.Injector.decide(false)); err != nil {
 		return nil, err
 	}
@@ -96,7 +96,7 @@
 	return &MemoryObjects{Store: NewObjectStore(), Injector: NewPlatformInjector(seed)}
 }
 
-// Put implements platform.Objects.
+// Put implements tablestore.Objects.
 func (m *MemoryObjects) Put(ctx context.Context, key string, data []byte) error {
 	return m.write(ctx, func() error {
 		if !m.Store.Write(key, data) {
@@ -106,7 +106,7 @@
 	})
 }
 
-// Get implements platform.Objects.
+// Get implements tablestore.Objects.
 func (m *MemoryObjects) Get(ctx context.Context, key string) ([]byte, bool, error) {
 	if err := pauseOrRejected(ctx, m.Injector.decide(false)); err != nil {
 		return nil, false, err
@@ -115,7 +115,7 @@
 	return data, found, nil
 }
 
-// Delete implements platform.Objects.
+// Delete implements tablestore.Objects.
 func (m *MemoryObjects) Delete(ctx context.Context, key string) error {
 	return m.write(ctx, func() error { m.Store.Remove(key); return nil })
 }
--- a/standin/platform_memory.go
+++ b/standin/platform_memory.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 // ledgerLimit is the number of entries that a ledger keeps; further ones are
@@ -35,7 +35,7 @@
 // across deletion.
 type TableStore struct {
 	mu       sync.Mutex
-	rows     map[string]platform.Row
+	rows     map[string]tablestore.Row
 	versions map[string]uint64
 	ledger   TableLedger
 	start    time.Time
@@ -44,38 +44,38 @@
 // NewTableStore returns an empty store.
 func NewTableStore() *TableStore {
 	return &TableStore{
-		rows: make(map[string]platform.Row), versions: make(map[string]uint64), start: time.Now(),
+		rows: make(map[string]tablestore.Row), versions: make(map[string]uint64), start: time.Now(),
 	}
 }
 
 // Apply runs a transaction: all of it takes effect or none.
-func (s *TableStore) Apply(txn platform.Txn) platform.TxnResult {
+func (s *TableStore) Apply(txn tablestore.Txn) tablestore.TxnResult {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var conflicts []platform.Condition
+	var conflicts []tablestore.Condition
 	for _, c := range txn.If {
 		if current := s.rows[c.Key].Version; current != c.Version {
-			conflicts = append(conflicts, platform.Condition{Key: c.Key, Version: current})
+			conflicts = append(conflicts, tablestore.Condition{Key: c.Key, Version: current})
 		}
 	}
 	if len(conflicts) > 0 {
 		s.ledger.Conflicts++
-		return platform.TxnResult{Conflicts: conflicts}
+		return tablestore.TxnResult{Conflicts: conflicts}
 	}
 	versions := make(map[string]uint64, len(txn.Put))
 	for _, p := range txn.Put {
 		s.versions[p.Key]++
 		versions[p.Key] = s.versions[p.Key]
-		s.rows[p.Key] = platform.Row{Key: p.Key, Version: s.versions[p.Key], Op: txn.Op, Value: slices.Clone(p.Value)}
+		s.rows[p.Key] = tablestore.Row{Key: p.Key, Version: s.versions[p.Key], Op: txn.Op, Value: slices.Clone(p.Value)}
 	}
 	for _, key := range txn.Delete {
 		delete(s.rows, key)
 	}
 	s.record(txn, versions)
-	return platform.TxnResult{Committed: true, Versions: versions}
+	return tablestore.TxnResult{Committed: true, Versions: versions}
 }
 
-func (s *TableStore) record(txn platform.Txn, versions map[string]uint64) {
+func (s *TableStore) record(txn tablestore.Txn, versions map[string]uint64) {
 	s.ledger.RowsWritten += len(txn.Put) + len(txn.Delete)
 	if len(s.ledger.Commits) >= ledgerLimit {
 		s.ledger.Truncated++
@@ -87,7 +87,7 @@
 }
 
 // Read returns a row.
-func (s *TableStore) Read(key string) (platform.Row, bool) {
+func (s *TableStore) Read(key string) (tablestore.Row, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ledger.Reads++
@@ -97,7 +97,7 @@
 
 // Page returns up to limit rows with the prefix, in key order after a key, and
 // the key to continue after, empty at the end.
-func (s *TableStore) Page(prefix, after string, limit int) (rows []platform.Row, next string) {
+func (s *TableStore) Page(prefix, after string, limit int) (rows []tablestore.Row, next string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ledger.Reads++
@@ -106,7 +106,7 @@
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b tablestore.Row) int { return cmp.Compare(a.Key, b.Key) })
 	if len(rows) > limit {
 		return rows[:limit], rows[limit-1].Key
 	}
--- a/standin/platform_objects.go
+++ b/standin/platform_objects.go
@@ -6,7 +6,7 @@
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 // ObjectService is the object store over HTTP.
@@ -44,7 +44,7 @@
 }
 
 func (s *ObjectService) put(c echo.Context, g gate) error {
-	data, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, platform.MaxObjectBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, tablestore.MaxObjectBytes))
 	if err != nil {
 		return reject(c, http.StatusRequestEntityTooLarge, err.Error())
 	}
@@ -53,7 +53,7 @@
 		same := s.Store.Write(key, data)
 		return func() error {
 			if !same {
-				return c.JSON(http.StatusConflict, platform.Rejection{Error: "object exists with other bytes"})
+				return c.JSON(http.StatusConflict, tablestore.Rejection{Error: "object exists with other bytes"})
 			}
 			return c.NoContent(http.StatusOK)
 		}
--- a/standin/platform_tables.go
+++ b/standin/platform_tables.go
@@ -7,7 +7,7 @@
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 // Limits of the table service's requests.
@@ -42,7 +42,7 @@
 }
 
 func (s *TableService) commit(c echo.Context, g gate) error {
-	var txn platform.Txn
+	var txn tablestore.Txn
 	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxTxnBytes)
 	if err := json.NewDecoder(body).Decode(&txn); err != nil {
 		return reject(c, http.StatusBadRequest, err.Error())
@@ -79,7 +79,7 @@
 	}
 	rows, next := s.Store.Page(c.QueryParam("prefix"), c.QueryParam("after"), limit)
 	if rows == nil {
-		rows = []platform.Row{}
+		rows = []tablestore.Row{}
 	}
 	return c.JSON(http.StatusOK, map[string]any{"rows": rows, "next": next})
 }
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -36,16 +36,16 @@
 	p := NewPlatform(1, PlatformRates{WritesPerSecond: 300, ReadsPerSecond: 2000})
 	server := httptest.NewServer(p.Echo(""))
 	defer server.Close()
-	client := platform.NewTablesClient(server.URL, &http.Client{})
-	txn := platform.Txn{Op: "1"}
-	for range platform.MaxTxnRows {
+	client := tablestore.NewTablesClient(server.URL, &http.Client{})
+	txn := tablestore.Txn{Op: "1"}
+	for range tablestore.MaxTxnRows {
 		txn.Delete = append(txn.Delete, "k")
 	}
 	_, err := client.Commit(context.Background(), txn)
 	require.NoError(t, err)
 	_, err = client.Commit(context.Background(), txn)
 	require.Equal(t, verdict.ReasonRateLimited, verdict.ReasonOf(err))
-	require.Equal(t, platform.MaxTxnRows, p.Tables.Store.Ledger().RowsWritten)
+	require.Equal(t, tablestore.MaxTxnRows, p.Tables.Store.Ledger().RowsWritten)
 }
 
 // TestHostListLag guards against a change that is visible before the lag.
@@ -57,16 +57,16 @@
 	require.Equal(t, http.StatusNoContent, status)
 	status, _ = send(t, http.MethodPost, server.URL+"/admin/hosts/lag", `{"lag_ms":200}`)
 	require.Equal(t, http.StatusNoContent, status)
-	list := platform.NewHostListClient(server.URL, &http.Client{})
+	list := tablestore.NewHostListClient(server.URL, &http.Client{})
 	changed := time.Now()
 	status, _ = send(t, http.MethodPost, server.URL+"/admin/hosts/state", `{"name":"s1","state":"leaving"}`)
 	require.Equal(t, http.StatusNoContent, status)
 	hosts, err := list.Hosts(context.Background())
 	require.NoError(t, err)
-	require.Equal(t, platform.StateLive, hosts[0].State)
+	require.Equal(t, tablestore.StateLive, hosts[0].State)
 	require.Eventually(t, func() bool {
 		hosts, err := list.Hosts(context.Background())
-		return err == nil && hosts[0].State == platform.StateLeaving
+		return err == nil && hosts[0].State == tablestore.StateLeaving
 	}, 5*time.Second, 5*time.Millisecond)
 	require.GreaterOrEqual(t, time.Since(changed), 200*time.Millisecond)
 	status, _ = send(t, http.MethodPost, server.URL+"/admin/hosts/state", `{"name":"s9","state":"leaving"}`)
@@ -87,8 +87,8 @@
 	status, _ = send(t, http.MethodGet, server.URL+"/v1/row?key=a", "")
 	require.Equal(t, http.StatusUnauthorized, status)
 
-	client := platform.NewTablesClient(server.URL, &http.Client{Transport: &platform.BearerTransport{Token: "secret"}})
-	_, err := client.Commit(context.Background(), platform.Txn{Op: "w", Delete: []string{"a"}})
+	client := tablestore.NewTablesClient(server.URL, &http.Client{Transport: &tablestore.BearerTransport{Token: "secret"}})
+	_, err := client.Commit(context.Background(), tablestore.Txn{Op: "w", Delete: []string{"a"}})
 	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
 	_, body := send(t, http.MethodGet, server.URL+"/admin/ledger?role=tables", "")
 	var answer struct{ Tables TableLedger }
--- a/system/capacity_bench_test.go
+++ b/system/capacity_bench_test.go
@@ -10,9 +10,9 @@
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/plan"
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/system"
 	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 // backendCounts are the sizes at which the systems of an entry host are measured.
@@ -21,9 +21,9 @@
 func backendName(i int) string { return fmt.Sprintf("engine-%05d", i) }
 
 func listOf(n int) event.HostListRead {
-	read := event.HostListRead{Hosts: make([]platform.ListedHost, n)}
+	read := event.HostListRead{Hosts: make([]tablestore.ListedHost, n)}
 	for i := range n {
-		read.Hosts[i] = platform.ListedHost{
+		read.Hosts[i] = tablestore.ListedHost{
 			Name: backendName(i), Kind: "engine", Model: "match", Address: "127.0.0.1:9000", Zone: "a", State: "live",
 		}
 	}
--- a/system/membership.go
+++ b/system/membership.go
@@ -8,8 +8,8 @@
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/plan"
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 )
 
 const (
@@ -80,7 +80,7 @@
 	return float64(xxhash.Sum64String(host+"/"+server)>>11) / (1 << 53)
 }
 
-func applyListedBackend(now time.Duration, t *table.Tables, h platform.ListedHost) {
+func applyListedBackend(now time.Duration, t *table.Tables, h tablestore.ListedHost) {
 	b, created := t.Backends.Upsert(h.Name)
 	if created {
 		b.Name = h.Name
@@ -91,7 +91,7 @@
 	b.Address, b.Zone = h.Address, h.Zone
 	b.ChecksFence, b.ChecksIdentity = h.ChecksFence, h.ChecksIdentity
 	b.ListMissing, b.MissingSince = false, 0
-	b.ListLeaving = h.State != platform.StateLive
+	b.ListLeaving = h.State != tablestore.StateLive
 	if !b.ListLeaving {
 		b.ListSeen = now
 	}
--- a/system/routing_session_test.go
+++ b/system/routing_session_test.go
@@ -15,9 +15,9 @@
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/ledger"
 	"github.com/lavenderstand/lavenderstand/plan"
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/system"
 	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -34,7 +34,7 @@
 func listed(state string, names ...string) event.HostListRead {
 	var read event.HostListRead
 	for _, name := range names {
-		read.Hosts = append(read.Hosts, platform.ListedHost{
+		read.Hosts = append(read.Hosts, tablestore.ListedHost{
 			Name: name, Kind: "engine", Model: "match", Address: name + ":1", Zone: "a", State: state})
 	}
 	return read
--- a/platform/clients_test.go
+++ b/tablestore/clients_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tablestore_test
 
 import (
 	"bytes"
@@ -12,8 +12,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/standin"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -29,7 +29,7 @@
 // written.
 func TestCommitVerdicts(t *testing.T) {
 	p, url := serve(t, standin.PlatformRates{})
-	client := platform.NewTablesClient(url, &http.Client{})
+	client := tablestore.NewTablesClient(url, &http.Client{})
 	cases := map[string]struct {
 		faults  standin.PlatformFaults
 		verdict verdict.Verdict
@@ -67,11 +67,11 @@
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(status)
 		}))
-		_, err := platform.NewTablesClient(server.URL, &http.Client{}).Commit(context.Background(), put("w", "a", 0))
+		_, err := tablestore.NewTablesClient(server.URL, &http.Client{}).Commit(context.Background(), put("w", "a", 0))
 		server.Close()
 		require.Equal(t, verdict.MayHaveRun, verdict.Of(err), "status %d", status)
 	}
-	_, err := platform.NewTablesClient("http://127.0.0.1:1", &http.Client{}).Commit(context.Background(), put("w", "a", 0))
+	_, err := tablestore.NewTablesClient("http://127.0.0.1:1", &http.Client{}).Commit(context.Background(), put("w", "a", 0))
 	require.Equal(t, verdict.NotRun, verdict.Of(err))
 	require.Equal(t, verdict.ReasonConnectFailed, verdict.ReasonOf(err))
 }
@@ -80,13 +80,13 @@
 // again after deletion, and transactions that take effect in part.
 func TestTablesOverHTTP(t *testing.T) {
 	_, url := serve(t, standin.PlatformRates{})
-	client := platform.NewTablesClient(url, &http.Client{})
+	client := tablestore.NewTablesClient(url, &http.Client{})
 	ctx := context.Background()
 	for part := range 3 {
-		txn := platform.Txn{Op: "fill"}
+		txn := tablestore.Txn{Op: "fill"}
 		for i := range 700 {
 			key := "s/" + string(rune('a'+part)) + strings.Repeat("x", i)
-			txn.Put = append(txn.Put, platform.Put{Key: key, Value: []byte("1")})
+			txn.Put = append(txn.Put, tablestore.Put{Key: key, Value: []byte("1")})
 		}
 		_, err := client.Commit(ctx, txn)
 		require.NoError(t, err)
@@ -104,11 +104,11 @@
 	require.Equal(t, uint64(2), result.Versions["k"])
 
 	both := put("4", "k", 2)
-	both.If = append(both.If, platform.Condition{Key: "absent", Version: 1})
-	both.Put = append(both.Put, platform.Put{Key: "m", Value: []byte("1")})
+	both.If = append(both.If, tablestore.Condition{Key: "absent", Version: 1})
+	both.Put = append(both.Put, tablestore.Put{Key: "m", Value: []byte("1")})
 	result, err = client.Commit(ctx, both)
 	require.NoError(t, err)
-	require.Equal(t, []platform.Condition{{Key: "absent"}}, result.Conflicts)
+	require.Equal(t, []tablestore.Condition{{Key: "absent"}}, result.Conflicts)
 	_, found, err := client.Get(ctx, "m")
 	require.NoError(t, err)
 	require.False(t, found)
@@ -119,7 +119,7 @@
 func TestObjectsAndWeights(t *testing.T) {
 	p, url := serve(t, standin.PlatformRates{})
 	ctx := context.Background()
-	objects := platform.NewObjectsClient(url, &http.Client{})
+	objects := tablestore.NewObjectsClient(url, &http.Client{})
 	p.Objects.Injector.Set(standin.PlatformFaults{LoseAnswers: 1}, 0)
 	require.Equal(t, verdict.MayHaveRun, verdict.Of(objects.Put(ctx, "k/1", []byte("x"))))
 	require.NoError(t, objects.Put(ctx, "k/1", []byte("x")))
@@ -134,7 +134,7 @@
 	require.NoError(t, err)
 	require.False(t, found)
 
-	weights := platform.NewWeightsClient(url, &http.Client{})
+	weights := tablestore.NewWeightsClient(url, &http.Client{})
 	p.Weights.SetLimits(256<<10, 1<<20)
 	started := time.Now()
 	var first bytes.Buffer
--- a/platform/resolve_generated_test.go
+++ b/tablestore/resolve_generated_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tablestore_test
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/standin"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -25,9 +25,9 @@
 			m.Store.Apply(put("before", key, 0))
 		}
 		once := rapid.Bool().Draw(t, "write-once")
-		resolve := platform.Resolve{Random: noBackoff}
+		resolve := tablestore.Resolve{Random: noBackoff}
 		if once {
-			resolve.WriteOnce = platform.EveryCreatedRow
+			resolve.WriteOnce = tablestore.EveryCreatedRow
 		}
 		txn := drawTxn(t, m, keys)
 		m.Injector.Set(standin.PlatformFaults{
@@ -44,7 +44,7 @@
 		}}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		result, err := platform.CommitResolved(ctx, tables, txn, resolve)
+		result, err := tablestore.CommitResolved(ctx, tables, txn, resolve)
 		if err == nil && !result.Committed && commits(m, "w") != 0 {
 			t.Fatalf("reported as conflict but took effect")
 		}
@@ -61,26 +61,26 @@
 }
 
 // drawTxn draws a transaction whose conditions mostly hold.
-func drawTxn(t *rapid.T, m *standin.MemoryTables, keys []string) platform.Txn {
-	txn := platform.Txn{Op: "w"}
+func drawTxn(t *rapid.T, m *standin.MemoryTables, keys []string) tablestore.Txn {
+	txn := tablestore.Txn{Op: "w"}
 	for _, key := range keys {
 		row, _ := m.Store.Read(key)
 		switch rapid.IntRange(0, 3).Draw(t, "use of "+key) {
 		case 0:
-			txn.If = append(txn.If, platform.Condition{Key: key, Version: row.Version})
-			txn.Put = append(txn.Put, platform.Put{Key: key, Value: json.RawMessage("1")})
+			txn.If = append(txn.If, tablestore.Condition{Key: key, Version: row.Version})
+			txn.Put = append(txn.Put, tablestore.Put{Key: key, Value: json.RawMessage("1")})
 		case 1:
 			if row.Version > 0 {
-				txn.If = append(txn.If, platform.Condition{Key: key, Version: row.Version})
+				txn.If = append(txn.If, tablestore.Condition{Key: key, Version: row.Version})
 				txn.Delete = append(txn.Delete, key)
 			}
 		case 2:
-			txn.If = append(txn.If, platform.Condition{Key: key, Version: row.Version})
+			txn.If = append(txn.If, tablestore.Condition{Key: key, Version: row.Version})
 		}
 	}
 	if len(txn.Put)+len(txn.Delete) == 0 {
-		txn.If = append(txn.If, platform.Condition{Key: "d"})
-		txn.Put = append(txn.Put, platform.Put{Key: "d", Value: json.RawMessage("1")})
+		txn.If = append(txn.If, tablestore.Condition{Key: "d"})
+		txn.Put = append(txn.Put, tablestore.Put{Key: "d", Value: json.RawMessage("1")})
 	}
 	return txn
 }
@@ -102,7 +102,7 @@
 			m.Store.Apply(remove("other", key, row.Version))
 		}
 	case step == 7 && !once:
-		m.Store.Apply(platform.Txn{Op: "other", Delete: []string{"d"}})
+		m.Store.Apply(tablestore.Txn{Op: "other", Delete: []string{"d"}})
 	}
 }
 
@@ -121,12 +121,12 @@
 	for w := range writers {
 		wg.Go(func() {
 			for r := range rounds {
-				row, _, err := platform.GetRepeated(ctx, m, "a", platform.Resolve{Random: noBackoff})
+				row, _, err := tablestore.GetRepeated(ctx, m, "a", tablestore.Resolve{Random: noBackoff})
 				if err != nil {
 					continue
 				}
 				txn := put(string(rune('A'+w))+string(rune('0'+r)), "a", row.Version)
-				result, err := platform.CommitResolved(ctx, m, txn, platform.Resolve{Random: noBackoff})
+				result, err := tablestore.CommitResolved(ctx, m, txn, tablestore.Resolve{Random: noBackoff})
 				if err == nil && result.Committed {
 					mu.Lock()
 					winners[row.Version]++
--- a/platform/resolve_test.go
+++ b/tablestore/resolve_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tablestore_test
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/standin"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -17,32 +17,32 @@
 
 // interfered runs a function before each call, numbered from 1.
 type interfered struct {
-	platform.Tables
+	tablestore.Tables
 	before func(call int)
 	calls  int
 }
 
-func (i *interfered) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (i *interfered) Commit(ctx context.Context, txn tablestore.Txn) (tablestore.TxnResult, error) {
 	i.calls++
 	i.before(i.calls)
 	return i.Tables.Commit(ctx, txn)
 }
 
-func (i *interfered) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+func (i *interfered) Get(ctx context.Context, key string) (tablestore.Row, bool, error) {
 	i.calls++
 	i.before(i.calls)
 	return i.Tables.Get(ctx, key)
 }
 
-func put(op, key string, version uint64) platform.Txn {
-	return platform.Txn{
-		Op: op, If: []platform.Condition{{Key: key, Version: version}},
-		Put: []platform.Put{{Key: key, Value: json.RawMessage(`"` + op + `"`)}},
+func put(op, key string, version uint64) tablestore.Txn {
+	return tablestore.Txn{
+		Op: op, If: []tablestore.Condition{{Key: key, Version: version}},
+		Put: []tablestore.Put{{Key: key, Value: json.RawMessage(`"` + op + `"`)}},
 	}
 }
 
-func remove(op, key string, version uint64) platform.Txn {
-	return platform.Txn{Op: op, If: []platform.Condition{{Key: key, Version: version}}, Delete: []string{key}}
+func remove(op, key string, version uint64) tablestore.Txn {
+	return tablestore.Txn{Op: op, If: []tablestore.Condition{{Key: key, Version: version}}, Delete: []string{key}}
 }
 
 // commits returns how often an operation took effect.
@@ -59,7 +59,7 @@
 // TestCommitResolved guards against reporting a wrong outcome, or writing twice,
 // when the answer to a transaction is lost.
 func TestCommitResolved(t *testing.T) {
-	apply := func(m *standin.MemoryTables, txns ...platform.Txn) func() {
+	apply := func(m *standin.MemoryTables, txns ...tablestore.Txn) func() {
 		return func() {
 			for _, txn := range txns {
 				m.Store.Apply(txn)
@@ -73,9 +73,9 @@
 		effects   int
 	}
 	cases := map[string]struct {
-		txn     platform.Txn
+		txn     tablestore.Txn
 		faults  standin.PlatformFaults
-		resolve platform.Resolve
+		resolve tablestore.Resolve
 		// at runs before the call with its number: 1 is the first copy, 2 the
 		// first read back.
 		at   map[int]func(m *standin.MemoryTables)
@@ -103,11 +103,11 @@
 			want: want{err: true, reason: verdict.ReasonConflict, effects: 1},
 		},
 		"overwritten after effect with write-once companion": {
-			txn: platform.Txn{
-				Op: "w", If: []platform.Condition{{Key: "a", Version: 1}, {Key: "h/2"}},
-				Put: []platform.Put{{Key: "a", Value: json.RawMessage("2")}, {Key: "h/2", Value: json.RawMessage("2")}},
+			txn: tablestore.Txn{
+				Op: "w", If: []tablestore.Condition{{Key: "a", Version: 1}, {Key: "h/2"}},
+				Put: []tablestore.Put{{Key: "a", Value: json.RawMessage("2")}, {Key: "h/2", Value: json.RawMessage("2")}},
 			},
-			resolve: platform.Resolve{WriteOnce: platform.EveryCreatedRow}, faults: standin.PlatformFaults{LoseAnswers: 1},
+			resolve: tablestore.Resolve{WriteOnce: tablestore.EveryCreatedRow}, faults: standin.PlatformFaults{LoseAnswers: 1},
 			at:   map[int]func(*standin.MemoryTables){2: func(m *standin.MemoryTables) { apply(m, put("x", "a", 2))() }},
 			want: want{committed: true, effects: 1},
 		},
@@ -123,11 +123,11 @@
 		},
 		"creation lost, write-once": {
 			txn: put("w", "new", 0), faults: standin.PlatformFaults{LoseRequests: 1},
-			resolve: platform.Resolve{WriteOnce: platform.EveryCreatedRow}, want: want{committed: true, effects: 1},
+			resolve: tablestore.Resolve{WriteOnce: tablestore.EveryCreatedRow}, want: want{committed: true, effects: 1},
 		},
 		"creation by another writer, write-once": {
 			txn: put("w", "new", 0), faults: standin.PlatformFaults{LoseRequests: 1},
-			resolve: platform.Resolve{WriteOnce: platform.EveryCreatedRow},
+			resolve: tablestore.Resolve{WriteOnce: tablestore.EveryCreatedRow},
 			at:      map[int]func(*standin.MemoryTables){2: func(m *standin.MemoryTables) { apply(m, put("x", "new", 0))() }},
 			want:    want{},
 		},
@@ -140,10 +140,10 @@
 		},
 		"deletion as cleanup took effect": {
 			txn: remove("w", "a", 1), faults: standin.PlatformFaults{LoseAnswers: 1},
-			resolve: platform.Resolve{AbsentIsCommitted: true}, want: want{committed: true, effects: 1},
+			resolve: tablestore.Resolve{AbsentIsCommitted: true}, want: want{committed: true, effects: 1},
 		},
 		"unconditional write is not repeated": {
-			txn:    platform.Txn{Op: "w", Put: []platform.Put{{Key: "a", Value: json.RawMessage("2")}}},
+			txn:    tablestore.Txn{Op: "w", Put: []tablestore.Put{{Key: "a", Value: json.RawMessage("2")}}},
 			faults: standin.PlatformFaults{LateWrites: 1}, want: want{err: true, reason: verdict.ReasonConflict, effects: 1},
 		},
 		"conflict": {txn: put("w", "a", 7), want: want{}},
@@ -161,7 +161,7 @@
 			c.resolve.Random = noBackoff
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
-			result, err := platform.CommitResolved(ctx, tables, c.txn, c.resolve)
+			result, err := tablestore.CommitResolved(ctx, tables, c.txn, c.resolve)
 			m.LandLate()
 			require.Equal(t, c.want.err, err != nil, "%v", err)
 			if err != nil {
@@ -195,7 +195,7 @@
 		}}
 		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 		retries := 0
-		_, err := platform.CommitResolved(ctx, tables, put("w", "a", 1), platform.Resolve{
+		_, err := tablestore.CommitResolved(ctx, tables, put("w", "a", 1), tablestore.Resolve{
 			Random: func() float64 { return 0.5 }, Count: func(verdict.Reason) { retries++ },
 		})
 		cancel()
--- a/platform/platform.go
+++ b/tablestore/tablestore.go
@@ -1,8 +1,8 @@
-// Package platform holds the typed clients of the platform's services: table
+// Package tablestore holds the typed clients of the platform's services: table
 // service, object store, host list and weight store. Each call has a deadline
 // from its context; errors carry a verdict, which for a write says whether it
 // may have taken effect.
-package platform
+package tablestore
 
 import (
 	"context"
--- a/platform/transport.go
+++ b/tablestore/transport.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 import (
 	"bytes"
--- a/traffic/samples.go
+++ b/traffic/samples.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/ledger"
-	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/tablestore"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -20,7 +20,7 @@
 // Samples generates samples for trainers and stores their texts.
 type Samples struct {
 	Router  *Router
-	Objects platform.Objects
+	Objects tablestore.Objects
 	// Texts bounds the memory of texts that wait for the object store.
 	Texts *TextLimit
 }
