--- /dev/null
+++ b/cmd/lavender-host/serve.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"log"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/platform"
+)
+
+const (
+	// idleTimeout keeps a caller's channel open for longer than callers reuse one.
+	idleTimeout   = 60 * time.Second
+	headerTimeout = 5 * time.Second
+	// balancerDelay is the time after readiness was turned off in which new channels
+	// still arrive: the balancer asks each second and wants two misses.
+	balancerDelay = 3 * time.Second
+	// stopMargin is kept free at the end of the grace time for the process to exit.
+	stopMargin = 700 * time.Millisecond
+)
+
+// addServers adds the front for callers and the readiness check.
+func (h *host) addServers(g *run.Group) error {
+	quiet := log.New(zap.NewStdLog(h.log).Writer(), "", 0)
+	frontServer := &http.Server{
+		Handler: platform.NewFront(h.service), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: quiet,
+	}
+	checks := http.NewServeMux()
+	checks.HandleFunc(platform.ReadinessPath, h.readiness)
+	checks.Handle("/metrics", h.metrics.Handler)
+	checkServer := &http.Server{Handler: checks, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: quiet}
+	for name, s := range map[string]*http.Server{"front": frontServer, "ready": checkServer} {
+		address := h.settings.Front
+		if name == "ready" {
+			address = h.settings.Ready
+		}
+		l, err := listen(name, address)
+		if err != nil {
+			return err
+		}
+		g.Add(func() error { return ignoreClosed(s.Serve(l)) }, func(error) { h.shutdown(s) })
+	}
+	return nil
+}
+
+func ignoreClosed(err error) error {
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
+
+// shutdown closes idle channels and waits for requests in flight.
+func (h *host) shutdown(s *http.Server) {
+	limit := h.settings.Bounds.Grace - balancerDelay - stopMargin
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		h.log.Warn("requests cut off by the end of the grace time", zap.Error(err))
+	}
+}
+
+func (h *host) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !h.service.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// addSignals ends the process after a planned stop and reads changed settings.
+func (h *host) addSignals(g *run.Group, path string) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	quit := make(chan struct{})
+	g.Add(func() error {
+		for {
+			select {
+			case <-quit:
+				return nil
+			case s := <-signals:
+				if s != syscall.SIGHUP {
+					return h.stop()
+				}
+				h.reload(path)
+			}
+		}
+	}, func(error) { close(quit) })
+}
+
+// stop refuses new lots, hands own ones over and keeps serving until the balancer
+// sends nothing more. The servers end afterwards, with what they still have.
+func (h *host) stop() error {
+	h.log.Info("stopping")
+	h.service.Drain()
+	if err := h.inbox.Deliver(h.ctx, event.DrainRequested{}); err != nil {
+		return err
+	}
+	timer := time.NewTimer(balancerDelay)
+	defer timer.Stop()
+	<-timer.C
+	select {
+	case <-h.ended:
+	case <-time.After(stopMargin):
+		h.log.Warn("stopping before everything was handed over")
+	}
+	return nil
+}
+
+// reload reads the settings file again. Addresses stay as they are for the lifetime
+// of the process.
+func (h *host) reload(path string) {
+	d, err := platform.ReadSettings(path)
+	if err != nil {
+		h.log.Warn("changed settings not used", zap.Error(err))
+		return
+	}
+	h.log.Info("settings read again", zap.Bool("changed", d != h.settings))
+}
--- /dev/null
+++ b/command/rollout.go
@@ -0,0 +1,120 @@
+package command
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/forward"
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/registry"
+)
+
+// PublishRouting replaces the plan that request goroutines route by.
+type PublishRouting struct{ Plan *forward.Plan }
+
+// LotState is what readers of a lot need to know.
+type LotState struct {
+	Total, Listed int
+	Ended         bool
+}
+
+// PublishLots replaces the state of all lots that readers see.
+type PublishLots struct{ Lots map[string]LotState }
+
+// AdoptLot takes over a lot whose head has the given version and loads what is
+// stored of it.
+type AdoptLot struct {
+	Head    lot.Head // with this process as owner
+	Version uint64
+}
+
+// WriteLot commits the head of an owned lot, whose row has the given version, and
+// appends results. The same write may be sent again after an unknown outcome.
+type WriteLot struct {
+	Head     lot.Head
+	Version  uint64
+	Results  []lot.Result
+	Progress []lot.Progress
+}
+
+// StartRun runs an item at a backend server from the event after After on.
+type StartRun struct {
+	Key     string
+	Run     int
+	Spec    *lot.Item
+	Host    string
+	Target  *forward.Target
+	Model   string
+	Minimum registry.Version // older weights must not generate the item
+	After   int
+	Urgency int
+	// FirstWithin and NextWithin bound the wait for the first and each further
+	// event. A mean gap above SlowGap ends the run, 0 for no bound.
+	FirstWithin time.Duration
+	NextWithin  time.Duration
+	SlowGap     time.Duration
+	Deadline    time.Duration
+}
+
+// StopRun ends a run; its outcome is reported as for any end.
+type StopRun struct {
+	Key string
+	Run int
+}
+
+// ScoreItem sends the scoring request of a complete item.
+type ScoreItem struct {
+	Key    string
+	Scorer *lot.Scorer
+}
+
+// SendOrder orders an engine to take a version. It is sent only if the process's
+// clock has not passed ValidUntil just before.
+type SendOrder struct {
+	Target     *forward.Target
+	Model      string
+	Version    registry.Version
+	Fence      uint64
+	Lifetime   int64
+	ValidUntil time.Duration
+}
+
+// WriteDuty takes, renews or releases the lease for orders, whose row has the
+// given version.
+type WriteDuty struct {
+	Version uint64
+	Take    bool
+	Release bool
+}
+
+// Name implements Command.
+func (PublishRouting) Name() string { return "publish_routing" }
+
+// Name implements Command.
+func (PublishLots) Name() string { return "publish_lots" }
+
+// Name implements Command.
+func (AdoptLot) Name() string { return "adopt_lot" }
+
+// Name implements Command.
+func (WriteLot) Name() string { return "write_lot" }
+
+// Name implements Command.
+func (StartRun) Name() string { return "start_run" }
+
+// Name implements Command.
+func (StopRun) Name() string { return "stop_run" }
+
+// Name implements Command.
+func (ScoreItem) Name() string { return "score_item" }
+
+// Name implements Command.
+func (SendOrder) Name() string { return "send_order" }
+
+// Name implements Command.
+func (WriteDuty) Name() string { return "write_duty" }
+
+// HandedOver says that a planned stop has nothing left to hand over.
+type HandedOver struct{}
+
+// Name implements Command.
+func (HandedOver) Name() string { return "handed_over" }
--- a/control/loop.go
+++ b/control/loop.go
@@ -38,6 +38,7 @@
 	executor Executor
 	clock    func() time.Duration
 	observe  func(name string, took time.Duration)
+	maxTick  time.Duration
 
 	out   command.Outbox
 	batch []event.Event
@@ -45,6 +46,7 @@
 
 // Options configure a Loop. Clock returns the monotonic offset from process
 // start. Observe, if set, receives the duration of each tick and each system.
+// MaxTick replaces the longest time between two ticks if it is set.
 type Options struct {
 	Tables   *table.Tables
 	Systems  []system.Named
@@ -52,11 +54,16 @@
 	Executor Executor
 	Clock    func() time.Duration
 	Observe  func(name string, took time.Duration)
+	MaxTick  time.Duration
 }
 
 // NewLoop returns a loop. The tables belong to it from now on.
 func NewLoop(o Options) *Loop {
+	if o.MaxTick == 0 {
+		o.MaxTick = MaxTick
+	}
 	return &Loop{
+		maxTick:  o.MaxTick,
 		tables:   o.Tables,
 		systems:  o.Systems,
 		inbox:    o.Inbox,
@@ -73,7 +80,7 @@
 	for _, s := range l.systems {
 		s.Run(now, l.tables, in, &l.out)
 	}
-	next = now + MaxTick
+	next = now + l.maxTick
 	if deadline, ok := l.out.Deadline(); ok {
 		next = min(next, max(deadline, now+MinTick))
 	}
--- /dev/null
+++ b/desired/desired.go
@@ -0,0 +1,106 @@
+// Package desired holds the desired state that operators write: routes, services
+// and limits. A state is immutable once it has been read.
+package desired
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind says what may be repeated for a request of a route.
+type Kind string
+
+// Kinds of routes.
+const (
+	KindIdempotent    Kind = "idempotent"
+	KindNonIdempotent Kind = "non_idempotent"
+	KindStream        Kind = "stream"
+	KindRollout       Kind = "rollout"
+)
+
+// Known reports whether the kind is one that this program can serve.
+func (k Kind) Known() bool {
+	return k == KindIdempotent || k == KindNonIdempotent || k == KindStream || k == KindRollout
+}
+
+// State is a whole desired state.
+type State struct {
+	Version  uint64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+}
+
+// Route sends the requests of a host and path prefix to a service.
+type Route struct {
+	Name          string
+	Host          string
+	Prefix        string
+	Kind          Kind
+	Services      []Share
+	Timeout       time.Duration // longest time a caller is kept waiting, 0 without a limit
+	LatencyTarget time.Duration
+	RunTarget     time.Duration // all results of a lot are due this long after its submission
+	MaxAge        time.Duration // an item may be given up this long after the submission
+	Attempts      int           // backend servers that one request may run on
+	Priority      int           // 0 is the highest
+	Resumable     bool
+	SingleVersion bool
+}
+
+// Share is a service of a route and its weight among the route's services.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// Service is a set of interchangeable backend servers.
+type Service struct {
+	Name            string
+	HealthPath      string
+	ConnectionLimit int      // channels that one backend server accepts from all callers
+	Models          []string // models of an engine, empty for a plain service
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Match returns the route with the longest prefix of path, nil if there is none.
+// Prefixes end with a slash, so a prefix never splits a path segment.
+func (s *State) Match(host, path string) *Route {
+	var best *Route
+	for i := range s.Routes {
+		r := &s.Routes[i]
+		if r.Host == host && strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// Service returns the service for a request: the same id always gets the same
+// service of a split route.
+func (r *Route) Service(id string) string {
+	if len(r.Services) == 1 {
+		return r.Services[0].Service
+	}
+	total := 0.0
+	for _, s := range r.Services {
+		total += s.Weight
+	}
+	point := float64(xxhash.Sum64String(id)%10000) / 10000 * total
+	for _, s := range r.Services {
+		if point < s.Weight {
+			return s.Service
+		}
+		point -= s.Weight
+	}
+	return ""
+}
--- /dev/null
+++ b/duty/duty.go
@@ -0,0 +1,93 @@
+// Package duty keeps the lease under which one process gives orders to engines, a
+// row that its holder renews. The version of the row at which a process took the
+// lease is its fencing token: versions rise and are never used twice.
+package duty
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/store"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// Key is the key of the lease for orders.
+var Key = store.Key{Table: lot.TableCoordination, Name: "duty/orders"}
+
+// writeTimeout bounds one write: a holder has time for two within its lease.
+const writeTimeout = 500 * time.Millisecond
+
+type record struct {
+	Holder lot.Owner `json:"holder"`
+	Write  uint64    `json:"write"` // differs with each write of a holder
+}
+
+// Parse decodes the lease.
+func Parse(r store.Row) (holder lot.Owner, ok bool) {
+	var rec record
+	if r.Deleted || json.Unmarshal(r.Value, &rec) != nil {
+		return lot.Owner{}, false
+	}
+	return rec.Holder, true
+}
+
+// Keeper writes the lease for one process. It is used by one goroutine at a time.
+type Keeper struct {
+	Store  store.Client
+	Owner  lot.Owner
+	Now    func() time.Duration
+	writes uint64
+}
+
+// Written is the outcome of a write. SentAt is the time just before it was sent.
+type Written struct {
+	Version uint64
+	SentAt  time.Duration
+}
+
+// Write takes, renews or releases the lease, whose row has the given version. If an
+// earlier write of this process took effect without an answer, it continues from
+// there. A lease of another process is an error with the reason conflict.
+func (k *Keeper) Write(ctx context.Context, version uint64, release bool) (Written, error) {
+	w, current, err := k.try(ctx, version, release)
+	if err == nil && current != nil {
+		if holder, ok := Parse(*current); ok && holder == k.Owner {
+			w, current, err = k.try(ctx, current.Version, release)
+		}
+	}
+	if err == nil && current != nil {
+		return Written{}, verdict.New(verdict.NotRun, verdict.ReasonConflict, "the lease changed to version %d", current.Version)
+	}
+	return w, err
+}
+
+func (k *Keeper) try(ctx context.Context, version uint64, release bool) (Written, *store.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	k.writes++
+	rec := record{Holder: k.Owner, Write: k.writes}
+	if release {
+		rec.Holder = lot.Owner{}
+	}
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return Written{}, nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonInternal, "encode lease")
+	}
+	sent := k.Now()
+	v, err := k.Store.Commit(ctx, store.Commit{
+		Expect: []store.Expect{{Key: Key, Version: version}},
+		Put:    []store.Row{{Key: Key, Value: value}},
+	})
+	var conflict *store.Conflict
+	if errors.As(err, &conflict) {
+		row := conflict.Find(Key)
+		if row == nil {
+			row = &store.Row{Key: Key}
+		}
+		return Written{}, row, nil
+	}
+	return Written{Version: v, SentAt: sent}, nil, err
+}
--- /dev/null
+++ b/event/rollout.go
@@ -0,0 +1,170 @@
+package event
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/desired"
+	"github.com/lavenderstand/lavenderstand/forward"
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/registry"
+)
+
+// FeedChanged reports that the feed of a table of the store was lost or regained.
+type FeedChanged struct {
+	Table   string
+	Down    bool
+	Failure *Failure
+}
+
+// DesiredRead is a desired state as the store holds it.
+type DesiredRead struct{ State *desired.State }
+
+// VersionNamed is the newest version that a trainer named for a model.
+type VersionNamed struct {
+	Model   string
+	Version registry.Version
+}
+
+// ServersRead holds changed records of backend servers. Full means that records
+// that are not among them do not exist.
+type ServersRead struct {
+	Changes []registry.Change
+	Full    bool
+}
+
+// HeadRow is the head of a lot as the store holds it. Deleted rows have only an id
+// and a version.
+type HeadRow struct {
+	ID      string
+	Head    lot.Head
+	Version uint64
+	Deleted bool
+}
+
+// HeadsRead holds changed heads of lots. Full means that heads that are not among
+// them do not exist.
+type HeadsRead struct {
+	Heads []HeadRow
+	Full  bool
+}
+
+// DutyRead is the lease for orders as the store holds it.
+type DutyRead struct {
+	Holder  lot.Owner
+	Version uint64
+}
+
+// DutyWritten is the outcome of taking, renewing or releasing the lease. SentAt is
+// the time just before the write was sent.
+type DutyWritten struct {
+	SentAt   time.Duration
+	Version  uint64
+	Take     bool
+	Released bool
+	Failure  *Failure
+}
+
+// LotAccepted is a submission that this process has stored and owns.
+type LotAccepted struct {
+	Submission *lot.Submission
+	Head       lot.Head
+	Version    uint64
+}
+
+// LotAdopted is the outcome of taking over a lot, with what is stored of it.
+type LotAdopted struct {
+	ID         string
+	Submission *lot.Submission
+	Head       lot.Head
+	Version    uint64
+	Results    []lot.Result
+	Progress   []lot.Progress
+	Failure    *Failure
+}
+
+// LotWritten is the outcome of a commit of an owned lot. Current is the head in the
+// store if another write came before.
+type LotWritten struct {
+	ID      string
+	Write   string
+	Version uint64
+	Current *HeadRow
+	Failure *Failure
+}
+
+// RunEnded is the outcome of one run of an item at a backend server.
+type RunEnded struct {
+	Key      string
+	Run      int
+	Server   string
+	Model    string
+	Events   []string // data of the new events
+	Versions []registry.Version
+	Version  registry.Version // newest version that the server stated, 0 if none
+	Gap      time.Duration    // mean time between events, 0 if it was not measured
+	Load     *registry.Load
+	Failure  *Failure // nil after the whole output
+}
+
+// ScoreEnded is the outcome of a scoring request. Failures is the number of
+// answers that said the request failed.
+type ScoreEnded struct {
+	Key      string
+	Score    string
+	Failures int
+	Failure  *Failure
+}
+
+// OrderEnded is the outcome of an order. Report is what the engine said before.
+type OrderEnded struct {
+	Server  string
+	Model   string
+	Version registry.Version
+	Report  *registry.Report
+	Failure *Failure
+}
+
+// ServerOutcome is what a request of a caller showed about a backend server.
+type ServerOutcome struct{ forward.Outcome }
+
+// Name implements Event.
+func (FeedChanged) Name() string { return "feed_changed" }
+
+// Name implements Event.
+func (DesiredRead) Name() string { return "desired_read" }
+
+// Name implements Event.
+func (VersionNamed) Name() string { return "version_named" }
+
+// Name implements Event.
+func (ServersRead) Name() string { return "servers_read" }
+
+// Name implements Event.
+func (HeadsRead) Name() string { return "heads_read" }
+
+// Name implements Event.
+func (DutyRead) Name() string { return "duty_read" }
+
+// Name implements Event.
+func (DutyWritten) Name() string { return "duty_written" }
+
+// Name implements Event.
+func (LotAccepted) Name() string { return "lot_accepted" }
+
+// Name implements Event.
+func (LotAdopted) Name() string { return "lot_adopted" }
+
+// Name implements Event.
+func (LotWritten) Name() string { return "lot_written" }
+
+// Name implements Event.
+func (RunEnded) Name() string { return "run_ended" }
+
+// Name implements Event.
+func (ScoreEnded) Name() string { return "score_ended" }
+
+// Name implements Event.
+func (OrderEnded) Name() string { return "order_ended" }
+
+// Name implements Event.
+func (ServerOutcome) Name() string { return "server_outcome" }
--- /dev/null
+++ b/executor/order.go
@@ -0,0 +1,58 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/forward"
+	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// orderTimeout bounds the report and the order; an engine answers at once.
+const orderTimeout = 500 * time.Millisecond
+
+// Engines is what orders need of the client of backend servers.
+type Engines interface {
+	Report(ctx context.Context, to *forward.Target) (registry.Report, error)
+	SendOrder(ctx context.Context, to *forward.Target, o registry.Order) error
+}
+
+// Orders carries out command.SendOrder.
+type Orders struct {
+	Engines Engines
+	Holder  string
+	Now     func() time.Duration // of the clock that leases are measured with
+}
+
+// Send asks the engine for its state and sends the order only if it is needed and
+// the lease is still valid.
+func (o *Orders) Send(ctx context.Context, c command.SendOrder) event.Event {
+	e := event.OrderEnded{Server: c.Target.ID, Model: c.Model, Version: c.Version}
+	e.Failure = event.FailureOf(o.send(ctx, c, &e))
+	return e
+}
+
+func (o *Orders) send(ctx context.Context, c command.SendOrder, e *event.OrderEnded) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	report, err := o.Engines.Report(ctx, c.Target)
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonOf(err), "report")
+	}
+	e.Report = &report
+	if report.Models[c.Model] >= c.Version {
+		return nil
+	}
+	if report.Busy {
+		return verdict.New(verdict.NotRun, verdict.ReasonConflict, "the engine carries out an order")
+	}
+	if o.Now() >= c.ValidUntil {
+		return verdict.New(verdict.NotRun, verdict.ReasonNotHolder, "the lease ended before the order was sent")
+	}
+	return o.Engines.SendOrder(ctx, c.Target, registry.Order{
+		Model: c.Model, Version: c.Version, Holder: o.Holder, Fence: c.Fence, ExpectOrders: report.Orders,
+	})
+}
--- /dev/null
+++ b/executor/store.go
@@ -0,0 +1,100 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/duty"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/store"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// writeTimeout bounds the tries of one command that writes to the store; after it
+// the decision is made again.
+const writeTimeout = 2 * time.Second
+
+// WriteLot carries out command.WriteLot.
+func WriteLot(ctx context.Context, k *lot.Keeper, c command.WriteLot) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	version, existing, err := k.Append(ctx, c.Head, c.Version, c.Results, c.Progress)
+	e := event.LotWritten{ID: c.Head.ID, Write: c.Head.Write, Version: version, Failure: event.FailureOf(err)}
+	if existing != nil {
+		e.Current = &event.HeadRow{ID: c.Head.ID, Head: existing.Head, Version: existing.Version, Deleted: existing.Version == 0}
+	}
+	return e
+}
+
+// AdoptLot carries out command.AdoptLot.
+func AdoptLot(ctx context.Context, k *lot.Keeper, c command.AdoptLot) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	e := event.LotAdopted{ID: c.Head.ID, Head: c.Head}
+	e.Failure = event.FailureOf(adopt(ctx, k, c, &e))
+	return e
+}
+
+func adopt(ctx context.Context, k *lot.Keeper, c command.AdoptLot, e *event.LotAdopted) error {
+	version, existing, err := k.Append(ctx, c.Head, c.Version, nil, nil)
+	if err != nil {
+		return err
+	}
+	if existing != nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonConflict, "the lot changed to version %d", existing.Version)
+	}
+	e.Version = version
+	if e.Submission, err = k.Body(ctx, c.Head); err != nil {
+		return err
+	}
+	for len(e.Results) < c.Head.Listed {
+		page, err := k.Results(ctx, c.Head.ID, len(e.Results))
+		if err != nil {
+			return err
+		}
+		if len(page) == 0 {
+			return verdict.New(verdict.NotRun, verdict.ReasonInternal, "result %d of lot %s is missing", len(e.Results), c.Head.ID)
+		}
+		for i := range page {
+			page[i].Text = "" // only the ids are needed
+		}
+		e.Results = append(e.Results, page...)
+	}
+	e.Progress, err = k.Progress(ctx, c.Head.ID)
+	return err
+}
+
+// WriteDuty carries out command.WriteDuty.
+func WriteDuty(ctx context.Context, k *duty.Keeper, c command.WriteDuty) event.Event {
+	w, err := k.Write(ctx, c.Version, c.Release)
+	return event.DutyWritten{
+		SentAt: w.SentAt, Version: w.Version, Take: c.Take, Released: c.Release, Failure: event.FailureOf(err),
+	}
+}
+
+// DecodeCoordination turns rows of the coordination table into events.
+func DecodeCoordination(rows []store.Row, full bool) []event.Event {
+	heads := event.HeadsRead{Full: full}
+	var events []event.Event
+	for _, r := range rows {
+		if r.Key == duty.Key {
+			holder, _ := duty.Parse(r) // a row that cannot be read has no holder
+			events = append(events, event.DutyRead{Holder: holder, Version: r.Version})
+			continue
+		}
+		id := lot.HeadID(r.Name)
+		if id == "" {
+			continue
+		}
+		h, ok := lot.ParseHead(r)
+		if ok || r.Deleted {
+			heads.Heads = append(heads.Heads, event.HeadRow{ID: id, Head: h, Version: r.Version, Deleted: r.Deleted})
+		}
+	}
+	if full || len(heads.Heads) > 0 {
+		events = append(events, heads)
+	}
+	return events
+}
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,298 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lavenderstand/lavenderstand/desired"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+const (
+	// defaultTimeout holds for requests without a deadline on routes without a
+	// time-out.
+	defaultTimeout = 30 * time.Second
+	// minHedgeAfter keeps a second attempt from starting before an ordinary answer
+	// can be back from another zone.
+	minHedgeAfter = 40 * time.Millisecond
+	// hedgePart is the part of the latency target after which a second attempt
+	// starts: it leaves the second one time for an ordinary answer.
+	hedgePart = 0.55
+	// refusedPause is the wait after every server refused, so that a slot can get free.
+	refusedPause = 15 * time.Millisecond
+	// leastRemaining is the time below which a server cannot answer.
+	leastRemaining = 5 * time.Millisecond
+)
+
+// Forwarder forwards requests by the published plan.
+type Forwarder struct {
+	Plans  *Cell
+	Sender Sender
+	Report func(Outcome)
+	Count  func(name string, reason verdict.Reason)
+	Log    *zap.Logger
+	Draw   func() float64 // uniform random number from 0 to 1, for ties
+}
+
+// Route returns the route of a request. Its error is ready to be returned: not
+// run, with the reason unknown_route or not_ready.
+func (f *Forwarder) Route(host, path string) (*Plan, *desired.Route, error) {
+	plan := f.Plans.Load()
+	if plan == nil || plan.State == nil {
+		return nil, nil, verdict.New(verdict.NotRun, verdict.ReasonNotReady, "this host knows no desired state yet")
+	}
+	route := plan.State.Match(host, path)
+	if route == nil {
+		return plan, nil, verdict.New(verdict.NotRun, verdict.ReasonUnknownRoute, "no route for host %q and this path", host)
+	}
+	return plan, route, nil
+}
+
+// Forward returns the answer of one server, or an error whose verdict says
+// whether the request may have run.
+func (f *Forwarder) Forward(ctx context.Context, r *Request) (*Answer, error) {
+	_, route, err := f.Route(r.Host, r.Path)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline(r, route))
+	defer cancel()
+	c := &call{
+		f: f, r: r, route: route, service: route.Service(r.ID), idempotent: route.Kind == desired.KindIdempotent,
+		tried: make(map[string]int), results: make(chan result, 1), begun: time.Now(),
+	}
+	answer, err := c.run(ctx)
+	c.log(answer, err)
+	return answer, err
+}
+
+func deadline(r *Request, route *desired.Route) time.Time {
+	limit := route.Timeout
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	end := time.Now().Add(limit)
+	if !r.Deadline.IsZero() && r.Deadline.Before(end) {
+		return r.Deadline
+	}
+	return end
+}
+
+// call is the state of one request. Only its own goroutine changes it.
+type call struct {
+	f          *Forwarder
+	r          *Request
+	route      *desired.Route
+	service    string
+	idempotent bool
+	tried      map[string]int // attempts by server
+	mayHaveRun int            // attempts that may have run
+	refusals   int
+	failures   int // answers of servers that say the request failed
+	running    int
+	results    chan result
+	begun      time.Time
+	last       string // server of the newest attempt
+	failed     *Answer
+	failure    error
+}
+
+type result struct {
+	target *Target
+	answer *Answer
+	err    error
+	took   time.Duration
+}
+
+// run starts attempts until one gives an answer. A further attempt starts after a
+// failure that allows it, and beside a silent one when the request is idempotent.
+func (c *call) run(ctx context.Context) (*Answer, error) {
+	hedge := time.NewTimer(time.Hour)
+	defer hedge.Stop()
+	if err := c.start(ctx); err != nil {
+		return nil, err
+	}
+	hedge.Reset(c.hedgeAfter())
+	for {
+		select {
+		case <-ctx.Done():
+			return c.expired(ctx)
+		case <-hedge.C:
+			if c.mayRepeat() && c.start(ctx) == nil {
+				c.f.Count("retried", verdict.ReasonSlow)
+			}
+		case res := <-c.results:
+			c.running--
+			answer, done, err := c.take(ctx, res)
+			if done {
+				return answer, err
+			}
+			hedge.Reset(c.hedgeAfter())
+		}
+	}
+}
+
+func (c *call) hedgeAfter() time.Duration {
+	return max(minHedgeAfter, time.Duration(float64(c.route.LatencyTarget)*hedgePart))
+}
+
+func (c *call) maxAttempts() int { return max(1, c.route.Attempts) }
+
+func (c *call) mayRepeat() bool { return c.idempotent && c.mayHaveRun < c.maxAttempts() }
+
+// start begins one attempt at the server that the plan makes best now.
+func (c *call) start(ctx context.Context) error {
+	plan := c.f.Plans.Load()
+	avoid := ""
+	if c.running > 0 {
+		avoid = c.last // a server that is silent gets no second copy
+	}
+	target := pick(plan, c.service, c.tried, avoid, c.f.Draw)
+	if target == nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonNoBackend, "service %q has no backend server", c.service)
+	}
+	end, _ := ctx.Deadline()
+	remaining := time.Until(end)
+	if remaining < leastRemaining {
+		return verdict.New(verdict.NotRun, verdict.ReasonDeadline, "no time is left")
+	}
+	c.tried[target.ID]++
+	c.mayHaveRun++
+	c.running++
+	c.last = target.ID
+	target.Load.InFlight.Add(1)
+	go func() {
+		begun := time.Now()
+		answer, err := c.f.Sender.Send(ctx, target, c.r, remaining)
+		target.Load.InFlight.Add(-1)
+		select {
+		case c.results <- result{target, answer, err, time.Since(begun)}:
+		case <-ctx.Done():
+		}
+	}()
+	return nil
+}
+
+// take judges the result of an attempt. done ends the request.
+func (c *call) take(ctx context.Context, res result) (answer *Answer, done bool, err error) {
+	c.observe(res)
+	if res.err == nil && res.answer.serverFailed() {
+		c.failures++
+		res.answer.Failures = c.failures
+	}
+	if res.err == nil && !(res.answer.serverFailed() && c.mayRepeat()) {
+		return res.answer, true, nil
+	}
+	if res.err == nil {
+		c.failed = res.answer
+	} else {
+		c.failure = res.err
+	}
+	notRun := res.err != nil && verdict.Of(res.err) == verdict.NotRun
+	if notRun {
+		c.mayHaveRun--
+		c.refusals++
+	}
+	if !notRun && !c.mayRepeat() {
+		if c.running > 0 {
+			return nil, false, nil
+		}
+		answer, err = c.giveUp()
+		return answer, true, err
+	}
+	c.f.Count("retried", reasonOf(res))
+	if notRun && c.refusals%max(1, len(c.f.Plans.Load().Services[c.service])) == 0 && !sleep(ctx, refusedPause) {
+		answer, err = c.expired(ctx)
+		return answer, true, err
+	}
+	if err := c.start(ctx); err != nil && c.running == 0 {
+		c.failure = firstError(c.failure, err)
+		answer, err = c.giveUp()
+		return answer, true, err
+	}
+	return nil, false, nil
+}
+
+func firstError(first, second error) error {
+	if first != nil {
+		return first
+	}
+	return second
+}
+
+func reasonOf(res result) verdict.Reason {
+	if res.err == nil {
+		return verdict.ReasonBackendFailed
+	}
+	return verdict.ReasonOf(res.err)
+}
+
+// giveUp returns the best that is known: a failure that a server sent, else the
+// error. The verdict is not run only if no attempt may have run.
+func (c *call) giveUp() (*Answer, error) {
+	if c.failed != nil {
+		return c.failed, nil
+	}
+	if c.mayHaveRun > 0 && verdict.Of(c.failure) == verdict.NotRun {
+		return nil, verdict.Wrap(c.failure, verdict.MayHaveRun, verdict.ReasonOf(c.failure), "an earlier attempt may have run")
+	}
+	return nil, c.failure
+}
+
+func (c *call) expired(ctx context.Context) (*Answer, error) {
+	if context.Cause(ctx) != context.DeadlineExceeded {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonCanceled, "the caller left")
+	}
+	if c.failed != nil {
+		return c.failed, nil
+	}
+	v := verdict.NotRun
+	if c.mayHaveRun > 0 {
+		v = verdict.MayHaveRun
+	}
+	return nil, verdict.New(v, verdict.ReasonDeadline, "no answer in time")
+}
+
+func (c *call) observe(res result) {
+	failed := res.err != nil || res.answer.serverFailed()
+	reason := reasonOf(res)
+	c.f.Report(Outcome{
+		Request: c.r.ID, Server: res.target.ID, Answered: res.err == nil, Took: res.took,
+		Failed:  failed && reason != verdict.ReasonBackendRefused && reason != verdict.ReasonCanceled,
+		Refused: reason == verdict.ReasonBackendRefused, Leaving: reason == verdict.ReasonBackendLeaving,
+	})
+}
+
+// log writes one line for a request that did not go the plain way.
+func (c *call) log(answer *Answer, err error) {
+	plain := err == nil && answer.Status < http.StatusInternalServerError && len(c.tried) == 1 && c.refusals == 0
+	if plain {
+		return
+	}
+	fields := []zap.Field{
+		zap.String("request", c.r.ID), zap.String("route", c.route.Name), zap.String("service", c.service),
+		zap.Int("servers_tried", len(c.tried)), zap.Int("refusals", c.refusals), zap.String("last_server", c.last),
+		zap.Duration("took", time.Since(c.begun)), zap.Uint64("desired_version", c.f.Plans.Load().State.Version),
+	}
+	if err != nil {
+		c.f.Count("refused", verdict.ReasonOf(err))
+		c.f.Log.Info("request failed", append(fields, zap.Stringer("verdict", verdict.Of(err)),
+			zap.String("reason", string(verdict.ReasonOf(err))), zap.String("error", verdict.Message(err)))...)
+		return
+	}
+	c.f.Log.Info("request answered after retries", append(fields, zap.Int("status", answer.Status))...)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/forward/stream.go
@@ -0,0 +1,117 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lavenderstand/lavenderstand/desired"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// StreamWriter passes a stream on to a caller.
+type StreamWriter interface {
+	Begin(h http.Header)
+	Event(e Event) error
+}
+
+// streamSilence is the longest pause within a stream after which its server
+// counts as lost. It is far above the pause between two events.
+const streamSilence = 700 * time.Millisecond
+
+// ForwardStream passes the events of a stream on as they arrive. A broken stream
+// continues at another server after the last event if its route allows that.
+func (f *Forwarder) ForwardStream(ctx context.Context, r *Request, w StreamWriter) error {
+	_, route, err := f.Route(r.Host, r.Path)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline(r, route))
+	defer cancel()
+	s := &streamCall{f: f, r: r, route: route, w: w, tried: make(map[string]int)}
+	err = s.run(ctx)
+	if err != nil {
+		f.Count("refused", verdict.ReasonOf(err))
+		f.Log.Info("stream failed", zap.String("request", r.ID), zap.String("route", route.Name),
+			zap.Int("events", s.last), zap.Int("servers_tried", len(s.tried)),
+			zap.Stringer("verdict", verdict.Of(err)), zap.String("error", verdict.Message(err)))
+	}
+	return err
+}
+
+type streamCall struct {
+	f     *Forwarder
+	r     *Request
+	route *desired.Route
+	w     StreamWriter
+	tried map[string]int
+	last  int // id of the last event that was passed on
+	ran   int // attempts that may have run
+	begun bool
+}
+
+func (s *streamCall) run(ctx context.Context) error {
+	for {
+		err := s.attempt(ctx)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		notRun := verdict.Of(err) == verdict.NotRun
+		if !notRun && (!s.route.Resumable || s.ran >= max(1, s.route.Attempts)) {
+			return err
+		}
+		s.f.Count("retried", verdict.ReasonOf(err))
+		if !sleep(ctx, refusedPause) {
+			return err
+		}
+	}
+}
+
+// attempt passes on the events of one server. It returns nil after the whole
+// stream.
+func (s *streamCall) attempt(ctx context.Context) error {
+	target := pick(s.f.Plans.Load(), s.route.Service(s.r.ID), s.tried, "", s.f.Draw)
+	if target == nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonNoBackend, "no backend server")
+	}
+	s.tried[target.ID]++
+	end, _ := ctx.Deadline()
+	target.Load.InFlight.Add(1)
+	defer target.Load.InFlight.Add(-1)
+	stream, err := s.f.Sender.OpenStream(ctx, target, s.r, s.last, time.Until(end))
+	if err != nil {
+		if verdict.Of(err) != verdict.NotRun {
+			s.ran++
+		}
+		return err
+	}
+	defer stream.Close()
+	s.ran++
+	if !s.begun {
+		s.w.Begin(stream.Header())
+		s.begun = true
+	}
+	return s.pass(stream)
+}
+
+func (s *streamCall) pass(stream Stream) error {
+	silence := time.AfterFunc(streamSilence, stream.Close)
+	defer silence.Stop()
+	for {
+		e, err := stream.Next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := s.w.Event(e); err != nil {
+			return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonCanceled, "the caller left")
+		}
+		s.last = e.ID
+		silence.Reset(streamSilence)
+	}
+}
--- /dev/null
+++ b/front/service.go
@@ -0,0 +1,208 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/desired"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/forward"
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+const (
+	// viewLife is the age up to which the published state of lots is enough to say
+	// that there are no new results. Readers rely on a position within one second of
+	// its first read elsewhere.
+	viewLife = 700 * time.Millisecond
+	// acceptTimeout bounds the storing of a submission.
+	acceptTimeout = 1500 * time.Millisecond
+	// readTimeout bounds a read of the store for a trainer, who asks again.
+	readTimeout = time.Second
+)
+
+// Service is the front of a host.
+type Service struct {
+	*forward.Forwarder
+	Keeper  *lot.Keeper
+	View    *View
+	Owner   lot.Owner
+	Deliver func(context.Context, event.Event) error
+	ViewAge func() time.Duration // age of what control knows of lots
+	Log     *zap.Logger
+
+	draining atomic.Bool
+	writes   atomic.Uint64
+}
+
+// Drain makes the host refuse further submissions. Requests are still served.
+func (s *Service) Drain() { s.draining.Store(true) }
+
+// Ready reports whether the host knows what to serve and is not stopping.
+func (s *Service) Ready() bool {
+	plan := s.Plans.Load()
+	return !s.draining.Load() && plan != nil && plan.State != nil
+}
+
+// Route returns the route of a request.
+func (s *Service) Route(host, path string) (*desired.Route, error) {
+	_, route, err := s.Forwarder.Route(host, path)
+	if err != nil {
+		s.Count("refused", verdict.ReasonOf(err))
+	}
+	return route, err
+}
+
+// Limits returns the limits of callers, zero before the first desired state.
+func (s *Service) Limits() desired.Limits {
+	if plan := s.Plans.Load(); plan != nil && plan.State != nil {
+		return plan.State.Limits
+	}
+	return desired.Limits{}
+}
+
+// Accept stores a submission and begins to run it. It returns nil if the lot was
+// stored before, so a submission may be repeated. An error with the verdict not run
+// promises that no part of it runs.
+func (s *Service) Accept(ctx context.Context, sub *lot.Submission) error {
+	if s.draining.Load() {
+		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "this host is stopping")
+	}
+	// A caller that leaves must not leave a half-known outcome behind.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
+	defer cancel()
+	head := lot.Head{
+		ID: sub.ID, Owner: s.Owner, Model: sub.Model, Total: len(sub.Items),
+		Accepted: time.Now().UnixMilli(), Write: s.write(),
+	}
+	begun := time.Now()
+	created, existing, err := s.Keeper.Create(ctx, sub, head)
+	fields := []zap.Field{
+		zap.String("lot", sub.ID), zap.Int("items", len(sub.Items)), zap.String("model", sub.Model), zap.Int("step", sub.Step),
+		zap.Duration("took", time.Since(begun)),
+	}
+	switch {
+	case err != nil:
+		s.Count("refused", verdict.ReasonOf(err))
+		s.Log.Info("submission not accepted", append(fields, zap.Stringer("verdict", verdict.Of(err)), zap.String("error", verdict.Message(err)))...)
+		return err
+	case existing != nil:
+		s.Log.Info("submission repeated", append(fields, zap.String("owner", existing.Head.Owner.Host))...)
+		return nil
+	}
+	s.Log.Info("submission accepted", append(fields, zap.Uint64("row_version", created.Version))...)
+	return s.Deliver(ctx, event.LotAccepted{Submission: sub, Head: created.Head, Version: created.Version})
+}
+
+// write returns a value that no other write of a lot has.
+func (s *Service) write() string {
+	return fmt.Sprintf("%s/%s/front/%d", s.Owner.Host, s.Owner.Lifetime, s.writes.Add(1))
+}
+
+// Results returns the results of a lot from a position on. It waits up to wait for
+// the first one.
+func (s *Service) Results(ctx context.Context, id string, after int, wait time.Duration) (lot.Page, error) {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		state, changed, err := s.lotState(ctx, id)
+		if err != nil {
+			return lot.Page{}, err
+		}
+		if state.Listed > after {
+			return s.page(ctx, id, after, state)
+		}
+		if wait <= 0 || state.Ended || state.Listed >= state.Total {
+			return lot.Page{Total: state.Total}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return lot.Page{}, verdict.New(verdict.NotRun, verdict.ReasonCanceled, "the reader left")
+		case <-deadline.C:
+			wait = 0
+		case <-changed:
+		}
+	}
+}
+
+// lotState returns the published state of a lot, or reads the store when that is
+// too old or does not have the lot.
+func (s *Service) lotState(ctx context.Context, id string) (command.LotState, <-chan struct{}, error) {
+	state, known, changed := s.View.lot(id)
+	if known && s.ViewAge() < viewLife {
+		return state, changed, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	stored, err := s.Keeper.Head(ctx, id)
+	if err != nil {
+		return command.LotState{}, nil, s.unread(id, err)
+	}
+	h := stored.Head
+	return command.LotState{Total: h.Total, Listed: h.Listed, Ended: h.Ended}, changed, nil
+}
+
+func (s *Service) page(ctx context.Context, id string, after int, state command.LotState) (lot.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	results, err := s.Keeper.Results(ctx, id, after)
+	if err != nil {
+		return lot.Page{}, s.unread(id, err)
+	}
+	return lot.Page{Total: state.Total, Results: results}, nil
+}
+
+// unread turns a failure to read into a refusal: nothing was changed, and the reader
+// may ask another host.
+func (s *Service) unread(id string, err error) error {
+	reason := verdict.ReasonOf(err)
+	s.Count("refused", reason)
+	if reason == verdict.ReasonUnknownLot {
+		return err
+	}
+	s.Log.Info("lot could not be read", zap.String("lot", id), zap.String("reason", string(reason)), zap.String("error", verdict.Message(err)))
+	return verdict.Wrap(err, verdict.NotRun, verdict.ReasonStoreUnavailable, "read of lot %s", id)
+}
+
+// ItemBody returns the body of an item.
+func (s *Service) ItemBody(ctx context.Context, id, item string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	stored, err := s.Keeper.Head(ctx, id)
+	if err != nil {
+		return nil, s.unread(id, err)
+	}
+	sub, err := s.Keeper.Body(ctx, stored.Head)
+	if err != nil {
+		return nil, s.unread(id, err)
+	}
+	for i := range sub.Items {
+		if sub.Items[i].ID == item {
+			return sub.Items[i].Body, nil
+		}
+	}
+	return nil, verdict.New(verdict.NotRun, verdict.ReasonUnknownLot, "lot %q has no item %q", id, item)
+}
+
+// End ends a lot: its items run no further. It may be repeated.
+func (s *Service) End(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
+	defer cancel()
+	stored, err := s.Keeper.End(ctx, id, s.write())
+	if err != nil {
+		if verdict.ReasonOf(err) == verdict.ReasonUnknownLot {
+			return err
+		}
+		s.Log.Info("lot not ended", zap.String("lot", id), zap.String("error", verdict.Message(err)))
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonStoreUnavailable, "end of lot %s", id)
+	}
+	s.Log.Info("lot ended", zap.String("lot", id), zap.Int("listed", stored.Head.Listed), zap.Int("total", stored.Head.Total))
+	read := event.HeadsRead{Heads: []event.HeadRow{{ID: id, Head: stored.Head, Version: stored.Version}}}
+	return s.Deliver(ctx, read)
+}
--- /dev/null
+++ b/front/view.go
@@ -0,0 +1,39 @@
+// Package front serves callers and trainers: it joins the forwarding of requests
+// with the keeping of lots. Its methods run on request goroutines; what they know of
+// control state is what control has published.
+package front
+
+import (
+	"sync/atomic"
+
+	"github.com/lavenderstand/lavenderstand/command"
+)
+
+// View is the published state of lots.
+type View struct{ p atomic.Pointer[published] }
+
+type published struct {
+	lots    map[string]command.LotState
+	changed chan struct{} // closed by the next publication
+}
+
+// NewView returns a view without lots.
+func NewView() *View {
+	v := &View{}
+	v.p.Store(&published{changed: make(chan struct{})})
+	return v
+}
+
+// Publish replaces the state of all lots and wakes those that wait.
+func (v *View) Publish(c command.PublishLots) {
+	old := v.p.Swap(&published{lots: c.Lots, changed: make(chan struct{})})
+	close(old.changed)
+}
+
+// lot returns the state of a lot and a channel that is closed by the next
+// publication.
+func (v *View) lot(id string) (state command.LotState, known bool, changed <-chan struct{}) {
+	p := v.p.Load()
+	state, known = p.lots[id]
+	return state, known, p.changed
+}
--- /dev/null
+++ b/lot/keeper.go
@@ -0,0 +1,224 @@
+package lot
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/store"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+const (
+	// commitTries and commitPause bound how often one call repeats a commit whose
+	// outcome is unknown. The repetition is safe: the conditions let one copy apply.
+	commitTries = 4
+	commitPause = 40 * time.Millisecond
+	// commitTimeout bounds one try, so that a silent channel is noticed while time for
+	// another try is left.
+	commitTimeout = 600 * time.Millisecond
+	// endTries bounds the commits of an end that races with writes of the owner.
+	endTries = 12
+	// pageRows bounds the rows of one page of results.
+	pageRows = 400
+)
+
+// Keeper stores lots. Its methods may be called by many goroutines.
+type Keeper struct{ Store store.Client }
+
+// Stored is a head as the store holds it.
+type Stored struct {
+	Head    Head
+	Version uint64
+}
+
+// Create stores a submission and its head and returns the head as stored. If the lot
+// exists, existing is its head and nothing is changed.
+func (k *Keeper) Create(ctx context.Context, s *Submission, h Head) (created Stored, existing *Stored, err error) {
+	rows := BodyRows(s)
+	h.BodyRows, h.InObjects = len(rows), rows == nil
+	if h.InObjects {
+		objects := BodyObjects(s)
+		h.BodyRows = len(objects)
+		for name, data := range objects {
+			if err := k.Store.PutObject(ctx, name, data); err != nil {
+				return Stored{}, nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonStoreUnavailable, "object %s", name)
+			}
+		}
+	}
+	c := store.Commit{
+		Expect: []store.Expect{{Key: HeadKey(h.ID)}},
+		Put:    append(rows, HeadRow(h)),
+	}
+	version, existing, err := k.commit(ctx, c, h)
+	return Stored{Head: h, Version: version}, existing, err
+}
+
+// Append commits a head and results after those that are listed. Version is that of
+// the head's row; existing is another head that came before.
+func (k *Keeper) Append(ctx context.Context, h Head, version uint64, results []Result, progress []Progress) (uint64, *Stored, error) {
+	c := store.Commit{
+		Expect: []store.Expect{{Key: HeadKey(h.ID), Version: version}},
+		Put:    []store.Row{HeadRow(h)},
+	}
+	for i, r := range results {
+		c.Put = append(c.Put, ResultRows(h.ID, h.Listed-len(results)+i, r)...)
+	}
+	for _, p := range progress {
+		if row, ok := ProgressRow(h.ID, p); ok {
+			c.Put = append(c.Put, row)
+		}
+	}
+	return k.commit(ctx, c, h)
+}
+
+// commit sends c until its outcome is known. If the head in the store has the same
+// Write, an earlier copy took effect.
+func (k *Keeper) commit(ctx context.Context, c store.Commit, h Head) (version uint64, existing *Stored, err error) {
+	for try := range commitTries {
+		version, err = k.try(ctx, c)
+		var conflict *store.Conflict
+		switch {
+		case err == nil:
+			return version, nil, nil
+		case errors.As(err, &conflict):
+			return k.conflict(conflict, h)
+		case verdict.Of(err) == verdict.NotRun && try == 0:
+			return 0, nil, err
+		}
+		if !pause(ctx, commitPause) {
+			break
+		}
+	}
+	return 0, nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonStoreUnavailable, "commit of lot %s", h.ID)
+}
+
+func (k *Keeper) try(ctx context.Context, c store.Commit) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	return k.Store.Commit(ctx, c)
+}
+
+func (k *Keeper) conflict(c *store.Conflict, h Head) (uint64, *Stored, error) {
+	row := c.Find(HeadKey(h.ID))
+	if row == nil {
+		return 0, &Stored{}, nil
+	}
+	current, ok := ParseHead(*row)
+	if !ok {
+		return 0, nil, verdict.New(verdict.NotRun, verdict.ReasonInternal, "the head of lot %s cannot be read", h.ID)
+	}
+	if current.Write == h.Write {
+		return row.Version, nil, nil
+	}
+	return 0, &Stored{Head: current, Version: row.Version}, nil
+}
+
+// Head reads the head of a lot. Its error has the reason unknown_lot if there is
+// none.
+func (k *Keeper) Head(ctx context.Context, id string) (Stored, error) {
+	name := HeadKey(id).Name
+	r, err := k.Store.Read(ctx, TableCoordination, "", name, 1)
+	if err != nil {
+		return Stored{}, err
+	}
+	if len(r.Rows) == 1 && r.Rows[0].Name == name {
+		if h, ok := ParseHead(r.Rows[0]); ok {
+			return Stored{Head: h, Version: r.Rows[0].Version}, nil
+		}
+	}
+	return Stored{}, verdict.New(verdict.NotRun, verdict.ReasonUnknownLot, "lot %q does not exist", id)
+}
+
+// End ends a lot. It may be repeated. nonce must differ with each call.
+func (k *Keeper) End(ctx context.Context, id, nonce string) (Stored, error) {
+	current, err := k.Head(ctx, id)
+	if err != nil {
+		return Stored{}, err
+	}
+	for range endTries {
+		if current.Head.Ended {
+			return current, nil
+		}
+		h := current.Head
+		h.Ended, h.Write = true, nonce
+		c := store.Commit{
+			Expect: []store.Expect{{Key: HeadKey(id), Version: current.Version}},
+			Put:    []store.Row{HeadRow(h)},
+		}
+		version, existing, err := k.commit(ctx, c, h)
+		if err != nil {
+			return Stored{}, err
+		}
+		if existing == nil {
+			return Stored{Head: h, Version: version}, nil
+		}
+		current = *existing
+	}
+	return Stored{}, verdict.New(verdict.MayHaveRun, verdict.ReasonConflict, "lot %s changes too often to be ended", id)
+}
+
+// Body reads the submission of a lot.
+func (k *Keeper) Body(ctx context.Context, h Head) (*Submission, error) {
+	parts := make([][]byte, 0, h.BodyRows)
+	if h.InObjects {
+		for i := range h.BodyRows {
+			data, err := k.Store.GetObject(ctx, ObjectName(h.ID, i))
+			if err != nil {
+				return nil, err
+			}
+			parts = append(parts, data)
+		}
+		return ParseBody(parts)
+	}
+	table, part := BodyPart(h.ID)
+	r, err := k.Store.Read(ctx, table, part, "", 0)
+	if err != nil {
+		return nil, err
+	}
+	if len(r.Rows) != h.BodyRows {
+		return nil, fmt.Errorf("the submission of lot %s has %d rows instead of %d", h.ID, len(r.Rows), h.BodyRows)
+	}
+	for _, row := range r.Rows {
+		parts = append(parts, row.Value)
+	}
+	return ParseBody(parts)
+}
+
+// Results reads a page of results from a position on.
+func (k *Keeper) Results(ctx context.Context, id string, from int) ([]Result, error) {
+	table, part := ResultsPart(id)
+	r, err := k.Store.Read(ctx, table, part, PositionName(from), pageRows)
+	if err != nil {
+		return nil, err
+	}
+	return ParseResults(r.Rows, from)
+}
+
+// Progress reads what is stored of the unfinished items of a lot.
+func (k *Keeper) Progress(ctx context.Context, id string) ([]Progress, error) {
+	table, part := ProgressPart(id)
+	r, err := k.Store.Read(ctx, table, part, "", 0)
+	if err != nil {
+		return nil, err
+	}
+	var all []Progress
+	for _, row := range r.Rows {
+		if p, ok := ParseProgress(row); ok {
+			all = append(all, p)
+		}
+	}
+	return all, nil
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/lot/lot.go
@@ -0,0 +1,112 @@
+// Package lot holds batch submissions: what a trainer submits, what is kept of it
+// in the store and the results in the order in which they were listed.
+package lot
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/registry"
+)
+
+// Submission is a lot of items that a trainer submitted at once.
+type Submission struct {
+	ID             string           `json:"id"`
+	Host           string           `json:"host"` // host and path of the route that took it
+	Path           string           `json:"path"`
+	Model          string           `json:"model,omitempty"`
+	Step           int              `json:"step,omitempty"`
+	MinimumVersion registry.Version `json:"minimum_version,omitempty"`
+	TargetGroups   int              `json:"target_groups,omitempty"`
+	Items          []Item           `json:"items"`
+}
+
+// Item is one generation of a lot.
+type Item struct {
+	ID      string            `json:"id"`
+	Path    string            `json:"path"`
+	Headers map[string]string `json:"headers,omitempty"`
+	Body    []byte            `json:"body,omitempty"`
+	Tokens  int               `json:"tokens,omitempty"`
+	Group   string            `json:"group,omitempty"`
+	Length  int               `json:"length,omitempty"` // estimate of the output tokens, 0 without one
+	Scorer  *Scorer           `json:"scorer,omitempty"`
+}
+
+// Scorer is the request whose answer's stamp is the score of an item.
+type Scorer struct {
+	ID   string `json:"id"`
+	Host string `json:"host"`
+	Path string `json:"path"`
+	Body []byte `json:"body,omitempty"`
+}
+
+// State is the outcome of an item.
+type State string
+
+// Outcomes of an item.
+const (
+	StateCompleted  State = "completed"
+	StateTerminated State = "terminated"
+)
+
+// Result is a listed item.
+type Result struct {
+	Item     string             `json:"item"`
+	State    State              `json:"state"`
+	Text     string             `json:"text,omitempty"`
+	Versions []registry.Version `json:"versions,omitempty"`
+	Score    string             `json:"score,omitempty"`
+}
+
+// Progress is what has been generated of an item that is not listed yet.
+type Progress struct {
+	Item     string             `json:"item"`
+	Events   []string           `json:"events"` // data of each event, the first has id 1
+	Versions []registry.Version `json:"versions"`
+	Complete bool               `json:"complete,omitempty"` // only the score is missing
+}
+
+// Owner is the process that runs a lot. Lifetime differs with each start of the
+// process on the same host.
+type Owner struct {
+	Host     string `json:"host"`
+	Lifetime string `json:"lifetime"`
+}
+
+// Head is the record that orders all changes of a lot. Each commit of a lot is
+// conditional on the version of its head.
+type Head struct {
+	ID        string `json:"id"`
+	Owner     Owner  `json:"owner"` // empty after a planned hand-over
+	Model     string `json:"model,omitempty"`
+	Total     int    `json:"total"`
+	Listed    int    `json:"listed"`
+	Ended     bool   `json:"ended,omitempty"`
+	Accepted  int64  `json:"accepted"` // Unix milliseconds
+	BodyRows  int    `json:"body_rows"`
+	InObjects bool   `json:"in_objects,omitempty"` // the submission lies in objects, not in rows
+	// Write differs with each commit. A commit whose answer was lost is sent again
+	// unchanged; if the head then has this value, the first copy took effect.
+	Write string `json:"write"`
+}
+
+// Open reports whether items of the lot still have to run.
+func (h *Head) Open() bool { return !h.Ended && h.Listed < h.Total }
+
+// Age returns the time since the submission by the wall clock.
+func (h *Head) Age(now time.Time) time.Duration { return now.Sub(time.UnixMilli(h.Accepted)) }
+
+// AddVersion returns versions with v, without duplicates.
+func AddVersion(versions []registry.Version, v registry.Version) []registry.Version {
+	if slices.Contains(versions, v) {
+		return versions
+	}
+	return append(versions, v)
+}
+
+// Page is a part of the results of a lot.
+type Page struct {
+	Total   int
+	Results []Result
+}
--- /dev/null
+++ b/lot/rows.go
@@ -0,0 +1,180 @@
+package lot
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"github.com/lavenderstand/lavenderstand/store"
+)
+
+// Tables of the store that hold lots.
+const (
+	// TableCoordination holds the head of each lot and the leases. All hosts
+	// follow its feed, so its rows are small.
+	TableCoordination = "coordination"
+	tableBodies       = "lot_bodies"
+	tableResults      = "lot_results"
+	tableProgress     = "lot_progress"
+)
+
+const (
+	// chunkBytes is the size of a row's value; the store allows 64 KiB.
+	chunkBytes = 60_000
+	// MaxRowBytes is the size of a submission that is kept in rows. A commit holds
+	// 1 MB, in which values are a third larger than here; larger ones are objects.
+	MaxRowBytes = 600_000
+	// objectBytes is the size of one object; the store allows 8 MiB.
+	objectBytes = 8_000_000
+	headPrefix  = "lot/"
+)
+
+// HeadKey is the key of a lot's head.
+func HeadKey(id string) store.Key {
+	return store.Key{Table: TableCoordination, Name: headPrefix + id}
+}
+
+// HeadRow encodes a head.
+func HeadRow(h Head) store.Row { return store.Row{Key: HeadKey(h.ID), Value: encode(h)} }
+
+// ParseHead decodes a head; ok is false for a row that is none.
+func ParseHead(r store.Row) (h Head, ok bool) {
+	if len(r.Name) <= len(headPrefix) || r.Name[:len(headPrefix)] != headPrefix || r.Deleted {
+		return Head{}, false
+	}
+	err := json.Unmarshal(r.Value, &h)
+	return h, err == nil && h.ID != ""
+}
+
+// HeadID returns the id of the lot whose head has this row name, empty if the
+// name is not that of a head.
+func HeadID(name string) string {
+	if len(name) <= len(headPrefix) || name[:len(headPrefix)] != headPrefix {
+		return ""
+	}
+	return name[len(headPrefix):]
+}
+
+// BodyRows encodes a submission into rows, nil if it is too large for them.
+func BodyRows(s *Submission) []store.Row {
+	data := encode(s)
+	if len(data) > MaxRowBytes {
+		return nil
+	}
+	return chunks(tableBodies, s.ID, "", data)
+}
+
+// BodyObjects encodes a submission into objects.
+func BodyObjects(s *Submission) map[string][]byte {
+	objects := make(map[string][]byte)
+	data := encode(s)
+	for i := 0; i*objectBytes < len(data); i++ {
+		objects[ObjectName(s.ID, i)] = data[i*objectBytes : min(len(data), (i+1)*objectBytes)]
+	}
+	return objects
+}
+
+// ObjectName is the name of one object of a submission.
+func ObjectName(id string, i int) string { return fmt.Sprintf("lot-%s-%d", id, i) }
+
+// ParseBody decodes a submission from its parts in order.
+func ParseBody(parts [][]byte) (*Submission, error) {
+	var s Submission
+	if err := json.Unmarshal(join(parts), &s); err != nil {
+		return nil, fmt.Errorf("submission: %w", err)
+	}
+	return &s, nil
+}
+
+// BodyPart, ResultsPart and ProgressPart name where the rows of a lot lie.
+func BodyPart(id string) (table, part string) { return tableBodies, id }
+
+// ResultsPart names the rows of a lot's results.
+func ResultsPart(id string) (table, part string) { return tableResults, id }
+
+// ProgressPart names the rows of a lot's unfinished texts.
+func ProgressPart(id string) (table, part string) { return tableProgress, id }
+
+// PositionName is the first row name of the result at a position.
+func PositionName(position int) string { return fmt.Sprintf("%07d", position) }
+
+// ResultRows encodes the result at a position.
+func ResultRows(id string, position int, r Result) []store.Row {
+	return chunks(tableResults, id, PositionName(position), encode(r))
+}
+
+// ParseResults decodes results from rows in order. The first must be at position
+// first; an incomplete result at the end is left out.
+func ParseResults(rows []store.Row, first int) ([]Result, error) {
+	var results []Result
+	for len(rows) > 0 {
+		n, data := gather(rows)
+		position, err := strconv.Atoi(rows[0].Name[:len(PositionName(0))])
+		if err != nil || position != first+len(results) {
+			return nil, fmt.Errorf("row %q is not the result at position %d", rows[0].Name, first+len(results))
+		}
+		var r Result
+		if err := json.Unmarshal(data, &r); err != nil {
+			if n == len(rows) {
+				return results, nil // the rest of the result is on the next page
+			}
+			return nil, fmt.Errorf("result at position %d: %w", position, err)
+		}
+		results = append(results, r)
+		rows = rows[n:]
+	}
+	return results, nil
+}
+
+// gather returns the number of rows of the first record and its bytes.
+func gather(rows []store.Row) (n int, data []byte) {
+	width := len(PositionName(0))
+	for n < len(rows) && len(rows[n].Name) >= width && rows[n].Name[:width] == rows[0].Name[:width] {
+		data = append(data, rows[n].Value...)
+		n++
+	}
+	return max(n, 1), data
+}
+
+// ProgressRow encodes the progress of an item, ok is false if it is too large.
+func ProgressRow(id string, p Progress) (row store.Row, ok bool) {
+	data := encode(p)
+	key := store.Key{Table: tableProgress, Part: id, Name: p.Item}
+	return store.Row{Key: key, Value: data}, len(data) <= chunkBytes
+}
+
+// ParseProgress decodes the progress of an item.
+func ParseProgress(r store.Row) (p Progress, ok bool) {
+	return p, json.Unmarshal(r.Value, &p) == nil && p.Item != ""
+}
+
+func chunks(table, part, prefix string, data []byte) []store.Row {
+	var rows []store.Row
+	for i := 0; i == 0 || i*chunkBytes < len(data); i++ {
+		rows = append(rows, store.Row{
+			Key:   store.Key{Table: table, Part: part, Name: fmt.Sprintf("%s.%02d", prefix, i)},
+			Value: data[i*chunkBytes : min(len(data), (i+1)*chunkBytes)],
+		})
+	}
+	return rows
+}
+
+func join(parts [][]byte) []byte {
+	if len(parts) == 1 {
+		return parts[0]
+	}
+	var data []byte
+	for _, p := range parts {
+		data = append(data, p...)
+	}
+	return data
+}
+
+// encode marshals a record; its types hold nothing that JSON cannot hold.
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("lot record: %v", err))
+	}
+	return data
+}
--- /dev/null
+++ b/system/rollout/lots.go
@@ -0,0 +1,276 @@
+package rollout
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// Names of the feeds that decisions depend on.
+const (
+	feedServers      = "servers"
+	feedCoordination = lot.TableCoordination
+)
+
+const (
+	// touchEvery is the period at which an owner writes the head of an open lot, so
+	// that others see that it lives.
+	touchEvery = 900 * time.Millisecond
+	// adoptAfter is the silence of an owner after which others take a lot: two
+	// missed writes and the delay of the feed.
+	adoptAfter = 2300 * time.Millisecond
+	// adoptSpread is the largest additional wait; it differs by host and lot, so that
+	// one host tries first.
+	adoptSpread = 400 * time.Millisecond
+	// handoverSpread is the same after a planned hand-over.
+	handoverSpread = 60 * time.Millisecond
+	// acceptWithin is the time in which a submission whose storing seemed to fail may
+	// still turn out to be accepted by this process.
+	acceptWithin = 1500 * time.Millisecond
+	// adoptRetry is the wait after an adoption that failed.
+	adoptRetry = 300 * time.Millisecond
+)
+
+// Lots keeps the table of lots: those that this process accepted or adopted and
+// what the store holds of all others.
+func Lots(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+	for _, e := range in {
+		switch e := e.(type) {
+		case event.LotAccepted:
+			own(now, t, e.Head, e.Version, e.Submission, nil, nil, out)
+		case event.LotAdopted:
+			adopted(now, t, e, out)
+		case event.HeadsRead:
+			readHeads(now, t, e, out)
+		case event.LotWritten:
+			written(now, t, e, out)
+		}
+	}
+}
+
+// own makes this process the owner of a lot and creates the items that are not
+// listed.
+func own(now time.Duration, t *table.Tables, h lot.Head, version uint64, s *lot.Submission, results []lot.Result, progress []lot.Progress, out *command.Outbox) {
+	r := &t.Rollout
+	l, _ := r.Lots.Upsert(h.ID)
+	if version < l.Version {
+		return // a newer head has been read meanwhile
+	}
+	*l = table.Lot{
+		Head: h, Version: version, Seen: now, Stage: table.LotOwned, Submission: s, WroteAt: now,
+		AcceptedAt: now, Listed: make(map[string]bool, len(results)),
+	}
+	for _, res := range results {
+		l.Listed[res.Item] = true
+	}
+	stored := make(map[string]lot.Progress, len(progress))
+	for _, p := range progress {
+		stored[p.Item] = p
+	}
+	for i := range s.Items {
+		spec := &s.Items[i]
+		if l.Listed[spec.ID] {
+			continue
+		}
+		item, _ := r.Items.Upsert(table.ItemKey(h.ID, spec.ID))
+		*item = newItem(now, h.ID, spec, stored[spec.ID])
+	}
+	r.ViewChanged = true
+	logLot("lot owned", l, out, field("resumed_items", strconv.Itoa(len(progress))))
+}
+
+// newItem returns an item that continues from what is stored of it.
+func newItem(now time.Duration, id string, spec *lot.Item, p lot.Progress) table.Item {
+	item := table.Item{Lot: id, Spec: spec, Stage: table.ItemWaiting, Events: p.Events, Versions: p.Versions}
+	if p.Complete && spec.Scorer != nil {
+		item.Stage, item.NotBefore = table.ItemScoring, now
+	}
+	return item
+}
+
+func adopted(now time.Duration, t *table.Tables, e event.LotAdopted, out *command.Outbox) {
+	l := t.Rollout.Lots.Find(e.ID)
+	if l == nil || l.Stage != table.LotAdopting {
+		return
+	}
+	if e.Failure == nil {
+		own(now, t, e.Head, e.Version, e.Submission, e.Results, e.Progress, out)
+		return
+	}
+	l.Stage, l.RetryAt = table.LotForeign, now+adoptRetry
+	out.Add(command.Count{Counter: "lot_adoption_failed", Tags: map[string]string{"reason": string(e.Failure.Reason)}, Delta: 1})
+	logLot("lot not adopted", l, out, field("reason", string(e.Failure.Reason)), field("error", e.Failure.Message))
+}
+
+func readHeads(now time.Duration, t *table.Tables, e event.HeadsRead, out *command.Outbox) {
+	listed := make(map[string]bool, len(e.Heads))
+	for i := range e.Heads {
+		listed[e.Heads[i].ID] = true
+		readHead(now, t, &e.Heads[i], out)
+	}
+	if !e.Full {
+		return
+	}
+	for id, l := range t.Rollout.Lots.All() {
+		if !listed[id] && l.Stage == table.LotForeign {
+			t.Rollout.Lots.Delete(id)
+			t.Rollout.ViewChanged = true
+		}
+	}
+}
+
+// readHead takes a head that is newer than the known one. A head that this process
+// wrote itself is known as soon as its write ends; until then it is left to that.
+func readHead(now time.Duration, t *table.Tables, h *event.HeadRow, out *command.Outbox) {
+	r := &t.Rollout
+	if h.Deleted {
+		if l := r.Lots.Find(h.ID); l != nil && h.Version > l.Version {
+			drop(t, h.ID, l, out)
+			r.Lots.Delete(h.ID)
+			r.ViewChanged = true
+		}
+		return
+	}
+	l, created := r.Lots.Upsert(h.ID)
+	if created {
+		l.Stage = table.LotForeign
+	}
+	if h.Version <= l.Version {
+		return
+	}
+	if l.Stage == table.LotOwned && l.Write != nil && l.Write.Head.Write == h.Head.Write {
+		return // the outcome of the write says so too
+	}
+	takeHead(now, t, l, h, out)
+}
+
+// takeHead replaces the head of a lot by one that another process wrote.
+func takeHead(now time.Duration, t *table.Tables, l *table.Lot, h *event.HeadRow, out *command.Outbox) {
+	r := &t.Rollout
+	was := l.Head
+	l.Head, l.Version, l.Seen = h.Head, h.Version, now
+	r.ViewChanged = r.ViewChanged || was.Listed != h.Head.Listed || was.Ended != h.Head.Ended || was.Total != h.Head.Total
+	if l.Stage != table.LotOwned {
+		return
+	}
+	if h.Head.Owner != r.Owner || h.Head.Ended {
+		reason := "ended"
+		if !h.Head.Ended {
+			reason = "another owner"
+		}
+		logLot("lot no longer run", l, out, field("reason", reason))
+		drop(t, h.ID, l, out)
+		l.Stage = table.LotForeign
+	}
+}
+
+// drop stops the runs of a lot's items and forgets them.
+func drop(t *table.Tables, id string, l *table.Lot, out *command.Outbox) {
+	if l.Stage != table.LotOwned {
+		return
+	}
+	for _, key := range itemKeys(l) {
+		dropItem(t, key, out)
+	}
+	l.Submission, l.Listed, l.Pending, l.Write = nil, nil, nil, nil
+}
+
+func itemKeys(l *table.Lot) []string {
+	keys := make([]string, 0, len(l.Submission.Items))
+	for i := range l.Submission.Items {
+		keys = append(keys, table.ItemKey(l.Head.ID, l.Submission.Items[i].ID))
+	}
+	return keys
+}
+
+func dropItem(t *table.Tables, key string, out *command.Outbox) {
+	item := t.Rollout.Items.Find(key)
+	if item == nil {
+		return
+	}
+	if item.Stage == table.ItemRunning {
+		out.Add(command.StopRun{Key: key, Run: item.Run})
+		release(t, item)
+	}
+	t.Rollout.Items.Delete(key)
+}
+
+// release takes an item off the count of its server.
+func release(t *table.Tables, item *table.Item) {
+	if s := t.Rollout.Servers.Find(item.Server); s != nil && s.Running > 0 {
+		s.Running--
+	}
+}
+
+// Adoption takes over open lots whose owner is silent, has handed them over, or was
+// an earlier lifetime of this process.
+func Adoption(now time.Duration, t *table.Tables, _ []event.Event, out *command.Outbox) {
+	r := &t.Rollout
+	feed := r.Feeds.Find(feedCoordination)
+	if r.Draining || r.Desired == nil || (feed != nil && feed.Down) {
+		return
+	}
+	for id, l := range r.Lots.All() {
+		if l.Stage != table.LotForeign || !l.Head.Open() {
+			continue
+		}
+		due := adoptionDue(r, id, l)
+		if feed != nil {
+			due = max(due, feed.Since+adoptionWait(r, id, l))
+		}
+		due = max(due, l.RetryAt)
+		if now < due {
+			out.WakeAt(due)
+			continue
+		}
+		l.Stage = table.LotAdopting
+		h := l.Head
+		h.Owner, h.Write = r.Owner, nextWrite(r)
+		logLot("adopting lot", l, out, field("owner", l.Head.Owner.Host), field("silent_ms", millis(now-l.Seen)))
+		out.Add(command.Count{Counter: "lot_adoptions", Delta: 1})
+		out.Add(command.AdoptLot{Head: h, Version: l.Version})
+	}
+}
+
+func adoptionDue(r *table.Rollout, id string, l *table.Lot) time.Duration {
+	return l.Seen + adoptionWait(r, id, l)
+}
+
+// adoptionWait is how long a head must not have changed before this host takes
+// the lot.
+func adoptionWait(r *table.Rollout, id string, l *table.Lot) time.Duration {
+	switch {
+	case l.Head.Owner == r.Owner:
+		return acceptWithin // this process stored it and has not heard of that yet
+	case l.Head.Owner.Host == r.Owner.Host:
+		return 0 // an earlier lifetime of this process: it cannot be alive
+	case l.Head.Owner == lot.Owner{}:
+		return spread(r, id, handoverSpread)
+	default:
+		return adoptAfter + spread(r, id, adoptSpread)
+	}
+}
+
+func spread(r *table.Rollout, id string, most time.Duration) time.Duration {
+	return time.Duration(xxhash.Sum64String(id+r.Owner.Host) % uint64(most))
+}
+
+// nextWrite returns a value that no other write has.
+func nextWrite(r *table.Rollout) string {
+	r.Writes++
+	return fmt.Sprintf("%s/%s/%d", r.Owner.Host, r.Owner.Lifetime, r.Writes)
+}
+
+func logLot(message string, l *table.Lot, out *command.Outbox, more ...command.Field) {
+	out.Add(command.LogChange{Message: message, Fields: append([]command.Field{
+		field("lot", l.Head.ID), field("row_version", strconv.FormatUint(l.Version, 10)),
+		field("listed", strconv.Itoa(l.Head.Listed)), field("total", strconv.Itoa(l.Head.Total)),
+	}, more...)})
+}
--- /dev/null
+++ b/system/rollout/rollout.go
@@ -0,0 +1,109 @@
+// Package rollout holds the decisions of a host that serves callers and trainers
+// on a platform with a shared store: routing, ownership of lots, dispatch of items,
+// judgement of backend servers and orders to engines.
+package rollout
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/system"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// Systems returns the systems in the order in which they run each tick: first what
+// was read, then what ended, then what follows from both.
+func Systems() []system.Named {
+	return []system.Named{
+		{Name: "feeds", Run: Feeds},
+		{Name: "desired", Run: Desired},
+		{Name: "servers", Run: Servers},
+		{Name: "judgement", Run: Judgement},
+		{Name: "lots", Run: Lots},
+		{Name: "runs", Run: Runs},
+		{Name: "scores", Run: Scores},
+		{Name: "drain", Run: Drain},
+		{Name: "adoption", Run: Adoption},
+		{Name: "dispatch", Run: Dispatch},
+		{Name: "writes", Run: Writes},
+		{Name: "duty", Run: Duty},
+		{Name: "weights", Run: Weights},
+		{Name: "publish", Run: Publish},
+	}
+}
+
+// Feeds notes which feeds of the store work. Silence of other processes says
+// nothing while the feed that would carry their writes is down.
+func Feeds(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+	for _, e := range in {
+		if f, ok := e.(event.FeedChanged); ok {
+			row, _ := t.Rollout.Feeds.Upsert(f.Table)
+			row.Down, row.Since = f.Down, now
+			logFeed(f, out)
+		}
+	}
+}
+
+func logFeed(f event.FeedChanged, out *command.Outbox) {
+	fields := []command.Field{field("table", f.Table)}
+	if !f.Down {
+		out.Add(command.LogChange{Message: "feed of the store regained", Fields: fields})
+		return
+	}
+	if f.Failure != nil {
+		fields = append(fields, field("reason", string(f.Failure.Reason)), field("error", f.Failure.Message))
+	}
+	out.Add(command.LogChange{Message: "feed of the store lost", Fields: fields})
+	out.Add(command.Count{Counter: "feed_lost", Tags: map[string]string{"table": f.Table}, Delta: 1})
+}
+
+// Desired takes desired states and named versions. A version never goes back
+// within the lifetime of the process.
+func Desired(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+	r := &t.Rollout
+	for _, e := range in {
+		switch e := e.(type) {
+		case event.DesiredRead:
+			if r.Desired != nil && e.State.Version <= r.Desired.Version {
+				continue
+			}
+			r.Desired, r.PlanChanged = e.State, true
+			out.Add(command.LogChange{Message: "desired state in force", Fields: []command.Field{
+				field("version", strconv.FormatUint(e.State.Version, 10)), field("routes", strconv.Itoa(len(e.State.Routes))),
+			}})
+		case event.VersionNamed:
+			m, _ := r.Models.Upsert(e.Model)
+			if e.Version > m.Named {
+				m.Named, m.NamedAt = e.Version, now
+				out.Add(command.LogChange{Message: "weight version named", Fields: []command.Field{
+					field("model", e.Model), field("version", strconv.Itoa(int(e.Version))),
+				}})
+			}
+		}
+	}
+}
+
+// Publish hands routing and the state of lots to request goroutines when they
+// changed.
+func Publish(now time.Duration, t *table.Tables, _ []event.Event, out *command.Outbox) {
+	r := &t.Rollout
+	if r.PlanChanged {
+		out.Add(command.PublishRouting{Plan: routingPlan(now, r)})
+		r.PlanChanged = false
+	}
+	if !r.ViewChanged {
+		return
+	}
+	lots := make(map[string]command.LotState, r.Lots.Len())
+	for id, l := range r.Lots.All() {
+		lots[id] = command.LotState{Total: l.Head.Total, Listed: l.Head.Listed, Ended: l.Head.Ended}
+	}
+	out.Add(command.PublishLots{Lots: lots})
+	r.ViewChanged = false
+}
+
+func field(key, value string) command.Field { return command.Field{Key: key, Value: value} }
+
+func millis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
--- /dev/null
+++ b/system/rollout/runs.go
@@ -0,0 +1,251 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/desired"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+const (
+	// slowFor is the time for which a server that produced clearly slower than the
+	// others gets no items; then new runs measure it again.
+	slowFor = 2 * time.Second
+	// failurePause is the wait of an item after a run failed.
+	failurePause = 20 * time.Millisecond
+	// scorePause is the wait after a scoring request that failed.
+	scorePause = 100 * time.Millisecond
+	// defaultAttempts holds for an item whose route is gone.
+	defaultAttempts = 3
+	// gapWeight is the weight of a new measurement in the smoothed gap.
+	gapWeight = 0.3
+)
+
+// Runs takes the outcome of runs: text that is complete goes to its scorer, all
+// else waits for another run that continues where this one ended.
+func Runs(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+	for _, e := range in {
+		if run, ok := e.(event.RunEnded); ok {
+			runEnded(now, t, run, out)
+		}
+	}
+}
+
+func runEnded(now time.Duration, t *table.Tables, e event.RunEnded, out *command.Outbox) {
+	r := &t.Rollout
+	s := r.Servers.Find(e.Server)
+	if s != nil {
+		learn(now, r, s, e, out)
+	}
+	item := r.Items.Find(e.Key)
+	if item == nil || item.Stage != table.ItemRunning || item.Run != e.Run {
+		return // the lot ended or went to another owner
+	}
+	release(t, item)
+	item.Stage = table.ItemWaiting
+	item.Events = append(item.Events, e.Events...)
+	for _, v := range e.Versions {
+		item.Versions = lot.AddVersion(item.Versions, v)
+	}
+	if e.Failure != nil {
+		failedRun(now, t, item, e, out)
+		return
+	}
+	completeText(now, t, item, out)
+}
+
+// learn takes what a run showed about its server.
+func learn(now time.Duration, r *table.Rollout, s *table.Server, e event.RunEnded, out *command.Outbox) {
+	if e.Version != 0 && e.Model != "" && s.Models[e.Model] != e.Version {
+		setVersion(s, e.Model, e.Version)
+	}
+	if e.Gap > 0 {
+		s.Gap = smooth(s.Gap, e.Gap)
+	}
+	if e.Failure == nil {
+		succeeded(r, s)
+		return
+	}
+	out.Add(command.Count{Counter: "runs_failed", Tags: map[string]string{"reason": string(e.Failure.Reason)}, Delta: 1})
+	switch e.Failure.Reason {
+	case verdict.ReasonBackendRefused:
+		s.BusyUntil = now + busyPause
+	case verdict.ReasonSlow:
+		s.SlowUntil = now + slowFor
+	case verdict.ReasonCanceled, verdict.ReasonTerminated, verdict.ReasonTooOld:
+	case verdict.ReasonBackendFailed:
+		succeeded(r, s) // it answers; the item fails
+	default:
+		failed(now, r, s, out)
+	}
+}
+
+// setVersion replaces the map, which the newest record of the server shares.
+func setVersion(s *table.Server, model string, v registry.Version) {
+	models := make(map[string]registry.Version, len(s.Models)+1)
+	for name, known := range s.Models {
+		models[name] = known
+	}
+	models[model] = v
+	s.Models = models
+}
+
+func smooth(old, sample time.Duration) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	return time.Duration((1-gapWeight)*float64(old) + gapWeight*float64(sample))
+}
+
+func failedRun(now time.Duration, t *table.Tables, item *table.Item, e event.RunEnded, out *command.Outbox) {
+	item.Avoid, item.NotBefore = e.Server, now
+	switch e.Failure.Reason {
+	case verdict.ReasonBackendFailed:
+		item.Failures++
+		item.NotBefore = now + failurePause
+	case verdict.ReasonTerminated:
+		item.Unprocessed++
+	}
+	if e.Failure.Reason != verdict.ReasonBackendRefused && e.Failure.Reason != verdict.ReasonCanceled {
+		out.Add(command.LogChange{Message: "run of item ended early", Fields: []command.Field{
+			field("lot", item.Lot), field("item", item.Spec.ID), field("server", e.Server), field("run", itoa(e.Run)),
+			field("events", itoa(len(item.Events))), field("reason", string(e.Failure.Reason)), field("error", e.Failure.Message),
+		}})
+	}
+	if item.Unprocessed > 0 || item.Failures >= itemAttempts(t, item) {
+		finish(now, t, item, lot.Result{Item: item.Spec.ID, State: lot.StateTerminated}, out)
+	}
+}
+
+func itemAttempts(t *table.Tables, item *table.Item) int {
+	if route := itemRoute(t, item); route != nil && route.Attempts > 0 {
+		return route.Attempts
+	}
+	return defaultAttempts
+}
+
+func itemRoute(t *table.Tables, item *table.Item) *desired.Route {
+	l := t.Rollout.Lots.Find(item.Lot)
+	if l == nil || l.Submission == nil || t.Rollout.Desired == nil {
+		return nil
+	}
+	return t.Rollout.Desired.Match(l.Submission.Host, item.Spec.Path)
+}
+
+// completeText sends a complete text to its scorer. A text that several versions
+// made is generated again on a route that wants one.
+func completeText(now time.Duration, t *table.Tables, item *table.Item, out *command.Outbox) {
+	route := itemRoute(t, item)
+	if route != nil && route.SingleVersion && len(item.Versions) > 1 {
+		out.Add(command.Count{Counter: "items_mixed_versions", Delta: 1})
+		item.Events, item.Versions = nil, nil
+		return
+	}
+	if item.Spec.Scorer == nil {
+		finish(now, t, item, result(item, ""), out)
+		return
+	}
+	item.Stage, item.NotBefore = table.ItemScoring, 0
+	score(t, item, out)
+}
+
+func result(item *table.Item, score string) lot.Result {
+	return lot.Result{
+		Item: item.Spec.ID, State: lot.StateCompleted, Text: joinLines(item.Events), Versions: item.Versions, Score: score,
+	}
+}
+
+func joinLines(lines []string) string {
+	size := 0
+	for _, l := range lines {
+		size += len(l) + 1
+	}
+	text := make([]byte, 0, size)
+	for i, l := range lines {
+		if i > 0 {
+			text = append(text, '\n')
+		}
+		text = append(text, l...)
+	}
+	return string(text)
+}
+
+func score(t *table.Tables, item *table.Item, out *command.Outbox) {
+	item.ScoreRuns++
+	out.Add(command.ScoreItem{Key: table.ItemKey(item.Lot, item.Spec.ID), Scorer: item.Spec.Scorer})
+}
+
+// finish queues the result of an item for the next write of its lot.
+func finish(now time.Duration, t *table.Tables, item *table.Item, res lot.Result, out *command.Outbox) {
+	l := t.Rollout.Lots.Find(item.Lot)
+	key := table.ItemKey(item.Lot, item.Spec.ID)
+	if res.State == lot.StateTerminated {
+		out.Add(command.LogChange{Message: "item terminated", Fields: []command.Field{
+			field("lot", item.Lot), field("item", item.Spec.ID), field("failures", itoa(item.Failures)),
+			field("unprocessed", itoa(item.Unprocessed)), field("score_failures", itoa(item.ScoreFailure)),
+		}})
+	}
+	t.Rollout.Items.Delete(key)
+	if l == nil || l.Stage != table.LotOwned || l.Listed[res.Item] {
+		return
+	}
+	l.Listed[res.Item] = true
+	if len(l.Pending) == 0 {
+		l.PendingAt = now
+	}
+	l.Pending = append(l.Pending, res)
+}
+
+// Scores takes the outcome of scoring requests.
+func Scores(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+	for _, e := range in {
+		s, ok := e.(event.ScoreEnded)
+		if !ok {
+			continue
+		}
+		item := t.Rollout.Items.Find(s.Key)
+		if item == nil || item.Stage != table.ItemScoring {
+			continue
+		}
+		item.ScoreFailure += s.Failures
+		switch {
+		case s.Failure == nil:
+			finish(now, t, item, result(item, s.Score), out)
+		case item.ScoreFailure >= scorerAttempts(t, item):
+			finish(now, t, item, lot.Result{Item: item.Spec.ID, State: lot.StateTerminated}, out)
+		default:
+			item.NotBefore = now + scorePause
+			out.Add(command.Count{Counter: "scoring_failed", Tags: map[string]string{"reason": string(s.Failure.Reason)}, Delta: 1})
+		}
+	}
+	retryScores(now, t, out)
+}
+
+func scorerAttempts(t *table.Tables, item *table.Item) int {
+	if t.Rollout.Desired != nil {
+		route := t.Rollout.Desired.Match(item.Spec.Scorer.Host, item.Spec.Scorer.Path)
+		if route != nil && route.Attempts > 0 {
+			return route.Attempts
+		}
+	}
+	return defaultAttempts
+}
+
+func retryScores(now time.Duration, t *table.Tables, out *command.Outbox) {
+	for _, item := range t.Rollout.Items.All() {
+		if item.Stage != table.ItemScoring || item.NotBefore == 0 {
+			continue
+		}
+		if now < item.NotBefore {
+			out.WakeAt(item.NotBefore)
+			continue
+		}
+		item.NotBefore = 0
+		score(t, item, out)
+	}
+}
--- /dev/null
+++ b/system/rollout/servers.go
@@ -0,0 +1,181 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/forward"
+	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+const (
+	// lapseGrace is the time after the feed of server records came back within
+	// which records that lapsed during the outage may return: a living server
+	// writes again within two seconds.
+	lapseGrace = 2200 * time.Millisecond
+	// failuresToSuspect is the number of failures in a row after which a server is
+	// used only if no other is left. One failure may be a single lost answer.
+	failuresToSuspect = 2
+	// firstSuspicion doubles with each further failure up to maxSuspicion; then one
+	// request tries the server again.
+	firstSuspicion = 500 * time.Millisecond
+	maxSuspicion   = 4 * time.Second
+	// busyPause is the wait after a refusal for want of a slot, about the time in
+	// which one of eight running items ends.
+	busyPause = 60 * time.Millisecond
+)
+
+// Servers keeps the table of backend servers by their published records.
+func Servers(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+	r := &t.Rollout
+	for _, e := range in {
+		read, ok := e.(event.ServersRead)
+		if !ok {
+			continue
+		}
+		for _, c := range read.Changes {
+			applyServer(now, r, c, out)
+		}
+		if read.Full {
+			removeUnlisted(now, r, read.Changes, out)
+		}
+	}
+	expireMissing(now, r, out)
+}
+
+func applyServer(now time.Duration, r *table.Rollout, c registry.Change, out *command.Outbox) {
+	if c.Server == nil {
+		if c.Reason == registry.ReasonUnreadable {
+			out.Add(command.Count{Counter: "server_record_unreadable", Delta: 1})
+		}
+		if s := r.Servers.Find(c.ID); s != nil {
+			markMissing(now, r, s, out)
+		}
+		return
+	}
+	s, created := r.Servers.Upsert(c.ID)
+	if !created && c.RowVersion < s.RowVersion {
+		return
+	}
+	if created || c.Server.Lifetime != s.Lifetime || c.Server.Address != s.Address {
+		*s = table.Server{Load: new(forward.Load)}
+		r.PlanChanged = true
+		logServer("backend server joined", c.Server, out)
+	}
+	if c.Server.Leaving != s.Leaving || s.MissingSince != 0 {
+		r.PlanChanged = true
+		if c.Server.Leaving {
+			logServer("backend server is leaving", c.Server, out)
+		}
+	}
+	s.Server, s.RowVersion, s.MissingSince = *c.Server, c.RowVersion, 0
+}
+
+func logServer(message string, s *registry.Server, out *command.Outbox) {
+	out.Add(command.LogChange{Message: message, Fields: []command.Field{
+		field("server", s.ID), field("service", s.Service), field("address", s.Address), field("zone", s.Zone),
+	}})
+}
+
+// removeUnlisted handles records that are absent from a full read.
+func removeUnlisted(now time.Duration, r *table.Rollout, changes []registry.Change, out *command.Outbox) {
+	listed := make(map[string]bool, len(changes))
+	for _, c := range changes {
+		listed[c.ID] = true
+	}
+	for id, s := range r.Servers.All() {
+		if !listed[id] {
+			markMissing(now, r, s, out)
+		}
+	}
+}
+
+// markMissing takes a server out of use: at once in calm, after lapseGrace if its
+// record may have lapsed because the store was away.
+func markMissing(now time.Duration, r *table.Rollout, s *table.Server, out *command.Outbox) {
+	if s.MissingSince == 0 {
+		s.MissingSince = now
+	}
+	out.WakeAt(now + lapseGrace)
+}
+
+func expireMissing(now time.Duration, r *table.Rollout, out *command.Outbox) {
+	feed := r.Feeds.Find(feedServers)
+	for id, s := range r.Servers.All() {
+		if s.MissingSince == 0 {
+			continue
+		}
+		if feed != nil && (feed.Down || (feed.Since > 0 && now-feed.Since < lapseGrace)) {
+			continue
+		}
+		logServer("backend server is gone", &s.Server, out)
+		r.Servers.Delete(id)
+		r.PlanChanged = true
+	}
+}
+
+// Judgement takes what requests of callers showed about servers.
+func Judgement(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+	for _, e := range in {
+		o, ok := e.(event.ServerOutcome)
+		if !ok {
+			continue
+		}
+		s := t.Rollout.Servers.Find(o.Server)
+		switch {
+		case s == nil || o.Refused:
+		case o.Failed:
+			failed(now, &t.Rollout, s, out)
+		case o.Answered:
+			succeeded(&t.Rollout, s)
+		}
+	}
+	for _, s := range t.Rollout.Servers.All() {
+		if s.SuspectUntil != 0 && s.SuspectUntil <= now {
+			s.SuspectUntil = 0 // the next request is a trial
+			t.Rollout.PlanChanged = true
+		} else if s.SuspectUntil != 0 {
+			out.WakeAt(s.SuspectUntil)
+		}
+	}
+}
+
+func failed(now time.Duration, r *table.Rollout, s *table.Server, out *command.Outbox) {
+	s.Failures++
+	if s.Failures < failuresToSuspect {
+		return
+	}
+	pause := min(maxSuspicion, firstSuspicion<<min(4, s.Failures-failuresToSuspect))
+	if s.SuspectUntil == 0 {
+		logServer("backend server is suspect", &s.Server, out)
+		out.Add(command.Count{Counter: "server_suspected", Delta: 1})
+	}
+	s.SuspectUntil, r.PlanChanged = now+pause, true
+}
+
+func succeeded(r *table.Rollout, s *table.Server) {
+	s.Failures = 0
+	if s.SuspectUntil != 0 {
+		s.SuspectUntil, r.PlanChanged = 0, true
+	}
+}
+
+// routingPlan builds the immutable plan of request goroutines. Leaving and missing
+// servers are not in it; a record that may return after an outage keeps its server.
+func routingPlan(_ time.Duration, r *table.Rollout) *forward.Plan {
+	p := &forward.Plan{State: r.Desired, Zone: r.Zone, Services: make(map[string][]*forward.Target)}
+	for _, s := range r.Servers.All() {
+		if !s.Leaving {
+			p.Services[s.Service] = append(p.Services[s.Service], target(s))
+		}
+	}
+	return p
+}
+
+func target(s *table.Server) *forward.Target {
+	return &forward.Target{
+		ID: s.ID, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Suspect: s.SuspectUntil != 0, Load: s.Load,
+	}
+}
--- /dev/null
+++ b/system/rollout/writes.go
@@ -0,0 +1,158 @@
+package rollout
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+const (
+	// gatherFor is the time in which results that become ready share one commit.
+	gatherFor = 25 * time.Millisecond
+	// maxWriteResults and maxWriteBytes keep a commit within the store's limits of
+	// 100 rows and 1 MB, in which values are a third larger than here.
+	maxWriteResults = 60
+	maxWriteBytes   = 400_000
+	// maxProgress and maxProgressBytes bound the unfinished texts beside them.
+	maxProgress      = 30
+	maxProgressBytes = 200_000
+	// writeRetry is the wait before a write whose outcome is unknown is sent again.
+	writeRetry = 120 * time.Millisecond
+)
+
+// Writes commits what is ready of owned lots and shows that their owner lives. A
+// lot has one write in flight; it is sent unchanged until its outcome is known.
+func Writes(now time.Duration, t *table.Tables, _ []event.Event, out *command.Outbox) {
+	for _, l := range t.Rollout.Lots.All() {
+		if l.Stage != table.LotOwned {
+			continue
+		}
+		if l.Write == nil {
+			beginWrite(now, &t.Rollout, l, out)
+		}
+		if l.Write != nil && !l.Write.InFlight {
+			sendWrite(now, t, l, out)
+		}
+	}
+}
+
+func beginWrite(now time.Duration, r *table.Rollout, l *table.Lot, out *command.Outbox) {
+	due := l.WroteAt + touchEvery
+	if len(l.Pending) > 0 {
+		due = min(due, l.PendingAt+gatherFor)
+	}
+	if now < due {
+		out.WakeAt(due)
+		return
+	}
+	n := fitting(l.Pending)
+	h := l.Head
+	h.Listed += n
+	h.Write = nextWrite(r)
+	l.Write = &table.LotWrite{Head: h, Results: l.Pending[:n:n]}
+	l.Pending = l.Pending[n:]
+	l.RetryAt = now
+}
+
+// fitting returns how many results fit one commit.
+func fitting(results []lot.Result) int {
+	bytes := 0
+	for i := range results {
+		bytes += len(results[i].Text)
+		if i == maxWriteResults || (i > 0 && bytes > maxWriteBytes) {
+			return i
+		}
+	}
+	return len(results)
+}
+
+func sendWrite(now time.Duration, t *table.Tables, l *table.Lot, out *command.Outbox) {
+	if now < l.RetryAt {
+		out.WakeAt(l.RetryAt)
+		return
+	}
+	l.Write.InFlight, l.WroteAt = true, now
+	c := command.WriteLot{Head: l.Write.Head, Version: l.Version, Results: l.Write.Results}
+	if l.Write.Release {
+		c.Progress = progress(t, l)
+	}
+	out.Add(c)
+}
+
+// written takes the outcome of a write.
+func written(now time.Duration, t *table.Tables, e event.LotWritten, out *command.Outbox) {
+	l := t.Rollout.Lots.Find(e.ID)
+	if l == nil || l.Write == nil || l.Write.Head.Write != e.Write {
+		return
+	}
+	w := l.Write
+	switch {
+	case e.Current != nil:
+		l.Write = nil
+		l.Pending = append(w.Results[:len(w.Results):len(w.Results)], l.Pending...)
+		out.Add(command.Count{Counter: "lot_write_conflicts", Delta: 1})
+		superseded(now, t, l, e.Current, out)
+	case e.Failure != nil:
+		w.InFlight, l.RetryAt = false, now+writeRetry
+		out.Add(command.Count{Counter: "lot_write_failed", Tags: map[string]string{"reason": string(e.Failure.Reason)}, Delta: 1})
+	default:
+		l.Write = nil
+		committed(now, t, l, w, e.Version, out)
+	}
+}
+
+func superseded(now time.Duration, t *table.Tables, l *table.Lot, current *event.HeadRow, out *command.Outbox) {
+	if current.Deleted {
+		drop(t, l.Head.ID, l, out)
+		l.Stage = table.LotForeign
+		return
+	}
+	takeHead(now, t, l, current, out)
+}
+
+func committed(now time.Duration, t *table.Tables, l *table.Lot, w *table.LotWrite, version uint64, out *command.Outbox) {
+	r := &t.Rollout
+	r.ViewChanged = r.ViewChanged || len(w.Results) > 0
+	l.Head, l.Version, l.Seen = w.Head, version, now
+	if len(w.Results) > 0 {
+		out.Add(command.Count{Counter: "results_listed", Delta: int64(len(w.Results))})
+	}
+	if w.Release {
+		logLot("lot handed over", l, out)
+	} else if l.Head.Open() {
+		return
+	} else {
+		logLot("lot complete", l, out, field("took_ms", millis(now-l.AcceptedAt)))
+	}
+	drop(t, l.Head.ID, l, out)
+	l.Stage = table.LotForeign
+}
+
+// progress returns what has been generated of the unfinished items of a lot, as
+// far as it fits a commit.
+func progress(t *table.Tables, l *table.Lot) []lot.Progress {
+	var all []lot.Progress
+	bytes := 0
+	for _, key := range itemKeys(l) {
+		item := t.Rollout.Items.Find(key)
+		if item == nil || len(item.Events) == 0 {
+			continue
+		}
+		for _, e := range item.Events {
+			bytes += len(e)
+		}
+		if len(all) == maxProgress || bytes > maxProgressBytes {
+			break
+		}
+		all = append(all, lot.Progress{
+			Item: item.Spec.ID, Events: item.Events, Versions: item.Versions, Complete: item.Stage == table.ItemScoring,
+		})
+	}
+	return all
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
--- /dev/null
+++ b/table/rollout.go
@@ -0,0 +1,161 @@
+package table
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/desired"
+	"github.com/lavenderstand/lavenderstand/forward"
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/registry"
+)
+
+// Rollout holds the entities of a host that serves callers and trainers on a
+// platform with a shared store.
+type Rollout struct {
+	Owner   lot.Owner // this process
+	Zone    string
+	Lease   time.Duration // smallest time between orders of two holders
+	Feeds   Table[Feed]   // keyed by table name of the store
+	Desired *desired.State
+	Servers Table[Server]      // keyed by server id
+	Models  Table[Model]       // keyed by model name
+	Lots    Table[Lot]         // keyed by lot id
+	Items   Table[Item]        // keyed by ItemKey; only items of own lots
+	Duty    Duty               // the right to give orders
+	Typical map[string]Typical // by service
+
+	Draining    bool   // a planned stop has begun
+	HandedOver  bool   // everything has been handed over since
+	PlanChanged bool   // the routing plan must be published again
+	ViewChanged bool   // the state of lots must be published again
+	Writes      uint64 // counts writes, so that each has a name of its own
+	Runs        int    // counts runs of items
+}
+
+// Feed is the state of one feed of the store.
+type Feed struct {
+	Down  bool
+	Since time.Duration // when Down last changed
+}
+
+// Typical is the pace of a service's servers.
+type Typical struct {
+	Gap time.Duration // median time between two events of a stream
+	At  time.Duration
+}
+
+// Server is a backend server with what this host has seen of it.
+type Server struct {
+	registry.Server
+	RowVersion   uint64
+	MissingSince time.Duration // record lapsed while the store was away, 0 if it is there
+
+	Load         *forward.Load `json:"-"` // shared with request goroutines
+	Running      int           // items that this host runs on it
+	Gap          time.Duration // smoothed time between two events, 0 before the first
+	SlowUntil    time.Duration // produces clearly slower than the others
+	SuspectUntil time.Duration
+	Failures     int           // failures in a row
+	BusyUntil    time.Duration // refused for want of a slot
+	Order        Order
+}
+
+// Order is the newest order of this process to a server.
+type Order struct {
+	Model   string
+	Version registry.Version
+	SentAt  time.Duration
+	Pending bool          // its outcome has not come back
+	Until   time.Duration // no other order before
+}
+
+// Model is a model with the version that its trainer named last.
+type Model struct {
+	Named   registry.Version
+	NamedAt time.Duration
+}
+
+// LotStage is what this host does with a lot.
+type LotStage string
+
+// Stages of a lot.
+const (
+	LotForeign  LotStage = "foreign"  // another process runs it, or nobody
+	LotAdopting LotStage = "adopting" // a commit to own it is in flight
+	LotOwned    LotStage = "owned"
+)
+
+// Lot is a batch submission.
+type Lot struct {
+	Head    lot.Head
+	Version uint64        // of the head's row
+	Seen    time.Duration // when Version last changed on our clock
+	Stage   LotStage
+
+	// Of owned lots.
+	Submission *lot.Submission `json:"-"`
+	AcceptedAt time.Duration   // on our clock
+	Listed     map[string]bool `json:"-"` // items that are listed or about to be
+	Pending    []lot.Result    `json:"-"` // results that wait for the next write
+	PendingAt  time.Duration   // when the first of them became ready
+	Write      *LotWrite       // the write in flight, nil if there is none
+	WroteAt    time.Duration   // when the last write began
+	RetryAt    time.Duration   // next adoption or write after a failure
+}
+
+// LotWrite is a commit of a lot. It stays the same until its outcome is known.
+type LotWrite struct {
+	Head     lot.Head
+	Results  []lot.Result `json:"-"`
+	InFlight bool
+	Release  bool
+}
+
+// ItemStage is what an item waits for.
+type ItemStage string
+
+// Stages of an item.
+const (
+	ItemWaiting ItemStage = "waiting"
+	ItemRunning ItemStage = "running"
+	ItemScoring ItemStage = "scoring"
+	ItemDone    ItemStage = "done"
+)
+
+// Item is an item of an owned lot that is not listed yet.
+type Item struct {
+	Lot   string
+	Spec  *lot.Item `json:"-"`
+	Stage ItemStage
+
+	Run       int    // number of the newest run
+	Server    string // of the newest run
+	Avoid     string // server that failed or was slow last
+	NotBefore time.Duration
+
+	Events   []string `json:"-"` // data of the events so far
+	Versions []registry.Version
+
+	Failures     int // answers that say the run failed
+	Unprocessed  int // answers that say the item can never be done
+	ScoreRuns    int
+	ScoreFailure int // failed answers of the scorer
+}
+
+// ItemKey is the key of an item: the same item may come again in a later lot.
+func ItemKey(lot, item string) string { return lot + "/" + item }
+
+// Duty is the lease under which one process gives orders to engines.
+type Duty struct {
+	Holder  lot.Owner
+	Version uint64        // of the lease row, 0 if there is none
+	Seen    time.Duration // when Version last changed on our clock
+	Held    bool
+	Fence   uint64 // version of the row when this process took the lease
+	// ValidUntil ends the right to give orders, on our clock. It is counted from
+	// before the last successful renewal was sent.
+	ValidUntil time.Duration
+	OrdersFrom time.Duration // no order before: the last holder's may still be under way
+	Writing    bool
+	NextWrite  time.Duration
+}
--- a/table/tables.go
+++ b/table/tables.go
@@ -26,6 +26,8 @@
 	Commits    Table[Commit]    // keyed by CommitKey
 	Weights    Table[Weights]   // keyed by model name
 	Background Background
+
+	Rollout Rollout // of hosts that serve on a platform with a shared store
 }
 
 // Scans holds the earliest times of the next scans of all backends for due work.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -17,17 +17,33 @@
 	maxHeaderBytes  = 64 << 10
 )
 
-// NewClient returns a client whose connections count writes. It follows no
+// Options bound what a client waits for and keeps. Zero values give the defaults.
+type Options struct {
+	DialTimeout time.Duration
+	IdleTimeout time.Duration // an idle connection is closed after it
+	KeepAlive   net.KeepAliveConfig
+}
+
+// NewClient returns a client with default options.
+func NewClient() *http.Client { return NewClientWith(Options{}) }
+
+// NewClientWith returns a client whose connections count writes. It follows no
 // redirect, because a followed redirect is a second request.
-func NewClient() *http.Client {
+func NewClientWith(o Options) *http.Client {
+	if o.DialTimeout == 0 {
+		o.DialTimeout = dialTimeout
+	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = idleConnTimeout
+	}
 	return &http.Client{
-		Transport:     newTransport(),
+		Transport:     newTransport(o),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newTransport(o Options) *http.Transport {
+	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAliveConfig: o.KeepAlive}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
@@ -38,7 +54,7 @@
 		},
 		Protocols:              http1(),
 		MaxIdleConnsPerHost:    maxIdlePerHost,
-		IdleConnTimeout:        idleConnTimeout,
+		IdleConnTimeout:        o.IdleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
 	}
