--- a/cmd/lavender-host/serve.go
+++ b/cmd/lavender-host/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log"
 	"net/http"
 	"os"
@@ -52,7 +53,7 @@
 }
 
 func ignoreClosed(err error) error {
-	if err == http.ErrServerClosed {
+	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -183,7 +184,7 @@
 		c.failures++
 		res.answer.Failures = c.failures
 	}
-	if res.err == nil && !(res.answer.serverFailed() && c.mayRepeat()) {
+	if res.err == nil && (!res.answer.serverFailed() || !c.mayRepeat()) {
 		return res.answer, true, nil
 	}
 	if res.err == nil {
@@ -243,7 +244,7 @@
 }
 
 func (c *call) expired(ctx context.Context) (*Answer, error) {
-	if context.Cause(ctx) != context.DeadlineExceeded {
+	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonCanceled, "the caller left")
 	}
 	if c.failed != nil {
