Give lots to the host that runs their model; share engines by demand

Change: the host that accepts a lot names the process that runs the model's lots as owner; weak hosts leave a lot to strong ones. Engines are divided among models by the work of their lots; items run on their model's engines.

--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -93,7 +93,7 @@
 	h := &host{
 		settings: d, clock: clock.NewBoot(), inbox: control.NewInbox(control.InboxSize),
 		output: telemetry.NewAsyncWriter(os.Stdout), ended: make(chan struct{}),
-		owner: lot.Owner{Host: d.Host, Lifetime: strconv.FormatUint(rand.Uint64(), 36)},
+		owner: lot.Owner{Host: d.Host, Lifetime: strconv.FormatUint(rand.Uint64(), 36), Power: d.MilliCores},
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.log = telemetry.NewAsyncLogger(h.output, zapcore.InfoLevel).With(zap.String("host", d.Host))
@@ -118,7 +118,7 @@
 		Report: func(o forward.Outcome) { h.inbox.Post(event.ServerOutcome{Outcome: o}) },
 	}
 	h.service = &front.Service{
-		Forwarder: forwarder, Keeper: h.keeper, View: front.NewView(), Owner: h.owner, Log: h.log,
+		Forwarder: forwarder, Keeper: h.keeper, View: front.NewView(), Owner: h.owner, Log: h.log, Now: h.clock.Now,
 		Deliver: h.inbox.Deliver, ViewAge: func() time.Duration { return h.heads.Age() },
 	}
 }
@@ -135,6 +135,7 @@
 	telemetry.Register(h.pool, h.metrics.Scope, h.log)
 	control.HandleNow(h.pool, func(c command.PublishRouting) { h.service.Plans.Publish(c.Plan) })
 	control.HandleNow(h.pool, h.service.View.Publish)
+	control.HandleNow(h.pool, h.service.Runners.Publish)
 	control.HandleNow(h.pool, func(command.HandedOver) { close(h.ended) })
 	runs := &executor.Runs{Ctx: h.ctx, Sender: h.backends, Deliver: h.inbox.Deliver, SetUrgency: platform.SetUrgency}
 	control.HandleNow(h.pool, runs.Start)
--- a/command/rollout.go
+++ b/command/rollout.go
@@ -20,6 +20,19 @@
 // PublishLots replaces the state of all lots that readers see.
 type PublishLots struct{ Lots map[string]LotState }
 
+// Runner is the process that should run the next lot of a model. It counts as alive
+// until Until, on the process's clock.
+type Runner struct {
+	Owner lot.Owner
+	Until time.Duration
+}
+
+// PublishRunners replaces what is known of the processes that run lots, by model.
+type PublishRunners struct{ Runners map[string]Runner }
+
+// Name implements Command.
+func (PublishRunners) Name() string { return "publish_runners" }
+
 // AdoptLot takes over a lot whose head has the given version and loads what is
 // stored of it.
 type AdoptLot struct {
--- a/executor/run.go
+++ b/executor/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -121,8 +120,8 @@
 func (u *run) receive(s forward.Stream, watch *time.Timer) error {
 	for {
 		e, err := s.Next()
-		if errors.Is(err, io.EOF) && verdict.ReasonOf(err) == verdict.ReasonUnknown {
-			return nil // the stream is complete; a broken one has a reason
+		if errors.Is(err, forward.ErrEnd) {
+			return nil
 		}
 		if err != nil {
 			return err
--- a/executor/store.go
+++ b/executor/store.go
@@ -62,6 +62,9 @@
 		}
 		e.Results = append(e.Results, page...)
 	}
+	if !c.Head.Progress {
+		return nil
+	}
 	e.Progress, err = k.Progress(ctx, c.Head.ID)
 	return err
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"net/http"
 	"time"
 
@@ -102,7 +102,7 @@
 	defer silence.Stop()
 	for {
 		e, err := stream.Next()
-		if err == io.EOF {
+		if errors.Is(err, ErrEnd) {
 			return nil
 		}
 		if err != nil {
--- a/forward/types.go
+++ b/forward/types.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,10 @@
 // serverFailed reports whether the server failed the request after it had run.
 func (a *Answer) serverFailed() bool { return a.Status >= http.StatusInternalServerError }
 
+// ErrEnd is the end of a complete stream. It differs from io.EOF, which may also be
+// the cause of a broken one.
+var ErrEnd = errors.New("the stream is complete")
+
 // Event is one event of a stream. Raw is the event as the server sent it.
 type Event struct {
 	ID      int
@@ -49,7 +54,7 @@
 }
 
 // Stream is the running answer of a backend server to a streaming request. Next
-// returns io.EOF after a complete stream.
+// returns ErrEnd after a complete stream.
 type Stream interface {
 	Header() http.Header
 	Version() registry.Version
--- a/front/service.go
+++ b/front/service.go
@@ -32,6 +32,8 @@
 	*forward.Forwarder
 	Keeper  *lot.Keeper
 	View    *View
+	Runners Runners
+	Now     func() time.Duration // of the clock that published times are measured with
 	Owner   lot.Owner
 	Deliver func(context.Context, event.Event) error
 	ViewAge func() time.Duration // age of what control knows of lots
@@ -78,14 +80,14 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
 	defer cancel()
 	head := lot.Head{
-		ID: sub.ID, Owner: s.Owner, Model: sub.Model, Total: len(sub.Items),
+		ID: sub.ID, Owner: s.runner(sub.Model), Model: sub.Model, Total: len(sub.Items), Work: sub.Work(),
 		Accepted: time.Now().UnixMilli(), Write: s.write(),
 	}
 	begun := time.Now()
 	created, existing, err := s.Keeper.Create(ctx, sub, head)
 	fields := []zap.Field{
 		zap.String("lot", sub.ID), zap.Int("items", len(sub.Items)), zap.String("model", sub.Model), zap.Int("step", sub.Step),
-		zap.Duration("took", time.Since(begun)),
+		zap.Duration("took", time.Since(begun)), zap.String("runner", head.Owner.Host),
 	}
 	switch {
 	case err != nil:
@@ -97,9 +99,36 @@
 		return nil
 	}
 	s.Log.Info("submission accepted", append(fields, zap.Uint64("row_version", created.Version))...)
+	if head.Owner != s.Owner {
+		return nil // the runner sees the lot in its feed
+	}
 	return s.Deliver(ctx, event.LotAccepted{Submission: sub, Head: created.Head, Version: created.Version})
 }
 
+const (
+	// strongRunner is the part of this host's processor share that another host needs
+	// to be given a lot.
+	strongRunner = 0.75
+	// weakHost is the processor share, in thousandths of a core, below which a host
+	// leaves its lots to whichever host takes them first.
+	weakHost = 400
+)
+
+// runner returns the process that should run a lot: the one that runs the lots of the
+// model, because it knows the load of the model's engines and has channels to them.
+func (s *Service) runner(model string) lot.Owner {
+	known, ok := s.Runners.runner(model)
+	alive := ok && s.Now() < known.Until
+	switch {
+	case alive && float64(known.Owner.Power) >= strongRunner*float64(s.Owner.Power):
+		return known.Owner
+	case s.Owner.Power < weakHost:
+		return lot.Owner{}
+	default:
+		return s.Owner
+	}
+}
+
 // write returns a value that no other write of a lot has.
 func (s *Service) write() string {
 	return fmt.Sprintf("%s/%s/front/%d", s.Owner.Host, s.Owner.Lifetime, s.writes.Add(1))
--- a/front/view.go
+++ b/front/view.go
@@ -9,6 +9,24 @@
 	"github.com/lavenderstand/lavenderstand/command"
 )
 
+// Runners is the published knowledge of the processes that run lots.
+type Runners struct {
+	p atomic.Pointer[map[string]command.Runner]
+}
+
+// Publish replaces what is known.
+func (r *Runners) Publish(c command.PublishRunners) { r.p.Store(&c.Runners) }
+
+// runner returns the process that should run the next lot of a model.
+func (r *Runners) runner(model string) (command.Runner, bool) {
+	known := r.p.Load()
+	if known == nil {
+		return command.Runner{}, false
+	}
+	runner, ok := (*known)[model]
+	return runner, ok
+}
+
 // View is the published state of lots.
 type View struct{ p atomic.Pointer[published] }
 
--- a/lot/lot.go
+++ b/lot/lot.go
@@ -72,6 +72,9 @@
 type Owner struct {
 	Host     string `json:"host"`
 	Lifetime string `json:"lifetime"`
+	// Power is the processor share of the host in thousandths of a core. Lots go to
+	// strong hosts, because a weak one delays every item of a lot.
+	Power int `json:"power,omitempty"`
 }
 
 // Head is the record that orders all changes of a lot. Each commit of a lot is
@@ -81,11 +84,13 @@
 	Owner     Owner  `json:"owner"` // empty after a planned hand-over
 	Model     string `json:"model,omitempty"`
 	Total     int    `json:"total"`
+	Work      int    `json:"work,omitempty"` // estimated output tokens of all items
 	Listed    int    `json:"listed"`
 	Ended     bool   `json:"ended,omitempty"`
 	Accepted  int64  `json:"accepted"` // Unix milliseconds
 	BodyRows  int    `json:"body_rows"`
 	InObjects bool   `json:"in_objects,omitempty"` // the submission lies in objects, not in rows
+	Progress  bool   `json:"progress,omitempty"`   // texts of unfinished items are stored
 	// Write differs with each commit. A commit whose answer was lost is sent again
 	// unchanged; if the head then has this value, the first copy took effect.
 	Write string `json:"write"`
@@ -110,3 +115,12 @@
 	Total   int
 	Results []Result
 }
+
+// Work estimates the output tokens of all items of a submission.
+func (s *Submission) Work() int {
+	work := 0
+	for i := range s.Items {
+		work += max(1, s.Items[i].Length)
+	}
+	return work
+}
--- a/lot/rows.go
+++ b/lot/rows.go
@@ -86,7 +86,7 @@
 	return &s, nil
 }
 
-// BodyPart, ResultsPart and ProgressPart name where the rows of a lot lie.
+// BodyPart names the rows of a submission.
 func BodyPart(id string) (table, part string) { return tableBodies, id }
 
 // ResultsPart names the rows of a lot's results.
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -13,6 +13,7 @@
 	PeerPorts   [2]int // first and last port between own processes
 	Store       string // address of the store
 	MemoryBytes int64  // limit of the process
+	MilliCores  int    // processor share in thousandths of a core
 	FirstStart  bool
 	Bounds      Bounds
 }
--- a/system/rollout/dispatch.go
+++ b/system/rollout/dispatch.go
@@ -124,8 +124,9 @@
 func chooseServer(now time.Duration, r *table.Rollout, w waitingItem, service string) *table.Server {
 	var best *table.Server
 	var bestScore float64
+	home := hasHome(r, w, service)
 	for _, s := range r.Servers.All() {
-		if s.Service != service || s.Leaving || !hasWeights(s, w.lot) {
+		if s.Service != service || s.Leaving || !hasWeights(s, w.lot) || (home && s.Home != w.lot.Head.Model) {
 			continue
 		}
 		if s.Running >= s.Slots+queuedPerServer || now < s.BusyUntil {
@@ -151,6 +152,17 @@
 	return best
 }
 
+// hasHome reports whether one of the engines that are meant for the lot's model can
+// run its items. If so, the others are left to their own models.
+func hasHome(r *table.Rollout, w waitingItem, service string) bool {
+	for _, s := range r.Servers.All() {
+		if s.Service == service && s.Home == w.lot.Head.Model && s.SuspectUntil == 0 && !s.Leaving && hasWeights(s, w.lot) {
+			return true
+		}
+	}
+	return false
+}
+
 func hasWeights(s *table.Server, l *table.Lot) bool {
 	minimum := l.Submission.MinimumVersion
 	return minimum <= 0 || l.Head.Model == "" || s.Models[l.Head.Model] >= minimum
--- a/system/rollout/lots.go
+++ b/system/rollout/lots.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,6 +32,12 @@
 	adoptSpread = 400 * time.Millisecond
 	// handoverSpread is the same after a planned hand-over.
 	handoverSpread = 60 * time.Millisecond
+	// weakHandover and weakAdopt are added to the waits of a host by what it lacks of
+	// a whole core, so that strong hosts take lots first.
+	weakHandover = 150 * time.Millisecond
+	weakAdopt    = 500 * time.Millisecond
+	// runnerLife is the silence up to which the owner of a lot is given further lots.
+	runnerLife = 1300 * time.Millisecond
 	// acceptWithin is the time in which a submission whose storing seemed to fail may
 	// still turn out to be accepted by this process.
 	acceptWithin = 1500 * time.Millisecond
@@ -132,7 +139,7 @@
 	r := &t.Rollout
 	if h.Deleted {
 		if l := r.Lots.Find(h.ID); l != nil && h.Version > l.Version {
-			drop(t, h.ID, l, out)
+			drop(t, l, out)
 			r.Lots.Delete(h.ID)
 			r.ViewChanged = true
 		}
@@ -166,13 +173,13 @@
 			reason = "another owner"
 		}
 		logLot("lot no longer run", l, out, field("reason", reason))
-		drop(t, h.ID, l, out)
+		drop(t, l, out)
 		l.Stage = table.LotForeign
 	}
 }
 
 // drop stops the runs of a lot's items and forgets them.
-func drop(t *table.Tables, id string, l *table.Lot, out *command.Outbox) {
+func drop(t *table.Tables, l *table.Lot, out *command.Outbox) {
 	if l.Stage != table.LotOwned {
 		return
 	}
@@ -247,17 +254,24 @@
 // the lot.
 func adoptionWait(r *table.Rollout, id string, l *table.Lot) time.Duration {
 	switch {
-	case l.Head.Owner == r.Owner:
+	case l.Head.Owner == r.Owner && strings.HasPrefix(l.Head.Write, writePrefix(r)):
 		return acceptWithin // this process stored it and has not heard of that yet
+	case l.Head.Owner == r.Owner:
+		return 0 // another host accepted it and chose this one
 	case l.Head.Owner.Host == r.Owner.Host:
 		return 0 // an earlier lifetime of this process: it cannot be alive
 	case l.Head.Owner == lot.Owner{}:
-		return spread(r, id, handoverSpread)
+		return spread(r, id, handoverSpread) + lacking(r, weakHandover)
 	default:
-		return adoptAfter + spread(r, id, adoptSpread)
+		return adoptAfter + spread(r, id, adoptSpread) + lacking(r, weakAdopt)
 	}
 }
 
+// lacking scales a wait by what the host lacks of a whole core.
+func lacking(r *table.Rollout, most time.Duration) time.Duration {
+	return most * time.Duration(max(0, 1000-r.Owner.Power)) / 1000
+}
+
 func spread(r *table.Rollout, id string, most time.Duration) time.Duration {
 	return time.Duration(xxhash.Sum64String(id+r.Owner.Host) % uint64(most))
 }
@@ -265,9 +279,11 @@
 // nextWrite returns a value that no other write has.
 func nextWrite(r *table.Rollout) string {
 	r.Writes++
-	return fmt.Sprintf("%s/%s/%d", r.Owner.Host, r.Owner.Lifetime, r.Writes)
+	return fmt.Sprintf("%s%d", writePrefix(r), r.Writes)
 }
 
+func writePrefix(r *table.Rollout) string { return r.Owner.Host + "/" + r.Owner.Lifetime + "/" }
+
 func logLot(message string, l *table.Lot, out *command.Outbox, more ...command.Field) {
 	out.Add(command.LogChange{Message: message, Fields: append([]command.Field{
 		field("lot", l.Head.ID), field("row_version", strconv.FormatUint(l.Version, 10)),
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -26,10 +26,12 @@
 		{Name: "scores", Run: Scores},
 		{Name: "drain", Run: Drain},
 		{Name: "adoption", Run: Adoption},
+		{Name: "share", Run: Share},
 		{Name: "dispatch", Run: Dispatch},
 		{Name: "writes", Run: Writes},
 		{Name: "duty", Run: Duty},
 		{Name: "weights", Run: Weights},
+		{Name: "runners", Run: Runners},
 		{Name: "publish", Run: Publish},
 	}
 }
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -151,7 +151,7 @@
 		return
 	}
 	item.Stage, item.NotBefore = table.ItemScoring, 0
-	score(t, item, out)
+	score(item, out)
 }
 
 func result(item *table.Item, score string) lot.Result {
@@ -175,7 +175,7 @@
 	return string(text)
 }
 
-func score(t *table.Tables, item *table.Item, out *command.Outbox) {
+func score(item *table.Item, out *command.Outbox) {
 	item.ScoreRuns++
 	out.Add(command.ScoreItem{Key: table.ItemKey(item.Lot, item.Spec.ID), Scorer: item.Spec.Scorer})
 }
@@ -246,6 +246,6 @@
 			continue
 		}
 		item.NotBefore = 0
-		score(t, item, out)
+		score(item, out)
 	}
 }
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -51,7 +51,7 @@
 			out.Add(command.Count{Counter: "server_record_unreadable", Delta: 1})
 		}
 		if s := r.Servers.Find(c.ID); s != nil {
-			markMissing(now, r, s, out)
+			markMissing(now, s, out)
 		}
 		return
 	}
@@ -87,14 +87,14 @@
 	}
 	for id, s := range r.Servers.All() {
 		if !listed[id] {
-			markMissing(now, r, s, out)
+			markMissing(now, s, out)
 		}
 	}
 }
 
 // markMissing takes a server out of use: at once in calm, after lapseGrace if its
 // record may have lapsed because the store was away.
-func markMissing(now time.Duration, r *table.Rollout, s *table.Server, out *command.Outbox) {
+func markMissing(now time.Duration, s *table.Server, out *command.Outbox) {
 	if s.MissingSince == 0 {
 		s.MissingSince = now
 	}
--- /dev/null
+++ b/system/rollout/share.go
@@ -0,0 +1,188 @@
+package rollout
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// shareEvery is the period at which engines are shared among models again. It is
+// short against the time between two versions, long against a tick.
+const shareEvery = 200 * time.Millisecond
+
+// Share divides the engines of each service among its models by demand, so that the
+// lots of one model do not wait behind those of others and a version is loaded only
+// where its model is served. Every host works out the same division from what is
+// published.
+func Share(now time.Duration, t *table.Tables, _ []event.Event, _ *command.Outbox) {
+	r := &t.Rollout
+	if r.Desired == nil || now-r.Shared < shareEvery {
+		return
+	}
+	r.Shared = now
+	demand := demands(r)
+	for name, service := range r.Desired.Services {
+		if len(service.Models) == 0 {
+			continue
+		}
+		servers := engines(r, name)
+		for i, model := range share(r, servers, quotas(len(servers), service.Models, demand)) {
+			servers[i].Home = model
+		}
+	}
+}
+
+// demands returns the work of the largest known lot of each model.
+func demands(r *table.Rollout) map[string]int {
+	demand := make(map[string]int)
+	for _, l := range r.Lots.All() {
+		demand[l.Head.Model] = max(demand[l.Head.Model], l.Head.Work)
+	}
+	return demand
+}
+
+// quota is the number of engines that a model should have.
+type quota struct {
+	model   string
+	servers int
+}
+
+// quotas divides servers by demand with at least one each; models without known
+// demand count as the mean of the others.
+func quotas(servers int, models []string, demand map[string]int) []quota {
+	known, sum := 0, 0
+	for _, m := range models {
+		if demand[m] > 0 {
+			known++
+			sum += demand[m]
+		}
+	}
+	mean := 1.0
+	if known > 0 {
+		mean = float64(sum) / float64(known)
+	}
+	total := float64(sum) + mean*float64(len(models)-known)
+	all := make([]quota, len(models))
+	exact := make([]float64, len(models))
+	left := servers
+	for i, m := range models {
+		d := mean
+		if demand[m] > 0 {
+			d = float64(demand[m])
+		}
+		exact[i] = float64(servers) * d / total
+		all[i] = quota{m, max(1, int(exact[i]))}
+		left -= all[i].servers
+	}
+	order := make([]int, len(models))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(-cmp.Compare(exact[a]-float64(all[a].servers), exact[b]-float64(all[b].servers)), cmp.Compare(models[a], models[b]))
+	})
+	for i := 0; left > 0; i++ {
+		all[order[i%len(order)]].servers++
+		left--
+	}
+	return all
+}
+
+// engines returns the servers of a service that may take orders, in the order of
+// their ids.
+func engines(r *table.Rollout, service string) []*table.Server {
+	var servers []*table.Server
+	for _, s := range r.Servers.All() {
+		if s.Service == service && !s.Leaving && s.MissingSince == 0 {
+			servers = append(servers, s)
+		}
+	}
+	slices.SortFunc(servers, func(a, b *table.Server) int { return cmp.Compare(a.ID, b.ID) })
+	return servers
+}
+
+func namedVersion(r *table.Rollout, model string) registry.Version {
+	if m := r.Models.Find(model); m != nil {
+		return m.Named
+	}
+	return 0
+}
+
+// share assigns a model to each server. A server stays with the model whose newest
+// version it is closest to; what is left fills the models that lack servers. The
+// result depends only on published versions, so that a new holder of the lease for
+// orders continues where the last one ended.
+func share(r *table.Rollout, servers []*table.Server, quotas []quota) []string {
+	assigned := make([]string, len(servers))
+	count := make(map[string]int, len(quotas))
+	for i, s := range servers {
+		if home := closest(r, s, quotas); home != nil && count[home.model] < home.servers {
+			assigned[i] = home.model
+			count[home.model]++
+		}
+	}
+	for i := range servers {
+		if assigned[i] != "" {
+			continue
+		}
+		most := quotas[0]
+		for _, q := range quotas {
+			if q.servers-count[q.model] > most.servers-count[most.model] {
+				most = q
+			}
+		}
+		assigned[i] = most.model
+		count[most.model]++
+	}
+	return assigned
+}
+
+// closest returns the model whose named version the server is closest to, nil if
+// several are equally close.
+func closest(r *table.Rollout, s *table.Server, quotas []quota) *quota {
+	var best *quota
+	var bestLag registry.Version
+	tie := false
+	for i := range quotas {
+		lag := namedVersion(r, quotas[i].model) - s.Models[quotas[i].model]
+		switch {
+		case best == nil || lag < bestLag:
+			best, bestLag, tie = &quotas[i], lag, false
+		case lag == bestLag:
+			tie = true
+		}
+	}
+	if tie {
+		return nil
+	}
+	return best
+}
+
+// Runners publishes which process runs the lots of each model, so that a host that
+// accepts a lot gives it to the process that knows the load of the model's engines.
+func Runners(_ time.Duration, t *table.Tables, _ []event.Event, out *command.Outbox) {
+	r := &t.Rollout
+	newest := make(map[string]int64)
+	runners := make(map[string]command.Runner)
+	for _, l := range r.Lots.All() {
+		if l.Head.Owner == (lot.Owner{}) || l.Head.Accepted < newest[l.Head.Model] {
+			continue
+		}
+		if r.Draining && l.Head.Owner == r.Owner {
+			continue
+		}
+		newest[l.Head.Model] = l.Head.Accepted
+		runners[l.Head.Model] = command.Runner{Owner: l.Head.Owner, Until: l.Seen + runnerLife}
+	}
+	if !maps.Equal(runners, r.Runners) {
+		r.Runners = runners
+		out.Add(command.PublishRunners{Runners: runners})
+	}
+}
--- a/system/rollout/weights.go
+++ b/system/rollout/weights.go
@@ -6,7 +6,6 @@
 
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
-	"github.com/lavenderstand/lavenderstand/registry"
 	"github.com/lavenderstand/lavenderstand/table"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
@@ -30,8 +29,6 @@
 )
 
 // Weights moves the engines of each model to the version that its trainer named.
-// Engines are shared among the models of their service, so that a version is loaded
-// only where its model is served.
 func Weights(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
 	r := &t.Rollout
 	for _, e := range in {
@@ -55,11 +52,11 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		orderService(now, r, name, r.Desired.Services[name].Models, out)
+		orderService(now, r, name, out)
 	}
 }
 
-func orderService(now time.Duration, r *table.Rollout, service string, models []string, out *command.Outbox) {
+func orderService(now time.Duration, r *table.Rollout, service string, out *command.Outbox) {
 	servers := engines(r, service)
 	loading := 0
 	for _, s := range servers {
@@ -68,10 +65,10 @@
 		}
 	}
 	atOnce := max(minLoads, len(servers)/serversPerLoad)
-	for i, model := range share(r, servers, models) {
-		s := servers[i]
+	for _, s := range servers {
+		model := s.Home
 		named := namedVersion(r, model)
-		if s.Models[model] >= named {
+		if model == "" || s.SuspectUntil != 0 || s.Models[model] >= named {
 			continue
 		}
 		if s.Order.Pending || now < s.Order.Until {
@@ -90,80 +87,6 @@
 	}
 }
 
-// engines returns the servers of a service that may take orders, in the order of
-// their ids.
-func engines(r *table.Rollout, service string) []*table.Server {
-	var servers []*table.Server
-	for _, s := range r.Servers.All() {
-		if s.Service == service && !s.Leaving && s.MissingSince == 0 && s.SuspectUntil == 0 {
-			servers = append(servers, s)
-		}
-	}
-	slices.SortFunc(servers, func(a, b *table.Server) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return servers
-}
-
-func namedVersion(r *table.Rollout, model string) registry.Version {
-	if m := r.Models.Find(model); m != nil {
-		return m.Named
-	}
-	return 0
-}
-
-// share assigns a model to each server. A server stays with the model whose newest
-// version it is closest to; what is left fills the models that lack servers. The
-// result depends only on published versions, so that a new holder of the lease
-// continues where the last one ended.
-func share(r *table.Rollout, servers []*table.Server, models []string) []string {
-	assigned := make([]string, len(servers))
-	count := make(map[string]int, len(models))
-	quota := (len(servers) + len(models) - 1) / len(models)
-	for i, s := range servers {
-		if home := closest(r, s, models); home != "" && count[home] < quota {
-			assigned[i] = home
-			count[home]++
-		}
-	}
-	for i := range servers {
-		if assigned[i] != "" {
-			continue
-		}
-		least := models[0]
-		for _, m := range models {
-			if count[m] < count[least] {
-				least = m
-			}
-		}
-		assigned[i] = least
-		count[least]++
-	}
-	return assigned
-}
-
-// closest returns the model whose named version the server is closest to, empty if
-// several are equally close.
-func closest(r *table.Rollout, s *table.Server, models []string) string {
-	best, bestLag, tie := "", registry.Version(0), false
-	for _, m := range models {
-		lag := namedVersion(r, m) - s.Models[m]
-		switch {
-		case best == "" || lag < bestLag:
-			best, bestLag, tie = m, lag, false
-		case lag == bestLag:
-			tie = true
-		}
-	}
-	if tie {
-		return ""
-	}
-	return best
-}
-
 func orderEnded(now time.Duration, r *table.Rollout, e event.OrderEnded, out *command.Outbox) {
 	s := r.Servers.Find(e.Server)
 	if s == nil {
--- a/system/rollout/writes.go
+++ b/system/rollout/writes.go
@@ -79,6 +79,8 @@
 	c := command.WriteLot{Head: l.Write.Head, Version: l.Version, Results: l.Write.Results}
 	if l.Write.Release {
 		c.Progress = progress(t, l)
+		c.Head.Progress = c.Head.Progress || len(c.Progress) > 0
+		l.Write.Head.Progress = c.Head.Progress
 	}
 	out.Add(c)
 }
@@ -107,7 +109,7 @@
 
 func superseded(now time.Duration, t *table.Tables, l *table.Lot, current *event.HeadRow, out *command.Outbox) {
 	if current.Deleted {
-		drop(t, l.Head.ID, l, out)
+		drop(t, l, out)
 		l.Stage = table.LotForeign
 		return
 	}
@@ -128,7 +130,7 @@
 	} else {
 		logLot("lot complete", l, out, field("took_ms", millis(now-l.AcceptedAt)))
 	}
-	drop(t, l.Head.ID, l, out)
+	drop(t, l, out)
 	l.Stage = table.LotForeign
 }
 
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/lot"
@@ -23,6 +24,8 @@
 	Items   Table[Item]        // keyed by ItemKey; only items of own lots
 	Duty    Duty               // the right to give orders
 	Typical map[string]Typical // by service
+	Shared  time.Duration      // when engines were last shared among models
+	Runners map[string]command.Runner
 
 	Draining    bool   // a planned stop has begun
 	HandedOver  bool   // everything has been handed over since
@@ -58,6 +61,7 @@
 	Failures     int           // failures in a row
 	BusyUntil    time.Duration // refused for want of a slot
 	Order        Order
+	Home         string // model whose items run here first
 }
 
 // Order is the newest order of this process to a server.
