Try a server that refused with one item; load a third of a model's engines

Change: after a refusal one item at a time tries the server, with a doubling pause; a third of a model's engines load at once.

--- a/event/rollout.go
+++ b/event/rollout.go
@@ -92,6 +92,17 @@
 	Failure *Failure
 }
 
+// RunBegan reports that a backend server works on an item. Version is the one that
+// the server stated.
+type RunBegan struct {
+	Server  string
+	Model   string
+	Version registry.Version
+}
+
+// Name implements Event.
+func (RunBegan) Name() string { return "run_began" }
+
 // RunEnded is the outcome of one run of an item at a backend server.
 type RunEnded struct {
 	Key      string
@@ -102,7 +113,6 @@
 	Versions []registry.Version
 	Version  registry.Version // newest version that the server stated, 0 if none
 	Gap      time.Duration    // mean time between events, 0 if it was not measured
-	Load     *registry.Load
 	Failure  *Failure // nil after the whole output
 }
 
--- a/executor/run.go
+++ b/executor/run.go
@@ -90,10 +90,8 @@
 	stream, err := r.Sender.OpenStream(ctx, c.Target, r.request(c), c.After, time.Until(end))
 	if err == nil {
 		defer stream.Close()
-		if l, ok := stream.Load(); ok {
-			u.ended.Load = &l
-		}
 		u.ended.Version = stream.Version()
+		_ = r.Deliver(ctx, event.RunBegan{Server: c.Target.ID, Model: c.Model, Version: u.ended.Version}) // fails only when the run ends
 		err = u.receive(stream, watch)
 	}
 	if err != nil && stalled.Load() {
--- a/system/rollout/dispatch.go
+++ b/system/rollout/dispatch.go
@@ -46,12 +46,22 @@
 	if len(waiting) == 0 {
 		return
 	}
+	wakeForServers(now, r, out)
 	measurePace(now, r)
 	for _, w := range waiting {
 		startRun(now, t, w, out)
 	}
 }
 
+// wakeForServers asks for a tick when a server that refused may have room again.
+func wakeForServers(now time.Duration, r *table.Rollout, out *command.Outbox) {
+	for _, s := range r.Servers.All() {
+		if s.BusyUntil > now {
+			out.WakeAt(s.BusyUntil)
+		}
+	}
+}
+
 type waitingItem struct {
 	key  string
 	item *table.Item
@@ -101,6 +111,9 @@
 	r.Runs++
 	w.item.Run = r.Runs
 	s.Running++
+	if s.Refusals > 0 {
+		s.BusyUntil = now + maxBusyPause // this item finds out whether there is room
+	}
 	out.Add(command.StartRun{
 		Key: w.key, Run: w.item.Run, Spec: w.item.Spec, Host: w.lot.Submission.Host, Target: target(s),
 		Model: w.lot.Head.Model, Minimum: w.lot.Submission.MinimumVersion, After: len(w.item.Events),
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -30,12 +30,26 @@
 // else waits for another run that continues where this one ended.
 func Runs(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
 	for _, e := range in {
-		if run, ok := e.(event.RunEnded); ok {
-			runEnded(now, t, run, out)
+		switch e := e.(type) {
+		case event.RunBegan:
+			runBegan(t, e)
+		case event.RunEnded:
+			runEnded(now, t, e, out)
 		}
 	}
 }
 
+func runBegan(t *table.Tables, e event.RunBegan) {
+	s := t.Rollout.Servers.Find(e.Server)
+	if s == nil {
+		return
+	}
+	s.Refusals, s.BusyUntil = 0, 0
+	if e.Version != 0 && e.Model != "" && s.Models[e.Model] != e.Version {
+		setVersion(s, e.Model, e.Version)
+	}
+}
+
 func runEnded(now time.Duration, t *table.Tables, e event.RunEnded, out *command.Outbox) {
 	r := &t.Rollout
 	s := r.Servers.Find(e.Server)
@@ -74,7 +88,8 @@
 	out.Add(command.Count{Counter: "runs_failed", Tags: map[string]string{"reason": string(e.Failure.Reason)}, Delta: 1})
 	switch e.Failure.Reason {
 	case verdict.ReasonBackendRefused:
-		s.BusyUntil = now + busyPause
+		s.BusyUntil = now + min(maxBusyPause, busyPause<<min(s.Refusals, 4))
+		s.Refusals++
 	case verdict.ReasonSlow:
 		s.SlowUntil = now + slowFor
 	case verdict.ReasonCanceled, verdict.ReasonTerminated, verdict.ReasonTooOld:
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -23,8 +23,10 @@
 	firstSuspicion = 500 * time.Millisecond
 	maxSuspicion   = 4 * time.Second
 	// busyPause is the wait after a refusal for want of a slot, about the time in
-	// which one of eight running items ends.
-	busyPause = 60 * time.Millisecond
+	// which one of eight running items ends. It doubles with each further refusal up
+	// to maxBusyPause: a load of weights takes about a second.
+	busyPause    = 40 * time.Millisecond
+	maxBusyPause = 160 * time.Millisecond
 )
 
 // Servers keeps the table of backend servers by their published records.
--- a/system/rollout/weights.go
+++ b/system/rollout/weights.go
@@ -26,6 +26,9 @@
 	// that slow each other down.
 	serversPerLoad = 5
 	minLoads       = 2
+	// loadingShare is the number of servers of a model for one load at a time, so that
+	// the others run the lot that is submitted when the version is named.
+	loadingShare = 3
 )
 
 // Weights moves the engines of each model to the version that its trainer named.
@@ -60,11 +63,12 @@
 	servers := engines(r, service)
 	loading := 0
 	for _, s := range servers {
-		if s.Order.Pending || (now < s.Order.Until && s.Models[s.Order.Model] < s.Order.Version) {
+		if isLoading(now, s) {
 			loading++
 		}
 	}
 	atOnce := max(minLoads, len(servers)/serversPerLoad)
+	byModel := loadsByModel(now, servers)
 	for _, s := range servers {
 		model := s.Home
 		named := namedVersion(r, model)
@@ -75,10 +79,11 @@
 			out.WakeAt(s.Order.Until)
 			continue
 		}
-		if loading >= atOnce {
+		if loading >= atOnce || byModel[model].loading >= byModel[model].atOnce() {
 			continue // an engine that ends its load wakes the loop
 		}
 		loading++
+		byModel[model].loading++
 		s.Order = table.Order{Model: model, Version: named, SentAt: now, Pending: true}
 		out.Add(command.SendOrder{
 			Target: target(s), Model: model, Version: named, Fence: r.Duty.Fence,
@@ -87,6 +92,29 @@
 	}
 }
 
+func isLoading(now time.Duration, s *table.Server) bool {
+	return s.Order.Pending || (now < s.Order.Until && s.Models[s.Order.Model] < s.Order.Version)
+}
+
+// modelLoads counts the engines of a model and those that load.
+type modelLoads struct{ servers, loading int }
+
+func (m *modelLoads) atOnce() int { return (m.servers + loadingShare - 1) / loadingShare }
+
+func loadsByModel(now time.Duration, servers []*table.Server) map[string]*modelLoads {
+	loads := make(map[string]*modelLoads)
+	for _, s := range servers {
+		if loads[s.Home] == nil {
+			loads[s.Home] = &modelLoads{}
+		}
+		loads[s.Home].servers++
+		if isLoading(now, s) {
+			loads[s.Home].loading++
+		}
+	}
+	return loads
+}
+
 func orderEnded(now time.Duration, r *table.Rollout, e event.OrderEnded, out *command.Outbox) {
 	s := r.Servers.Find(e.Server)
 	if s == nil {
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -59,7 +59,8 @@
 	SlowUntil    time.Duration // produces clearly slower than the others
 	SuspectUntil time.Duration
 	Failures     int           // failures in a row
-	BusyUntil    time.Duration // refused for want of a slot
+	BusyUntil    time.Duration // refused for want of a slot or while it loads weights
+	Refusals     int           // in a row; one item at a time tries until none is refused
 	Order        Order
 	Home         string // model whose items run here first
 }
