--- a/event/rollout.go
+++ b/event/rollout.go
@@ -113,7 +113,7 @@
 	Versions []registry.Version
 	Version  registry.Version // newest version that the server stated, 0 if none
 	Gap      time.Duration    // mean time between events, 0 if it was not measured
-	Failure  *Failure // nil after the whole output
+	Failure  *Failure         // nil after the whole output
 }
 
 // ScoreEnded is the outcome of a scoring request. Failures is the number of
