Keep engines with their model; move results to another part of the store

(2) With a part of the store's partitions down, writes and reads of a lot whose rows lie there failed for 7 s, while all else worked.

Change: (1) a lag of one version does not count, the present model wins among equals, demand is the mean of the known lots. (2) The head of a lot names the parts in which body and results lie; a write that fails goes to another part.

--- a/command/rollout.go
+++ b/command/rollout.go
@@ -15,6 +15,7 @@
 type LotState struct {
 	Total, Listed int
 	Ended         bool
+	Segments      []lot.Segment
 }
 
 // PublishLots replaces the state of all lots that readers see.
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -87,6 +87,7 @@
 type LotWritten struct {
 	ID      string
 	Write   string
+	Head    lot.Head // as stored
 	Version uint64
 	Current *HeadRow
 	Failure *Failure
--- a/executor/store.go
+++ b/executor/store.go
@@ -20,8 +20,8 @@
 func WriteLot(ctx context.Context, k *lot.Keeper, c command.WriteLot) event.Event {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	version, existing, err := k.Append(ctx, c.Head, c.Version, c.Results, c.Progress)
-	e := event.LotWritten{ID: c.Head.ID, Write: c.Head.Write, Version: version, Failure: event.FailureOf(err)}
+	stored, existing, err := k.Append(ctx, c.Head, c.Version, c.Results, c.Progress)
+	e := event.LotWritten{ID: c.Head.ID, Write: c.Head.Write, Head: stored.Head, Version: stored.Version, Failure: event.FailureOf(err)}
 	if existing != nil {
 		e.Current = &event.HeadRow{ID: c.Head.ID, Head: existing.Head, Version: existing.Version, Deleted: existing.Version == 0}
 	}
@@ -38,19 +38,19 @@
 }
 
 func adopt(ctx context.Context, k *lot.Keeper, c command.AdoptLot, e *event.LotAdopted) error {
-	version, existing, err := k.Append(ctx, c.Head, c.Version, nil, nil)
+	stored, existing, err := k.Append(ctx, c.Head, c.Version, nil, nil)
 	if err != nil {
 		return err
 	}
 	if existing != nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonConflict, "the lot changed to version %d", existing.Version)
 	}
-	e.Version = version
+	e.Version = stored.Version
 	if e.Submission, err = k.Body(ctx, c.Head); err != nil {
 		return err
 	}
 	for len(e.Results) < c.Head.Listed {
-		page, err := k.Results(ctx, c.Head.ID, len(e.Results))
+		page, err := k.Results(ctx, c.Head.Segments, len(e.Results))
 		if err != nil {
 			return err
 		}
--- a/front/service.go
+++ b/front/service.go
@@ -174,13 +174,13 @@
 		return command.LotState{}, nil, s.unread(id, err)
 	}
 	h := stored.Head
-	return command.LotState{Total: h.Total, Listed: h.Listed, Ended: h.Ended}, changed, nil
+	return command.LotState{Total: h.Total, Listed: h.Listed, Ended: h.Ended, Segments: h.Segments}, changed, nil
 }
 
 func (s *Service) page(ctx context.Context, id string, after int, state command.LotState) (lot.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	results, err := s.Keeper.Results(ctx, id, after)
+	results, err := s.Keeper.Results(ctx, state.Segments, after)
 	if err != nil {
 		return lot.Page{}, s.unread(id, err)
 	}
--- a/lot/keeper.go
+++ b/lot/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/store"
@@ -36,62 +37,84 @@
 // Create stores a submission and its head and returns the head as stored. If the lot
 // exists, existing is its head and nothing is changed.
 func (k *Keeper) Create(ctx context.Context, s *Submission, h Head) (created Stored, existing *Stored, err error) {
-	rows := BodyRows(s)
-	h.BodyRows, h.InObjects = len(rows), rows == nil
+	data := encode(s)
+	h.InObjects = len(data) > MaxRowBytes
 	if h.InObjects {
-		objects := BodyObjects(s)
+		objects := bodyObjects(s, data)
 		h.BodyRows = len(objects)
-		for name, data := range objects {
-			if err := k.Store.PutObject(ctx, name, data); err != nil {
+		for name, part := range objects {
+			if err := k.Store.PutObject(ctx, name, part); err != nil {
 				return Stored{}, nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonStoreUnavailable, "object %s", name)
 			}
 		}
 	}
-	c := store.Commit{
-		Expect: []store.Expect{{Key: HeadKey(h.ID)}},
-		Put:    append(rows, HeadRow(h)),
-	}
-	version, existing, err := k.commit(ctx, c, h)
-	return Stored{Head: h, Version: version}, existing, err
+	return k.commit(ctx, h.ID, func(try int) (Head, store.Commit) {
+		h.BodyPart = partName(h.ID, try)
+		h.Segments = []Segment{{Part: h.BodyPart}}
+		c := store.Commit{Expect: []store.Expect{{Key: HeadKey(h.ID)}}}
+		if !h.InObjects {
+			c.Put = bodyRows(h.BodyPart, data)
+			h.BodyRows = len(c.Put)
+		}
+		c.Put = append(c.Put, HeadRow(h))
+		return h, c
+	})
 }
 
-// Append commits a head and results after those that are listed. Version is that of
-// the head's row; existing is another head that came before.
-func (k *Keeper) Append(ctx context.Context, h Head, version uint64, results []Result, progress []Progress) (uint64, *Stored, error) {
-	c := store.Commit{
-		Expect: []store.Expect{{Key: HeadKey(h.ID), Version: version}},
-		Put:    []store.Row{HeadRow(h)},
-	}
-	for i, r := range results {
-		c.Put = append(c.Put, ResultRows(h.ID, h.Listed-len(results)+i, r)...)
-	}
-	for _, p := range progress {
-		if row, ok := ProgressRow(h.ID, p); ok {
-			c.Put = append(c.Put, row)
+// Append commits a head and results after those that are listed, and returns the head
+// as stored. Version is that of the head's row; existing is another head that came
+// before.
+func (k *Keeper) Append(ctx context.Context, h Head, version uint64, results []Result, progress []Progress) (Stored, *Stored, error) {
+	segments := h.Segments
+	from := h.Listed - len(results)
+	return k.commit(ctx, h.ID, func(try int) (Head, store.Commit) {
+		part, _ := segmentOf(segments, from)
+		if try > 0 && len(results) > 0 {
+			part = partName(h.ID, len(segments)+try-1)
+			h.Segments = append(slices.Clone(segments), Segment{From: from, Part: part})
 		}
-	}
-	return k.commit(ctx, c, h)
+		c := store.Commit{
+			Expect: []store.Expect{{Key: HeadKey(h.ID), Version: version}},
+			Put:    []store.Row{HeadRow(h)},
+		}
+		for i, r := range results {
+			c.Put = append(c.Put, resultRows(part, from+i, r)...)
+		}
+		for _, p := range progress {
+			if row, ok := ProgressRow(h.ID, p); ok {
+				c.Put = append(c.Put, row)
+			}
+		}
+		return h, c
+	})
 }
 
-// commit sends c until its outcome is known. If the head in the store has the same
-// Write, an earlier copy took effect.
-func (k *Keeper) commit(ctx context.Context, c store.Commit, h Head) (version uint64, existing *Stored, err error) {
+// commit sends a commit until its outcome is known. build returns it for each try: a
+// later try may use another part of the store, whose data then count only if that try
+// takes effect. If the head in the store has the same Write, one of the tries did.
+func (k *Keeper) commit(ctx context.Context, id string, build func(try int) (Head, store.Commit)) (stored Stored, existing *Stored, err error) {
+	unknown := false
 	for try := range commitTries {
-		version, err = k.try(ctx, c)
+		h, c := build(try)
+		version, failure := k.try(ctx, c)
 		var conflict *store.Conflict
 		switch {
-		case err == nil:
-			return version, nil, nil
-		case errors.As(err, &conflict):
+		case failure == nil:
+			return Stored{Head: h, Version: version}, nil, nil
+		case errors.As(failure, &conflict):
 			return k.conflict(conflict, h)
-		case verdict.Of(err) == verdict.NotRun && try == 0:
-			return 0, nil, err
 		}
+		err = failure
+		unknown = unknown || verdict.Of(failure) != verdict.NotRun
 		if !pause(ctx, commitPause) {
 			break
 		}
 	}
-	return 0, nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonStoreUnavailable, "commit of lot %s", h.ID)
+	v := verdict.NotRun
+	if unknown {
+		v = verdict.MayHaveRun
+	}
+	return Stored{}, nil, verdict.Wrap(err, v, verdict.ReasonStoreUnavailable, "commit of lot %s", id)
 }
 
 func (k *Keeper) try(ctx context.Context, c store.Commit) (uint64, error) {
@@ -100,19 +123,20 @@
 	return k.Store.Commit(ctx, c)
 }
 
-func (k *Keeper) conflict(c *store.Conflict, h Head) (uint64, *Stored, error) {
+func (k *Keeper) conflict(c *store.Conflict, h Head) (Stored, *Stored, error) {
 	row := c.Find(HeadKey(h.ID))
 	if row == nil {
-		return 0, &Stored{}, nil
+		return Stored{}, &Stored{}, nil
 	}
 	current, ok := ParseHead(*row)
 	if !ok {
-		return 0, nil, verdict.New(verdict.NotRun, verdict.ReasonInternal, "the head of lot %s cannot be read", h.ID)
+		return Stored{}, nil, verdict.New(verdict.NotRun, verdict.ReasonInternal, "the head of lot %s cannot be read", h.ID)
 	}
+	stored := Stored{Head: current, Version: row.Version}
 	if current.Write == h.Write {
-		return row.Version, nil, nil
+		return stored, nil, nil
 	}
-	return 0, &Stored{Head: current, Version: row.Version}, nil
+	return Stored{}, &stored, nil
 }
 
 // Head reads the head of a lot. Its error has the reason unknown_lot if there is
@@ -143,16 +167,12 @@
 		}
 		h := current.Head
 		h.Ended, h.Write = true, nonce
-		c := store.Commit{
-			Expect: []store.Expect{{Key: HeadKey(id), Version: current.Version}},
-			Put:    []store.Row{HeadRow(h)},
-		}
-		version, existing, err := k.commit(ctx, c, h)
+		stored, existing, err := k.Append(ctx, h, current.Version, nil, nil)
 		if err != nil {
 			return Stored{}, err
 		}
 		if existing == nil {
-			return Stored{Head: h, Version: version}, nil
+			return stored, nil
 		}
 		current = *existing
 	}
@@ -172,8 +192,7 @@
 		}
 		return ParseBody(parts)
 	}
-	table, part := BodyPart(h.ID)
-	r, err := k.Store.Read(ctx, table, part, "", 0)
+	r, err := k.Store.Read(ctx, tableBodies, h.BodyPart, "", 0)
 	if err != nil {
 		return nil, err
 	}
@@ -186,20 +205,21 @@
 	return ParseBody(parts)
 }
 
-// Results reads a page of results from a position on.
-func (k *Keeper) Results(ctx context.Context, id string, from int) ([]Result, error) {
-	table, part := ResultsPart(id)
-	r, err := k.Store.Read(ctx, table, part, PositionName(from), pageRows)
+// Results reads a page of results from a position on. Segments are those of the
+// lot's head.
+func (k *Keeper) Results(ctx context.Context, segments []Segment, from int) ([]Result, error) {
+	part, end := segmentOf(segments, from)
+	r, err := k.Store.Read(ctx, tableResults, part, PositionName(from), pageRows)
 	if err != nil {
 		return nil, err
 	}
-	return ParseResults(r.Rows, from)
+	results, err := ParseResults(r.Rows, from)
+	return results[:min(len(results), end-from)], err
 }
 
 // Progress reads what is stored of the unfinished items of a lot.
 func (k *Keeper) Progress(ctx context.Context, id string) ([]Progress, error) {
-	table, part := ProgressPart(id)
-	r, err := k.Store.Read(ctx, table, part, "", 0)
+	r, err := k.Store.Read(ctx, tableProgress, id, "", 0)
 	if err != nil {
 		return nil, err
 	}
--- a/lot/lot.go
+++ b/lot/lot.go
@@ -3,6 +3,8 @@
 package lot
 
 import (
+	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -90,12 +92,35 @@
 	Accepted  int64  `json:"accepted"` // Unix milliseconds
 	BodyRows  int    `json:"body_rows"`
 	InObjects bool   `json:"in_objects,omitempty"` // the submission lies in objects, not in rows
-	Progress  bool   `json:"progress,omitempty"`   // texts of unfinished items are stored
+	BodyPart  string `json:"body_part"`
+	// Segments say in which parts of the store the results lie, in the order of their
+	// positions. A part that does not answer is replaced by another one.
+	Segments []Segment `json:"segments,omitempty"`
+	Progress bool      `json:"progress,omitempty"` // texts of unfinished items are stored
 	// Write differs with each commit. A commit whose answer was lost is sent again
 	// unchanged; if the head then has this value, the first copy took effect.
 	Write string `json:"write"`
 }
 
+// Segment is a run of positions whose results lie in one part of the store.
+type Segment struct {
+	From int    `json:"from"`
+	Part string `json:"part"`
+}
+
+// segmentOf returns the part of the result at a position and the position at which
+// the next part begins.
+func segmentOf(segments []Segment, position int) (part string, end int) {
+	end = math.MaxInt
+	for i := len(segments) - 1; i >= 0; i-- {
+		if segments[i].From <= position {
+			return segments[i].Part, end
+		}
+		end = segments[i].From
+	}
+	return "", end
+}
+
 // Open reports whether items of the lot still have to run.
 func (h *Head) Open() bool { return !h.Ended && h.Listed < h.Total }
 
@@ -110,6 +135,14 @@
 	return append(versions, v)
 }
 
+// partName returns the name of the n-th part of a lot.
+func partName(id string, n int) string {
+	if n == 0 {
+		return id
+	}
+	return fmt.Sprintf("%s.%d", id, n)
+}
+
 // Page is a part of the results of a lot.
 type Page struct {
 	Total   int
--- a/lot/rows.go
+++ b/lot/rows.go
@@ -55,19 +55,12 @@
 	return name[len(headPrefix):]
 }
 
-// BodyRows encodes a submission into rows, nil if it is too large for them.
-func BodyRows(s *Submission) []store.Row {
-	data := encode(s)
-	if len(data) > MaxRowBytes {
-		return nil
-	}
-	return chunks(tableBodies, s.ID, "", data)
-}
+// bodyRows puts an encoded submission into rows.
+func bodyRows(part string, data []byte) []store.Row { return chunks(tableBodies, part, "", data) }
 
-// BodyObjects encodes a submission into objects.
-func BodyObjects(s *Submission) map[string][]byte {
+// bodyObjects puts an encoded submission into objects.
+func bodyObjects(s *Submission, data []byte) map[string][]byte {
 	objects := make(map[string][]byte)
-	data := encode(s)
 	for i := 0; i*objectBytes < len(data); i++ {
 		objects[ObjectName(s.ID, i)] = data[i*objectBytes : min(len(data), (i+1)*objectBytes)]
 	}
@@ -86,21 +79,12 @@
 	return &s, nil
 }
 
-// BodyPart names the rows of a submission.
-func BodyPart(id string) (table, part string) { return tableBodies, id }
-
-// ResultsPart names the rows of a lot's results.
-func ResultsPart(id string) (table, part string) { return tableResults, id }
-
-// ProgressPart names the rows of a lot's unfinished texts.
-func ProgressPart(id string) (table, part string) { return tableProgress, id }
-
 // PositionName is the first row name of the result at a position.
 func PositionName(position int) string { return fmt.Sprintf("%07d", position) }
 
-// ResultRows encodes the result at a position.
-func ResultRows(id string, position int, r Result) []store.Row {
-	return chunks(tableResults, id, PositionName(position), encode(r))
+// resultRows encodes the result at a position.
+func resultRows(part string, position int, r Result) []store.Row {
+	return chunks(tableResults, part, PositionName(position), encode(r))
 }
 
 // ParseResults decodes results from rows in order. The first must be at position
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -100,7 +100,7 @@
 	}
 	lots := make(map[string]command.LotState, r.Lots.Len())
 	for id, l := range r.Lots.All() {
-		lots[id] = command.LotState{Total: l.Head.Total, Listed: l.Head.Listed, Ended: l.Head.Ended}
+		lots[id] = command.LotState{Total: l.Head.Total, Listed: l.Head.Listed, Ended: l.Head.Ended, Segments: l.Head.Segments}
 	}
 	out.Add(command.PublishLots{Lots: lots})
 	r.ViewChanged = false
--- a/system/rollout/share.go
+++ b/system/rollout/share.go
@@ -21,7 +21,7 @@
 // lots of one model do not wait behind those of others and a version is loaded only
 // where its model is served. Every host works out the same division from what is
 // published.
-func Share(now time.Duration, t *table.Tables, _ []event.Event, _ *command.Outbox) {
+func Share(now time.Duration, t *table.Tables, _ []event.Event, out *command.Outbox) {
 	r := &t.Rollout
 	if r.Desired == nil || now-r.Shared < shareEvery {
 		return
@@ -33,17 +33,37 @@
 			continue
 		}
 		servers := engines(r, name)
-		for i, model := range share(r, servers, quotas(len(servers), service.Models, demand)) {
+		quotas := quotas(len(servers), service.Models, demand)
+		changed := 0
+		for i, model := range share(r, servers, quotas) {
+			if servers[i].Home != model {
+				changed++
+			}
 			servers[i].Home = model
 		}
+		if changed > 0 {
+			logShare(name, quotas, changed, out)
+		}
+	}
+}
+
+func logShare(service string, quotas []quota, changed int, out *command.Outbox) {
+	fields := []command.Field{field("service", service), field("moved", itoa(changed))}
+	for _, q := range quotas {
+		fields = append(fields, field(q.model, itoa(q.servers)))
 	}
+	out.Add(command.LogChange{Message: "engines shared among models", Fields: fields})
 }
 
-// demands returns the work of the largest known lot of each model.
+// demands returns the mean work of the known lots of each model.
 func demands(r *table.Rollout) map[string]int {
-	demand := make(map[string]int)
+	demand, lots := make(map[string]int), make(map[string]int)
 	for _, l := range r.Lots.All() {
-		demand[l.Head.Model] = max(demand[l.Head.Model], l.Head.Work)
+		demand[l.Head.Model] += l.Head.Work
+		lots[l.Head.Model]++
+	}
+	for model, n := range lots {
+		demand[model] /= n
 	}
 	return demand
 }
@@ -144,18 +164,26 @@
 	return assigned
 }
 
-// closest returns the model whose named version the server is closest to, nil if
-// several are equally close.
+// loadLag is the number of versions that an engine may lag without being further
+// away: the newest one may have been named just now.
+const loadLag = 1
+
+// closest returns the model whose named version the server is closest to. Of several
+// that are equally close it is the one that the server has now, else nil.
 func closest(r *table.Rollout, s *table.Server, quotas []quota) *quota {
 	var best *quota
 	var bestLag registry.Version
 	tie := false
 	for i := range quotas {
-		lag := namedVersion(r, quotas[i].model) - s.Models[quotas[i].model]
+		lag := max(loadLag, namedVersion(r, quotas[i].model)-s.Models[quotas[i].model])
+		if s.Home == quotas[i].model && best != nil && lag == bestLag {
+			best, tie = &quotas[i], false
+			continue
+		}
 		switch {
 		case best == nil || lag < bestLag:
 			best, bestLag, tie = &quotas[i], lag, false
-		case lag == bestLag:
+		case lag == bestLag && best.model != s.Home:
 			tie = true
 		}
 	}
--- a/system/rollout/writes.go
+++ b/system/rollout/writes.go
@@ -103,7 +103,7 @@
 		out.Add(command.Count{Counter: "lot_write_failed", Tags: map[string]string{"reason": string(e.Failure.Reason)}, Delta: 1})
 	default:
 		l.Write = nil
-		committed(now, t, l, w, e.Version, out)
+		committed(now, t, l, w, e, out)
 	}
 }
 
@@ -116,10 +116,10 @@
 	takeHead(now, t, l, current, out)
 }
 
-func committed(now time.Duration, t *table.Tables, l *table.Lot, w *table.LotWrite, version uint64, out *command.Outbox) {
+func committed(now time.Duration, t *table.Tables, l *table.Lot, w *table.LotWrite, e event.LotWritten, out *command.Outbox) {
 	r := &t.Rollout
 	r.ViewChanged = r.ViewChanged || len(w.Results) > 0
-	l.Head, l.Version, l.Seen = w.Head, version, now
+	l.Head, l.Version, l.Seen = e.Head, e.Version, now
 	if len(w.Results) > 0 {
 		out.Add(command.Count{Counter: "results_listed", Delta: int64(len(w.Results))})
 	}
