Go on when the store turns a host away or parts of it are away

Cause: a host that the store does not serve refused submissions and reads for as long; with a share of the store's partitions down, the lots whose head or body lies there could not be created, and one part held all heads.

Change: package relay sends calls of the store through another host (gRPC service Store) when a probe of several parts fails; hosts find each other by a row each. Heads lie in 16 parts; a lot is created in the first of three that answers, and the head in the highest place counts. Ends and reads use the followed heads. Result parts have names that share no beginning.

--- a/cmd/lavender-host/decode.go
+++ b/cmd/lavender-host/decode.go
@@ -14,9 +14,9 @@
 
 // feed follows a table of the store. After a failure, connections that may have
 // gone silent are not used again.
-func (h *host) feed(name, tableName string, pause time.Duration, decode func([]store.Row, bool) []event.Event) *executor.Feed {
+func (h *host) feed(name, tableName string, parts []string, pause time.Duration, decode func([]store.Row, bool) []event.Event) *executor.Feed {
 	return &executor.Feed{
-		Name: name, Table: tableName, Store: h.store, Decode: decode, Pause: pause,
+		Name: name, Table: tableName, Parts: parts, Store: h.store, Decode: decode, Pause: pause, Wait: feedWait,
 		Deliver: h.inbox.Deliver, Broken: h.storeWeb.CloseIdleConnections,
 	}
 }
--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -23,8 +23,12 @@
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/front"
 	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/peer"
 	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/presence"
+	"github.com/lavenderstand/lavenderstand/relay"
 	"github.com/lavenderstand/lavenderstand/settings"
+	"github.com/lavenderstand/lavenderstand/store"
 	"github.com/lavenderstand/lavenderstand/system/rollout"
 	"github.com/lavenderstand/lavenderstand/table"
 	"github.com/lavenderstand/lavenderstand/telemetry"
@@ -42,6 +46,10 @@
 	storeIdle   = 20 * time.Second
 	// maxTick is the longest time between two ticks; systems ask for earlier ones.
 	maxTick = 500 * time.Millisecond
+	// feedWait is how long a feed without changes is held. headsWait is shorter, so that
+	// what is known of lots is never older than readers may rely on.
+	feedWait  = time.Second
+	headsWait = 500 * time.Millisecond
 	// Commands that may be carried out at once.
 	maxWrites = 32
 	maxScores = 64
@@ -60,7 +68,9 @@
 	clock    *clock.Boot
 	inbox    *control.Inbox
 	pool     *control.Pool
-	store    *platform.Store
+	direct   *platform.Store
+	store    *relay.Client
+	dialer   *peer.Dialer
 	storeWeb *http.Client
 	backends *platform.Backends
 	keeper   *lot.Keeper
@@ -83,6 +93,9 @@
 	if err := h.addServers(&g); err != nil {
 		return err
 	}
+	if err := h.addPeers(&g); err != nil {
+		return err
+	}
 	h.addSignals(&g, path)
 	err = g.Run()
 	h.log.Info("stopped", zap.Uint64("log_lines_dropped", h.output.Dropped()))
@@ -109,7 +122,12 @@
 func (h *host) connect() {
 	keepAlive := net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}
 	h.storeWeb = transport.NewClientWith(transport.Options{DialTimeout: storeDial, IdleTimeout: storeIdle, KeepAlive: keepAlive})
-	h.store = platform.NewStore(h.settings.Store, h.storeWeb)
+	h.direct = platform.NewStore(h.settings.Store, h.storeWeb)
+	h.dialer = peer.NewDialer("") // the platform gives its hosts no secrets
+	h.store = &relay.Client{
+		Client: h.direct, Probe: h.probe, Changed: h.directChanged,
+		Dial: func(address string) relay.Calls { return &peer.StoreClient{Dialer: h.dialer, Address: address} },
+	}
 	web := transport.NewClientWith(transport.Options{DialTimeout: backendDial, IdleTimeout: backendIdle, KeepAlive: keepAlive})
 	h.backends = platform.NewBackends(web)
 	h.keeper = &lot.Keeper{Store: h.store}
@@ -123,6 +141,47 @@
 	}
 }
 
+// probe finds out whether the store serves this host at all. Parts of its data may be
+// away for everyone, so one answer of several is enough.
+func (h *host) probe(ctx context.Context) error {
+	h.storeWeb.CloseIdleConnections() // one of them may have gone silent
+	parts := []store.Key{
+		{Table: platform.TableOperators}, {Table: platform.TableServers}, {Table: lot.TableCoordination},
+		lot.HeadKey("probe", 0), lot.HeadKey("probe", 1),
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error, len(parts))
+	for _, k := range parts {
+		go func() {
+			_, err := h.direct.Read(ctx, k.Table, k.Part, "", 1)
+			results <- err
+		}()
+	}
+	var err error
+	for range parts {
+		if err = <-results; err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (h *host) directChanged(down bool, cause error) {
+	if down {
+		h.log.Warn("store does not serve this host, calls go through others", zap.String("reason", string(verdict.ReasonOf(cause))),
+			zap.String("error", verdict.Message(cause)))
+		h.count("store_direct_lost", verdict.ReasonOf(cause))
+		return
+	}
+	h.log.Info("store serves this host again")
+}
+
+// peerAddress is where other hosts reach this one.
+func (h *host) peerAddress() string {
+	return net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.PeerPorts[0]))
+}
+
 func (h *host) count(name string, reason verdict.Reason) {
 	h.metrics.Scope.Tagged(map[string]string{"reason": string(reason)}).Counter(name + "_total").Inc(1)
 }
@@ -149,6 +208,11 @@
 	control.Handle(h.pool, maxWrites, func(ctx context.Context, c command.AdoptLot) event.Event {
 		return executor.AdoptLot(ctx, h.keeper, c)
 	})
+	control.HandleNow(h.pool, func(c command.PublishPeers) { h.store.SetPeers(c.Addresses) })
+	control.Handle(h.pool, 1, func(ctx context.Context, c command.WritePresence) event.Event {
+		version, err := presence.Write(ctx, h.store, h.settings.Host, h.peerAddress(), c.Version, c.Remove)
+		return event.PresenceWritten{Version: version, Failure: event.FailureOf(err)}
+	})
 	lease := &duty.Keeper{Store: h.store, Owner: h.owner, Now: h.clock.Now}
 	control.Handle(h.pool, 1, func(ctx context.Context, c command.WriteDuty) event.Event {
 		return executor.WriteDuty(ctx, lease, c)
@@ -160,6 +224,7 @@
 func (h *host) addControl(g *run.Group) {
 	tables := table.New(table.Self{Host: h.settings.Host, Zone: h.settings.Zone})
 	tables.Rollout.Owner, tables.Rollout.Zone, tables.Rollout.Lease = h.owner, h.settings.Zone, h.settings.Bounds.Lease
+	tables.Rollout.Presence.Address = h.peerAddress()
 	loop := control.NewLoop(control.Options{
 		Tables: tables, Systems: rollout.Systems(), Inbox: h.inbox, Executor: h.pool,
 		Clock: h.clock.Now, Observe: telemetry.ObserveTicks(h.metrics.Scope), MaxTick: maxTick,
@@ -168,11 +233,13 @@
 }
 
 func (h *host) addFeeds(g *run.Group) {
-	h.heads = h.feed("coordination", lot.TableCoordination, 50*time.Millisecond, executor.DecodeCoordination)
+	h.heads = h.feed("coordination", lot.TableCoordination, lot.Parts(), 50*time.Millisecond, executor.DecodeCoordination)
+	h.heads.Wait = headsWait
+	whole := []string{""} // these tables have one part
 	feeds := []*executor.Feed{
 		h.heads,
-		h.feed("operators", platform.TableOperators, 0, h.decodeOperators),
-		h.feed("servers", platform.TableServers, 250*time.Millisecond, decodeServers),
+		h.feed("operators", platform.TableOperators, whole, 0, h.decodeOperators),
+		h.feed("servers", platform.TableServers, whole, 250*time.Millisecond, decodeServers),
 	}
 	for _, f := range feeds {
 		g.Add(func() error { return f.Run(h.ctx) }, func(error) { h.cancel() })
@@ -181,6 +248,7 @@
 
 func (h *host) close() {
 	h.cancel()
+	h.dialer.Close()
 	_ = h.metrics.Close() // the last values have no reader
 	h.output.Close()
 }
--- a/cmd/lavender-host/serve.go
+++ b/cmd/lavender-host/serve.go
@@ -12,8 +12,11 @@
 
 	"github.com/oklog/run"
 	"go.uber.org/zap"
+	"google.golang.org/grpc"
 
 	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/peer"
+	"github.com/lavenderstand/lavenderstand/peer/peerpb"
 	"github.com/lavenderstand/lavenderstand/platform"
 )
 
@@ -52,6 +55,18 @@
 	return nil
 }
 
+// addPeers adds the server for hosts that the store does not serve.
+func (h *host) addPeers(g *run.Group) error {
+	l, err := listen("other hosts", h.peerAddress())
+	if err != nil {
+		return err
+	}
+	server := grpc.NewServer()
+	peerpb.RegisterStoreServer(server, &peer.StoreServer{Store: h.direct})
+	g.Add(func() error { return server.Serve(l) }, func(error) { server.Stop() })
+	return nil
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/command/rollout.go
+++ b/command/rollout.go
@@ -11,15 +11,8 @@
 // PublishRouting replaces the plan that request goroutines route by.
 type PublishRouting struct{ Plan *forward.Plan }
 
-// LotState is what readers of a lot need to know.
-type LotState struct {
-	Total, Listed int
-	Ended         bool
-	Segments      []lot.Segment
-}
-
-// PublishLots replaces the state of all lots that readers see.
-type PublishLots struct{ Lots map[string]LotState }
+// PublishLots replaces the heads of all lots that readers see.
+type PublishLots struct{ Lots map[string]lot.Stored }
 
 // Runner is the process that should run the next lot of a model. It counts as alive
 // until Until, on the process's clock.
@@ -132,3 +125,19 @@
 
 // Name implements Command.
 func (HandedOver) Name() string { return "handed_over" }
+
+// WritePresence writes the row of this host, whose present row has the given version, or
+// removes it.
+type WritePresence struct {
+	Version uint64
+	Remove  bool
+}
+
+// PublishPeers replaces the addresses of the other hosts.
+type PublishPeers struct{ Addresses []string }
+
+// Name implements Command.
+func (WritePresence) Name() string { return "write_presence" }
+
+// Name implements Command.
+func (PublishPeers) Name() string { return "publish_peers" }
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -17,8 +17,9 @@
 // Key is the key of the lease for orders.
 var Key = store.Key{Table: lot.TableCoordination, Name: "duty/orders"}
 
-// writeTimeout bounds one write: a holder has time for two within its lease.
-const writeTimeout = 500 * time.Millisecond
+// writeTimeout bounds one write. It has room for a direct call and one through another
+// host.
+const writeTimeout = 900 * time.Millisecond
 
 type record struct {
 	Holder lot.Owner `json:"holder"`
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -179,3 +179,26 @@
 
 // Name implements Event.
 func (ServerOutcome) Name() string { return "server_outcome" }
+
+// PresenceRow is the row of a host of the system as the store holds it.
+type PresenceRow struct {
+	Host    string
+	Address string // for calls of other hosts
+	Version uint64
+	Deleted bool
+}
+
+// PresenceRead holds changed rows of hosts.
+type PresenceRead struct{ Rows []PresenceRow }
+
+// PresenceWritten is the outcome of writing the row of this host.
+type PresenceWritten struct {
+	Version uint64
+	Failure *Failure
+}
+
+// Name implements Event.
+func (PresenceRead) Name() string { return "presence_read" }
+
+// Name implements Event.
+func (PresenceWritten) Name() string { return "presence_written" }
--- a/executor/feed.go
+++ b/executor/feed.go
@@ -13,11 +13,9 @@
 )
 
 const (
-	// feedWait is how long the store holds a read of a feed without changes. It is
-	// short, because a channel that went silent is noticed only by its time-out.
-	feedWait = time.Second
-	// feedSlack is added to it before the read counts as lost.
-	feedSlack = 600 * time.Millisecond
+	// feedSlack is added to it before the read counts as lost. It leaves time for one
+	// try through another host.
+	feedSlack = 1600 * time.Millisecond
 	// feedRetry doubles with each failure in a row up to maxFeedRetry.
 	feedRetry    = 80 * time.Millisecond
 	maxFeedRetry = 400 * time.Millisecond
@@ -27,10 +25,14 @@
 type Feed struct {
 	Name   string // as decisions know the table
 	Table  string
+	Parts  []string // of the table, for reading it in full
 	Store  store.Client
 	Decode func(rows []store.Row, full bool) []event.Event
 	// Pause is the wait after each answer with changes, in which further ones gather.
-	Pause   time.Duration
+	Pause time.Duration
+	// Wait is how long the store holds a read without changes. It is short, because a
+	// channel that went silent is noticed only by its time-out.
+	Wait    time.Duration
 	Deliver func(context.Context, event.Event) error
 	// Broken is called after each read that failed.
 	Broken func()
@@ -72,10 +74,10 @@
 
 // read returns the whole table first and after lost history, else changes.
 func (f *Feed) read(ctx context.Context) (rows []store.Row, full bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+feedSlack)
 	defer cancel()
 	if f.known {
-		r, err := f.Store.Changes(ctx, f.Table, f.version, feedWait)
+		r, err := f.Store.Changes(ctx, f.Table, f.version, f.Wait)
 		if !errors.Is(err, store.ErrHistoryGone) {
 			if err == nil {
 				f.version = max(f.version, r.Version)
@@ -84,11 +86,26 @@
 		}
 		f.known = false
 	}
-	r, err := f.Store.Read(ctx, f.Table, "", "", 0)
+	rows, version, err := f.readParts(ctx)
 	if err == nil {
-		f.known, f.version = true, r.Version
+		f.known, f.version = true, version
 	}
-	return r.Rows, true, err
+	return rows, true, err
+}
+
+// readParts reads all parts. Changes after the first part was read arrive by the feed.
+func (f *Feed) readParts(ctx context.Context) (rows []store.Row, version uint64, err error) {
+	for i, part := range f.Parts {
+		r, err := f.Store.Read(ctx, f.Table, part, "", 0)
+		if err != nil {
+			return nil, 0, err
+		}
+		if i == 0 {
+			version = r.Version
+		}
+		rows = append(rows, r.Rows...)
+	}
+	return rows, version, nil
 }
 
 func (f *Feed) failed(ctx context.Context, err error) {
--- a/executor/store.go
+++ b/executor/store.go
@@ -8,6 +8,7 @@
 	"github.com/lavenderstand/lavenderstand/duty"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/presence"
 	"github.com/lavenderstand/lavenderstand/store"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
@@ -80,6 +81,7 @@
 // DecodeCoordination turns rows of the coordination table into events.
 func DecodeCoordination(rows []store.Row, full bool) []event.Event {
 	heads := event.HeadsRead{Full: full}
+	var hosts event.PresenceRead
 	var events []event.Event
 	for _, r := range rows {
 		if r.Key == duty.Key {
@@ -87,6 +89,11 @@
 			events = append(events, event.DutyRead{Holder: holder, Version: r.Version})
 			continue
 		}
+		if host := presence.Host(r); host != "" {
+			address, _ := presence.Parse(r) // a row that cannot be read has no address
+			hosts.Rows = append(hosts.Rows, event.PresenceRow{Host: host, Address: address, Version: r.Version, Deleted: r.Deleted})
+			continue
+		}
 		id := lot.HeadID(r.Name)
 		if id == "" {
 			continue
@@ -96,6 +103,9 @@
 			heads.Heads = append(heads.Heads, event.HeadRow{ID: id, Head: h, Version: r.Version, Deleted: r.Deleted})
 		}
 	}
+	if len(hosts.Rows) > 0 {
+		events = append(events, hosts)
+	}
 	if full || len(heads.Heads) > 0 {
 		events = append(events, heads)
 	}
--- a/front/service.go
+++ b/front/service.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/forward"
@@ -20,11 +19,11 @@
 	// viewLife is the age up to which the published state of lots is enough to say
 	// that there are no new results. Readers rely on a position within one second of
 	// its first read elsewhere.
-	viewLife = 700 * time.Millisecond
+	viewLife = 900 * time.Millisecond
 	// acceptTimeout bounds the storing of a submission.
-	acceptTimeout = 1500 * time.Millisecond
+	acceptTimeout = 2500 * time.Millisecond
 	// readTimeout bounds a read of the store for a trainer, who asks again.
-	readTimeout = time.Second
+	readTimeout = 1200 * time.Millisecond
 )
 
 // Service is the front of a host.
@@ -76,6 +75,10 @@
 	if s.draining.Load() {
 		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "this host is stopping")
 	}
+	if known, ok, _ := s.View.lot(sub.ID); ok {
+		s.Log.Info("submission repeated", zap.String("lot", sub.ID), zap.Int("listed", known.Head.Listed))
+		return nil
+	}
 	// A caller that leaves must not leave a half-known outcome behind.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
 	defer cancel()
@@ -140,15 +143,16 @@
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
-		state, changed, err := s.lotState(ctx, id)
+		stored, changed, err := s.head(ctx, id)
 		if err != nil {
 			return lot.Page{}, err
 		}
-		if state.Listed > after {
-			return s.page(ctx, id, after, state)
+		h := &stored.Head
+		if h.Listed > after {
+			return s.page(ctx, h, after)
 		}
-		if wait <= 0 || state.Ended || state.Listed >= state.Total {
-			return lot.Page{Total: state.Total}, nil
+		if wait <= 0 || !h.Open() {
+			return lot.Page{Total: h.Total}, nil
 		}
 		select {
 		case <-ctx.Done():
@@ -160,31 +164,30 @@
 	}
 }
 
-// lotState returns the published state of a lot, or reads the store when that is
-// too old or does not have the lot.
-func (s *Service) lotState(ctx context.Context, id string) (command.LotState, <-chan struct{}, error) {
-	state, known, changed := s.View.lot(id)
+// head returns the published head of a lot, or reads the store when that is too old or
+// does not have the lot.
+func (s *Service) head(ctx context.Context, id string) (lot.Stored, <-chan struct{}, error) {
+	head, known, changed := s.View.lot(id)
 	if known && s.ViewAge() < viewLife {
-		return state, changed, nil
+		return head, changed, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	stored, err := s.Keeper.Head(ctx, id)
 	if err != nil {
-		return command.LotState{}, nil, s.unread(id, err)
+		return lot.Stored{}, nil, s.unread(id, err)
 	}
-	h := stored.Head
-	return command.LotState{Total: h.Total, Listed: h.Listed, Ended: h.Ended, Segments: h.Segments}, changed, nil
+	return stored, changed, nil
 }
 
-func (s *Service) page(ctx context.Context, id string, after int, state command.LotState) (lot.Page, error) {
+func (s *Service) page(ctx context.Context, h *lot.Head, after int) (lot.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	results, err := s.Keeper.Results(ctx, state.Segments, after)
+	results, err := s.Keeper.Results(ctx, h.Segments, after)
 	if err != nil {
-		return lot.Page{}, s.unread(id, err)
+		return lot.Page{}, s.unread(h.ID, err)
 	}
-	return lot.Page{Total: state.Total, Results: results}, nil
+	return lot.Page{Total: h.Total, Results: results}, nil
 }
 
 // unread turns a failure to read into a refusal: nothing was changed, and the reader
@@ -203,9 +206,9 @@
 func (s *Service) ItemBody(ctx context.Context, id, item string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	stored, err := s.Keeper.Head(ctx, id)
+	stored, _, err := s.head(ctx, id)
 	if err != nil {
-		return nil, s.unread(id, err)
+		return nil, err
 	}
 	sub, err := s.Keeper.Body(ctx, stored.Head)
 	if err != nil {
@@ -223,7 +226,8 @@
 func (s *Service) End(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
 	defer cancel()
-	stored, err := s.Keeper.End(ctx, id, s.write())
+	known, _, _ := s.View.lot(id)
+	stored, err := s.Keeper.End(ctx, id, known, s.write())
 	if err != nil {
 		if verdict.ReasonOf(err) == verdict.ReasonUnknownLot {
 			return err
--- a/front/view.go
+++ b/front/view.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/lot"
 )
 
 // Runners is the published knowledge of the processes that run lots.
@@ -31,7 +32,7 @@
 type View struct{ p atomic.Pointer[published] }
 
 type published struct {
-	lots    map[string]command.LotState
+	lots    map[string]lot.Stored
 	changed chan struct{} // closed by the next publication
 }
 
@@ -48,10 +49,10 @@
 	close(old.changed)
 }
 
-// lot returns the state of a lot and a channel that is closed by the next
+// lot returns the head of a lot and a channel that is closed by the next
 // publication.
-func (v *View) lot(id string) (state command.LotState, known bool, changed <-chan struct{}) {
+func (v *View) lot(id string) (head lot.Stored, known bool, changed <-chan struct{}) {
 	p := v.p.Load()
-	state, known = p.lots[id]
-	return state, known, p.changed
+	head, known = p.lots[id]
+	return head, known, p.changed
 }
--- a/lot/keeper.go
+++ b/lot/keeper.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/store"
@@ -17,8 +19,8 @@
 	commitTries = 4
 	commitPause = 40 * time.Millisecond
 	// commitTimeout bounds one try, so that a silent channel is noticed while time for
-	// another try is left.
-	commitTimeout = 600 * time.Millisecond
+	// another try is left. It has room for a direct call and one through another host.
+	commitTimeout = 1100 * time.Millisecond
 	// endTries bounds the commits of an end that races with writes of the owner.
 	endTries = 12
 	// pageRows bounds the rows of one page of results.
@@ -49,9 +51,10 @@
 		}
 	}
 	return k.commit(ctx, h.ID, func(try int) (Head, store.Commit) {
+		h.Place = try % places
 		h.BodyPart = partName(h.ID, try)
 		h.Segments = []Segment{{Part: h.BodyPart}}
-		c := store.Commit{Expect: []store.Expect{{Key: HeadKey(h.ID)}}}
+		c := store.Commit{Expect: noHeads(h.ID, h.Place, try)}
 		if !h.InObjects {
 			c.Put = bodyRows(h.BodyPart, data)
 			h.BodyRows = len(c.Put)
@@ -74,7 +77,7 @@
 			h.Segments = append(slices.Clone(segments), Segment{From: from, Part: part})
 		}
 		c := store.Commit{
-			Expect: []store.Expect{{Key: HeadKey(h.ID), Version: version}},
+			Expect: []store.Expect{{Key: HeadKey(h.ID, h.Place), Version: version}},
 			Put:    []store.Row{HeadRow(h)},
 		}
 		for i, r := range results {
@@ -94,6 +97,7 @@
 // takes effect. If the head in the store has the same Write, one of the tries did.
 func (k *Keeper) commit(ctx context.Context, id string, build func(try int) (Head, store.Commit)) (stored Stored, existing *Stored, err error) {
 	unknown := false
+	var parts []string
 	for try := range commitTries {
 		h, c := build(try)
 		version, failure := k.try(ctx, c)
@@ -105,6 +109,7 @@
 			return k.conflict(conflict, h)
 		}
 		err = failure
+		parts = append(parts, partsOf(c))
 		unknown = unknown || verdict.Of(failure) != verdict.NotRun
 		if !pause(ctx, commitPause) {
 			break
@@ -114,7 +119,18 @@
 	if unknown {
 		v = verdict.MayHaveRun
 	}
-	return Stored{}, nil, verdict.Wrap(err, v, verdict.ReasonStoreUnavailable, "commit of lot %s", id)
+	return Stored{}, nil, verdict.Wrap(err, v, verdict.ReasonStoreUnavailable, "commit of lot %s to parts %q", id, parts)
+}
+
+// partsOf lists the parts of a commit beside that of the head.
+func partsOf(c store.Commit) string {
+	var parts []string
+	for _, r := range c.Put {
+		if r.Table != TableCoordination && !slices.Contains(parts, r.Part) {
+			parts = append(parts, r.Part)
+		}
+	}
+	return strings.Join(parts, ",")
 }
 
 func (k *Keeper) try(ctx context.Context, c store.Commit) (uint64, error) {
@@ -123,8 +139,28 @@
 	return k.Store.Commit(ctx, c)
 }
 
+// noHeads are the conditions of a creation: there is no head in this place and in
+// those that count more. A last try is content with this place, because the others may
+// be in parts that do not answer.
+func noHeads(id string, place, try int) []store.Expect {
+	last := places
+	if try >= places {
+		last = place + 1
+	}
+	var expect []store.Expect
+	for p := place; p < last; p++ {
+		expect = append(expect, store.Expect{Key: HeadKey(id, p)})
+	}
+	return expect
+}
+
 func (k *Keeper) conflict(c *store.Conflict, h Head) (Stored, *Stored, error) {
-	row := c.Find(HeadKey(h.ID))
+	var row *store.Row
+	for place := range places {
+		if r := c.Find(HeadKey(h.ID, place)); r != nil && r.Version != 0 && !r.Deleted {
+			row = r
+		}
+	}
 	if row == nil {
 		return Stored{}, &Stored{}, nil
 	}
@@ -139,28 +175,47 @@
 	return Stored{}, &stored, nil
 }
 
-// Head reads the head of a lot. Its error has the reason unknown_lot if there is
-// none.
+// Head reads the head of a lot. Its error has the reason unknown_lot if there is none
+// in any place; a place that cannot be read makes that uncertain.
 func (k *Keeper) Head(ctx context.Context, id string) (Stored, error) {
-	name := HeadKey(id).Name
-	r, err := k.Store.Read(ctx, TableCoordination, "", name, 1)
-	if err != nil {
-		return Stored{}, err
+	heads := make([]Stored, places)
+	failures := make([]error, places)
+	var wg sync.WaitGroup
+	for place := range places {
+		wg.Go(func() { heads[place], failures[place] = k.headAt(ctx, id, place) })
 	}
-	if len(r.Rows) == 1 && r.Rows[0].Name == name {
-		if h, ok := ParseHead(r.Rows[0]); ok {
-			return Stored{Head: h, Version: r.Rows[0].Version}, nil
+	wg.Wait()
+	for place := places - 1; place >= 0; place-- {
+		if failures[place] != nil || heads[place].Version != 0 {
+			return heads[place], failures[place]
 		}
 	}
 	return Stored{}, verdict.New(verdict.NotRun, verdict.ReasonUnknownLot, "lot %q does not exist", id)
 }
 
-// End ends a lot. It may be repeated. nonce must differ with each call.
-func (k *Keeper) End(ctx context.Context, id, nonce string) (Stored, error) {
-	current, err := k.Head(ctx, id)
-	if err != nil {
+// headAt reads the head in one place, a zero Stored if there is none.
+func (k *Keeper) headAt(ctx context.Context, id string, place int) (Stored, error) {
+	key := HeadKey(id, place)
+	r, err := k.Store.Read(ctx, key.Table, key.Part, key.Name, 1)
+	if err != nil || len(r.Rows) == 0 || r.Rows[0].Key != key {
 		return Stored{}, err
 	}
+	h, ok := ParseHead(r.Rows[0])
+	if !ok {
+		return Stored{}, verdict.New(verdict.NotRun, verdict.ReasonInternal, "the head of lot %s cannot be read", id)
+	}
+	return Stored{Head: h, Version: r.Rows[0].Version}, nil
+}
+
+// End ends a lot. It may be repeated. current is the head as far as it is known, zero
+// if it is not; nonce must differ with each call.
+func (k *Keeper) End(ctx context.Context, id string, current Stored, nonce string) (Stored, error) {
+	if current.Version == 0 {
+		var err error
+		if current, err = k.Head(ctx, id); err != nil {
+			return Stored{}, err
+		}
+	}
 	for range endTries {
 		if current.Head.Ended {
 			return current, nil
--- a/lot/lot.go
+++ b/lot/lot.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lavenderstand/lavenderstand/registry"
 )
 
@@ -92,7 +94,11 @@
 	Accepted  int64  `json:"accepted"` // Unix milliseconds
 	BodyRows  int    `json:"body_rows"`
 	InObjects bool   `json:"in_objects,omitempty"` // the submission lies in objects, not in rows
-	BodyPart  string `json:"body_part"`
+	// Place says in which of its possible parts the head lies. Heads of one lot in
+	// several places come from creations that raced with an outage of a part; the one
+	// in the highest place counts.
+	Place    int    `json:"place,omitempty"`
+	BodyPart string `json:"body_part"`
 	// Segments say in which parts of the store the results lie, in the order of their
 	// positions. A part that does not answer is replaced by another one.
 	Segments []Segment `json:"segments,omitempty"`
@@ -135,12 +141,13 @@
 	return append(versions, v)
 }
 
-// partName returns the name of the n-th part of a lot.
+// partName returns the name of the n-th part of a lot. The names share no beginning,
+// so that a store that places parts by name puts them apart.
 func partName(id string, n int) string {
 	if n == 0 {
 		return id
 	}
-	return fmt.Sprintf("%s.%d", id, n)
+	return fmt.Sprintf("%016x", xxhash.Sum64String(fmt.Sprintf("%s.%d", id, n)))
 }
 
 // Page is a part of the results of a lot.
--- a/lot/rows.go
+++ b/lot/rows.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lavenderstand/lavenderstand/store"
 )
 
@@ -29,13 +31,35 @@
 	headPrefix  = "lot/"
 )
 
-// HeadKey is the key of a lot's head.
-func HeadKey(id string) store.Key {
-	return store.Key{Table: TableCoordination, Name: headPrefix + id}
+// shards is the number of parts that hold heads. When some parts of the store do not
+// answer, the lots in the others go on.
+const shards = 16
+
+// Parts names the parts of the coordination table: that of leases and hosts and those
+// of heads.
+func Parts() []string {
+	parts := []string{""}
+	for i := range uint64(shards) {
+		parts = append(parts, shardName(i))
+	}
+	return parts
+}
+
+func shardName(i uint64) string { return fmt.Sprintf("lots%02d", i) }
+
+// places is the number of parts in which the head of a lot may lie: the first one that
+// answers when the lot is created.
+const places = 3
+
+// HeadKey is the key of a lot's head in one of its places.
+func HeadKey(id string, place int) store.Key {
+	// 5 and 16 have no common divisor, so the places of a lot differ.
+	shard := (xxhash.Sum64String(id) + 5*uint64(place)) % shards
+	return store.Key{Table: TableCoordination, Part: shardName(shard), Name: headPrefix + id}
 }
 
 // HeadRow encodes a head.
-func HeadRow(h Head) store.Row { return store.Row{Key: HeadKey(h.ID), Value: encode(h)} }
+func HeadRow(h Head) store.Row { return store.Row{Key: HeadKey(h.ID, h.Place), Value: encode(h)} }
 
 // ParseHead decodes a head; ok is false for a row that is none.
 func ParseHead(r store.Row) (h Head, ok bool) {
--- /dev/null
+++ b/presence/presence.go
@@ -0,0 +1,67 @@
+// Package presence keeps a row for each host of the system, by which others find it.
+// A row that a killed host left behind is replaced when the host starts again; who
+// uses the rows must bear hosts that do not answer.
+package presence
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/store"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+const prefix = "host/"
+
+// writeTimeout bounds a write; the decision to write is made again.
+const writeTimeout = time.Second
+
+type record struct {
+	Address string `json:"address"`
+}
+
+func key(host string) store.Key {
+	return store.Key{Table: lot.TableCoordination, Name: prefix + host}
+}
+
+// Host returns the host of a row, empty if the row is not one of a host.
+func Host(r store.Row) string {
+	host, ok := strings.CutPrefix(r.Name, prefix)
+	if !ok {
+		return ""
+	}
+	return host
+}
+
+// Parse returns the address of a host; ok is false if the row cannot be read.
+func Parse(r store.Row) (address string, ok bool) {
+	var rec record
+	ok = !r.Deleted && json.Unmarshal(r.Value, &rec) == nil && rec.Address != ""
+	return rec.Address, ok
+}
+
+// Write writes the row of a host, or removes it. Version is that of the present row.
+func Write(ctx context.Context, s store.Client, host, address string, version uint64, remove bool) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	value, err := json.Marshal(record{Address: address})
+	if err != nil {
+		return 0, verdict.Wrap(err, verdict.NotRun, verdict.ReasonInternal, "encode row of host %s", host)
+	}
+	c := store.Commit{Expect: []store.Expect{{Key: key(host), Version: version}}}
+	if remove {
+		c.Delete = []store.Key{key(host)}
+	} else {
+		c.Put = []store.Row{{Key: key(host), Value: value}}
+	}
+	v, err := s.Commit(ctx, c)
+	var conflict *store.Conflict
+	if errors.As(err, &conflict) {
+		return 0, verdict.Wrap(err, verdict.NotRun, verdict.ReasonConflict, "row of host %s", host)
+	}
+	return v, err
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,214 @@
+// Package relay reaches a store that turns this host away and serves others: calls go
+// through another host until the store serves this one again.
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/store"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+const (
+	// directTimeout bounds a direct call before another way is tried. A slow store
+	// answers within 250 ms.
+	directTimeout = 450 * time.Millisecond
+	// relayTimeout bounds a call through another host, which has directTimeout itself.
+	relayTimeout = 600 * time.Millisecond
+	// probeTimeout bounds a probe. A slow store answers within 250 ms.
+	probeTimeout = 350 * time.Millisecond
+	// probeLife is how long the result of a probe is used.
+	probeLife = 100 * time.Millisecond
+	// probeEvery is the period at which the direct way is tried while it is down.
+	probeEvery = 400 * time.Millisecond
+	// pauseRelay is the time for which no other host is asked after those that were
+	// asked could not reach the store either.
+	pauseRelay = 300 * time.Millisecond
+	// peersPerCall is the number of other hosts that one call tries.
+	peersPerCall = 2
+)
+
+// Calls is the part of the store that can be relayed.
+type Calls interface {
+	Commit(ctx context.Context, c store.Commit) (version uint64, err error)
+	Read(ctx context.Context, table, part, from string, limit int) (store.Range, error)
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (store.Range, error)
+}
+
+// Client calls the store directly, or through other hosts while that fails. It
+// implements store.Client.
+type Client struct {
+	store.Client // direct
+	Probe        func(ctx context.Context) error
+	Dial         func(address string) Calls
+	Changed      func(down bool, cause error) // the direct way was lost or regained
+
+	peers   atomic.Pointer[[]string]
+	good    atomic.Pointer[string] // peer that answered last
+	down    atomic.Bool
+	pauseTo atomic.Int64 // Unix nanoseconds
+
+	mu       sync.Mutex // held during a probe, so that one probe serves all that wait
+	probedAt time.Time
+	probed   error
+}
+
+// SetPeers replaces the addresses of the other hosts.
+func (c *Client) SetPeers(addresses []string) { c.peers.Store(&addresses) }
+
+// Commit implements store.Client. It is safe to send a commit twice, because a second
+// copy does not meet its conditions.
+func (c *Client) Commit(ctx context.Context, commit store.Commit) (version uint64, err error) {
+	err = c.call(ctx, 0, func(ctx context.Context, s Calls) (err error) {
+		version, err = s.Commit(ctx, commit)
+		return err
+	})
+	return version, err
+}
+
+// Read implements store.Client.
+func (c *Client) Read(ctx context.Context, table, part, from string, limit int) (r store.Range, err error) {
+	err = c.call(ctx, 0, func(ctx context.Context, s Calls) (err error) {
+		r, err = s.Read(ctx, table, part, from, limit)
+		return err
+	})
+	return r, err
+}
+
+// Changes implements store.Client.
+func (c *Client) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (r store.Range, err error) {
+	err = c.call(ctx, wait, func(ctx context.Context, s Calls) (err error) {
+		r, err = s.Changes(ctx, table, after, wait)
+		return err
+	})
+	return r, err
+}
+
+// call tries the direct way first unless it is down, then other hosts. The verdict is
+// not run only if no try may have had an effect.
+func (c *Client) call(ctx context.Context, wait time.Duration, do func(context.Context, Calls) error) error {
+	var failures failures
+	down := c.down.Load()
+	if !down {
+		err := try(ctx, directTimeout+wait, c.Client, do)
+		if answered(err) || ctx.Err() != nil || c.works(ctx) {
+			return err // the store serves this host, perhaps not this part of its data
+		}
+		c.lost(ctx, err)
+		failures.add(err)
+	}
+	for _, address := range c.candidates() {
+		err := try(ctx, relayTimeout+wait, c.Dial(address), do)
+		if answered(err) {
+			c.good.Store(&address)
+			return err
+		}
+		failures.add(err)
+		c.good.Store(nil)
+		c.pauseTo.Store(time.Now().Add(pauseRelay).UnixNano())
+	}
+	if down && ctx.Err() == nil {
+		err := try(ctx, directTimeout+wait, c.Client, do)
+		if answered(err) {
+			return err
+		}
+		failures.add(err)
+	}
+	return failures.err()
+}
+
+// failures joins the errors of the tries of one call.
+type failures struct {
+	first   error
+	unknown bool
+}
+
+func (f *failures) add(err error) {
+	if f.first == nil {
+		f.first = err
+	}
+	f.unknown = f.unknown || verdict.Of(err) != verdict.NotRun
+}
+
+func (f *failures) err() error {
+	v := verdict.NotRun
+	if f.unknown {
+		v = verdict.MayHaveRun
+	}
+	return verdict.Wrap(f.first, v, verdict.ReasonStoreUnavailable, "the store is not reachable, directly or through another host")
+}
+
+func try(ctx context.Context, timeout time.Duration, s Calls, do func(context.Context, Calls) error) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return do(ctx, s)
+}
+
+// answered reports whether the store itself answered.
+func answered(err error) bool {
+	var conflict *store.Conflict
+	return err == nil || errors.As(err, &conflict) || errors.Is(err, store.ErrHistoryGone) ||
+		verdict.ReasonOf(err) == verdict.ReasonBadAnswer
+}
+
+// candidates returns the hosts to ask: the one that answered last, else random ones.
+func (c *Client) candidates() []string {
+	peers := c.peers.Load()
+	if peers == nil || len(*peers) == 0 || time.Now().UnixNano() < c.pauseTo.Load() {
+		return nil
+	}
+	var chosen []string
+	if good := c.good.Load(); good != nil {
+		chosen = append(chosen, *good)
+	}
+	for range 2 * peersPerCall {
+		address := (*peers)[rand.IntN(len(*peers))]
+		if len(chosen) < peersPerCall && (len(chosen) == 0 || chosen[0] != address) {
+			chosen = append(chosen, address)
+		}
+	}
+	return chosen
+}
+
+// works tells whether the store serves this host at all. A result is used for
+// probeLife by all calls that failed.
+func (c *Client) works(ctx context.Context) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Since(c.probedAt) >= probeLife {
+		c.probed = c.probe(ctx)
+		c.probedAt = time.Now()
+	}
+	return c.probed == nil
+}
+
+func (c *Client) probe(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	return c.Probe(ctx)
+}
+
+// lost turns to other hosts and tries the direct way until it works again.
+func (c *Client) lost(ctx context.Context, cause error) {
+	if !c.down.CompareAndSwap(false, true) {
+		return
+	}
+	c.Changed(true, cause)
+	ctx = context.WithoutCancel(ctx)
+	go func() {
+		for {
+			time.Sleep(probeEvery)
+			if c.probe(ctx) == nil {
+				c.down.Store(false)
+				c.pauseTo.Store(0)
+				c.Changed(false, nil)
+				return
+			}
+		}
+	}()
+}
--- a/system/rollout/lots.go
+++ b/system/rollout/lots.go
@@ -67,7 +67,7 @@
 func own(now time.Duration, t *table.Tables, h lot.Head, version uint64, s *lot.Submission, results []lot.Result, progress []lot.Progress, out *command.Outbox) {
 	r := &t.Rollout
 	l, _ := r.Lots.Upsert(h.ID)
-	if version < l.Version {
+	if h.Place < l.Head.Place || (h.Place == l.Head.Place && version < l.Version) {
 		return // a newer head has been read meanwhile
 	}
 	*l = table.Lot{
@@ -149,8 +149,8 @@
 	if created {
 		l.Stage = table.LotForeign
 	}
-	if h.Version <= l.Version {
-		return
+	if h.Head.Place < l.Head.Place || (h.Head.Place == l.Head.Place && h.Version <= l.Version) {
+		return // known, or left behind by a creation in a place that counts less
 	}
 	if l.Stage == table.LotOwned && l.Write != nil && l.Write.Head.Write == h.Head.Write {
 		return // the outcome of the write says so too
@@ -167,7 +167,7 @@
 	if l.Stage != table.LotOwned {
 		return
 	}
-	if h.Head.Owner != r.Owner || h.Head.Ended {
+	if h.Head.Owner != r.Owner || h.Head.Ended || h.Head.Place != was.Place {
 		reason := "ended"
 		if !h.Head.Ended {
 			reason = "another owner"
--- /dev/null
+++ b/system/rollout/presence.go
@@ -0,0 +1,80 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// presenceRetry is the wait before the row of this host is written again. A write
+// whose answer was lost shows in the feed before.
+const presenceRetry = time.Second
+
+// Presence keeps the row of this host and publishes the addresses of the others.
+func Presence(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+	r := &t.Rollout
+	changed := false
+	for _, e := range in {
+		switch e := e.(type) {
+		case event.PresenceRead:
+			for _, h := range e.Rows {
+				changed = readHost(r, h) || changed
+			}
+		case event.PresenceWritten:
+			r.Presence.Writing, r.Presence.NextWrite = false, now+presenceRetry
+			if e.Failure != nil {
+				out.Add(command.Count{Counter: "host_row_not_written", Tags: map[string]string{"reason": string(e.Failure.Reason)}, Delta: 1})
+			}
+		}
+	}
+	if changed {
+		out.Add(command.PublishPeers{Addresses: addresses(r)})
+	}
+	keepPresence(now, r, out)
+}
+
+func readHost(r *table.Rollout, h event.PresenceRow) bool {
+	p, _ := r.Peers.Upsert(h.Host)
+	if h.Version <= p.Version {
+		return false
+	}
+	changed := p.Address != h.Address
+	p.Address, p.Version, p.Deleted = h.Address, h.Version, h.Deleted
+	return changed
+}
+
+func addresses(r *table.Rollout) []string {
+	var all []string
+	for host, p := range r.Peers.All() {
+		if host != r.Owner.Host && p.Address != "" {
+			all = append(all, p.Address)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+func keepPresence(now time.Duration, r *table.Rollout, out *command.Outbox) {
+	feed := r.Feeds.Find(feedCoordination)
+	if feed == nil || feed.Down || r.Presence.Address == "" || r.Presence.Writing {
+		return
+	}
+	own := r.Peers.Find(r.Owner.Host)
+	there := own != nil && !own.Deleted && own.Address == r.Presence.Address
+	if there != r.Draining {
+		return
+	}
+	if now < r.Presence.NextWrite {
+		out.WakeAt(r.Presence.NextWrite)
+		return
+	}
+	r.Presence.Writing = true
+	c := command.WritePresence{Remove: r.Draining}
+	if own != nil && !own.Deleted {
+		c.Version = own.Version
+	}
+	out.Add(c)
+}
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -9,6 +9,7 @@
 
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/lot"
 	"github.com/lavenderstand/lavenderstand/system"
 	"github.com/lavenderstand/lavenderstand/table"
 )
@@ -19,6 +20,7 @@
 	return []system.Named{
 		{Name: "feeds", Run: Feeds},
 		{Name: "desired", Run: Desired},
+		{Name: "presence", Run: Presence},
 		{Name: "servers", Run: Servers},
 		{Name: "judgement", Run: Judgement},
 		{Name: "lots", Run: Lots},
@@ -98,9 +100,9 @@
 	if !r.ViewChanged {
 		return
 	}
-	lots := make(map[string]command.LotState, r.Lots.Len())
+	lots := make(map[string]lot.Stored, r.Lots.Len())
 	for id, l := range r.Lots.All() {
-		lots[id] = command.LotState{Total: l.Head.Total, Listed: l.Head.Listed, Ended: l.Head.Ended, Segments: l.Head.Segments}
+		lots[id] = lot.Stored{Head: l.Head, Version: l.Version}
 	}
 	out.Add(command.PublishLots{Lots: lots})
 	r.ViewChanged = false
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -18,14 +18,17 @@
 	Lease   time.Duration // smallest time between orders of two holders
 	Feeds   Table[Feed]   // keyed by table name of the store
 	Desired *desired.State
-	Servers Table[Server]      // keyed by server id
-	Models  Table[Model]       // keyed by model name
-	Lots    Table[Lot]         // keyed by lot id
-	Items   Table[Item]        // keyed by ItemKey; only items of own lots
-	Duty    Duty               // the right to give orders
-	Typical map[string]Typical // by service
-	Shared  time.Duration      // when engines were last shared among models
-	Runners map[string]command.Runner
+	Servers Table[Server]   // keyed by server id
+	Models  Table[Model]    // keyed by model name
+	Lots    Table[Lot]      // keyed by lot id
+	Items   Table[Item]     // keyed by ItemKey; only items of own lots
+	Duty    Duty            // the right to give orders
+	Peers   Table[PeerHost] // keyed by host name, this host included
+	// Presence is the row by which others find this host.
+	Presence Presence
+	Typical  map[string]Typical // by service
+	Shared   time.Duration      // when engines were last shared among models
+	Runners  map[string]command.Runner
 
 	Draining    bool   // a planned stop has begun
 	HandedOver  bool   // everything has been handed over since
@@ -35,6 +38,20 @@
 	Runs        int    // counts runs of items
 }
 
+// PeerHost is a host of the system by its row in the store.
+type PeerHost struct {
+	Address string
+	Version uint64
+	Deleted bool
+}
+
+// Presence is the state of this host's own row.
+type Presence struct {
+	Address   string
+	Writing   bool
+	NextWrite time.Duration
+}
+
 // Feed is the state of one feed of the store.
 type Feed struct {
 	Down  bool
