--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,177 @@
+package forward_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/lavenderstand/lavenderstand/desired"
+	"github.com/lavenderstand/lavenderstand/forward"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// sender answers by server id.
+type sender struct {
+	mu    sync.Mutex
+	calls []string
+	reply func(ctx context.Context, server string, n int) (*forward.Answer, error)
+	gone  int // attempts whose context ended
+}
+
+func (s *sender) Send(ctx context.Context, to *forward.Target, _ *forward.Request, _ time.Duration) (*forward.Answer, error) {
+	s.mu.Lock()
+	s.calls = append(s.calls, to.ID)
+	n := len(s.calls)
+	s.mu.Unlock()
+	return s.reply(ctx, to.ID, n)
+}
+
+func (s *sender) OpenStream(context.Context, *forward.Target, *forward.Request, int, time.Duration) (forward.Stream, error) {
+	return nil, verdict.New(verdict.NotRun, verdict.ReasonInternal, "no stream here")
+}
+
+func (s *sender) servers() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.calls...)
+}
+
+func (s *sender) wait(ctx context.Context) (*forward.Answer, error) {
+	<-ctx.Done()
+	s.mu.Lock()
+	s.gone++
+	s.mu.Unlock()
+	return nil, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.ReasonCanceled, "gone")
+}
+
+func newForwarder(s *sender, kind desired.Kind) (*forward.Forwarder, *[]forward.Outcome) {
+	var outcomes []forward.Outcome
+	var mu sync.Mutex
+	f := &forward.Forwarder{
+		Plans: new(forward.Cell), Sender: s, Log: zap.NewNop(), Draw: func() float64 { return 0 },
+		Count: func(string, verdict.Reason) {},
+		Report: func(o forward.Outcome) {
+			mu.Lock()
+			outcomes = append(outcomes, o)
+			mu.Unlock()
+		},
+	}
+	plan := &forward.Plan{Zone: "a", Services: map[string][]*forward.Target{}, State: &desired.State{Routes: []desired.Route{{
+		Name: "r", Host: "h", Prefix: "/p/", Kind: kind, Services: []desired.Share{{Service: "s", Weight: 1}},
+		Timeout: time.Second, LatencyTarget: 100 * time.Millisecond, Attempts: 3,
+	}}}}
+	for _, id := range []string{"s1", "s2", "s3"} {
+		plan.Services["s"] = append(plan.Services["s"], &forward.Target{ID: id, Zone: "a", Slots: 4, Load: new(forward.Load)})
+	}
+	f.Plans.Publish(plan)
+	return f, &outcomes
+}
+
+func request() *forward.Request {
+	return &forward.Request{ID: "q", Method: "POST", Host: "h", Path: "/p/x", Target: "/p/x"}
+}
+
+var ok = &forward.Answer{Status: http.StatusOK, Stamp: "s"}
+
+func lost() error { return verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, "lost") }
+func full() error { return verdict.New(verdict.NotRun, verdict.ReasonBackendRefused, "full") }
+
+// TestIdempotentIsRepeatedElsewhere guards against a lost answer that reaches the
+// caller though another server can answer, and against a second try at the same one.
+func TestIdempotentIsRepeatedElsewhere(t *testing.T) {
+	s := &sender{reply: func(_ context.Context, _ string, n int) (*forward.Answer, error) {
+		if n == 1 {
+			return nil, lost()
+		}
+		return ok, nil
+	}}
+	f, _ := newForwarder(s, desired.KindIdempotent)
+	a, err := f.Forward(context.Background(), request())
+	require.NoError(t, err)
+	require.Equal(t, 200, a.Status)
+	require.Len(t, s.servers(), 2)
+	require.NotEqual(t, s.servers()[0], s.servers()[1])
+}
+
+// TestNonIdempotentRunsOnce guards against a second run of a request that may not be
+// repeated, and against "not run" for it.
+func TestNonIdempotentRunsOnce(t *testing.T) {
+	s := &sender{reply: func(context.Context, string, int) (*forward.Answer, error) { return nil, lost() }}
+	f, _ := newForwarder(s, desired.KindNonIdempotent)
+	_, err := f.Forward(context.Background(), request())
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+	require.Len(t, s.servers(), 1)
+
+	s = &sender{reply: func(_ context.Context, _ string, n int) (*forward.Answer, error) {
+		if n < 3 {
+			return nil, full()
+		}
+		return ok, nil
+	}}
+	f, _ = newForwarder(s, desired.KindNonIdempotent)
+	_, err = f.Forward(context.Background(), request())
+	require.NoError(t, err, "a refusal is no run")
+}
+
+// TestSilentServerIsOvertaken guards against a caller that waits for a server that
+// never answers, and against work that goes on there afterwards.
+func TestSilentServerIsOvertaken(t *testing.T) {
+	s := &sender{}
+	s.reply = func(ctx context.Context, _ string, n int) (*forward.Answer, error) {
+		if n == 1 {
+			return s.wait(ctx)
+		}
+		return ok, nil
+	}
+	f, _ := newForwarder(s, desired.KindIdempotent)
+	begun := time.Now()
+	_, err := f.Forward(context.Background(), request())
+	require.NoError(t, err)
+	require.Less(t, time.Since(begun), 500*time.Millisecond)
+	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.gone == 1 }, time.Second, time.Millisecond)
+}
+
+// TestFailureOfAServerIsReturned guards against more runs than the route allows, and
+// against a failure of our own in place of the server's.
+func TestFailureOfAServerIsReturned(t *testing.T) {
+	s := &sender{reply: func(context.Context, string, int) (*forward.Answer, error) {
+		return &forward.Answer{Status: 500, Stamp: "s"}, nil
+	}}
+	f, _ := newForwarder(s, desired.KindIdempotent)
+	a, err := f.Forward(context.Background(), request())
+	require.NoError(t, err)
+	require.Equal(t, 500, a.Status)
+	require.Equal(t, 3, a.Failures)
+	require.Len(t, s.servers(), 3)
+}
+
+// TestRefusedEverywhereIsNotRun guards against a caller that gives up a request that
+// it may repeat, and against a refusal that is not true.
+func TestRefusedEverywhereIsNotRun(t *testing.T) {
+	s := &sender{reply: func(context.Context, string, int) (*forward.Answer, error) { return nil, full() }}
+	f, outcomes := newForwarder(s, desired.KindNonIdempotent)
+	r := request()
+	r.Deadline = time.Now().Add(100 * time.Millisecond)
+	_, err := f.Forward(context.Background(), r)
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+	for _, o := range *outcomes {
+		require.False(t, o.Failed, "a full server is no failing one")
+	}
+}
+
+// TestUnknownRoute guards against a 404 before the host knows what is desired.
+func TestUnknownRoute(t *testing.T) {
+	f, _ := newForwarder(&sender{}, desired.KindIdempotent)
+	r := request()
+	r.Path = "/other/x"
+	_, err := f.Forward(context.Background(), r)
+	require.Equal(t, verdict.ReasonUnknownRoute, verdict.ReasonOf(err))
+	f.Plans = new(forward.Cell)
+	_, err = f.Forward(context.Background(), request())
+	require.Equal(t, verdict.ReasonNotReady, verdict.ReasonOf(err))
+}
--- a/lot/keeper.go
+++ b/lot/keeper.go
@@ -1,9 +1,11 @@
 package lot
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -28,7 +30,11 @@
 )
 
 // Keeper stores lots. Its methods may be called by many goroutines.
-type Keeper struct{ Store store.Client }
+type Keeper struct {
+	Store store.Client
+	// Pause is the wait between two tries of a commit, commitPause if it is 0.
+	Pause time.Duration
+}
 
 // Stored is a head as the store holds it.
 type Stored struct {
@@ -52,7 +58,7 @@
 	}
 	return k.commit(ctx, h.ID, func(try int) (Head, store.Commit) {
 		h.Place = try % places
-		h.BodyPart = partName(h.ID, try)
+		h.BodyPart = partName(h.ID, 0, try)
 		h.Segments = []Segment{{Part: h.BodyPart}}
 		c := store.Commit{Expect: noHeads(h.ID, h.Place, try)}
 		if !h.InObjects {
@@ -73,7 +79,7 @@
 	return k.commit(ctx, h.ID, func(try int) (Head, store.Commit) {
 		part, _ := segmentOf(segments, from)
 		if try > 0 && len(results) > 0 {
-			part = partName(h.ID, len(segments)+try-1)
+			part = partName(h.ID, from, commitTries+try)
 			h.Segments = append(slices.Clone(segments), Segment{From: from, Part: part})
 		}
 		c := store.Commit{
@@ -111,7 +117,7 @@
 		err = failure
 		parts = append(parts, partsOf(c))
 		unknown = unknown || verdict.Of(failure) != verdict.NotRun
-		if !pause(ctx, commitPause) {
+		if !pause(ctx, cmp.Or(k.Pause, commitPause)) {
 			break
 		}
 	}
@@ -268,8 +274,11 @@
 	if err != nil {
 		return nil, err
 	}
-	results, err := ParseResults(r.Rows, from)
-	return results[:min(len(results), end-from)], err
+	rows := r.Rows
+	if last := PositionName(end); end != math.MaxInt {
+		rows = slices.DeleteFunc(rows, func(row store.Row) bool { return row.Name >= last })
+	}
+	return ParseResults(rows, from)
 }
 
 // Progress reads what is stored of the unfinished items of a lot.
--- /dev/null
+++ b/lot/keeper_test.go
@@ -0,0 +1,239 @@
+package lot_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/standin/pamoja"
+	"github.com/lavenderstand/lavenderstand/store"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+func submission(id string, items int) *lot.Submission {
+	s := &lot.Submission{ID: id, Host: "h", Path: "/p/"}
+	for i := range items {
+		s.Items = append(s.Items, lot.Item{ID: fmt.Sprintf("i%d", i), Path: "/p/x", Body: []byte("body"), Length: 10})
+	}
+	return s
+}
+
+func headOf(s *lot.Submission, write string) lot.Head {
+	return lot.Head{ID: s.ID, Total: len(s.Items), Owner: lot.Owner{Host: "a", Lifetime: "1"}, Write: write}
+}
+
+// TestLostAnswerCreatesOneLot guards against a lot that is stored twice, or refused
+// though it is stored, when the answer of the store is lost.
+func TestLostAnswerCreatesOneLot(t *testing.T) {
+	rows := pamoja.NewRows()
+	k := &lot.Keeper{Store: rows}
+	lost := 1
+	rows.SetFault(func(c pamoja.Call) pamoja.Outcome {
+		if c.Write && lost > 0 {
+			lost--
+			return pamoja.LostAfter
+		}
+		return pamoja.Served
+	})
+	s := submission("lot-1", 3)
+	created, existing, err := k.Create(context.Background(), s, headOf(s, "w1"))
+	require.NoError(t, err)
+	require.Nil(t, existing)
+	found, err := k.Head(context.Background(), "lot-1")
+	require.NoError(t, err)
+	require.Equal(t, created, found)
+	body, err := k.Body(context.Background(), found.Head)
+	require.NoError(t, err)
+	require.Equal(t, s, body)
+
+	_, existing, err = k.Create(context.Background(), s, headOf(s, "w2"))
+	require.NoError(t, err)
+	require.Equal(t, created, *existing, "the repeated submission finds the first one")
+}
+
+// TestCreationAvoidsPartsThatAreAway guards against a lot that cannot be created while
+// parts of the store are away, and against a second copy when they are back.
+func TestCreationAvoidsPartsThatAreAway(t *testing.T) {
+	rows := pamoja.NewRows()
+	k := &lot.Keeper{Store: rows}
+	s := submission("lot-1", 3)
+	away := lot.HeadKey("lot-1", 0).Part
+	rows.SetFault(func(c pamoja.Call) pamoja.Outcome {
+		if slices.Contains(c.Parts, away) {
+			return pamoja.LostBefore
+		}
+		return pamoja.Served
+	})
+	created, _, err := k.Create(context.Background(), s, headOf(s, "w1"))
+	require.NoError(t, err)
+	require.Equal(t, 1, created.Head.Place)
+
+	found, err := k.Head(context.Background(), "lot-1")
+	require.NoError(t, err, "a head in a higher place counts whatever the others hold")
+	require.Equal(t, created, found)
+	rows.SetFault(func(pamoja.Call) pamoja.Outcome { return pamoja.LostBefore })
+	_, err = k.Head(context.Background(), "lot-2")
+	require.NotEqual(t, verdict.ReasonUnknownLot, verdict.ReasonOf(err), "a place that cannot be read may hold the lot")
+
+	rows.SetFault(nil)
+	_, existing, err := k.Create(context.Background(), s, headOf(s, "w2"))
+	require.NoError(t, err)
+	require.Equal(t, created, *existing)
+}
+
+// TestResultsMoveToAnotherPart guards against results that stall with the part of
+// the store in which the earlier ones lie, and against positions that do not add up.
+func TestResultsMoveToAnotherPart(t *testing.T) {
+	rows := pamoja.NewRows()
+	k := &lot.Keeper{Store: rows}
+	ctx := context.Background()
+	s := submission("lot-1", 4)
+	stored, _, err := k.Create(ctx, s, headOf(s, "w1"))
+	require.NoError(t, err)
+	write := func(n int, items ...string) {
+		h := stored.Head
+		h.Write, h.Listed = fmt.Sprintf("r%d", n), h.Listed+len(items)
+		var results []lot.Result
+		for _, i := range items {
+			results = append(results, lot.Result{Item: i, State: lot.StateCompleted, Text: strings.Repeat(i, 50_000)})
+		}
+		next, existing, err := k.Append(ctx, h, stored.Version, results, nil)
+		require.NoError(t, err)
+		require.Nil(t, existing)
+		stored = next
+	}
+	write(1, "i0", "i1")
+	rows.SetFault(func(c pamoja.Call) pamoja.Outcome {
+		if slices.Contains(c.Parts, stored.Head.BodyPart) {
+			return pamoja.LostBefore
+		}
+		return pamoja.Served
+	})
+	write(2, "i2")
+	write(3, "i3")
+	require.Len(t, stored.Head.Segments, 2)
+	rows.SetFault(nil)
+	var items []string
+	for len(items) < stored.Head.Listed {
+		page, err := k.Results(ctx, stored.Head.Segments, len(items))
+		require.NoError(t, err)
+		require.NotEmpty(t, page)
+		for _, r := range page {
+			items = append(items, r.Item)
+			require.Len(t, r.Text, 100_000)
+		}
+	}
+	require.Equal(t, []string{"i0", "i1", "i2", "i3"}, items)
+}
+
+// TestLargeSubmissionIsKeptInObjects guards against a submission that does not fit
+// the rows of one commit.
+func TestLargeSubmissionIsKeptInObjects(t *testing.T) {
+	k := &lot.Keeper{Store: pamoja.NewRows()}
+	s := submission("lot-1", 2)
+	s.Items[0].Body = []byte(strings.Repeat("x", 2*lot.MaxRowBytes))
+	stored, _, err := k.Create(context.Background(), s, headOf(s, "w"))
+	require.NoError(t, err)
+	require.True(t, stored.Head.InObjects)
+	body, err := k.Body(context.Background(), stored.Head)
+	require.NoError(t, err)
+	require.Equal(t, s, body)
+}
+
+// TestEndRacesWithOwner guards against an end that an owner's write undoes.
+func TestEndRacesWithOwner(t *testing.T) {
+	rows := pamoja.NewRows()
+	k := &lot.Keeper{Store: rows}
+	ctx := context.Background()
+	s := submission("lot-1", 4)
+	stored, _, err := k.Create(ctx, s, headOf(s, "w1"))
+	require.NoError(t, err)
+	h := stored.Head
+	h.Write, h.Listed = "w2", 1
+	_, _, err = k.Append(ctx, h, stored.Version, []lot.Result{{Item: "i0"}}, nil)
+	require.NoError(t, err)
+	ended, err := k.End(ctx, "lot-1", stored, "e1")
+	require.NoError(t, err, "the end continues from the owner's write")
+	require.True(t, ended.Head.Ended)
+	require.Equal(t, 1, ended.Head.Listed)
+	h.Write = "w3"
+	_, existing, err := k.Append(ctx, h, stored.Version, nil, nil)
+	require.NoError(t, err)
+	require.True(t, existing.Head.Ended, "the owner learns of the end")
+	_, err = k.End(ctx, "lot-1", stored, "e2")
+	require.NoError(t, err, "an end may be repeated")
+	_, err = k.End(ctx, "none", lot.Stored{}, "e3")
+	require.Equal(t, verdict.ReasonUnknownLot, verdict.ReasonOf(err))
+}
+
+// TestEachItemIsListedOnce guards against an item at two positions or a gap, whatever
+// answers of the store are lost and however often the owner changes.
+func TestEachItemIsListedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rows := pamoja.NewRows()
+		k := &lot.Keeper{Store: rows, Pause: time.Microsecond}
+		ctx := context.Background()
+		s := submission("lot-1", 6)
+		stored, _, err := k.Create(ctx, s, headOf(s, "w"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows.SetFault(func(c pamoja.Call) pamoja.Outcome {
+			if !c.Write {
+				return pamoja.Served
+			}
+			return rapid.SampledFrom([]pamoja.Outcome{pamoja.Served, pamoja.Served, pamoja.Refused, pamoja.LostBefore, pamoja.LostAfter}).Draw(t, "outcome")
+		})
+		known := []lot.Stored{stored, stored} // what two owners believe
+		for n := range 40 {
+			o := rapid.IntRange(0, 1).Draw(t, "owner")
+			h := known[o].Head
+			if h.Listed == len(s.Items) {
+				break
+			}
+			h.Write, h.Listed = fmt.Sprintf("w%d", n), h.Listed+1
+			next, existing, err := k.Append(ctx, h, known[o].Version, []lot.Result{{Item: s.Items[h.Listed-1].ID}}, nil)
+			switch {
+			case existing != nil:
+				known[o] = *existing
+			case err == nil:
+				known[o] = next
+			}
+		}
+		rows.SetFault(nil)
+		head, err := k.Head(ctx, "lot-1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for from := 0; from < head.Head.Listed; {
+			page, err := k.Results(ctx, head.Head.Segments, from)
+			if err != nil || len(page) == 0 {
+				t.Fatalf("results from %d: %v, %v", from, page, err)
+			}
+			for _, r := range page {
+				if r.Item != s.Items[from].ID {
+					t.Fatalf("position %d holds %s", from, r.Item)
+				}
+				from++
+			}
+		}
+	})
+}
+
+// TestRefusedCommitIsNotRun guards against "may have run" for a store that refused.
+func TestRefusedCommitIsNotRun(t *testing.T) {
+	rows := pamoja.NewRows()
+	rows.SetFault(func(pamoja.Call) pamoja.Outcome { return pamoja.Refused })
+	s := submission("lot-1", 1)
+	_, _, err := (&lot.Keeper{Store: rows}).Create(context.Background(), s, headOf(s, "w"))
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+	require.False(t, errors.Is(err, store.ErrNoObject))
+}
--- a/lot/lot.go
+++ b/lot/lot.go
@@ -141,13 +141,11 @@
 	return append(versions, v)
 }
 
-// partName returns the name of the n-th part of a lot. The names share no beginning,
-// so that a store that places parts by name puts them apart.
-func partName(id string, n int) string {
-	if n == 0 {
-		return id
-	}
-	return fmt.Sprintf("%016x", xxhash.Sum64String(fmt.Sprintf("%s.%d", id, n)))
+// partName returns the name of a part for a try of a write. Each write has names of
+// its own, so that a part holds one run of positions. The names share no beginning, so
+// that a store that places parts by name puts them apart.
+func partName(id string, position, try int) string {
+	return fmt.Sprintf("%016x", xxhash.Sum64String(fmt.Sprintf("%s.%d.%d", id, position, try)))
 }
 
 // Page is a part of the results of a lot.
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,102 @@
+package relay_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/relay"
+	"github.com/lavenderstand/lavenderstand/standin/pamoja"
+	"github.com/lavenderstand/lavenderstand/store"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// hostView is the store as one host reaches it.
+type hostView struct {
+	*pamoja.Rows
+	away func(parts ...string) bool
+}
+
+func (v *hostView) lost(parts ...string) error {
+	if v.away(parts...) {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, "away")
+	}
+	return nil
+}
+
+func (v *hostView) Commit(ctx context.Context, c store.Commit) (uint64, error) {
+	if err := v.lost(c.Put[0].Part); err != nil {
+		return 0, err
+	}
+	return v.Rows.Commit(ctx, c)
+}
+
+func (v *hostView) Read(ctx context.Context, table, part, from string, limit int) (store.Range, error) {
+	if err := v.lost(part); err != nil {
+		return store.Range{}, err
+	}
+	return v.Rows.Read(ctx, table, part, from, limit)
+}
+
+func newClient(direct *hostView, peer relay.Calls) *relay.Client {
+	c := &relay.Client{
+		Client: direct, Changed: func(bool, error) {},
+		Probe: func(ctx context.Context) error { _, err := direct.Read(ctx, "t", "", "", 1); return err },
+		Dial:  func(string) relay.Calls { return peer },
+	}
+	c.SetPeers([]string{"peer"})
+	return c
+}
+
+func put(part string) store.Commit {
+	return store.Commit{Put: []store.Row{{Key: store.Key{Table: "t", Part: part, Name: "k"}}}}
+}
+
+// TestOtherHostIsAsked guards against a host that stops because the store turns only
+// that host away, and one that does not return to the direct way.
+func TestOtherHostIsAsked(t *testing.T) {
+	rows := pamoja.NewRows()
+	var away atomic.Bool
+	away.Store(true)
+	direct := &hostView{Rows: rows, away: func(...string) bool { return away.Load() }}
+	var served atomic.Int32
+	c := newClient(direct, &hostView{Rows: rows, away: func(...string) bool { served.Add(1); return false }})
+	_, err := c.Commit(context.Background(), put(""))
+	require.NoError(t, err)
+	require.EqualValues(t, 1, served.Load())
+	away.Store(false)
+	require.Eventually(t, func() bool {
+		before := served.Load()
+		_, err := c.Commit(context.Background(), put(""))
+		return err == nil && served.Load() == before
+	}, 5*time.Second, 20*time.Millisecond)
+}
+
+// TestPartThatIsAwayForAllLeavesTheDirectWay guards against a failure of one part of
+// the store that turns every call of the host to others: in a played day all
+// submissions then failed.
+func TestPartThatIsAwayForAllLeavesTheDirectWay(t *testing.T) {
+	away := func(parts ...string) bool { return parts[0] == "gone" }
+	rows := pamoja.NewRows()
+	asked := 0
+	c := newClient(&hostView{Rows: rows, away: away}, &hostView{Rows: rows, away: func(...string) bool { asked++; return true }})
+	_, err := c.Commit(context.Background(), put("gone"))
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+	_, err = c.Commit(context.Background(), put("there"))
+	require.NoError(t, err)
+	require.Zero(t, asked)
+}
+
+// TestAllAway guards against "not run" for a write that may have been carried out on
+// one of the ways.
+func TestAllAway(t *testing.T) {
+	rows := pamoja.NewRows()
+	all := func(...string) bool { return true }
+	c := newClient(&hostView{Rows: rows, away: all}, &hostView{Rows: rows, away: all})
+	_, err := c.Commit(context.Background(), put(""))
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+	require.Equal(t, verdict.ReasonStoreUnavailable, verdict.ReasonOf(err))
+}
--- /dev/null
+++ b/standin/pamoja/http.go
@@ -0,0 +1,269 @@
+package pamoja
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lavenderstand/lavenderstand/store"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// pageRows is the largest number of rows in one answer.
+const pageRows = 500
+
+type row struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version uint64 `json:"rowVersion"`
+	Deleted bool   `json:"tombstone,omitempty"`
+}
+
+// Register serves the store's protocol.
+func (r *Rows) Register(e *echo.Echo) {
+	e.POST("/v1/rows-tx", r.serveCommit)
+	e.GET("/v1/rows-get", r.serveRead)
+	e.GET("/v1/rows-feed", r.serveChanges)
+	e.PUT("/v1/blob-put/:name", func(c echo.Context) error {
+		data, err := io.ReadAll(c.Request().Body)
+		if err != nil {
+			return err
+		}
+		return respond(c, nil, r.PutObject(c.Request().Context(), c.Param("name"), data))
+	})
+	e.GET("/v1/blob-get/:name", func(c echo.Context) error {
+		data, err := r.GetObject(c.Request().Context(), c.Param("name"))
+		if errors.Is(err, store.ErrNoObject) {
+			return c.NoContent(http.StatusNotFound)
+		}
+		return c.Blob(http.StatusOK, "application/octet-stream", data)
+	})
+}
+
+func (r *Rows) serveCommit(c echo.Context) error {
+	var in struct {
+		Expect []row `json:"expected"`
+		Put    []row `json:"writes"`
+		Delete []row `json:"remove"`
+		Across bool  `json:"across"`
+	}
+	if err := json.NewDecoder(c.Request().Body).Decode(&in); err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	var commit store.Commit
+	for _, e := range in.Expect {
+		commit.Expect = append(commit.Expect, store.Expect{Key: key(e), Version: e.Version})
+	}
+	for _, p := range in.Put {
+		commit.Put = append(commit.Put, store.Row{Key: key(p), Value: p.Value})
+	}
+	for _, d := range in.Delete {
+		commit.Delete = append(commit.Delete, key(d))
+	}
+	if len(partsOf(commit)) > 1 && !in.Across {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	version, err := r.Commit(c.Request().Context(), commit)
+	var conflict *store.Conflict
+	if errors.As(err, &conflict) {
+		return c.JSON(http.StatusPreconditionFailed, map[string]any{"rows": encode(conflict.Current), "rowVersion": version})
+	}
+	return respond(c, map[string]any{"rowVersion": version}, err)
+}
+
+func (r *Rows) serveRead(c echo.Context) error {
+	limit, _ := strconv.Atoi(c.QueryParam("limit")) // without one there is no limit
+	if limit <= 0 || limit > pageRows {
+		limit = pageRows
+	}
+	out, err := r.Read(c.Request().Context(), c.QueryParam("table"), c.QueryParam("part"), c.QueryParam("from"), limit+1)
+	more := len(out.Rows) > limit
+	if more {
+		out.Rows = out.Rows[:limit]
+	}
+	return respond(c, map[string]any{"rows": encode(out.Rows), "rowVersion": out.Version, "hasMore": more}, err)
+}
+
+func (r *Rows) serveChanges(c echo.Context) error {
+	after, _ := strconv.ParseUint(c.QueryParam("after"), 10, 64)
+	wait, _ := strconv.Atoi(c.QueryParam("waitMs"))
+	out, err := r.Changes(c.Request().Context(), c.QueryParam("table"), after, time.Duration(wait)*time.Millisecond)
+	if errors.Is(err, store.ErrHistoryGone) {
+		return c.NoContent(http.StatusGone)
+	}
+	return respond(c, map[string]any{"rows": encode(out.Rows), "rowVersion": out.Version}, err)
+}
+
+// respond answers, refuses, or closes the channel without an answer.
+func respond(c echo.Context, body any, err error) error {
+	switch {
+	case err == nil && body == nil:
+		return c.NoContent(http.StatusOK)
+	case err == nil:
+		return c.JSON(http.StatusOK, body)
+	case verdict.Of(err) == verdict.NotRun:
+		return c.NoContent(http.StatusServiceUnavailable)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func key(r row) store.Key { return store.Key{Table: r.Table, Part: r.Part, Name: r.Key} }
+
+func encode(rows []store.Row) []row {
+	out := make([]row, len(rows))
+	for i, r := range rows {
+		out[i] = row{r.Table, r.Part, r.Name, r.Value, r.Version, r.Deleted}
+	}
+	return out
+}
+
+// Sampler is a backend server that generates text, takes orders and serves plain
+// calls.
+type Sampler struct {
+	ID     string
+	Events int           // of each text
+	Gap    time.Duration // between two events
+
+	// Fault, if set, decides what happens to a request.
+	Fault func(id string) SamplerFault
+	// Ran is called for each request that the server works on.
+	Ran func(Run)
+
+	version func(model string) int
+	order   func(model string, version int, fence uint64)
+}
+
+// Run is a request that a server worked on.
+type Run struct {
+	Server, ID, Path string
+	After            int  // event after which the run began
+	Events           int  // that were sent
+	Complete         bool // all events were sent
+}
+
+// SamplerFault is what a server does to a request.
+type SamplerFault struct {
+	Refuse     bool // answer that the request has not run
+	BreakAfter int  // break off after this many events, 0 never
+	LoseAnswer bool // work and close the channel
+	Stall      bool // send nothing
+}
+
+// SetWeights sets how the server's versions are read and orders carried out.
+func (s *Sampler) SetWeights(version func(model string) int, order func(model string, version int, fence uint64)) {
+	s.version, s.order = version, order
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Sampler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/v1/report":
+		s.report(w)
+	case r.URL.Path == "/v1/order":
+		s.takeOrder(w, r)
+	case r.Header.Get("Expected-Instance") != s.ID:
+		w.Header().Set("Instance-Id", s.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	default:
+		s.request(w, r)
+	}
+}
+
+func (s *Sampler) report(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	body := map[string]any{"busy": false, "sequence": 0, "models": []map[string]any{{"name": "m", "version": s.version("m")}}}
+	_ = json.NewEncoder(w).Encode(body) // the caller has left if it fails
+}
+
+func (s *Sampler) takeOrder(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Model   string `json:"model"`
+		Version int    `json:"version"`
+		Fence   uint64 `json:"fencingToken"`
+	}
+	if json.NewDecoder(r.Body).Decode(&o) != nil || o.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.order(o.Model, o.Version, o.Fence)
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (s *Sampler) request(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Attempt-Id")
+	var fault SamplerFault
+	if s.Fault != nil {
+		fault = s.Fault(id)
+	}
+	if fault.Refuse {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	if fault.Stall {
+		<-r.Context().Done()
+		return
+	}
+	w.Header().Set("Attempt-Id", id)
+	w.Header().Set("Response-Stamp", "stamp-"+id)
+	if r.Header.Get("Model") != "" {
+		s.stream(w, r, id, fault)
+		return
+	}
+	s.Ran(Run{Server: s.ID, ID: id, Path: r.URL.Path, Complete: true})
+	if fault.LoseAnswer {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, "answer to "+id) // the caller has left if it fails
+}
+
+// Text is the text of an item.
+func (s *Sampler) Text(id string) string { return Text(id, s.Events) }
+
+// Text is the text of an item with a number of events.
+func Text(id string, events int) string {
+	lines := make([]string, events)
+	for i := range lines {
+		lines[i] = id + "-" + strconv.Itoa(i+1)
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (s *Sampler) stream(w http.ResponseWriter, r *http.Request, id string, fault SamplerFault) {
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // without one the run begins at the first event
+	run := Run{Server: s.ID, ID: id, Path: r.URL.Path, After: after}
+	defer func() { s.Ran(run) }()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Weight-Versions", strconv.Itoa(s.version(r.Header.Get("Model"))))
+	flush := http.NewResponseController(w)
+	for i := after + 1; i <= s.Events; i++ {
+		if fault.BreakAfter > 0 && run.Events == fault.BreakAfter {
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(s.Gap):
+		}
+		if _, err := io.WriteString(w, "id: "+strconv.Itoa(i)+"\ndata: "+id+"-"+strconv.Itoa(i)+"\n\n"); err != nil {
+			return
+		}
+		if flush.Flush() != nil {
+			return
+		}
+		run.Events++
+	}
+	run.Complete = true
+}
