--- /dev/null
+++ b/system/rollout/lots_test.go
@@ -0,0 +1,192 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+var other = lot.Owner{Host: "b", Lifetime: "1", Power: 800}
+
+func heads(rows ...event.HeadRow) event.Event { return event.HeadsRead{Heads: rows} }
+
+// TestLotFromSubmissionToResult guards against an item that is not run, not scored or
+// not listed, and against a write that is repeated with other content.
+func TestLotFromSubmissionToResult(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil))
+	s := submission("l", 1)
+	s.Items[0].Scorer = &lot.Scorer{ID: "q", Host: "h", Path: "/s/x"}
+	runs := find[command.StartRun](w.accept(s))
+	require.Len(t, runs, 1)
+	scores := find[command.ScoreItem](w.step(ended(runs[0], "x", "y")))
+	require.Len(t, scores, 1)
+	w.step(event.ScoreEnded{Key: scores[0].Key, Score: "stamp"})
+	writes := find[command.WriteLot](w.pass(100 * time.Millisecond))
+	require.Len(t, writes, 1)
+	require.Equal(t, []lot.Result{{Item: "i0", State: lot.StateCompleted, Text: "x\ny", Versions: writes[0].Results[0].Versions, Score: "stamp"}}, writes[0].Results)
+	require.Equal(t, 1, writes[0].Head.Listed)
+
+	w.step(event.LotWritten{ID: "l", Write: writes[0].Head.Write, Failure: &event.Failure{Verdict: verdict.MayHaveRun}})
+	again := find[command.WriteLot](w.pass(300 * time.Millisecond))
+	require.Len(t, again, 1)
+	require.Equal(t, writes[0], again[0], "a write whose outcome is unknown is sent unchanged")
+	w.step(w.written(again[0]))
+	require.False(t, w.tables.Rollout.Lots.Find("l").Head.Open())
+	require.Empty(t, find[command.WriteLot](w.pass(3*time.Second)), "a complete lot is left alone")
+}
+
+// TestBrokenRunContinues guards against text that is lost or generated twice when a
+// server fails, and against another run on the server that just failed.
+func TestBrokenRunContinues(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil), w.server("s2", nil))
+	first := find[command.StartRun](w.accept(submission("l", 1)))[0]
+	broken := ended(first, "a", "b")
+	broken.Failure = &event.Failure{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost}
+	next := find[command.StartRun](append(w.step(broken), w.step()...))
+	require.Len(t, next, 1)
+	require.Equal(t, 2, next[0].After)
+	require.NotEqual(t, first.Target.ID, next[0].Target.ID)
+
+	late := ended(first, "x")
+	w.step(late)
+	require.Equal(t, []string{"a", "b"}, w.tables.Rollout.Items.Find(first.Key).Events, "an old run adds nothing")
+}
+
+// TestItemIsGivenUpOnlyAsAllowed guards against an item that is terminated too early
+// or runs without end.
+func TestItemIsGivenUpOnlyAsAllowed(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil))
+	commands := w.accept(submission("l", 1))
+	for attempt := range 3 {
+		runs := find[command.StartRun](append(commands, w.pass(50*time.Millisecond)...))
+		require.Len(t, runs, 1, "attempt %d", attempt)
+		e := ended(runs[0])
+		e.Failure = &event.Failure{Verdict: verdict.Ran, Reason: verdict.ReasonBackendFailed}
+		commands = w.step(e)
+	}
+	writes := find[command.WriteLot](append(commands, w.pass(100*time.Millisecond)...))
+	require.Len(t, writes, 1)
+	require.Equal(t, lot.StateTerminated, writes[0].Results[0].State)
+}
+
+// TestSilentOwnerIsReplaced guards against a lot that nobody runs after its owner
+// died, and one that is taken from an owner that lives.
+func TestSilentOwnerIsReplaced(t *testing.T) {
+	w := newWorld(t)
+	h := w.head("l", other, 0, 2)
+	w.step(heads(h))
+	for range 5 {
+		h.Version, h.Head.Write = w.version(), "touch"
+		require.Empty(t, find[command.AdoptLot](append(w.pass(time.Second), w.step(heads(h))...)))
+	}
+	adopt := find[command.AdoptLot](w.pass(adoptAfter + adoptSpread + weakAdopt))
+	require.Len(t, adopt, 1)
+	require.Equal(t, w.tables.Rollout.Owner, adopt[0].Head.Owner)
+	require.Equal(t, h.Version, adopt[0].Version)
+
+	s := submission("l", 2)
+	w.step(w.server("s1", nil), event.LotAdopted{
+		ID: "l", Submission: s, Head: adopt[0].Head, Version: w.version(),
+		Results: []lot.Result{{Item: "i0"}}, Progress: []lot.Progress{{Item: "i1", Events: []string{"a"}}},
+	})
+	item := w.tables.Rollout.Items.Find(table.ItemKey("l", "i1"))
+	require.Equal(t, []string{"a"}, item.Events, "the new owner continues the stored text")
+	require.Nil(t, w.tables.Rollout.Items.Find(table.ItemKey("l", "i0")), "a listed item does not run again")
+}
+
+// TestOutageIsNoSilence guards against hosts that take each other's lots after an
+// outage of the store, in which no owner could be heard.
+func TestOutageIsNoSilence(t *testing.T) {
+	w := newWorld(t)
+	w.step(heads(w.head("l", other, 0, 2)))
+	w.step(event.FeedChanged{Table: feedCoordination, Down: true})
+	require.Empty(t, find[command.AdoptLot](w.pass(10*time.Second)))
+	w.step(event.FeedChanged{Table: feedCoordination})
+	require.Empty(t, find[command.AdoptLot](w.pass(adoptAfter-100*time.Millisecond)))
+	require.NotEmpty(t, find[command.AdoptLot](w.pass(2*time.Second)))
+}
+
+// TestLotsOfAnEarlierLifetime guards against a restarted host that waits for itself.
+func TestLotsOfAnEarlierLifetime(t *testing.T) {
+	w := newWorld(t)
+	require.Len(t, find[command.AdoptLot](w.step(heads(w.head("l", lot.Owner{Host: "a", Lifetime: "0"}, 0, 2)))), 1)
+}
+
+// TestEndStopsRuns guards against items that run on after their lot ended or went to
+// another owner.
+func TestEndStopsRuns(t *testing.T) {
+	for name, change := range map[string]func(*lot.Head){
+		"ended":         func(h *lot.Head) { h.Ended = true },
+		"another owner": func(h *lot.Head) { h.Owner = other },
+	} {
+		w := newWorld(t)
+		w.step(w.server("s1", nil))
+		require.NotEmpty(t, find[command.StartRun](w.accept(submission("l", 2))), name)
+		h := event.HeadRow{ID: "l", Version: w.version(), Head: w.tables.Rollout.Lots.Find("l").Head}
+		h.Head.Write = "x"
+		change(&h.Head)
+		require.Len(t, find[command.StopRun](w.step(heads(h))), 2, name)
+		require.Zero(t, w.tables.Rollout.Servers.Find("s1").Running, name)
+	}
+}
+
+// TestConflictKeepsResults guards against results that get lost when another write of
+// the lot came first.
+func TestConflictKeepsResults(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil))
+	run := find[command.StartRun](w.accept(submission("l", 2)))[0]
+	write := find[command.WriteLot](append(w.step(ended(run, "x")), w.pass(100*time.Millisecond)...))[0]
+	current := event.HeadRow{ID: "l", Version: w.version(), Head: w.tables.Rollout.Lots.Find("l").Head}
+	current.Head.Write = "other"
+	again := find[command.WriteLot](append(
+		w.step(event.LotWritten{ID: "l", Write: write.Head.Write, Current: &current}), w.pass(100*time.Millisecond)...))
+	require.Len(t, again, 1)
+	require.Equal(t, write.Results, again[0].Results)
+	require.Equal(t, current.Version, again[0].Version)
+}
+
+// TestHeadInAHigherPlaceCounts guards against a lot that runs twice after its creation
+// raced with an outage of a part of the store.
+func TestHeadInAHigherPlaceCounts(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil))
+	w.accept(submission("l", 2))
+	h := w.head("l", other, 0, 2)
+	h.Head.Place = 1
+	require.Len(t, find[command.StopRun](w.step(heads(h))), 2)
+	low := w.head("l", w.tables.Rollout.Owner, 1, 2)
+	w.step(heads(low))
+	require.Equal(t, 1, w.tables.Rollout.Lots.Find("l").Head.Place)
+}
+
+// TestPlannedStopHandsOver guards against a lot that waits for its owner's silence
+// after a planned stop, and against texts that are generated again.
+func TestPlannedStopHandsOver(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil))
+	run := find[command.StartRun](w.accept(submission("l", 1)))[0]
+	require.Len(t, find[command.StopRun](w.step(event.DrainRequested{})), 1)
+	stopped := ended(run, "a", "b")
+	stopped.Failure = &event.Failure{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonCanceled}
+	writes := find[command.WriteLot](append(w.step(stopped), w.step()...))
+	require.Len(t, writes, 1)
+	require.Equal(t, lot.Owner{}, writes[0].Head.Owner)
+	require.True(t, writes[0].Head.Progress)
+	require.Equal(t, []string{"a", "b"}, writes[0].Progress[0].Events)
+	require.Len(t, find[command.HandedOver](append(w.step(w.written(writes[0])), w.step()...)), 1)
+
+	v := newWorld(t)
+	require.Len(t, find[command.AdoptLot](append(
+		v.step(heads(v.head("l", lot.Owner{}, 0, 1))), v.pass(handoverSpread+weakHandover)...)), 1, "another host takes it at once")
+}
--- /dev/null
+++ b/system/rollout/servers_test.go
@@ -0,0 +1,220 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/forward"
+	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+func lastPlan(commands []command.Command) *forward.Plan {
+	plans := find[command.PublishRouting](commands)
+	if len(plans) == 0 {
+		return nil
+	}
+	return plans[len(plans)-1].Plan
+}
+
+// TestLeavingServerGetsNothingNew guards against requests that reach a server after
+// it said that it leaves, or after its record was removed in calm.
+func TestLeavingServerGetsNothingNew(t *testing.T) {
+	w := newWorld(t)
+	require.Len(t, lastPlan(w.step(w.server("s1", nil), w.server("s2", nil))).Services["engines"], 2)
+	plan := lastPlan(w.step(w.server("s1", func(s *registry.Server) { s.Leaving = true })))
+	require.Len(t, plan.Services["engines"], 1)
+	w.pass(lapseGrace) // records may return shortly after the feed came up
+	require.Empty(t, lastPlan(w.step(w.removed("s2"))).Services["engines"])
+	require.Empty(t, find[command.StartRun](w.accept(submission("l", 1))))
+}
+
+// TestRecordsThatLapsedInAnOutage guards against servers that are dropped because the
+// store was away, and against one that is kept for good.
+func TestRecordsThatLapsedInAnOutage(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil), w.server("s2", nil))
+	w.step(event.FeedChanged{Table: feedServers, Down: true})
+	w.pass(5 * time.Second)
+	w.step(event.FeedChanged{Table: feedServers})
+	w.step(event.ServersRead{Full: true})
+	w.pass(time.Second)
+	require.Equal(t, 2, w.tables.Rollout.Servers.Len())
+	w.step(w.server("s1", nil))
+	w.pass(lapseGrace)
+	require.NotNil(t, w.tables.Rollout.Servers.Find("s1"))
+	require.Nil(t, w.tables.Rollout.Servers.Find("s2"))
+}
+
+// TestRestartUnderTheSameID guards against what was known of a server's last lifetime
+// being used for the next one.
+func TestRestartUnderTheSameID(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil))
+	w.tables.Rollout.Servers.Find("s1").Failures = 1
+	w.step(w.server("s1", func(s *registry.Server) { s.Lifetime = 2 }))
+	require.Zero(t, w.tables.Rollout.Servers.Find("s1").Failures)
+}
+
+// TestFailingServerIsAvoided guards against a server that keeps getting requests
+// while it fails them, and one that is never tried again.
+func TestFailingServerIsAvoided(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil), w.server("s2", nil))
+	fail := event.ServerOutcome{Outcome: forward.Outcome{Server: "s1", Failed: true}}
+	w.step(fail)
+	plan := lastPlan(w.step(fail))
+	for _, s := range plan.Services["engines"] {
+		require.Equal(t, s.ID == "s1", s.Suspect)
+	}
+	plan = lastPlan(w.pass(firstSuspicion + 100*time.Millisecond))
+	require.False(t, plan.Services["engines"][0].Suspect || plan.Services["engines"][1].Suspect)
+}
+
+// TestRefusingServerIsTriedByOneItem guards against all waiting items being sent to a
+// server that loads weights, again and again: half of all arrivals on a played day.
+func TestRefusingServerIsTriedByOneItem(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", func(s *registry.Server) { s.Slots = 4 }))
+	runs := find[command.StartRun](w.accept(submission("l", 4)))
+	require.Len(t, runs, 4)
+	var refused []event.Event
+	for _, c := range runs {
+		e := ended(c)
+		e.Failure = &event.Failure{Verdict: verdict.NotRun, Reason: verdict.ReasonBackendRefused}
+		refused = append(refused, e)
+	}
+	w.step(refused...)
+	tries := find[command.StartRun](w.pass(maxBusyPause + 30*time.Millisecond))
+	require.Len(t, tries, 1)
+	require.Len(t, find[command.StartRun](w.step(event.RunBegan{Server: "s1", Model: model, Version: 1})), 3)
+}
+
+// TestSlowServerLosesItsRuns guards against runs that stay with a server that is
+// clearly slower than the others.
+func TestSlowServerLosesItsRuns(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil), w.server("s2", nil))
+	runs := find[command.StartRun](w.accept(submission("l", 1)))
+	e := ended(runs[0], "a")
+	e.Failure, e.Gap = &event.Failure{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonSlow}, 100*time.Millisecond
+	next := find[command.StartRun](append(w.step(e), w.step()...))
+	require.NotEqual(t, runs[0].Target.ID, next[0].Target.ID)
+	require.Equal(t, 1, next[0].After)
+}
+
+// TestWeightsOlderThanTheLotAllows guards against samples of versions that are too
+// old.
+func TestWeightsOlderThanTheLotAllows(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil), w.server("s2", func(s *registry.Server) { s.Models = map[string]registry.Version{model: 2} }))
+	s := submission("l", 1)
+	s.MinimumVersion = 2
+	runs := find[command.StartRun](w.accept(s))
+	require.Len(t, runs, 1)
+	require.Equal(t, "s2", runs[0].Target.ID)
+	require.EqualValues(t, 2, runs[0].Minimum)
+}
+
+// TestOnlyTheHolderOrders guards against orders without a lease, orders after its end
+// and a fencing token that others had.
+func TestOnlyTheHolderOrders(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil), event.VersionNamed{Model: model, Version: 2})
+	commands := w.pass(500 * time.Millisecond)
+	require.Empty(t, find[command.SendOrder](commands))
+	require.Len(t, find[command.WriteDuty](commands), 1)
+	commands = w.step(event.DutyWritten{SentAt: w.now, Version: 41, Take: true})
+	orders := find[command.SendOrder](append(commands, w.pass(300*time.Millisecond)...))
+	require.Len(t, orders, 1)
+	require.EqualValues(t, 41, orders[0].Fence)
+	require.Equal(t, w.tables.Rollout.Duty.ValidUntil, orders[0].ValidUntil)
+
+	w.step(event.OrderEnded{Server: "s1", Model: model, Version: 2, Failure: &event.Failure{Verdict: verdict.NotRun}})
+	w.step(event.DutyWritten{Failure: &event.Failure{Verdict: verdict.MayHaveRun}})
+	w.now = w.tables.Rollout.Duty.ValidUntil
+	require.Empty(t, find[command.SendOrder](w.pass(100*time.Millisecond)), "the lease has ended")
+}
+
+// TestNewHolderWaits guards against two holders whose orders lie closer together than
+// the lease.
+func TestNewHolderWaits(t *testing.T) {
+	w := newWorld(t)
+	seen := w.now
+	w.step(w.server("s1", nil), event.VersionNamed{Model: model, Version: 2}, event.DutyRead{Holder: other, Version: 9})
+	require.Empty(t, find[command.WriteDuty](w.pass(dutyTakeAfter-100*time.Millisecond)), "the holder is not silent yet")
+	takes := find[command.WriteDuty](w.pass(time.Second))
+	require.Len(t, takes, 1)
+	require.EqualValues(t, 9, takes[0].Version)
+	w.step(event.DutyWritten{SentAt: w.now, Version: 10, Take: true})
+	for w.now < seen+dutyValidFor+w.tables.Rollout.Lease {
+		for _, c := range w.step() {
+			require.NotEqual(t, "send_order", c.Name())
+			if c, ok := c.(command.WriteDuty); ok && !c.Take {
+				w.step(event.DutyWritten{SentAt: w.now, Version: w.tables.Rollout.Duty.Version + 1})
+			}
+		}
+	}
+}
+
+// TestEnginesStayWithTheirModel guards against engines that change their model when a
+// version is named: up to 32 of 36 did on a played day.
+func TestEnginesStayWithTheirModel(t *testing.T) {
+	w := newWorld(t)
+	s := state(2)
+	service := s.Services["engines"]
+	service.Models = []string{"m", "n", "o"}
+	s.Services["engines"] = service
+	w.step(event.DesiredRead{State: s})
+	versions := func(v registry.Version) func(*registry.Server) {
+		return func(s *registry.Server) { s.Models = map[string]registry.Version{"m": v, "n": v, "o": v} }
+	}
+	for _, id := range []string{"s1", "s2", "s3", "s4", "s5", "s6"} {
+		w.step(w.server(id, versions(4)))
+	}
+	w.step(event.VersionNamed{Model: "m", Version: 4}, event.VersionNamed{Model: "n", Version: 4}, event.VersionNamed{Model: "o", Version: 4})
+	w.pass(shareEvery)
+	homes := make(map[string]string)
+	count := make(map[string]int)
+	for id, s := range w.tables.Rollout.Servers.All() {
+		homes[id] = s.Home
+		count[s.Home]++
+	}
+	require.Equal(t, map[string]int{"m": 2, "n": 2, "o": 2}, count)
+	w.step(event.VersionNamed{Model: "m", Version: 5})
+	w.pass(2 * shareEvery)
+	for id, s := range w.tables.Rollout.Servers.All() {
+		require.Equal(t, homes[id], s.Home)
+	}
+}
+
+// TestQuotasFollowDemand guards against models that wait while others' engines idle.
+func TestQuotasFollowDemand(t *testing.T) {
+	all := quotas(10, []string{"a", "b", "c"}, map[string]int{"a": 100, "b": 700})
+	require.Equal(t, []quota{{"a", 1}, {"b", 6}, {"c", 3}}, all)
+	for _, q := range quotas(2, []string{"a", "b", "c"}, nil) {
+		require.Equal(t, 1, q.servers)
+	}
+}
+
+// TestDesiredStateNeverGoesBack guards against an older state that arrives late.
+func TestDesiredStateNeverGoesBack(t *testing.T) {
+	w := newWorld(t)
+	w.step(event.DesiredRead{State: state(5)})
+	require.Nil(t, lastPlan(w.step(event.DesiredRead{State: state(4)})))
+	require.EqualValues(t, 5, w.tables.Rollout.Desired.Version)
+}
+
+// TestRunnerOfAModel guards against lots that are given to a host that is silent.
+func TestRunnerOfAModel(t *testing.T) {
+	w := newWorld(t)
+	commands := w.step(heads(w.head("l", other, 0, 2)))
+	runners := find[command.PublishRunners](commands)
+	require.Len(t, runners, 1)
+	require.Equal(t, other, runners[0].Runners[model].Owner)
+	require.Equal(t, w.now+runnerLife, runners[0].Runners[model].Until)
+}
--- /dev/null
+++ b/system/rollout/world_test.go
@@ -0,0 +1,128 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/desired"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// world runs the systems of one host on a fake clock.
+type world struct {
+	t        *testing.T
+	now      time.Duration
+	tables   *table.Tables
+	versions uint64
+}
+
+const model = "m"
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, now: time.Second, tables: table.New(table.Self{Host: "a"})}
+	r := &w.tables.Rollout
+	r.Owner, r.Zone, r.Lease = lot.Owner{Host: "a", Lifetime: "1", Power: 800}, "z", 3*time.Second
+	w.step(
+		event.FeedChanged{Table: feedCoordination}, event.FeedChanged{Table: feedServers},
+		event.DesiredRead{State: state(1)},
+	)
+	return w
+}
+
+func state(version uint64) *desired.State {
+	return &desired.State{
+		Version: version,
+		Routes: []desired.Route{
+			{Name: "lots", Host: "h", Prefix: "/p/", Kind: desired.KindRollout, Attempts: 3, MaxAge: 40 * time.Second,
+				Services: []desired.Share{{Service: "engines", Weight: 1}}},
+			{Name: "scores", Host: "h", Prefix: "/s/", Kind: desired.KindIdempotent, Attempts: 4,
+				Services: []desired.Share{{Service: "app", Weight: 1}}},
+		},
+		Services: map[string]desired.Service{"engines": {Name: "engines", Models: []string{model}}, "app": {Name: "app"}},
+	}
+}
+
+// step runs one tick 10 ms later and returns its commands.
+func (w *world) step(in ...event.Event) []command.Command {
+	w.now += 10 * time.Millisecond
+	var out command.Outbox
+	for _, s := range Systems() {
+		s.Run(w.now, w.tables, in, &out)
+	}
+	return out.Take()
+}
+
+// pass runs ticks for d and returns all commands.
+func (w *world) pass(d time.Duration) []command.Command {
+	var all []command.Command
+	for end := w.now + d; w.now < end; {
+		all = append(all, w.step()...)
+	}
+	return all
+}
+
+func (w *world) version() uint64 {
+	w.versions++
+	return w.versions
+}
+
+func (w *world) server(id string, change func(*registry.Server)) event.Event {
+	s := &registry.Server{
+		ID: id, Service: "engines", Address: id + ":1", Zone: "z", Slots: 2, Lifetime: 1,
+		Models: map[string]registry.Version{model: 1},
+	}
+	if change != nil {
+		change(s)
+	}
+	return event.ServersRead{Changes: []registry.Change{{ID: id, RowVersion: w.version(), Server: s}}}
+}
+
+func (w *world) removed(id string) event.Event {
+	return event.ServersRead{Changes: []registry.Change{{ID: id, RowVersion: w.version(), Reason: registry.ReasonRemoved}}}
+}
+
+func submission(id string, items int) *lot.Submission {
+	s := &lot.Submission{ID: id, Host: "h", Path: "/p/", Model: model, MinimumVersion: 1}
+	for i := range items {
+		s.Items = append(s.Items, lot.Item{ID: fmt.Sprintf("i%d", i), Path: "/p/x", Length: 10 * (i + 1)})
+	}
+	return s
+}
+
+func (w *world) head(id string, owner lot.Owner, listed, total int) event.HeadRow {
+	return event.HeadRow{ID: id, Version: w.version(), Head: lot.Head{
+		ID: id, Model: model, Owner: owner, Listed: listed, Total: total, Write: fmt.Sprintf("w%d", w.versions),
+	}}
+}
+
+func (w *world) accept(s *lot.Submission) []command.Command {
+	h := w.head(s.ID, w.tables.Rollout.Owner, 0, len(s.Items))
+	return w.step(event.LotAccepted{Submission: s, Head: h.Head, Version: h.Version})
+}
+
+// written answers a WriteLot as the store does.
+func (w *world) written(c command.WriteLot) event.Event {
+	return event.LotWritten{ID: c.Head.ID, Write: c.Head.Write, Head: c.Head, Version: w.version()}
+}
+
+// ended is the outcome of a run without a failure.
+func ended(c command.StartRun, events ...string) event.RunEnded {
+	return event.RunEnded{
+		Key: c.Key, Run: c.Run, Server: c.Target.ID, Model: c.Model, Events: events, Versions: []registry.Version{1}, Version: 1,
+	}
+}
+
+func find[C command.Command](commands []command.Command) []C {
+	var found []C
+	for _, c := range commands {
+		if c, ok := c.(C); ok {
+			found = append(found, c)
+		}
+	}
+	return found
+}
