soak: real hosts under faults from outside, judged by what others see

Change: package soak starts three lavender-host processes before the stand-in, each behind a loopback proxy to the store; seventeen faults come in series and overlap; trainers, callers and the servers' ledgers judge.

--- /dev/null
+++ b/soak/judge_test.go
@@ -0,0 +1,220 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/standin/pamoja"
+)
+
+// ledger is what backend servers saw.
+type ledger struct {
+	mu     sync.Mutex
+	runs   map[string][]pamoja.Run // by request id
+	fences map[string]uint64       // newest by server
+	broken []string
+}
+
+func (l *ledger) ran(r pamoja.Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[r.ID] = append(l.runs[r.ID], r)
+}
+
+// ordered checks that fencing tokens never go back at a server.
+func (l *ledger) ordered(server string, fence uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fences == nil {
+		l.fences = make(map[string]uint64)
+	}
+	if fence < l.fences[server] {
+		l.broken = append(l.broken, fmt.Sprintf("server %s got fence %d after %d", server, fence, l.fences[server]))
+	}
+	l.fences[server] = fence
+}
+
+func (l *ledger) runsOf(id string) []pamoja.Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[id]
+}
+
+// trainer submits lots one after the other and keeps what it read.
+type trainer struct {
+	w    *world
+	name string
+	lots []*trainedLot
+}
+
+type trainedLot struct {
+	id       string
+	items    []string
+	accepted bool
+	refused  bool // refused at each try
+	results  []result
+}
+
+type result struct {
+	ID       string `json:"identifier"`
+	State    string `json:"state"`
+	Text     string `json:"text"`
+	Versions []int  `json:"versions"`
+	Score    string `json:"score"`
+}
+
+type page struct {
+	Total   int      `json:"total"`
+	Next    int      `json:"next"`
+	Results []result `json:"results"`
+}
+
+// client keeps channels open, as callers do, also to a host that is stopping.
+var client = &http.Client{Timeout: 4 * time.Second}
+
+// call sends a request to a random host; status is 0 without an answer.
+func (w *world) call(pick int, method, path, id string, body []byte) (status int, answer []byte, stamp string) {
+	h := w.hosts[pick%len(w.hosts)]
+	r, err := http.NewRequest(method, "http://"+h.front+path, bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.Host = "h"
+	r.Header.Set("Attempt-Id", id)
+	r.Header.Set("Deadline-Milliseconds", "3000")
+	r.GetBody = nil // a request is sent once
+	resp, err := client.Do(r)
+	if err != nil {
+		return 0, nil, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err = io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil, ""
+	}
+	return resp.StatusCode, answer, resp.Header.Get("Response-Stamp")
+}
+
+func promise(status int) bool { return status == 429 || status == 503 }
+
+// train submits lots until the end and reads each until it is complete.
+func (tr *trainer) train(end time.Time, itemsPerLot int) {
+	for n := 0; time.Now().Before(end); n++ {
+		l := &trainedLot{id: fmt.Sprintf("%s-lot-%d", tr.name, n), refused: true}
+		tr.lots = append(tr.lots, l)
+		var items []map[string]any
+		for i := range itemsPerLot {
+			id := fmt.Sprintf("%s-item-%d", l.id, i)
+			l.items = append(l.items, id)
+			items = append(items, map[string]any{
+				"identifier": id, "path": "/lots/x", "headers": map[string]string{"Model": "m", "Length-Hint": "400"}, "group": "g",
+				"scorer": map[string]any{"identifier": "score-" + id, "host": "h", "path": "/scores/x"},
+			})
+		}
+		body := encode(map[string]any{"step": n, "model": "m", "minimumVersion": 1, "targetGroups": 1, "items": items})
+		for try := 0; try < 40 && !l.accepted && time.Now().Before(end); try++ {
+			status, _, _ := tr.w.call(n+try, http.MethodPost, "/lots/x", l.id, body)
+			l.accepted = status == http.StatusAccepted
+			l.refused = l.refused && promise(status)
+			if !l.accepted {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		tr.read(l, end, n)
+	}
+}
+
+func (tr *trainer) read(l *trainedLot, end time.Time, pick int) {
+	for l.accepted && len(l.results) < len(l.items) && time.Now().Before(end) {
+		pick++
+		status, answer, _ := tr.w.call(pick, http.MethodGet, fmt.Sprintf("/v1/lots/%s?after=%d", l.id, len(l.results)), "read", nil)
+		var p page
+		if status == http.StatusNotFound {
+			tr.w.t.Errorf("lot %s was accepted and is not known", l.id)
+			return
+		}
+		if status == http.StatusOK && json.Unmarshal(answer, &p) == nil {
+			l.results = append(l.results, p.Results...)
+		}
+		time.Sleep(80 * time.Millisecond)
+	}
+}
+
+// judge reads each lot once more from the start and compares.
+func (tr *trainer) judge(t *testing.T, end time.Time) (listed int) {
+	for _, l := range tr.lots {
+		if !l.accepted {
+			tr.judgeRefused(t, l)
+			continue
+		}
+		tr.read(l, end, 0)
+		if len(l.results) != len(l.items) {
+			t.Errorf("lot %s has %d of %d results at the end", l.id, len(l.results), len(l.items))
+			continue
+		}
+		again := &trainedLot{id: l.id, items: l.items, accepted: true}
+		tr.read(again, end, 1)
+		seen := make(map[string]bool)
+		for i, r := range l.results {
+			if i < len(again.results) && fmt.Sprint(again.results[i]) != fmt.Sprint(r) {
+				t.Errorf("position %d of lot %s changed from %v to %v", i, l.id, r, again.results[i])
+			}
+			if seen[r.ID] {
+				t.Errorf("item %s stands at two positions", r.ID)
+			}
+			seen[r.ID] = true
+			if r.State == "completed" && (r.Text != pamoja.Text(r.ID, eventsPerItem) || r.Score != "stamp-score-"+r.ID || len(r.Versions) == 0) {
+				t.Errorf("item %s is not whole: %+v", r.ID, r)
+			}
+		}
+		listed += len(l.results)
+	}
+	return listed
+}
+
+// judgeRefused checks that no part of a lot ran that was refused at each try.
+func (tr *trainer) judgeRefused(t *testing.T, l *trainedLot) {
+	for _, id := range l.items {
+		if l.refused && len(tr.w.ledger.runsOf(id)) > 0 {
+			t.Errorf("item %s ran though its lot was refused at each try", id)
+		}
+	}
+}
+
+// caller sends plain requests and checks each answer.
+type caller struct {
+	w              *world
+	name           string
+	served, failed int
+}
+
+func (c *caller) run(t *testing.T, end time.Time) {
+	for n := 0; time.Now().Before(end); n++ {
+		path, once := "/calls/x", n%3 == 0
+		if once {
+			path = "/once/x"
+		}
+		id := fmt.Sprintf("%s-%d", c.name, n)
+		status, answer, stamp := c.w.call(n, http.MethodPost, path, id, []byte("x"))
+		switch {
+		case status == http.StatusOK && (string(answer) != "answer to "+id || stamp != "stamp-"+id):
+			t.Errorf("request %s got %q with stamp %q", id, answer, stamp)
+		case status == http.StatusOK:
+			c.served++
+		case status == http.StatusNotFound:
+			t.Errorf("request %s got 404 though its route is there", id)
+		default:
+			c.failed++
+		}
+		if runs := len(c.w.ledger.runsOf(id)); once && (runs > 1 || (runs > 0 && promise(status))) {
+			t.Errorf("request %s, which may not be repeated, ran %d times and was answered %d", id, runs, status)
+		}
+		time.Sleep(60 * time.Millisecond)
+	}
+}
