--- a/cmd/lavender-host/serve.go
+++ b/cmd/lavender-host/serve.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"log"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -39,22 +41,30 @@
 	}
 	checks := http.NewServeMux()
 	checks.HandleFunc(platform.ReadinessPath, h.readiness)
-	checks.Handle("/metrics", h.metrics.Handler)
 	checkServer := &http.Server{Handler: checks, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: quiet}
-	for name, s := range map[string]*http.Server{"front": frontServer, "ready": checkServer} {
-		address := h.settings.Front
-		if name == "ready" {
-			address = h.settings.Ready
-		}
-		l, err := listen(name, address)
+	servers := []struct {
+		name, address string
+		server        *http.Server
+	}{
+		{"front", h.settings.Front, frontServer},
+		{"readiness", h.settings.Ready, checkServer},
+		{"metrics", h.metricsAddress(), &http.Server{Handler: h.metrics.Handler, ReadHeaderTimeout: headerTimeout, ErrorLog: quiet}},
+	}
+	for _, s := range servers {
+		l, err := listen(s.name, s.address)
 		if err != nil {
 			return err
 		}
-		g.Add(func() error { return ignoreClosed(s.Serve(l)) }, func(error) { h.shutdown(s) })
+		g.Add(func() error { return ignoreClosed(s.server.Serve(l)) }, func(error) { h.shutdown(s.server) })
 	}
 	return nil
 }
 
+// metricsAddress is the last port between own processes, which the deploy file names.
+func (h *host) metricsAddress() string {
+	return net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.PeerPorts[1]))
+}
+
 // addPeers adds the server for hosts that the store does not serve.
 func (h *host) addPeers(g *run.Group) error {
 	l, err := listen("other hosts", h.peerAddress())
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -107,6 +107,8 @@
 	log, err := os.OpenFile(filepath.Join(d.dir, "logs", name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(d.t, err)
 	cmd.Stdout, cmd.Stderr = log, log
+	// A run that is killed or times out leaves no process behind.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	require.NoError(d.t, cmd.Start())
 	require.NoError(d.t, log.Close())
 	d.processes[name] = cmd
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -193,9 +193,12 @@
 func (w *world) newHost(i int, store string) *host {
 	h := &host{name: fmt.Sprintf("host-%d", i), proxy: newProxy(w.t, store), exited: make(chan struct{})}
 	h.front = fmt.Sprintf("127.0.0.1:%d", freePort(w.t))
-	peer := freePort(w.t)
+	peer, metrics := freePort(w.t), freePort(w.t)
+	if metrics < peer {
+		peer, metrics = metrics, peer
+	}
 	text := fmt.Sprintf("node=%s\nzone=z\nipAddress=127.0.0.1\nlisten.front=%s\nlisten.ready=127.0.0.1:%d\ninternalPorts=%d,%d\nplatform.address=%s\n",
-		h.name, h.front, freePort(w.t), peer, peer, h.proxy.address())
+		h.name, h.front, freePort(w.t), peer, metrics, h.proxy.address())
 	h.settings = filepath.Join(w.dir, h.name+".conf")
 	require.NoError(w.t, os.WriteFile(h.settings, []byte(text), 0o600))
 	w.start(h)
