Create a lot in another place only if no host has created it

Change: beyond the first place a creation needs the heads up to a known version and a read of the feed after it that does not name the lot.

Ruled out: an old head that came late (both heads had different owners and were answered).

--- a/event/rollout.go
+++ b/event/rollout.go
@@ -42,10 +42,11 @@
 }
 
 // HeadsRead holds changed heads of lots. Full means that heads that are not among
-// them do not exist.
+// them do not exist. Version is that of the newest row of the table.
 type HeadsRead struct {
-	Heads []HeadRow
-	Full  bool
+	Version uint64
+	Heads   []HeadRow
+	Full    bool
 }
 
 // DutyRead is the lease for orders as the store holds it.
--- a/executor/store.go
+++ b/executor/store.go
@@ -84,6 +84,7 @@
 	var hosts event.PresenceRead
 	var events []event.Event
 	for _, r := range rows {
+		heads.Version = max(heads.Version, r.Version)
 		if r.Key == duty.Key {
 			holder, _ := duty.Parse(r) // a row that cannot be read has no holder
 			events = append(events, event.DutyRead{Holder: holder, Version: r.Version})
@@ -106,7 +107,7 @@
 	if len(hosts.Rows) > 0 {
 		events = append(events, hosts)
 	}
-	if full || len(heads.Heads) > 0 {
+	if full || len(rows) > 0 {
 		events = append(events, heads)
 	}
 	return events
--- a/front/service.go
+++ b/front/service.go
@@ -87,7 +87,7 @@
 		Accepted: time.Now().UnixMilli(), Write: s.write(),
 	}
 	begun := time.Now()
-	created, existing, err := s.Keeper.Create(ctx, sub, head)
+	created, existing, err := s.Keeper.Create(ctx, sub, head, func(ctx context.Context) error { return s.unknown(ctx, sub.ID) })
 	fields := []zap.Field{
 		zap.String("lot", sub.ID), zap.Int("items", len(sub.Items)), zap.String("model", sub.Model), zap.Int("step", sub.Step),
 		zap.Duration("took", time.Since(begun)), zap.String("runner", head.Owner.Host),
@@ -108,6 +108,27 @@
 	return s.Deliver(ctx, event.LotAccepted{Submission: sub, Head: created.Head, Version: created.Version})
 }
 
+// unknown returns nil if no host has created a lot so far. It asks the store for the
+// heads that were written after those that are known.
+func (s *Service) unknown(ctx context.Context, id string) error {
+	p := s.View.p.Load()
+	if _, ok := p.lots[id]; ok || p.version == 0 {
+		return verdict.New(verdict.NotRun, verdict.ReasonStoreUnavailable, "it is not certain that lot %s is new", id)
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	newer, err := s.Keeper.Store.Changes(ctx, lot.TableCoordination, p.version, 0)
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonStoreUnavailable, "it is not certain that lot %s is new", id)
+	}
+	for _, r := range newer.Rows {
+		if lot.HeadID(r.Name) == id {
+			return verdict.New(verdict.NotRun, verdict.ReasonStoreUnavailable, "lot %s was created by another host", id)
+		}
+	}
+	return nil
+}
+
 const (
 	// strongRunner is the part of this host's processor share that another host needs
 	// to be given a lot.
--- a/lot/keeper.go
+++ b/lot/keeper.go
@@ -43,8 +43,10 @@
 }
 
 // Create stores a submission and its head and returns the head as stored. If the lot
-// exists, existing is its head and nothing is changed.
-func (k *Keeper) Create(ctx context.Context, s *Submission, h Head) (created Stored, existing *Stored, err error) {
+// exists, existing is its head and nothing is changed. While parts of the store do not
+// answer, a head of the lot may lie in one of them: the lot is then created in another
+// place only if unknown returns nil, which says that no host has created it so far.
+func (k *Keeper) Create(ctx context.Context, s *Submission, h Head, unknown func(context.Context) error) (created Stored, existing *Stored, err error) {
 	data := encode(s)
 	h.InObjects = len(data) > MaxRowBytes
 	if h.InObjects {
@@ -56,7 +58,12 @@
 			}
 		}
 	}
-	return k.commit(ctx, h.ID, func(try int) (Head, store.Commit) {
+	return k.commit(ctx, h.ID, func(try int) (Head, store.Commit, error) {
+		if try > 0 {
+			if err := unknown(ctx); err != nil {
+				return Head{}, store.Commit{}, err
+			}
+		}
 		h.Place = try % places
 		h.BodyPart = partName(h.ID, 0, try)
 		h.Segments = []Segment{{Part: h.BodyPart}}
@@ -66,7 +73,7 @@
 			h.BodyRows = len(c.Put)
 		}
 		c.Put = append(c.Put, HeadRow(h))
-		return h, c
+		return h, c, nil
 	})
 }
 
@@ -76,7 +83,7 @@
 func (k *Keeper) Append(ctx context.Context, h Head, version uint64, results []Result, progress []Progress) (Stored, *Stored, error) {
 	segments := h.Segments
 	from := h.Listed - len(results)
-	return k.commit(ctx, h.ID, func(try int) (Head, store.Commit) {
+	return k.commit(ctx, h.ID, func(try int) (Head, store.Commit, error) {
 		part, _ := segmentOf(segments, from)
 		if try > 0 && len(results) > 0 {
 			part = partName(h.ID, from, commitTries+try)
@@ -94,18 +101,22 @@
 				c.Put = append(c.Put, row)
 			}
 		}
-		return h, c
+		return h, c, nil
 	})
 }
 
 // commit sends a commit until its outcome is known. build returns it for each try: a
 // later try may use another part of the store, whose data then count only if that try
 // takes effect. If the head in the store has the same Write, one of the tries did.
-func (k *Keeper) commit(ctx context.Context, id string, build func(try int) (Head, store.Commit)) (stored Stored, existing *Stored, err error) {
+func (k *Keeper) commit(ctx context.Context, id string, build func(try int) (Head, store.Commit, error)) (stored Stored, existing *Stored, err error) {
 	unknown := false
 	var parts []string
 	for try := range commitTries {
-		h, c := build(try)
+		h, c, stop := build(try)
+		if stop != nil {
+			err = cmp.Or(err, stop)
+			break
+		}
 		version, failure := k.try(ctx, c)
 		var conflict *store.Conflict
 		switch {
--- a/lot/keeper_test.go
+++ b/lot/keeper_test.go
@@ -26,6 +26,9 @@
 	return s
 }
 
+// never says that no host has created the lot.
+func never(context.Context) error { return nil }
+
 func headOf(s *lot.Submission, write string) lot.Head {
 	return lot.Head{ID: s.ID, Total: len(s.Items), Owner: lot.Owner{Host: "a", Lifetime: "1"}, Write: write}
 }
@@ -44,7 +47,7 @@
 		return pamoja.Served
 	})
 	s := submission("lot-1", 3)
-	created, existing, err := k.Create(context.Background(), s, headOf(s, "w1"))
+	created, existing, err := k.Create(context.Background(), s, headOf(s, "w1"), never)
 	require.NoError(t, err)
 	require.Nil(t, existing)
 	found, err := k.Head(context.Background(), "lot-1")
@@ -54,7 +57,7 @@
 	require.NoError(t, err)
 	require.Equal(t, s, body)
 
-	_, existing, err = k.Create(context.Background(), s, headOf(s, "w2"))
+	_, existing, err = k.Create(context.Background(), s, headOf(s, "w2"), never)
 	require.NoError(t, err)
 	require.Equal(t, created, *existing, "the repeated submission finds the first one")
 }
@@ -72,7 +75,7 @@
 		}
 		return pamoja.Served
 	})
-	created, _, err := k.Create(context.Background(), s, headOf(s, "w1"))
+	created, _, err := k.Create(context.Background(), s, headOf(s, "w1"), never)
 	require.NoError(t, err)
 	require.Equal(t, 1, created.Head.Place)
 
@@ -84,11 +87,38 @@
 	require.NotEqual(t, verdict.ReasonUnknownLot, verdict.ReasonOf(err), "a place that cannot be read may hold the lot")
 
 	rows.SetFault(nil)
-	_, existing, err := k.Create(context.Background(), s, headOf(s, "w2"))
+	_, existing, err := k.Create(context.Background(), s, headOf(s, "w2"), never)
 	require.NoError(t, err)
 	require.Equal(t, created, *existing)
 }
 
+// TestCreationElsewhereNeedsCertainty guards against a lot that is accepted twice: a
+// host that had just started did not know of the lot, whose head lay in a part that was
+// away, and created it in another place (trouble-2 of pamoja-offcuts).
+func TestCreationElsewhereNeedsCertainty(t *testing.T) {
+	rows := pamoja.NewRows()
+	k := &lot.Keeper{Store: rows}
+	ctx := context.Background()
+	s := submission("lot-1", 3)
+	first, _, err := k.Create(ctx, s, headOf(s, "w1"), never)
+	require.NoError(t, err)
+	rows.SetFault(func(c pamoja.Call) pamoja.Outcome {
+		if slices.Contains(c.Parts, lot.HeadKey("lot-1", 0).Part) {
+			return pamoja.LostBefore
+		}
+		return pamoja.Served
+	})
+	uncertain := func(context.Context) error {
+		return verdict.New(verdict.NotRun, verdict.ReasonStoreUnavailable, "the heads are not known")
+	}
+	_, _, err = k.Create(ctx, s, headOf(s, "w2"), uncertain)
+	require.Error(t, err)
+	rows.SetFault(nil)
+	found, err := k.Head(ctx, "lot-1")
+	require.NoError(t, err)
+	require.Equal(t, first, found)
+}
+
 // TestResultsMoveToAnotherPart guards against results that stall with the part of
 // the store in which the earlier ones lie, and against positions that do not add up.
 func TestResultsMoveToAnotherPart(t *testing.T) {
@@ -96,7 +126,7 @@
 	k := &lot.Keeper{Store: rows}
 	ctx := context.Background()
 	s := submission("lot-1", 4)
-	stored, _, err := k.Create(ctx, s, headOf(s, "w1"))
+	stored, _, err := k.Create(ctx, s, headOf(s, "w1"), never)
 	require.NoError(t, err)
 	write := func(n int, items ...string) {
 		h := stored.Head
@@ -140,7 +170,7 @@
 	k := &lot.Keeper{Store: pamoja.NewRows()}
 	s := submission("lot-1", 2)
 	s.Items[0].Body = []byte(strings.Repeat("x", 2*lot.MaxRowBytes))
-	stored, _, err := k.Create(context.Background(), s, headOf(s, "w"))
+	stored, _, err := k.Create(context.Background(), s, headOf(s, "w"), never)
 	require.NoError(t, err)
 	require.True(t, stored.Head.InObjects)
 	body, err := k.Body(context.Background(), stored.Head)
@@ -154,7 +184,7 @@
 	k := &lot.Keeper{Store: rows}
 	ctx := context.Background()
 	s := submission("lot-1", 4)
-	stored, _, err := k.Create(ctx, s, headOf(s, "w1"))
+	stored, _, err := k.Create(ctx, s, headOf(s, "w1"), never)
 	require.NoError(t, err)
 	h := stored.Head
 	h.Write, h.Listed = "w2", 1
@@ -182,7 +212,7 @@
 		k := &lot.Keeper{Store: rows, Pause: time.Microsecond}
 		ctx := context.Background()
 		s := submission("lot-1", 6)
-		stored, _, err := k.Create(ctx, s, headOf(s, "w"))
+		stored, _, err := k.Create(ctx, s, headOf(s, "w"), never)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -233,7 +263,7 @@
 	rows := pamoja.NewRows()
 	rows.SetFault(func(pamoja.Call) pamoja.Outcome { return pamoja.Refused })
 	s := submission("lot-1", 1)
-	_, _, err := (&lot.Keeper{Store: rows}).Create(context.Background(), s, headOf(s, "w"))
+	_, _, err := (&lot.Keeper{Store: rows}).Create(context.Background(), s, headOf(s, "w"), never)
 	require.Equal(t, verdict.NotRun, verdict.Of(err))
 	require.False(t, errors.Is(err, store.ErrNoObject))
 }
--- a/system/rollout/lots.go
+++ b/system/rollout/lots.go
@@ -122,6 +122,10 @@
 		listed[e.Heads[i].ID] = true
 		readHead(now, t, &e.Heads[i], out)
 	}
+	r := &t.Rollout
+	if (e.Full || r.HeadsVersion > 0) && e.Version > r.HeadsVersion {
+		r.HeadsVersion, r.ViewChanged = e.Version, true
+	}
 	if !e.Full {
 		return
 	}
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -104,7 +104,7 @@
 	for id, l := range r.Lots.All() {
 		lots[id] = lot.Stored{Head: l.Head, Version: l.Version}
 	}
-	out.Add(command.PublishLots{Lots: lots})
+	out.Add(command.PublishLots{Lots: lots, Version: r.HeadsVersion})
 	r.ViewChanged = false
 }
 
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -18,12 +18,15 @@
 	Lease   time.Duration // smallest time between orders of two holders
 	Feeds   Table[Feed]   // keyed by table name of the store
 	Desired *desired.State
-	Servers Table[Server]   // keyed by server id
-	Models  Table[Model]    // keyed by model name
-	Lots    Table[Lot]      // keyed by lot id
-	Items   Table[Item]     // keyed by ItemKey; only items of own lots
-	Duty    Duty            // the right to give orders
-	Peers   Table[PeerHost] // keyed by host name, this host included
+	Servers Table[Server] // keyed by server id
+	Models  Table[Model]  // keyed by model name
+	Lots    Table[Lot]    // keyed by lot id
+	// HeadsVersion is the version of the store up to which all heads are known, 0
+	// before all were read.
+	HeadsVersion uint64
+	Items        Table[Item]     // keyed by ItemKey; only items of own lots
+	Duty         Duty            // the right to give orders
+	Peers        Table[PeerHost] // keyed by host name, this host included
 	// Presence is the row by which others find this host.
 	Presence Presence
 	Typical  map[string]Typical // by service
