Host view, settings check and a log line for each request and run

Cause: an operator could not see what a running host believes, nor check the platform's settings file; plain requests and runs left no line.

--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -67,6 +67,7 @@
 	metrics  *telemetry.Metrics
 	clock    *clock.Boot
 	inbox    *control.Inbox
+	waiters  *control.Waiters
 	pool     *control.Pool
 	direct   *platform.Store
 	store    *relay.Client
@@ -104,7 +105,7 @@
 
 func newHost(d settings.Deployment) *host {
 	h := &host{
-		settings: d, clock: clock.NewBoot(), inbox: control.NewInbox(control.InboxSize),
+		settings: d, clock: clock.NewBoot(), inbox: control.NewInbox(control.InboxSize), waiters: control.NewWaiters(),
 		output: telemetry.NewAsyncWriter(os.Stdout), ended: make(chan struct{}),
 		owner: lot.Owner{Host: d.Host, Lifetime: strconv.FormatUint(rand.Uint64(), 36), Power: d.MilliCores},
 	}
@@ -196,6 +197,7 @@
 	control.HandleNow(h.pool, h.service.View.Publish)
 	control.HandleNow(h.pool, h.service.Runners.Publish)
 	control.HandleNow(h.pool, func(command.HandedOver) { close(h.ended) })
+	control.HandleNow(h.pool, func(c command.AnswerView) { h.waiters.Answer(c.RequestID, c) })
 	runs := &executor.Runs{Ctx: h.ctx, Sender: h.backends, Deliver: h.inbox.Deliver, SetUrgency: platform.SetUrgency}
 	control.HandleNow(h.pool, runs.Start)
 	control.HandleNow(h.pool, runs.Stop)
--- a/cmd/lavender-host/serve.go
+++ b/cmd/lavender-host/serve.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -16,6 +18,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/peer"
 	"github.com/lavenderstand/lavenderstand/peer/peerpb"
@@ -48,7 +51,7 @@
 	}{
 		{"front", h.settings.Front, frontServer},
 		{"readiness", h.settings.Ready, checkServer},
-		{"metrics", h.metricsAddress(), &http.Server{Handler: h.metrics.Handler, ReadHeaderTimeout: headerTimeout, ErrorLog: quiet}},
+		{"metrics", h.metricsAddress(), &http.Server{Handler: h.operators(), ReadHeaderTimeout: headerTimeout, ErrorLog: quiet}},
 	}
 	for _, s := range servers {
 		l, err := listen(s.name, s.address)
@@ -60,6 +63,25 @@
 	return nil
 }
 
+// operators serves metrics and what the host believes.
+func (h *host) operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", h.metrics.Handler)
+	mux.HandleFunc("/view", h.view)
+	return mux
+}
+
+func (h *host) view(w http.ResponseWriter, r *http.Request) {
+	id := strconv.FormatUint(rand.Uint64(), 36)
+	answer, err := h.waiters.Call(r.Context(), h.inbox, id, event.ViewAsked{RequestID: id})
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer.(command.AnswerView).View) // the caller has left if it fails
+}
+
 // metricsAddress is the last port between own processes, which the deploy file names.
 func (h *host) metricsAddress() string {
 	return net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.PeerPorts[1]))
--- /dev/null
+++ b/cmd/lavenderctl/host.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/status"
+)
+
+// hostViewTimeout bounds the wait for a host's control loop.
+const hostViewTimeout = 5 * time.Second
+
+// hostViewCommand shows what a lavender-host process believes.
+func hostViewCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "host-view ADDRESS", Short: "Show what a lavender-host process believes: feeds, lease, servers, lots",
+		Long:    "ADDRESS is the address of the process's metrics: its IP number and the last of its internal ports.",
+		Example: "  lavenderctl host-view 10.1.0.38:7395", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			v, err := readHostView(args[0])
+			if err != nil {
+				return fail(exitUnknown, "%w", err)
+			}
+			if o.output == outputJSON {
+				return wrap(json.NewEncoder(o.out).Encode(v))
+			}
+			return wrap(printHostView(o.out, v))
+		},
+	}
+}
+
+func readHostView(address string) (v status.HostView, err error) {
+	client := &http.Client{Timeout: hostViewTimeout}
+	resp, err := client.Get("http://" + address + "/view")
+	if err != nil {
+		return v, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return v, fmt.Errorf("host view: status %d", resp.StatusCode)
+	}
+	err = json.NewDecoder(resp.Body).Decode(&v)
+	return v, err
+}
+
+func printHostView(w io.Writer, v status.HostView) error {
+	p := &printer{w: w}
+	p.line("host %s, lifetime %s, draining %t, desired state %d", v.Host, v.Lifetime, v.Draining, v.DesiredVersion)
+	p.line("lease for orders: holder %q, held here %t, fence %d, silent for %d ms", v.Duty.Holder, v.Duty.Held, v.Duty.Fence, v.Duty.SilentMS)
+	for _, f := range v.Feeds {
+		p.line("feed %s: down %t for %d ms", f.Table, f.Down, f.AgeMS)
+	}
+	for _, s := range v.Servers {
+		p.line("server %s of %s in %s: leaving %t, missing %t, suspect %t, items %d, gap %.1f ms, home %q, versions %v",
+			s.ID, s.Service, s.Zone, s.Leaving, s.Missing, s.Suspect, s.Running, s.GapMS, s.Home, s.Versions)
+	}
+	for _, l := range v.Lots {
+		p.line("lot %s of %s: owner %q, %s, listed %d of %d, ended %t, silent for %d ms", l.ID, l.Model, l.Owner, l.Stage, l.Listed, l.Total, l.Ended, l.SilentMS)
+	}
+	return p.err
+}
+
+// printer keeps the first error of several writes.
+type printer struct {
+	w   io.Writer
+	err error
+}
+
+func (p *printer) line(format string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.w, format+"\n", args...)
+	}
+}
+
+// checkPlatformSettings checks the settings file that a platform writes.
+func checkPlatformSettings(o *options, path string) error {
+	d, err := platform.ReadSettings(path)
+	if err != nil {
+		return fail(exitError, "%w", err)
+	}
+	_, err = fmt.Fprintf(o.out, "%s: no faults (host %s, store %s)\n", path, d.Host, d.Store)
+	return wrap(err)
+}
--- a/cmd/lavenderctl/root.go
+++ b/cmd/lavenderctl/root.go
@@ -58,7 +58,7 @@
 	f.StringVarP(&o.output, "output", "o", outputTable, "output format: table or json")
 	f.DurationVar(&o.timeout, "timeout", defaultTimeout, "longest wait for one server")
 	root.PersistentPreRunE = func(*cobra.Command, []string) error { return checkOutput(o.output) }
-	root.AddCommand(classCommand(o), configCommand(o), weightsCommand(o), checkSettingsCommand(o))
+	root.AddCommand(classCommand(o), configCommand(o), weightsCommand(o), checkSettingsCommand(o), hostViewCommand(o))
 	root.AddCommand(viewCommands(o)...)
 	return root
 }
--- a/cmd/lavenderctl/settings.go
+++ b/cmd/lavenderctl/settings.go
@@ -10,10 +10,14 @@
 )
 
 func checkSettingsCommand(o *options) *cobra.Command {
-	return &cobra.Command{
+	platformFile := false
+	c := &cobra.Command{
 		Use: "check-settings FILE", Short: "Check a settings file, its principals and secrets", Args: cobra.ExactArgs(1),
 		Example: "  lavenderctl check-settings /etc/lavenderstand/entry.toml",
 		RunE: func(_ *cobra.Command, args []string) error {
+			if platformFile {
+				return checkPlatformSettings(o, args[0])
+			}
 			s, err := settings.LoadComplete(args[0])
 			if err != nil {
 				return fail(exitError, "%w", err)
@@ -25,4 +29,6 @@
 			return wrap(err)
 		},
 	}
+	c.Flags().BoolVar(&platformFile, "platform", false, "the file is the one that a platform writes for lavender-host")
+	return c
 }
--- a/command/rollout.go
+++ b/command/rollout.go
@@ -6,6 +6,7 @@
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/lot"
 	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/status"
 )
 
 // PublishRouting replaces the plan that request goroutines route by.
@@ -145,3 +146,12 @@
 
 // Name implements Command.
 func (PublishPeers) Name() string { return "publish_peers" }
+
+// AnswerView answers event.ViewAsked.
+type AnswerView struct {
+	RequestID string
+	View      status.HostView
+}
+
+// Name implements Command.
+func (AnswerView) Name() string { return "answer_view" }
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -203,3 +203,9 @@
 
 // Name implements Event.
 func (PresenceWritten) Name() string { return "presence_written" }
+
+// ViewAsked asks for what this host believes.
+type ViewAsked struct{ RequestID string }
+
+// Name implements Event.
+func (ViewAsked) Name() string { return "view_asked" }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -267,12 +266,8 @@
 	})
 }
 
-// log writes one line for a request that did not go the plain way.
+// log writes one line for each request: what decided it and how it ended.
 func (c *call) log(answer *Answer, err error) {
-	plain := err == nil && answer.Status < http.StatusInternalServerError && len(c.tried) == 1 && c.refusals == 0
-	if plain {
-		return
-	}
 	fields := []zap.Field{
 		zap.String("request", c.r.ID), zap.String("route", c.route.Name), zap.String("service", c.service),
 		zap.Int("servers_tried", len(c.tried)), zap.Int("refusals", c.refusals), zap.String("last_server", c.last),
@@ -284,7 +279,7 @@
 			zap.String("reason", string(verdict.ReasonOf(err))), zap.String("error", verdict.Message(err)))...)
 		return
 	}
-	c.f.Log.Info("request answered after retries", append(fields, zap.Int("status", answer.Status))...)
+	c.f.Log.Info("request answered", append(fields, zap.Int("status", answer.Status))...)
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -35,6 +35,7 @@
 		{Name: "weights", Run: Weights},
 		{Name: "runners", Run: Runners},
 		{Name: "publish", Run: Publish},
+		{Name: "view", Run: View},
 	}
 }
 
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -66,6 +66,7 @@
 	for _, v := range e.Versions {
 		item.Versions = lot.AddVersion(item.Versions, v)
 	}
+	logRun(item, e, out)
 	if e.Failure != nil {
 		failedRun(now, t, item, e, out)
 		return
@@ -126,17 +127,24 @@
 	case verdict.ReasonTerminated:
 		item.Unprocessed++
 	}
-	if e.Failure.Reason != verdict.ReasonBackendRefused && e.Failure.Reason != verdict.ReasonCanceled {
-		out.Add(command.LogChange{Message: "run of item ended early", Fields: []command.Field{
-			field("lot", item.Lot), field("item", item.Spec.ID), field("server", e.Server), field("run", itoa(e.Run)),
-			field("events", itoa(len(item.Events))), field("reason", string(e.Failure.Reason)), field("error", e.Failure.Message),
-		}})
-	}
 	if item.Unprocessed > 0 || item.Failures >= itemAttempts(t, item) {
 		finish(now, t, item, lot.Result{Item: item.Spec.ID, State: lot.StateTerminated}, out)
 	}
 }
 
+func logRun(item *table.Item, e event.RunEnded, out *command.Outbox) {
+	fields := []command.Field{
+		field("lot", item.Lot), field("item", item.Spec.ID), field("server", e.Server), field("run", itoa(e.Run)),
+		field("events", itoa(len(item.Events))), field("version", itoa(int(e.Version))), field("gap_ms", millis(e.Gap)),
+	}
+	if e.Failure == nil {
+		out.Add(command.LogChange{Message: "run of item complete", Fields: fields})
+		return
+	}
+	out.Add(command.LogChange{Message: "run of item ended early", Fields: append(fields,
+		field("reason", string(e.Failure.Reason)), field("error", e.Failure.Message))})
+}
+
 func itemAttempts(t *table.Tables, item *table.Item) int {
 	if route := itemRoute(t, item); route != nil && route.Attempts > 0 {
 		return route.Attempts
--- /dev/null
+++ b/system/rollout/view.go
@@ -0,0 +1,60 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/status"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// View answers operators who ask what this host believes.
+func View(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+	for _, e := range in {
+		if asked, ok := e.(event.ViewAsked); ok {
+			out.Add(command.AnswerView{RequestID: asked.RequestID, View: hostView(now, &t.Rollout)})
+		}
+	}
+}
+
+func hostView(now time.Duration, r *table.Rollout) status.HostView {
+	v := status.HostView{
+		Host: r.Owner.Host, Lifetime: r.Owner.Lifetime, Draining: r.Draining, Models: make(map[string]int), Peers: addresses(r),
+		Duty: status.DutyView{
+			Holder: r.Duty.Holder.Host, Held: r.Duty.Held, Fence: r.Duty.Fence,
+			SilentMS: status.Millis(now - r.Duty.Seen), RowVersion: r.Duty.Version,
+		},
+	}
+	if r.Desired != nil {
+		v.DesiredVersion = r.Desired.Version
+	}
+	for name, f := range r.Feeds.All() {
+		v.Feeds = append(v.Feeds, status.FeedView{Table: name, Down: f.Down, AgeMS: status.Millis(now - f.Since)})
+	}
+	for name, m := range r.Models.All() {
+		v.Models[name] = int(m.Named)
+	}
+	for id, s := range r.Servers.All() {
+		v.Servers = append(v.Servers, serverView(id, s))
+	}
+	for id, l := range r.Lots.All() {
+		v.Lots = append(v.Lots, status.LotView{
+			ID: id, Model: l.Head.Model, Owner: l.Head.Owner.Host, Stage: string(l.Stage), Listed: l.Head.Listed,
+			Total: l.Head.Total, Ended: l.Head.Ended, SilentMS: status.Millis(now - l.Seen), RowVersion: l.Version,
+		})
+	}
+	return v
+}
+
+func serverView(id string, s *table.Server) status.ServerView {
+	v := status.ServerView{
+		ID: id, Service: s.Service, Zone: s.Zone, Leaving: s.Leaving, Missing: s.MissingSince != 0,
+		Suspect: s.SuspectUntil != 0, Running: s.Running, GapMS: float64(s.Gap.Microseconds()) / 1000, Home: s.Home,
+		Versions: make(map[string]int, len(s.Models)),
+	}
+	for model, version := range s.Models {
+		v.Versions[model] = int(version)
+	}
+	return v
+}
