A store without any commit is known; owners that cannot write show that they live

Cause: (1) hosts that read the heads before the first commit of the store took version 0 for 'not known' and refused every submission whose first place was away.

Change: (1) whether all heads were read is a value of its own; feeds hand on the store's version. (2) an owner that cannot write a head renews its host row, which counts as a sign of life.

Both tests fail without the change.

--- a/cmd/lavender-host/decode.go
+++ b/cmd/lavender-host/decode.go
@@ -14,7 +14,7 @@
 
 // feed follows a table of the store. After a failure, connections that may have
 // gone silent are not used again.
-func (h *host) feed(name, tableName string, parts []string, pause time.Duration, decode func([]store.Row, bool) []event.Event) *executor.Feed {
+func (h *host) feed(name, tableName string, parts []string, pause time.Duration, decode func([]store.Row, bool, uint64) []event.Event) *executor.Feed {
 	return &executor.Feed{
 		Name: name, Table: tableName, Parts: parts, Store: h.store, Decode: decode, Pause: pause, Wait: feedWait,
 		Deliver: h.inbox.Deliver, Broken: h.storeWeb.CloseIdleConnections,
@@ -23,7 +23,7 @@
 
 // decodeOperators turns rows of operators and trainers into events. A row that
 // cannot be read is logged and leaves what is known in force.
-func (h *host) decodeOperators(rows []store.Row, _ bool) []event.Event {
+func (h *host) decodeOperators(rows []store.Row, _ bool, _ uint64) []event.Event {
 	var events []event.Event
 	for _, r := range rows {
 		state, ok, err := platform.ParseDesired(r)
@@ -44,7 +44,7 @@
 	return events
 }
 
-func decodeServers(rows []store.Row, full bool) []event.Event {
+func decodeServers(rows []store.Row, full bool, _ uint64) []event.Event {
 	changes := make([]registry.Change, len(rows))
 	for i, r := range rows {
 		changes[i] = platform.ParseServer(r)
--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -212,7 +212,8 @@
 	})
 	control.HandleNow(h.pool, func(c command.PublishPeers) { h.store.SetPeers(c.Addresses) })
 	control.Handle(h.pool, 1, func(ctx context.Context, c command.WritePresence) event.Event {
-		version, err := presence.Write(ctx, h.store, h.settings.Host, h.peerAddress(), c.Version, c.Remove)
+		rec := presence.Record{Address: h.peerAddress(), Lifetime: h.owner.Lifetime, Write: rand.Uint64()}
+		version, err := presence.Write(ctx, h.store, h.settings.Host, rec, c.Version, c.Remove)
 		return event.PresenceWritten{Version: version, Failure: event.FailureOf(err)}
 	})
 	lease := &duty.Keeper{Store: h.store, Owner: h.owner, Now: h.clock.Now}
--- a/command/rollout.go
+++ b/command/rollout.go
@@ -13,9 +13,10 @@
 type PublishRouting struct{ Plan *forward.Plan }
 
 // PublishLots replaces the heads of all lots that readers see. Version is that of the
-// store up to which all heads are known, 0 before all were read.
+// store up to which all heads are known; Known is false before all were read.
 type PublishLots struct {
 	Lots    map[string]lot.Stored
+	Known   bool
 	Version uint64
 }
 
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -42,7 +42,8 @@
 }
 
 // HeadsRead holds changed heads of lots. Full means that heads that are not among
-// them do not exist. Version is that of the newest row of the table.
+// them do not exist. Version is that of the store
+// up to which all heads are then known.
 type HeadsRead struct {
 	Version uint64
 	Heads   []HeadRow
@@ -183,10 +184,11 @@
 
 // PresenceRow is the row of a host of the system as the store holds it.
 type PresenceRow struct {
-	Host    string
-	Address string // for calls of other hosts
-	Version uint64
-	Deleted bool
+	Host     string
+	Address  string // for calls of other hosts
+	Lifetime string // of the process that wrote the row
+	Version  uint64
+	Deleted  bool
 }
 
 // PresenceRead holds changed rows of hosts.
--- a/executor/feed.go
+++ b/executor/feed.go
@@ -23,11 +23,13 @@
 
 // Feed follows a table of the store from its full content on.
 type Feed struct {
-	Name   string // as decisions know the table
-	Table  string
-	Parts  []string // of the table, for reading it in full
-	Store  store.Client
-	Decode func(rows []store.Row, full bool) []event.Event
+	Name  string // as decisions know the table
+	Table string
+	Parts []string // of the table, for reading it in full
+	Store store.Client
+	// Decode turns rows into events. Version is that of the store up to which the table
+	// is then known.
+	Decode func(rows []store.Row, full bool, version uint64) []event.Event
 	// Pause is the wait after each answer with changes, in which further ones gather.
 	Pause time.Duration
 	// Wait is how long the store holds a read without changes. It is short, because a
@@ -61,7 +63,7 @@
 		}
 		retry = feedRetry
 		f.regained(ctx)
-		for _, e := range f.Decode(rows, full) {
+		for _, e := range f.Decode(rows, full, f.version) {
 			_ = f.Deliver(ctx, e) // fails only when the process ends
 		}
 		f.fresh.Store(sent.UnixNano())
--- a/executor/store.go
+++ b/executor/store.go
@@ -79,20 +79,21 @@
 }
 
 // DecodeCoordination turns rows of the coordination table into events.
-func DecodeCoordination(rows []store.Row, full bool) []event.Event {
-	heads := event.HeadsRead{Full: full}
+func DecodeCoordination(rows []store.Row, full bool, version uint64) []event.Event {
+	heads := event.HeadsRead{Full: full, Version: version}
 	var hosts event.PresenceRead
 	var events []event.Event
 	for _, r := range rows {
-		heads.Version = max(heads.Version, r.Version)
 		if r.Key == duty.Key {
 			holder, _ := duty.Parse(r) // a row that cannot be read has no holder
 			events = append(events, event.DutyRead{Holder: holder, Version: r.Version})
 			continue
 		}
 		if host := presence.Host(r); host != "" {
-			address, _ := presence.Parse(r) // a row that cannot be read has no address
-			hosts.Rows = append(hosts.Rows, event.PresenceRow{Host: host, Address: address, Version: r.Version, Deleted: r.Deleted})
+			rec, _ := presence.Parse(r) // a row that cannot be read has no address
+			hosts.Rows = append(hosts.Rows, event.PresenceRow{
+				Host: host, Address: rec.Address, Lifetime: rec.Lifetime, Version: r.Version, Deleted: r.Deleted,
+			})
 			continue
 		}
 		id := lot.HeadID(r.Name)
--- a/front/service.go
+++ b/front/service.go
@@ -112,7 +112,7 @@
 // heads that were written after those that are known.
 func (s *Service) unknown(ctx context.Context, id string) error {
 	p := s.View.p.Load()
-	if _, ok := p.lots[id]; ok || p.version == 0 {
+	if _, ok := p.lots[id]; ok || !p.known {
 		return verdict.New(verdict.NotRun, verdict.ReasonStoreUnavailable, "it is not certain that lot %s is new", id)
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/lot/keeper.go
+++ b/lot/keeper.go
@@ -114,7 +114,7 @@
 	for try := range commitTries {
 		h, c, stop := build(try)
 		if stop != nil {
-			err = cmp.Or(err, stop)
+			err = errors.Join(err, stop)
 			break
 		}
 		version, failure := k.try(ctx, c)
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -20,8 +20,12 @@
 // writeTimeout bounds a write; the decision to write is made again.
 const writeTimeout = time.Second
 
-type record struct {
-	Address string `json:"address"`
+// Record is what a host says of itself. Write differs with each write, which shows that
+// the process lives.
+type Record struct {
+	Address  string `json:"address"`
+	Lifetime string `json:"lifetime"`
+	Write    uint64 `json:"write"`
 }
 
 func key(host string) store.Key {
@@ -37,18 +41,17 @@
 	return host
 }
 
-// Parse returns the address of a host; ok is false if the row cannot be read.
-func Parse(r store.Row) (address string, ok bool) {
-	var rec record
+// Parse returns the record of a host; ok is false if the row cannot be read.
+func Parse(r store.Row) (rec Record, ok bool) {
 	ok = !r.Deleted && json.Unmarshal(r.Value, &rec) == nil && rec.Address != ""
-	return rec.Address, ok
+	return rec, ok
 }
 
 // Write writes the row of a host, or removes it. Version is that of the present row.
-func Write(ctx context.Context, s store.Client, host, address string, version uint64, remove bool) (uint64, error) {
+func Write(ctx context.Context, s store.Client, host string, rec Record, version uint64, remove bool) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	value, err := json.Marshal(record{Address: address})
+	value, err := json.Marshal(rec)
 	if err != nil {
 		return 0, verdict.Wrap(err, verdict.NotRun, verdict.ReasonInternal, "encode row of host %s", host)
 	}
--- a/system/rollout/lots.go
+++ b/system/rollout/lots.go
@@ -123,8 +123,8 @@
 		readHead(now, t, &e.Heads[i], out)
 	}
 	r := &t.Rollout
-	if (e.Full || r.HeadsVersion > 0) && e.Version > r.HeadsVersion {
-		r.HeadsVersion, r.ViewChanged = e.Version, true
+	if e.Full || (r.HeadsKnown && e.Version > r.HeadsVersion) {
+		r.HeadsVersion, r.HeadsKnown, r.ViewChanged = max(r.HeadsVersion, e.Version), true, true
 	}
 	if !e.Full {
 		return
@@ -250,8 +250,14 @@
 	}
 }
 
+// adoptionDue counts the silence of the owner from the last change of the head, or from
+// the last sign of life of an owner that cannot write the head.
 func adoptionDue(r *table.Rollout, id string, l *table.Lot) time.Duration {
-	return l.Seen + adoptionWait(r, id, l)
+	seen := l.Seen
+	if p := r.Peers.Find(l.Head.Owner.Host); p != nil && p.Lifetime == l.Head.Owner.Lifetime {
+		seen = max(seen, p.Seen)
+	}
+	return seen + adoptionWait(r, id, l)
 }
 
 // adoptionWait is how long a head must not have changed before this host takes
--- a/system/rollout/lots_test.go
+++ b/system/rollout/lots_test.go
@@ -190,3 +190,52 @@
 	require.Len(t, find[command.AdoptLot](append(
 		v.step(heads(v.head("l", lot.Owner{}, 0, 1))), v.pass(handoverSpread+weakHandover)...)), 1, "another host takes it at once")
 }
+
+// TestOwnerOfALotInAPartThatIsAwayKeepsIt guards against a lot that is taken from its
+// living owner, with all results that wait, when the part of the store that holds its
+// head comes back (scale-2 of the grown Pamoja site: 155 results were made again).
+func TestOwnerOfALotInAPartThatIsAwayKeepsIt(t *testing.T) {
+	w := newWorld(t)
+	w.tables.Rollout.Presence.Address = "x:1"
+	own := func() event.Event {
+		return event.PresenceRead{Rows: []event.PresenceRow{{Host: "a", Address: "x:1", Lifetime: "1", Version: w.version()}}}
+	}
+	w.step(own())
+	w.step(w.server("s1", nil))
+	w.accept(submission(1))
+	signs := 0
+	for range 400 {
+		for _, c := range w.step() {
+			switch c := c.(type) {
+			case command.WriteLot:
+				w.step(event.LotWritten{ID: "l", Write: c.Head.Write, Failure: &event.Failure{Verdict: verdict.MayHaveRun}})
+			case command.WritePresence:
+				signs++
+				w.step(event.PresenceWritten{}, own())
+			}
+		}
+	}
+	require.Greater(t, signs, 2, "the owner shows that it lives")
+
+	v := newWorld(t)
+	v.step(heads(v.head("l", other, 0, 1)))
+	for range 5 {
+		sign := event.PresenceRead{Rows: []event.PresenceRow{{Host: other.Host, Address: "y:1", Lifetime: other.Lifetime, Version: v.version()}}}
+		require.Empty(t, find[command.AdoptLot](append(v.step(sign), v.pass(time.Second)...)))
+	}
+	require.NotEmpty(t, find[command.AdoptLot](v.pass(adoptAfter+adoptSpread+weakAdopt)))
+}
+
+// TestEmptyTableIsKnown guards against a host that read the heads when there were none
+// and is never certain that a lot is new: with parts of the store away it then refused
+// every submission that could not be stored in its first place.
+func TestEmptyTableIsKnown(t *testing.T) {
+	w := newWorld(t)
+	views := find[command.PublishLots](w.step(event.HeadsRead{Version: 2}))
+	require.Empty(t, views, "nothing is known before all heads were read")
+	views = find[command.PublishLots](w.step(event.HeadsRead{Full: true}))
+	require.Len(t, views, 1)
+	require.True(t, views[0].Known, "a store without any commit is known too")
+	views = find[command.PublishLots](w.step(event.HeadsRead{Version: 9}))
+	require.EqualValues(t, 9, views[0].Version)
+}
--- a/system/rollout/presence.go
+++ b/system/rollout/presence.go
@@ -11,7 +11,7 @@
 
 // presenceRetry is the wait before the row of this host is written again. A write
 // whose answer was lost shows in the feed before.
-const presenceRetry = time.Second
+const presenceRetry = 700 * time.Millisecond
 
 // Presence keeps the row of this host and publishes the addresses of the others.
 func Presence(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
@@ -21,7 +21,7 @@
 		switch e := e.(type) {
 		case event.PresenceRead:
 			for _, h := range e.Rows {
-				changed = readHost(r, h) || changed
+				changed = readHost(now, r, h) || changed
 			}
 		case event.PresenceWritten:
 			r.Presence.Writing, r.Presence.NextWrite = false, now+presenceRetry
@@ -36,16 +36,31 @@
 	keepPresence(now, r, out)
 }
 
-func readHost(r *table.Rollout, h event.PresenceRow) bool {
+func readHost(now time.Duration, r *table.Rollout, h event.PresenceRow) bool {
 	p, _ := r.Peers.Upsert(h.Host)
 	if h.Version <= p.Version {
 		return false
 	}
 	changed := p.Address != h.Address
-	p.Address, p.Version, p.Deleted = h.Address, h.Version, h.Deleted
+	*p = table.PeerHost{Address: h.Address, Lifetime: h.Lifetime, Version: h.Version, Seen: now, Deleted: h.Deleted}
 	return changed
 }
 
+// mustShowLife reports whether the owner of a lot cannot write its head and has not
+// shown otherwise that it lives. Others would take the lot, with all results that wait,
+// as soon as the head can be written again.
+func mustShowLife(now time.Duration, r *table.Rollout, own *table.PeerHost) bool {
+	if now-own.Seen < touchEvery {
+		return false
+	}
+	for _, l := range r.Lots.All() {
+		if l.Stage == table.LotOwned && l.Write != nil && now-l.Seen > 2*touchEvery {
+			return true
+		}
+	}
+	return false
+}
+
 func addresses(r *table.Rollout) []string {
 	var all []string
 	for host, p := range r.Peers.All() {
@@ -64,7 +79,7 @@
 	}
 	own := r.Peers.Find(r.Owner.Host)
 	there := own != nil && !own.Deleted && own.Address == r.Presence.Address
-	if there != r.Draining {
+	if there != r.Draining && (r.Draining || !mustShowLife(now, r, own)) {
 		return
 	}
 	if now < r.Presence.NextWrite {
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -105,7 +105,7 @@
 	for id, l := range r.Lots.All() {
 		lots[id] = lot.Stored{Head: l.Head, Version: l.Version}
 	}
-	out.Add(command.PublishLots{Lots: lots, Version: r.HeadsVersion})
+	out.Add(command.PublishLots{Lots: lots, Known: r.HeadsKnown, Version: r.HeadsVersion})
 	r.ViewChanged = false
 }
 
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -21,9 +21,10 @@
 	Servers Table[Server] // keyed by server id
 	Models  Table[Model]  // keyed by model name
 	Lots    Table[Lot]    // keyed by lot id
-	// HeadsVersion is the version of the store up to which all heads are known, 0
-	// before all were read.
+	// HeadsVersion is the version of the store up to which all heads are known. It may
+	// be 0; HeadsKnown is false before all were read.
 	HeadsVersion uint64
+	HeadsKnown   bool
 	Items        Table[Item]     // keyed by ItemKey; only items of own lots
 	Duty         Duty            // the right to give orders
 	Peers        Table[PeerHost] // keyed by host name, this host included
@@ -43,9 +44,11 @@
 
 // PeerHost is a host of the system by its row in the store.
 type PeerHost struct {
-	Address string
-	Version uint64
-	Deleted bool
+	Address  string
+	Lifetime string
+	Version  uint64
+	Seen     time.Duration // when Version last changed on our clock
+	Deleted  bool
 }
 
 // Presence is the state of this host's own row.
