Remove settings and fields that nothing uses

Cause: the adapter decoded bounds, limits and report fields that no decision reads.

Change: removed; an unknown kind of route is tested as not repeatable.

Result: tests of platform, forward, system/rollout and soak pass; no behaviour changes.

--- a/command/rollout.go
+++ b/command/rollout.go
@@ -87,7 +87,6 @@
 	Model      string
 	Version    registry.Version
 	Fence      uint64
-	Lifetime   int64
 	ValidUntil time.Duration
 }
 
--- a/desired/desired.go
+++ b/desired/desired.go
@@ -12,7 +12,7 @@
 // Kind says what may be repeated for a request of a route.
 type Kind string
 
-// Kinds of routes.
+// Kinds of routes. A kind that is not among them is treated as non-idempotent.
 const (
 	KindIdempotent    Kind = "idempotent"
 	KindNonIdempotent Kind = "non_idempotent"
@@ -20,11 +20,6 @@
 	KindRollout       Kind = "rollout"
 )
 
-// Known reports whether the kind is one that this program can serve.
-func (k Kind) Known() bool {
-	return k == KindIdempotent || k == KindNonIdempotent || k == KindStream || k == KindRollout
-}
-
 // State is a whole desired state.
 type State struct {
 	Version  uint64
@@ -58,10 +53,8 @@
 
 // Service is a set of interchangeable backend servers.
 type Service struct {
-	Name            string
-	HealthPath      string
-	ConnectionLimit int      // channels that one backend server accepts from all callers
-	Models          []string // models of an engine, empty for a plain service
+	Name   string
+	Models []string // models of an engine, empty for a plain service
 }
 
 // Limits bound what a caller may send.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -33,12 +33,9 @@
 
 // Report is what a model engine says of itself when asked.
 type Report struct {
-	Models   map[string]Version
-	Busy     bool // an order is being carried out
-	Orders   int  // number of orders accepted since the start
-	Running  int
-	Waiting  int
-	Lifetime int64
+	Models map[string]Version
+	Busy   bool // an order is being carried out
+	Orders int  // number of orders accepted since the start
 }
 
 // Order tells an engine to take a version of a model's weights. ExpectOrders is
--- a/system/rollout/weights.go
+++ b/system/rollout/weights.go
@@ -87,7 +87,7 @@
 		s.Order = table.Order{Model: model, Version: named, SentAt: now, Pending: true}
 		out.Add(command.SendOrder{
 			Target: target(s), Model: model, Version: named, Fence: r.Duty.Fence,
-			Lifetime: s.Lifetime, ValidUntil: r.Duty.ValidUntil,
+			ValidUntil: r.Duty.ValidUntil,
 		})
 	}
 }
