--- /dev/null
+++ b/forward/stream_test.go
@@ -0,0 +1,84 @@
+package forward_test
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/desired"
+	"github.com/lavenderstand/lavenderstand/forward"
+	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// streams opens streams of five events that break off after a number of them.
+type streams struct {
+	sender
+	breakAfter []int // by stream, 0 for a complete one
+	opened     []int // event after which each stream began
+}
+
+func (s *streams) OpenStream(_ context.Context, _ *forward.Target, _ *forward.Request, after int, _ time.Duration) (forward.Stream, error) {
+	n := len(s.opened)
+	s.opened = append(s.opened, after)
+	return &fakeStream{next: after + 1, left: s.breakAfter[n]}, nil
+}
+
+type fakeStream struct{ next, left int }
+
+func (f *fakeStream) Header() http.Header         { return http.Header{"Response-Stamp": {"s"}} }
+func (f *fakeStream) Version() registry.Version   { return 1 }
+func (f *fakeStream) Load() (registry.Load, bool) { return registry.Load{}, false }
+func (f *fakeStream) Close()                      {}
+func (f *fakeStream) Next() (forward.Event, error) {
+	if f.next > 5 {
+		return forward.Event{}, forward.ErrEnd
+	}
+	if f.left == 1 {
+		return forward.Event{}, lost()
+	}
+	f.left--
+	f.next++
+	return forward.Event{ID: f.next - 1, Raw: []byte(strconv.Itoa(f.next - 1))}, nil
+}
+
+type written struct {
+	begun  int
+	events string
+}
+
+func (w *written) Begin(http.Header)           { w.begun++ }
+func (w *written) Event(e forward.Event) error { w.events += string(e.Raw); return nil }
+
+func forwardStream(t *testing.T, resumable bool, breakAfter ...int) (*written, *streams, error) {
+	s := &streams{breakAfter: breakAfter}
+	f, _ := newForwarder(&s.sender, desired.KindStream)
+	f.Sender = s
+	f.Plans.Load().State.Routes[0].Resumable = resumable
+	w := &written{}
+	err := f.ForwardStream(context.Background(), request(), w)
+	return w, s, err
+}
+
+// TestBrokenStreamIsResumed guards against events that are missing or come twice after
+// a server broke off, and against a second start of the answer.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	w, s, err := forwardStream(t, true, 3, 2, 0)
+	require.NoError(t, err)
+	require.Equal(t, "12345", w.events)
+	require.Equal(t, 1, w.begun)
+	require.Equal(t, []int{0, 2, 3}, s.opened)
+}
+
+// TestStreamThatMayNotBeResumedEnds guards against a second run of a stream that may
+// run once.
+func TestStreamThatMayNotBeResumedEnds(t *testing.T) {
+	w, s, err := forwardStream(t, false, 3)
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+	require.Equal(t, "12", w.events)
+	require.Len(t, s.opened, 1)
+}
