--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -105,12 +105,10 @@
 // addServer starts a backend server and the renewal of its record.
 func (w *world) addServer(id, service string) {
 	s := &pamoja.Sampler{ID: id, Events: eventsPerItem, Gap: eventGap, Ran: w.ledger.ran, Fault: func(string) pamoja.SamplerFault { return w.serverFault(id) }}
-	w.versions[id] = 1
+	w.setVersion(id, 1)
 	s.SetWeights(func(string) int { w.mu.Lock(); defer w.mu.Unlock(); return w.versions[id] }, func(_ string, v int, fence uint64) {
 		w.ledger.ordered(id, fence)
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.versions[id] = v
+		w.setVersion(id, v)
 	})
 	server := httptest.NewServer(s)
 	w.t.Cleanup(server.CloseClientConnections)
@@ -128,6 +126,12 @@
 	}()
 }
 
+func (w *world) setVersion(id string, v int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.versions[id] = v
+}
+
 func (w *world) register(id, service, address string, sequence int) {
 	w.mu.Lock()
 	version, away := w.versions[id], w.silent[id]
