--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -54,7 +54,7 @@
 func (w *written) Begin(http.Header)           { w.begun++ }
 func (w *written) Event(e forward.Event) error { w.events += string(e.Raw); return nil }
 
-func forwardStream(t *testing.T, resumable bool, breakAfter ...int) (*written, *streams, error) {
+func forwardStream(resumable bool, breakAfter ...int) (*written, *streams, error) {
 	s := &streams{breakAfter: breakAfter}
 	f, _ := newForwarder(&s.sender, desired.KindStream)
 	f.Sender = s
@@ -67,7 +67,7 @@
 // TestBrokenStreamIsResumed guards against events that are missing or come twice after
 // a server broke off, and against a second start of the answer.
 func TestBrokenStreamIsResumed(t *testing.T) {
-	w, s, err := forwardStream(t, true, 3, 2, 0)
+	w, s, err := forwardStream(true, 3, 2, 0)
 	require.NoError(t, err)
 	require.Equal(t, "12345", w.events)
 	require.Equal(t, 1, w.begun)
@@ -77,7 +77,7 @@
 // TestStreamThatMayNotBeResumedEnds guards against a second run of a stream that may
 // run once.
 func TestStreamThatMayNotBeResumedEnds(t *testing.T) {
-	w, s, err := forwardStream(t, false, 3)
+	w, s, err := forwardStream(false, 3)
 	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
 	require.Equal(t, "12", w.events)
 	require.Len(t, s.opened, 1)
