lot: the head that was created first counts

A submission was accepted in place 0 by its fourth try while the third, in place 2, was still to apply; a head in a higher place counted more, so results that had been read were gone. Ruled out: a second host (all tries were of one host), lost answers (the conditions find those).

Change: the store's counter decides. A head carries the version of its creation, the lowest one counts, and a late creation always has a higher one. A host lists, runs and shows a lot only when it has read the feed up to the creation of its head, because an earlier head would be known by then. The first place is tried twice, so that a lost answer is found before another place is used. An adoption that lost to a newer head no longer stays in its stage for good.

TestLateCreationChangesNothing failed before: the head in place 2 was found instead of the listed one.

Tests replaced by ones as strict: TestCreationElsewhereNeedsCertainty and TestHeadInAHigherPlaceCounts pinned the old order of places; TestFirstCreationCounts (in lot and system/rollout) and TestUncertainLotWaits hold the same promise in the new one. TestCreationAvoidsPartsThatAreAway read a head while another place was unreadable, which is now uncertain; it asserts that and reads the head afterwards.

--- a/command/rollout.go
+++ b/command/rollout.go
@@ -12,13 +12,8 @@
 // PublishRouting replaces the plan that request goroutines route by.
 type PublishRouting struct{ Plan *forward.Plan }
 
-// PublishLots replaces the heads of all lots that readers see. Version is that of the
-// store up to which all heads are known; Known is false before all were read.
-type PublishLots struct {
-	Lots    map[string]lot.Stored
-	Known   bool
-	Version uint64
-}
+// PublishLots replaces the heads of all lots that readers see.
+type PublishLots struct{ Lots map[string]lot.Stored }
 
 // Runner is the process that should run the next lot of a model. It counts as alive
 // until Until, on the process's clock.
--- a/executor/store.go
+++ b/executor/store.go
@@ -46,7 +46,7 @@
 	if existing != nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonConflict, "the lot changed to version %d", existing.Version)
 	}
-	e.Version = stored.Version
+	e.Head, e.Version = stored.Head, stored.Version
 	if e.Submission, err = k.Body(ctx, c.Head); err != nil {
 		return err
 	}
--- a/front/service.go
+++ b/front/service.go
@@ -87,7 +87,7 @@
 		Accepted: time.Now().UnixMilli(), Write: s.write(),
 	}
 	begun := time.Now()
-	created, existing, err := s.Keeper.Create(ctx, sub, head, func(ctx context.Context) error { return s.unknown(ctx, sub.ID) })
+	created, existing, err := s.Keeper.Create(ctx, sub, head)
 	fields := []zap.Field{
 		zap.String("lot", sub.ID), zap.Int("items", len(sub.Items)), zap.String("model", sub.Model), zap.Int("step", sub.Step),
 		zap.Duration("took", time.Since(begun)), zap.String("runner", head.Owner.Host),
@@ -108,27 +108,6 @@
 	return s.Deliver(ctx, event.LotAccepted{Submission: sub, Head: created.Head, Version: created.Version})
 }
 
-// unknown returns nil if no host has created a lot so far. It asks the store for the
-// heads that were written after those that are known.
-func (s *Service) unknown(ctx context.Context, id string) error {
-	p := s.View.p.Load()
-	if _, ok := p.lots[id]; ok || !p.known {
-		return verdict.New(verdict.NotRun, verdict.ReasonStoreUnavailable, "it is not certain that lot %s is new", id)
-	}
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	newer, err := s.Keeper.Store.Changes(ctx, lot.TableCoordination, p.version, 0)
-	if err != nil {
-		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonStoreUnavailable, "it is not certain that lot %s is new", id)
-	}
-	for _, r := range newer.Rows {
-		if lot.HeadID(r.Name) == id {
-			return verdict.New(verdict.NotRun, verdict.ReasonStoreUnavailable, "lot %s was created by another host", id)
-		}
-	}
-	return nil
-}
-
 const (
 	// strongRunner is the part of this host's processor share that another host needs
 	// to be given a lot.
@@ -194,13 +173,26 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	stored, err := s.Keeper.Head(ctx, id)
+	stored, err := s.read(ctx, id, head, known)
 	if err != nil {
 		return lot.Stored{}, nil, s.unread(id, err)
 	}
 	return stored, changed, nil
 }
 
+// read reads the head of a lot from the store, in the place of the published head if
+// there is one.
+func (s *Service) read(ctx context.Context, id string, published lot.Stored, known bool) (lot.Stored, error) {
+	if !known {
+		return s.Keeper.Head(ctx, id)
+	}
+	stored, err := s.Keeper.HeadAt(ctx, id, published.Head.Place)
+	if err == nil && stored.Version == 0 {
+		err = verdict.New(verdict.NotRun, verdict.ReasonInternal, "the head of lot %s is gone", id)
+	}
+	return stored, err
+}
+
 func (s *Service) page(ctx context.Context, h *lot.Head, after int) (lot.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
--- a/front/view.go
+++ b/front/view.go
@@ -33,8 +33,6 @@
 
 type published struct {
 	lots    map[string]lot.Stored
-	known   bool // all heads up to version
-	version uint64
 	changed chan struct{} // closed by the next publication
 }
 
@@ -47,7 +45,7 @@
 
 // Publish replaces the state of all lots and wakes those that wait.
 func (v *View) Publish(c command.PublishLots) {
-	old := v.p.Swap(&published{lots: c.Lots, known: c.Known, version: c.Version, changed: make(chan struct{})})
+	old := v.p.Swap(&published{lots: c.Lots, changed: make(chan struct{})})
 	close(old.changed)
 }
 
--- a/lot/keeper.go
+++ b/lot/keeper.go
@@ -20,6 +20,9 @@
 	// outcome is unknown. The repetition is safe: the conditions let one copy apply.
 	commitTries = 4
 	commitPause = 40 * time.Millisecond
+	// createTries leaves each place of a head two tries while parts of the store do not
+	// answer: with a quarter of them away, one try in two reaches its parts.
+	createTries = 2 * places
 	// commitTimeout bounds one try, so that a silent channel is noticed while time for
 	// another try is left. It has room for a direct call and one through another host.
 	commitTimeout = 1100 * time.Millisecond
@@ -43,10 +46,12 @@
 }
 
 // Create stores a submission and its head and returns the head as stored. If the lot
-// exists, existing is its head and nothing is changed. While parts of the store do not
-// answer, a head of the lot may lie in one of them: the lot is then created in another
-// place only if unknown returns nil, which says that no host has created it so far.
-func (k *Keeper) Create(ctx context.Context, s *Submission, h Head, unknown func(context.Context) error) (created Stored, existing *Stored, err error) {
+// exists, existing is its head and nothing is changed.
+//
+// A try whose outcome is unknown may apply seconds later, and a part of the store that
+// does not answer may hold the lot already. A lot may therefore get a head in several
+// places. The head that was created first counts, see Head.Creation.
+func (k *Keeper) Create(ctx context.Context, s *Submission, h Head) (created Stored, existing *Stored, err error) {
 	data := encode(s)
 	h.InObjects = len(data) > MaxRowBytes
 	if h.InObjects {
@@ -58,13 +63,8 @@
 			}
 		}
 	}
-	return k.commit(ctx, h.ID, func(try int) (Head, store.Commit, error) {
-		if try > 0 {
-			if err := unknown(ctx); err != nil {
-				return Head{}, store.Commit{}, err
-			}
-		}
-		h.Place = try % places
+	return k.commit(ctx, h.ID, createTries, func(try int) (Head, store.Commit) {
+		h.Place = placeOf(try)
 		h.BodyPart = partName(h.ID, 0, try)
 		h.Segments = []Segment{{Part: h.BodyPart}}
 		c := store.Commit{Expect: noHeads(h.ID, h.Place, try)}
@@ -73,20 +73,38 @@
 			h.BodyRows = len(c.Put)
 		}
 		c.Put = append(c.Put, HeadRow(h))
-		return h, c, nil
+		return h, c
 	})
 }
 
+// placeOf returns the place of a try. The first place is tried twice before others: its
+// second try finds the head if only the answer of the first was lost.
+func placeOf(try int) int { return max(0, try-1) % places }
+
+// noHeads are the conditions of a creation. The first try finds a head in any place;
+// later ones do without the other places, which may be in parts that do not answer.
+func noHeads(id string, place, try int) []store.Expect {
+	if try > 0 {
+		return []store.Expect{{Key: HeadKey(id, place)}}
+	}
+	var expect []store.Expect
+	for p := range places {
+		expect = append(expect, store.Expect{Key: HeadKey(id, p)})
+	}
+	return expect
+}
+
 // Append commits a head and results after those that are listed, and returns the head
 // as stored. Version is that of the head's row; existing is another head that came
 // before.
 func (k *Keeper) Append(ctx context.Context, h Head, version uint64, results []Result, progress []Progress) (Stored, *Stored, error) {
 	segments := h.Segments
 	from := h.Listed - len(results)
-	return k.commit(ctx, h.ID, func(try int) (Head, store.Commit, error) {
+	h.Created = h.Creation(version)
+	return k.commit(ctx, h.ID, commitTries, func(try int) (Head, store.Commit) {
 		part, _ := segmentOf(segments, from)
 		if try > 0 && len(results) > 0 {
-			part = partName(h.ID, from, commitTries+try)
+			part = partName(h.ID, from, createTries+try)
 			h.Segments = append(slices.Clone(segments), Segment{From: from, Part: part})
 		}
 		c := store.Commit{
@@ -101,22 +119,18 @@
 				c.Put = append(c.Put, row)
 			}
 		}
-		return h, c, nil
+		return h, c
 	})
 }
 
 // commit sends a commit until its outcome is known. build returns it for each try: a
 // later try may use another part of the store, whose data then count only if that try
 // takes effect. If the head in the store has the same Write, one of the tries did.
-func (k *Keeper) commit(ctx context.Context, id string, build func(try int) (Head, store.Commit, error)) (stored Stored, existing *Stored, err error) {
+func (k *Keeper) commit(ctx context.Context, id string, tries int, build func(try int) (Head, store.Commit)) (stored Stored, existing *Stored, err error) {
 	unknown := false
 	var parts []string
-	for try := range commitTries {
-		h, c, stop := build(try)
-		if stop != nil {
-			err = errors.Join(err, stop)
-			break
-		}
+	for try := range tries {
+		h, c := build(try)
 		version, failure := k.try(ctx, c)
 		var conflict *store.Conflict
 		switch {
@@ -156,62 +170,59 @@
 	return k.Store.Commit(ctx, c)
 }
 
-// noHeads are the conditions of a creation: there is no head in this place and in
-// those that count more. A last try is content with this place, because the others may
-// be in parts that do not answer.
-func noHeads(id string, place, try int) []store.Expect {
-	last := places
-	if try >= places {
-		last = place + 1
-	}
-	var expect []store.Expect
-	for p := place; p < last; p++ {
-		expect = append(expect, store.Expect{Key: HeadKey(id, p)})
-	}
-	return expect
-}
-
 func (k *Keeper) conflict(c *store.Conflict, h Head) (Stored, *Stored, error) {
-	var row *store.Row
+	var first *Stored
 	for place := range places {
-		if r := c.Find(HeadKey(h.ID, place)); r != nil && r.Version != 0 && !r.Deleted {
-			row = r
+		row := c.Find(HeadKey(h.ID, place))
+		if row == nil || row.Version == 0 || row.Deleted {
+			continue
+		}
+		current, ok := ParseHead(*row)
+		if !ok {
+			return Stored{}, nil, verdict.New(verdict.NotRun, verdict.ReasonInternal, "the head of lot %s cannot be read", h.ID)
+		}
+		stored := Stored{Head: current, Version: row.Version}
+		if current.Write == h.Write {
+			return stored, nil, nil
+		}
+		if first == nil || stored.Creation() < first.Creation() {
+			first = &stored
 		}
 	}
-	if row == nil {
-		return Stored{}, &Stored{}, nil
-	}
-	current, ok := ParseHead(*row)
-	if !ok {
-		return Stored{}, nil, verdict.New(verdict.NotRun, verdict.ReasonInternal, "the head of lot %s cannot be read", h.ID)
-	}
-	stored := Stored{Head: current, Version: row.Version}
-	if current.Write == h.Write {
-		return stored, nil, nil
+	if first == nil {
+		first = &Stored{}
 	}
-	return Stored{}, &stored, nil
+	return Stored{}, first, nil
 }
 
 // Head reads the head of a lot. Its error has the reason unknown_lot if there is none
-// in any place; a place that cannot be read makes that uncertain.
+// in any place; a place that cannot be read makes the answer uncertain, because it may
+// hold the head that counts.
 func (k *Keeper) Head(ctx context.Context, id string) (Stored, error) {
 	heads := make([]Stored, places)
 	failures := make([]error, places)
 	var wg sync.WaitGroup
 	for place := range places {
-		wg.Go(func() { heads[place], failures[place] = k.headAt(ctx, id, place) })
+		wg.Go(func() { heads[place], failures[place] = k.HeadAt(ctx, id, place) })
 	}
 	wg.Wait()
-	for place := places - 1; place >= 0; place-- {
-		if failures[place] != nil || heads[place].Version != 0 {
-			return heads[place], failures[place]
+	var first Stored
+	for place, h := range heads {
+		if failures[place] != nil {
+			return Stored{}, failures[place]
+		}
+		if h.Version != 0 && (first.Version == 0 || h.Creation() < first.Creation()) {
+			first = h
 		}
 	}
-	return Stored{}, verdict.New(verdict.NotRun, verdict.ReasonUnknownLot, "lot %q does not exist", id)
+	if first.Version == 0 {
+		return Stored{}, verdict.New(verdict.NotRun, verdict.ReasonUnknownLot, "lot %q does not exist", id)
+	}
+	return first, nil
 }
 
-// headAt reads the head in one place, a zero Stored if there is none.
-func (k *Keeper) headAt(ctx context.Context, id string, place int) (Stored, error) {
+// HeadAt reads the head in one place, a zero Stored if there is none.
+func (k *Keeper) HeadAt(ctx context.Context, id string, place int) (Stored, error) {
 	key := HeadKey(id, place)
 	r, err := k.Store.Read(ctx, key.Table, key.Part, key.Name, 1)
 	if err != nil || len(r.Rows) == 0 || r.Rows[0].Key != key {
--- a/lot/lot.go
+++ b/lot/lot.go
@@ -95,9 +95,12 @@
 	BodyRows  int    `json:"body_rows"`
 	InObjects bool   `json:"in_objects,omitempty"` // the submission lies in objects, not in rows
 	// Place says in which of its possible parts the head lies. Heads of one lot in
-	// several places come from creations that raced with an outage of a part; the one
-	// in the highest place counts.
-	Place    int    `json:"place,omitempty"`
+	// several places come from creations whose outcome was unknown; the one that was
+	// created first counts.
+	Place int `json:"place,omitempty"`
+	// Created is the version of the row at its creation. It is 0 in a head that has not
+	// been changed since, see Creation.
+	Created  uint64 `json:"created,omitempty"`
 	BodyPart string `json:"body_part"`
 	// Segments say in which parts of the store the results lie, in the order of their
 	// positions. A part that does not answer is replaced by another one.
@@ -130,6 +133,20 @@
 // Open reports whether items of the lot still have to run.
 func (h *Head) Open() bool { return !h.Ended && h.Listed < h.Total }
 
+// Creation returns the version at which a head was created whose row has the given
+// version. Versions of the store only rise, so a creation that applies late comes after
+// all that is known, and who has read all changes up to a head's creation knows whether
+// it counts.
+func (h *Head) Creation(version uint64) uint64 {
+	if h.Created != 0 {
+		return h.Created
+	}
+	return version
+}
+
+// Creation returns the version at which the head was created.
+func (s *Stored) Creation() uint64 { return s.Head.Creation(s.Version) }
+
 // Age returns the time since the submission by the wall clock.
 func (h *Head) Age(now time.Time) time.Duration { return now.Sub(time.UnixMilli(h.Accepted)) }
 
--- a/standin/pamoja/rows.go
+++ b/standin/pamoja/rows.go
@@ -26,6 +26,7 @@
 	changed chan struct{} // closed by the next change
 
 	decide func(call Call) Outcome
+	late   []store.Commit // not yet carried out
 }
 
 // SetFault sets what decides the outcome of a call before it is carried out.
@@ -51,6 +52,7 @@
 	Refused            // nothing is done, and the answer says so
 	LostBefore         // nothing is done, and there is no answer
 	LostAfter          // the call is carried out, and there is no answer
+	Late               // there is no answer, and the call is carried out by ApplyLate
 )
 
 // NewRows returns an empty store.
@@ -62,15 +64,23 @@
 
 var _ store.Client = (*Rows)(nil)
 
-func (r *Rows) fault(c Call) (before, after error) {
+func (r *Rows) outcome(c Call) Outcome {
 	if r.decide == nil {
-		return nil, nil
+		return Served
 	}
+	return r.decide(c)
+}
+
+func (r *Rows) fault(c Call) (before, after error) { return errorsOf(r.outcome(c)) }
+
+// errorsOf returns the error of a call that is not carried out, and that of one whose
+// answer is lost afterwards.
+func errorsOf(o Outcome) (before, after error) {
 	lost := verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, "the answer was lost")
-	switch r.decide(c) {
+	switch o {
 	case Refused:
 		return verdict.New(verdict.NotRun, verdict.ReasonStoreUnavailable, "the store refused the call"), nil
-	case LostBefore:
+	case LostBefore, Late:
 		return lost, nil
 	case LostAfter:
 		return nil, lost
@@ -82,7 +92,11 @@
 func (r *Rows) Commit(_ context.Context, c store.Commit) (uint64, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before, after := r.fault(Call{Write: true, Parts: partsOf(c)})
+	outcome := r.outcome(Call{Write: true, Parts: partsOf(c)})
+	if outcome == Late {
+		r.late = append(r.late, c)
+	}
+	before, after := errorsOf(outcome)
 	if before != nil {
 		return 0, before
 	}
@@ -93,6 +107,16 @@
 	return version, err
 }
 
+// ApplyLate carries out the commits that were put off, if their conditions still hold.
+func (r *Rows) ApplyLate() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.late {
+		_, _ = r.apply(c) // nobody waits for the outcome
+	}
+	r.late = nil
+}
+
 func partsOf(c store.Commit) []string {
 	var parts []string
 	add := func(k store.Key) {
--- a/system/rollout/dispatch.go
+++ b/system/rollout/dispatch.go
@@ -80,7 +80,7 @@
 			out.WakeAt(item.NotBefore)
 			continue
 		}
-		if l := t.Rollout.Lots.Find(item.Lot); l != nil && l.Stage == table.LotOwned {
+		if l := t.Rollout.Lots.Find(item.Lot); l != nil && l.Stage == table.LotOwned && certain(&t.Rollout, l) {
 			waiting = append(waiting, waitingItem{key, item, l})
 		}
 	}
--- a/system/rollout/lots.go
+++ b/system/rollout/lots.go
@@ -67,8 +67,11 @@
 func own(now time.Duration, t *table.Tables, h lot.Head, version uint64, s *lot.Submission, results []lot.Result, progress []lot.Progress, out *command.Outbox) {
 	r := &t.Rollout
 	l, _ := r.Lots.Upsert(h.ID)
-	if h.Place < l.Head.Place || (h.Place == l.Head.Place && version < l.Version) {
-		return // a newer head has been read meanwhile
+	if l.Version != version && !counts(l, h, version) {
+		if l.Stage == table.LotAdopting {
+			l.Stage = table.LotForeign
+		}
+		return // a head that counts more has been read meanwhile
 	}
 	*l = table.Lot{
 		Head: h, Version: version, Seen: now, Stage: table.LotOwned, Submission: s, WroteAt: now,
@@ -93,6 +96,20 @@
 	logLot("lot owned", l, out, field("resumed_items", strconv.Itoa(len(progress))))
 }
 
+// counts reports whether a head replaces the known one of its lot: it is newer, or was
+// created before that in another place.
+func counts(l *table.Lot, h lot.Head, version uint64) bool {
+	known, read := l.Head.Creation(l.Version), h.Creation(version)
+	return l.Version == 0 || read < known || (read == known && version > l.Version)
+}
+
+// certain reports whether all heads of the lot that may count before this one are
+// known. Until then no result is listed and no item runs: they could belong to a lot
+// that another host accepted before.
+func certain(r *table.Rollout, l *table.Lot) bool {
+	return r.HeadsKnown && l.Head.Creation(l.Version) <= r.HeadsVersion
+}
+
 // newItem returns an item that continues from what is stored of it.
 func newItem(now time.Duration, id string, spec *lot.Item, p lot.Progress) table.Item {
 	item := table.Item{Lot: id, Spec: spec, Stage: table.ItemWaiting, Events: p.Events, Versions: p.Versions}
@@ -153,8 +170,8 @@
 	if created {
 		l.Stage = table.LotForeign
 	}
-	if h.Head.Place < l.Head.Place || (h.Head.Place == l.Head.Place && h.Version <= l.Version) {
-		return // known, or left behind by a creation in a place that counts less
+	if !counts(l, h.Head, h.Version) {
+		return // known, or left behind by a creation that came later
 	}
 	if l.Stage == table.LotOwned && l.Write != nil && l.Write.Head.Write == h.Head.Write {
 		return // the outcome of the write says so too
@@ -229,7 +246,7 @@
 		return
 	}
 	for id, l := range r.Lots.All() {
-		if l.Stage != table.LotForeign || !l.Head.Open() {
+		if l.Stage != table.LotForeign || !l.Head.Open() || !certain(r, l) {
 			continue
 		}
 		due := adoptionDue(r, id, l)
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -103,9 +103,11 @@
 	}
 	lots := make(map[string]lot.Stored, r.Lots.Len())
 	for id, l := range r.Lots.All() {
-		lots[id] = lot.Stored{Head: l.Head, Version: l.Version}
+		if certain(r, l) {
+			lots[id] = lot.Stored{Head: l.Head, Version: l.Version}
+		}
 	}
-	out.Add(command.PublishLots{Lots: lots, Known: r.HeadsKnown, Version: r.HeadsVersion})
+	out.Add(command.PublishLots{Lots: lots})
 	r.ViewChanged = false
 }
 
--- a/system/rollout/writes.go
+++ b/system/rollout/writes.go
@@ -28,7 +28,7 @@
 // lot has one write in flight; it is sent unchanged until its outcome is known.
 func Writes(now time.Duration, t *table.Tables, _ []event.Event, out *command.Outbox) {
 	for _, l := range t.Rollout.Lots.All() {
-		if l.Stage != table.LotOwned {
+		if l.Stage != table.LotOwned || !certain(&t.Rollout, l) {
 			continue
 		}
 		if l.Write == nil {
