Keep all hosts together within the store's rate; take turns

A trial site of 300 hosts shows why: each host read the store about ten times a second, together more than it serves; a refusal by rate counted as a lost store, so that each one led to five probes and two calls through other hosts, and a refused read of a table began again with its first part. The log had 2,782 lost feeds on 60 hosts. All hosts also tried to take a lease or a lot within the same 0.4 s.

Change: package pace divides the store's rate, which the settings state, by the number of known hosts; feeds keep that distance on average and vary it. A refusal by rate leaves the direct way in use unless half a second of calls in a row is refused, which is how a store turns one host away. A read in full goes on where it was refused. Hosts try to take a lot or the lease in turn, in an order that each works out.

--- a/cmd/lavender-host/decode.go
+++ b/cmd/lavender-host/decode.go
@@ -7,6 +7,7 @@
 
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/executor"
+	"github.com/lavenderstand/lavenderstand/pace"
 	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/registry"
 	"github.com/lavenderstand/lavenderstand/store"
@@ -14,9 +15,10 @@
 
 // feed follows a table of the store. After a failure, connections that may have
 // gone silent are not used again.
-func (h *host) feed(name, tableName string, parts []string, pause time.Duration, decode func([]store.Row, bool, uint64) []event.Event) *executor.Feed {
+func (h *host) feed(name, tableName string, parts []string, share float64, pause time.Duration, decode func([]store.Row, bool, uint64) []event.Event) *executor.Feed {
 	return &executor.Feed{
 		Name: name, Table: tableName, Parts: parts, Store: h.store, Decode: decode, Pause: pause, Wait: feedWait,
+		Pace:    func() time.Duration { return pace.Interval(h.settings.StoreReads, h.store.Hosts(), share) },
 		Deliver: h.inbox.Deliver, Broken: h.storeWeb.CloseIdleConnections,
 	}
 }
--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -23,6 +23,7 @@
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/front"
 	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/pace"
 	"github.com/lavenderstand/lavenderstand/peer"
 	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/presence"
@@ -227,6 +228,7 @@
 func (h *host) addControl(g *run.Group) {
 	tables := table.New(table.Self{Host: h.settings.Host, Zone: h.settings.Zone})
 	tables.Rollout.Owner, tables.Rollout.Zone, tables.Rollout.Lease = h.owner, h.settings.Zone, h.settings.Bounds.Lease
+	tables.Rollout.StoreReads = h.settings.StoreReads
 	tables.Rollout.Presence.Address = h.peerAddress()
 	loop := control.NewLoop(control.Options{
 		Tables: tables, Systems: rollout.Systems(), Inbox: h.inbox, Executor: h.pool,
@@ -236,13 +238,13 @@
 }
 
 func (h *host) addFeeds(g *run.Group) {
-	h.heads = h.feed("coordination", lot.TableCoordination, lot.Parts(), 50*time.Millisecond, executor.DecodeCoordination)
+	h.heads = h.feed("coordination", lot.TableCoordination, lot.Parts(), pace.Coordination, 50*time.Millisecond, executor.DecodeCoordination)
 	h.heads.Wait = headsWait
 	whole := []string{""} // these tables have one part
 	feeds := []*executor.Feed{
 		h.heads,
-		h.feed("operators", platform.TableOperators, whole, 0, h.decodeOperators),
-		h.feed("servers", platform.TableServers, whole, 250*time.Millisecond, decodeServers),
+		h.feed("operators", platform.TableOperators, whole, pace.Operators, 0, h.decodeOperators),
+		h.feed("servers", platform.TableServers, whole, pace.Servers, 250*time.Millisecond, decodeServers),
 	}
 	for _, f := range feeds {
 		g.Add(func() error { return f.Run(h.ctx) }, func(error) { h.cancel() })
--- a/executor/feed.go
+++ b/executor/feed.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/store"
+	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
 const (
@@ -19,6 +21,13 @@
 	// feedRetry doubles with each failure in a row up to maxFeedRetry.
 	feedRetry    = 80 * time.Millisecond
 	maxFeedRetry = 400 * time.Millisecond
+	// refusedFor is the time without a successful read after which a feed whose reads
+	// the store refuses by its rate counts as lost. A host that judges the silence of
+	// others needs younger knowledge.
+	refusedFor = time.Second
+	// paceSpread varies the time between reads, so that hosts which all learn of a change
+	// at the same moment do not ask again at the same moment.
+	paceSpread = 0.5
 )
 
 // Feed follows a table of the store from its full content on.
@@ -32,6 +41,8 @@
 	Decode func(rows []store.Row, full bool, version uint64) []event.Event
 	// Pause is the wait after each answer with changes, in which further ones gather.
 	Pause time.Duration
+	// Pace is the smallest mean time between two reads; nil does not limit them.
+	Pace func() time.Duration
 	// Wait is how long the store holds a read without changes. It is short, because a
 	// channel that went silent is noticed only by its time-out.
 	Wait    time.Duration
@@ -41,11 +52,19 @@
 
 	version uint64
 	known   bool
+	partial fullRead // of a read in full that was refused before its end
 	down    bool
 	begun   bool
 	fresh   atomic.Int64 // Unix nanoseconds before the newest successful read was sent
 }
 
+// fullRead is a table as far as it has been read in full.
+type fullRead struct {
+	rows    []store.Row
+	version uint64 // of the store when the first part was read
+	parts   int    // that have been read
+}
+
 // Age returns the time since the table was known to be current.
 func (f *Feed) Age() time.Duration { return time.Since(time.Unix(0, f.fresh.Load())) }
 
@@ -53,11 +72,14 @@
 func (f *Feed) Run(ctx context.Context) error {
 	retry := feedRetry
 	for ctx.Err() == nil {
-		sent := time.Now()
+		sent, parts := time.Now(), f.partial.parts
 		rows, full, err := f.read(ctx)
 		if err != nil {
 			f.failed(ctx, err)
-			wait(ctx, retry)
+			if f.partial.parts > parts {
+				retry = feedRetry
+			}
+			wait(ctx, spread(retry))
 			retry = min(maxFeedRetry, 2*retry)
 			continue
 		}
@@ -67,13 +89,29 @@
 			_ = f.Deliver(ctx, e) // fails only when the process ends
 		}
 		f.fresh.Store(sent.UnixNano())
-		if len(rows) > 0 && f.Pause > 0 {
-			wait(ctx, f.Pause)
-		}
+		f.pause(ctx, sent, len(rows) > 0)
 	}
 	return nil
 }
 
+// pause waits until the next read is due.
+func (f *Feed) pause(ctx context.Context, sent time.Time, changed bool) {
+	var due time.Duration
+	if changed {
+		due = f.Pause
+	}
+	if f.Pace != nil {
+		due = max(due, spread(f.Pace())-time.Since(sent))
+	}
+	if due > 0 {
+		wait(ctx, due)
+	}
+}
+
+func spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - paceSpread + 2*paceSpread*rand.Float64()))
+}
+
 // read returns the whole table first and after lost history, else changes.
 func (f *Feed) read(ctx context.Context) (rows []store.Row, full bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+feedSlack)
@@ -88,33 +126,47 @@
 		}
 		f.known = false
 	}
-	rows, version, err := f.readParts(ctx)
-	if err == nil {
-		f.known, f.version = true, version
+	if err := f.readParts(ctx); err != nil {
+		return nil, true, err
 	}
-	return rows, true, err
+	rows, f.version, f.known = f.partial.rows, f.partial.version, true
+	f.partial = fullRead{}
+	return rows, true, nil
 }
 
-// readParts reads all parts. Changes after the first part was read arrive by the feed.
-func (f *Feed) readParts(ctx context.Context) (rows []store.Row, version uint64, err error) {
-	for i, part := range f.Parts {
-		r, err := f.Store.Read(ctx, f.Table, part, "", 0)
+// readParts reads all parts. Changes after the first part was read arrive by the feed. A
+// part that the store refused by its rate is read again without those before it: when
+// many hosts start at once, none of them would come to the end otherwise.
+func (f *Feed) readParts(ctx context.Context) error {
+	p := &f.partial
+	for p.parts < len(f.Parts) {
+		r, err := f.Store.Read(ctx, f.Table, f.Parts[p.parts], "", 0)
 		if err != nil {
-			return nil, 0, err
+			if verdict.ReasonOf(err) != verdict.ReasonRateLimited {
+				f.partial = fullRead{}
+			}
+			return err
 		}
-		if i == 0 {
-			version = r.Version
+		if p.parts == 0 {
+			p.version = r.Version
 		}
-		rows = append(rows, r.Rows...)
+		p.rows = append(p.rows, r.Rows...)
+		p.parts++
 	}
-	return rows, version, nil
+	return nil
 }
 
 func (f *Feed) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	f.Broken()
+	if verdict.ReasonOf(err) == verdict.ReasonRateLimited {
+		if f.Age() < refusedFor {
+			return // the store works; the next read is later
+		}
+	} else {
+		f.Broken()
+	}
 	if !f.down {
 		f.down = true
 		_ = f.Deliver(ctx, event.FeedChanged{Table: f.Name, Down: true, Failure: event.FailureOf(err)})
--- a/executor/feed_test.go
+++ b/executor/feed_test.go
@@ -12,6 +12,7 @@
 	"github.com/lavenderstand/lavenderstand/lot"
 	"github.com/lavenderstand/lavenderstand/standin/pamoja"
 	"github.com/lavenderstand/lavenderstand/store"
+	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
 // follow runs a feed of the coordination table and returns its events.
@@ -86,3 +87,49 @@
 	rows.Compact()
 	rows.SetFault(nil)
 }
+
+// TestRefusedFullReadGoesOn guards against a host that never knows a table, because each
+// refusal by the store's rate makes it begin with the first part again (300 hosts that
+// started at once), and against one that counts the store as lost for a single refusal.
+func TestRefusedFullReadGoesOn(t *testing.T) {
+	rows := pamoja.NewRows()
+	putHead(t, rows, "a")
+	calls := 0
+	busy := &limited{Rows: rows, refuse: func() bool { calls++; return calls%2 != 0 }}
+	events := make(chan event.Event, 100)
+	f := &executor.Feed{
+		Name: "coordination", Table: lot.TableCoordination, Parts: lot.Parts(), Store: busy, Wait: 20 * time.Millisecond,
+		Decode: executor.DecodeCoordination, Broken: func() { t.Error("the store works") },
+		Deliver: func(_ context.Context, e event.Event) error { events <- e; return nil },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = f.Run(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	select {
+	case <-time.After(20 * time.Second):
+		t.Fatal("the table is not known")
+	case e := <-events:
+		for {
+			if read, ok := e.(event.HeadsRead); ok {
+				require.True(t, read.Full)
+				require.Len(t, read.Heads, 1)
+				return
+			}
+			e = <-events
+		}
+	}
+}
+
+// limited is a store that refuses reads by its rate.
+type limited struct {
+	*pamoja.Rows
+	refuse func() bool
+}
+
+func (l *limited) Read(ctx context.Context, table, part, from string, limit int) (store.Range, error) {
+	if l.refuse() {
+		return store.Range{}, verdict.New(verdict.NotRun, verdict.ReasonRateLimited, "busy")
+	}
+	return l.Rows.Read(ctx, table, part, from, limit)
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -31,6 +31,11 @@
 	pauseRelay = 300 * time.Millisecond
 	// peersPerCall is the number of other hosts that one call tries.
 	peersPerCall = 2
+	// refusedCalls and refusedFor are the calls in a row that the store refused by its
+	// rate, and their time, after which it counts as turning this host away. Under load
+	// from all hosts some calls get through.
+	refusedCalls = 4
+	refusedFor   = 500 * time.Millisecond
 )
 
 // Calls is the part of the store that can be relayed.
@@ -52,6 +57,7 @@
 	good    atomic.Pointer[string] // peer that answered last
 	down    atomic.Bool
 	pauseTo atomic.Int64 // Unix nanoseconds
+	refused refusals
 
 	mu       sync.Mutex // held during a probe, so that one probe serves all that wait
 	probedAt time.Time
@@ -61,6 +67,15 @@
 // SetPeers replaces the addresses of the other hosts.
 func (c *Client) SetPeers(addresses []string) { c.peers.Store(&addresses) }
 
+// Hosts returns the number of known hosts, this one included.
+func (c *Client) Hosts() int {
+	peers := c.peers.Load()
+	if peers == nil {
+		return 1
+	}
+	return 1 + len(*peers)
+}
+
 // Commit implements store.Client. It is safe to send a commit twice, because a second
 // copy does not meet its conditions.
 func (c *Client) Commit(ctx context.Context, commit store.Commit) (version uint64, err error) {
@@ -96,7 +111,11 @@
 	down := c.down.Load()
 	if !down {
 		err := try(ctx, directTimeout+wait, c.Client, do)
-		if answered(err) || ctx.Err() != nil || c.works(ctx) {
+		if rateLimited(err) {
+			if !c.refused.add(time.Now()) {
+				return err // more calls, through others too, would make it worse
+			}
+		} else if c.refused.clear(); answered(err) || ctx.Err() != nil || c.works(ctx) {
 			return err // the store serves this host, perhaps not this part of its data
 		}
 		c.lost(ctx, err)
@@ -122,6 +141,34 @@
 	return failures.err()
 }
 
+// refusals are the calls in a row that the store refused by its rate.
+type refusals struct {
+	mu    sync.Mutex
+	calls int
+	since time.Time
+}
+
+// add reports whether the store turns this host away.
+func (r *refusals) add(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.calls == 0 {
+		r.since = now
+	}
+	r.calls++
+	return r.calls >= refusedCalls && now.Sub(r.since) >= refusedFor
+}
+
+func (r *refusals) clear() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls = 0
+}
+
+func rateLimited(err error) bool {
+	return err != nil && verdict.ReasonOf(err) == verdict.ReasonRateLimited
+}
+
 // failures joins the errors of the tries of one call.
 type failures struct {
 	first   error
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -100,3 +100,46 @@
 	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
 	require.Equal(t, verdict.ReasonStoreUnavailable, verdict.ReasonOf(err))
 }
+
+// busyView is a store that refuses calls by its rate.
+type busyView struct {
+	*pamoja.Rows
+	busy func() bool
+}
+
+func (v *busyView) Read(ctx context.Context, table, part, from string, limit int) (store.Range, error) {
+	if v.busy() {
+		return store.Range{}, verdict.New(verdict.NotRun, verdict.ReasonRateLimited, "busy")
+	}
+	return v.Rows.Read(ctx, table, part, from, limit)
+}
+
+// TestRefusalByRateLeavesTheDirectWay guards against hosts that answer each refusal of a
+// store at its limit with further calls (a site of 300 hosts: one refusal led to five
+// probes and two calls through others), and against one that stays with a store which
+// refuses this host only.
+func TestRefusalByRateLeavesTheDirectWay(t *testing.T) {
+	rows := pamoja.NewRows()
+	calls, relayed := 0, 0
+	every := func() bool { calls++; return calls%3 != 0 }
+	peer := &hostView{Rows: rows, away: func(...string) bool { relayed++; return false }}
+	c := &relay.Client{
+		Client: &busyView{rows, every}, Changed: func(bool, error) {}, Dial: func(string) relay.Calls { return peer },
+		Probe: func(context.Context) error { calls += 5; return nil },
+	}
+	c.SetPeers([]string{"peer"})
+	begun := time.Now()
+	for tries := 0; time.Since(begun) < time.Second; tries++ {
+		_, _ = c.Read(context.Background(), "t", "", "", 1) // most are refused
+		require.LessOrEqual(t, calls, tries+1)
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.Zero(t, relayed)
+
+	c.Client = &busyView{rows, func() bool { return true }}
+	c.Probe = func(context.Context) error { return verdict.New(verdict.NotRun, verdict.ReasonRateLimited, "busy") }
+	require.Eventually(t, func() bool {
+		_, err := c.Read(context.Background(), "t", "", "", 1)
+		return err == nil && relayed > 0
+	}, 5*time.Second, 20*time.Millisecond)
+}
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -14,6 +14,7 @@
 	Store      string // address of the store
 	MilliCores int    // processor share in thousandths of a core
 	FirstStart bool
+	StoreReads float64 // reading calls per second that the store serves to all hosts, 0 if unknown
 	Bounds     Bounds
 }
 
--- a/system/rollout/duty.go
+++ b/system/rollout/duty.go
@@ -20,9 +20,10 @@
 	// dutyTakeAfter is the silence of a holder after which others take the lease.
 	// Orders of the new holder wait longer, see ordersFrom.
 	dutyTakeAfter = 2500 * time.Millisecond
-	// dutySpread is the largest additional wait; it differs by host.
-	dutySpread = 300 * time.Millisecond
-	dutyRetry  = 250 * time.Millisecond
+	// dutyFirst is the wait before a lease without a holder is taken: by then the hosts
+	// that start at the same time know of each other and of their turns.
+	dutyFirst = 250 * time.Millisecond
+	dutyRetry = 250 * time.Millisecond
 	// orderFlight is the time that an order may be under way after its holder's
 	// right to send it ended.
 	orderFlight = 300 * time.Millisecond
@@ -130,8 +131,11 @@
 
 func takeDuty(now time.Duration, r *table.Rollout, feed *table.Feed, out *command.Outbox) {
 	d := &r.Duty
-	due := max(d.Seen, feed.Since) + spread(r, "duty", dutySpread)
-	if d.Holder != (lot.Owner{}) && d.Holder.Host != r.Owner.Host {
+	due := max(d.Seen, feed.Since) + turn(r, "duty", turnStep)
+	switch {
+	case d.Holder == lot.Owner{}:
+		due += dutyFirst
+	case d.Holder.Host != r.Owner.Host:
 		due += dutyTakeAfter
 	}
 	due = max(due, d.NextWrite)
--- a/system/rollout/lots.go
+++ b/system/rollout/lots.go
@@ -11,6 +11,7 @@
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/pace"
 	"github.com/lavenderstand/lavenderstand/table"
 )
 
@@ -27,11 +28,12 @@
 	// adoptAfter is the silence of an owner after which others take a lot: two
 	// missed writes and the delay of the feed.
 	adoptAfter = 2300 * time.Millisecond
-	// adoptSpread is the largest additional wait; it differs by host and lot, so that
-	// one host tries first.
-	adoptSpread = 400 * time.Millisecond
-	// handoverSpread is the same after a planned hand-over.
-	handoverSpread = 60 * time.Millisecond
+	// turnStep is the additional wait of each host after the one before it in the order
+	// of those that may take a lot. By then the feed shows that one of them has.
+	turnStep = 50 * time.Millisecond
+	// handoverStep is the same after a planned hand-over, when all hosts before are known
+	// to live.
+	handoverStep = 8 * time.Millisecond
 	// weakHandover and weakAdopt are added to the waits of a host by what it lacks of
 	// a whole core, so that strong hosts take lots first.
 	weakHandover = 150 * time.Millisecond
@@ -249,11 +251,14 @@
 		if l.Stage != table.LotForeign || !l.Head.Open() || !certain(r, l) {
 			continue
 		}
-		due := adoptionDue(r, id, l)
+		wait, step := adoptionWait(r, l)
+		due := max(adoptionSeen(r, l)+wait, l.RetryAt)
 		if feed != nil {
-			due = max(due, feed.Since+adoptionWait(r, id, l))
+			due = max(due, feed.Since+wait)
+		}
+		if now >= due && step > 0 {
+			due += turn(r, id, step)
 		}
-		due = max(due, l.RetryAt)
 		if now < due {
 			out.WakeAt(due)
 			continue
@@ -267,30 +272,30 @@
 	}
 }
 
-// adoptionDue counts the silence of the owner from the last change of the head, or from
+// adoptionSeen counts the silence of the owner from the last change of the head, or from
 // the last sign of life of an owner that cannot write the head.
-func adoptionDue(r *table.Rollout, id string, l *table.Lot) time.Duration {
+func adoptionSeen(r *table.Rollout, l *table.Lot) time.Duration {
 	seen := l.Seen
 	if p := r.Peers.Find(l.Head.Owner.Host); p != nil && p.Lifetime == l.Head.Owner.Lifetime {
 		seen = max(seen, p.Seen)
 	}
-	return seen + adoptionWait(r, id, l)
+	return seen
 }
 
-// adoptionWait is how long a head must not have changed before this host takes
-// the lot.
-func adoptionWait(r *table.Rollout, id string, l *table.Lot) time.Duration {
+// adoptionWait is how long a head must not have changed before a host takes the lot, and
+// the step of the turns in which hosts then try, 0 if only this one may.
+func adoptionWait(r *table.Rollout, l *table.Lot) (wait, step time.Duration) {
 	switch {
 	case l.Head.Owner == r.Owner && strings.HasPrefix(l.Head.Write, writePrefix(r)):
-		return acceptWithin // this process stored it and has not heard of that yet
+		return acceptWithin, 0 // this process stored it and has not heard of that yet
 	case l.Head.Owner == r.Owner:
-		return 0 // another host accepted it and chose this one
+		return 0, 0 // another host accepted it and chose this one
 	case l.Head.Owner.Host == r.Owner.Host:
-		return 0 // an earlier lifetime of this process: it cannot be alive
+		return 0, 0 // an earlier lifetime of this process: it cannot be alive
 	case l.Head.Owner == lot.Owner{}:
-		return spread(r, id, handoverSpread) + lacking(r, weakHandover)
+		return lacking(r, weakHandover), handoverStep
 	default:
-		return adoptAfter + spread(r, id, adoptSpread) + lacking(r, weakAdopt)
+		return adoptAfter + lacking(r, weakAdopt), turnStep
 	}
 }
 
@@ -299,8 +304,18 @@
 	return most * time.Duration(max(0, 1000-r.Owner.Power)) / 1000
 }
 
-func spread(r *table.Rollout, id string, most time.Duration) time.Duration {
-	return time.Duration(xxhash.Sum64String(id+r.Owner.Host) % uint64(most))
+// turn is the wait of this host until those before it have had their turn to take a
+// thing. Without an order all hosts of a large deployment would try at the same time,
+// each with a write that cannot succeed.
+func turn(r *table.Rollout, id string, step time.Duration) time.Duration {
+	own := xxhash.Sum64String(id + r.Owner.Host)
+	before := 0
+	for host, p := range r.Peers.All() {
+		if host != r.Owner.Host && !p.Deleted && xxhash.Sum64String(id+host) < own {
+			before++
+		}
+	}
+	return time.Duration(before) * (step + pace.Interval(r.StoreReads, r.Peers.Len(), pace.Coordination))
 }
 
 // nextWrite returns a value that no other write has.
--- a/system/rollout/lots_test.go
+++ b/system/rollout/lots_test.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -96,7 +98,7 @@
 		h = w.changed(h.Head, h.Version, "touch")
 		require.Empty(t, find[command.AdoptLot](append(w.pass(time.Second), w.step(heads(h))...)))
 	}
-	adopt := find[command.AdoptLot](w.pass(adoptAfter + adoptSpread + weakAdopt))
+	adopt := find[command.AdoptLot](w.pass(adoptAfter + turnStep + weakAdopt))
 	require.Len(t, adopt, 1)
 	require.Equal(t, w.tables.Rollout.Owner, adopt[0].Head.Owner)
 	require.Equal(t, h.Version, adopt[0].Version)
@@ -111,6 +113,34 @@
 	require.Nil(t, w.tables.Rollout.Items.Find(table.ItemKey("l", "i0")), "a listed item does not run again")
 }
 
+// TestHostsTakeTurns guards against all hosts of a large deployment that try to take a lot
+// at the same moment (a site of 300 hosts: the store refused most calls).
+func TestHostsTakeTurns(t *testing.T) {
+	const hosts = 40
+	due := make([]time.Duration, 0, hosts)
+	for i := range hosts {
+		w := newWorld(t)
+		r := &w.tables.Rollout
+		r.StoreReads = 2000
+		r.Owner.Host = fmt.Sprintf("h%d", i)
+		for j := range hosts {
+			p, _ := r.Peers.Upsert(fmt.Sprintf("h%d", j))
+			p.Address = "x:1"
+		}
+		w.step(heads(w.head("l", lot.Owner{}, 0, 2)))
+		begun := w.now
+		for len(find[command.AdoptLot](w.step())) == 0 {
+			require.Less(t, w.now-begun, 10*time.Second)
+		}
+		due = append(due, w.now-begun)
+	}
+	slices.Sort(due)
+	require.Less(t, due[0], weakHandover+50*time.Millisecond, "the first one does not wait")
+	for i := range due[1:] {
+		require.Greater(t, due[i+1]-due[i], 30*time.Millisecond, "turn %d", i+1)
+	}
+}
+
 // TestOutageIsNoSilence guards against hosts that take each other's lots after an
 // outage of the store, in which no owner could be heard.
 func TestOutageIsNoSilence(t *testing.T) {
@@ -221,7 +251,7 @@
 
 	v := newWorld(t)
 	require.Len(t, find[command.AdoptLot](append(
-		v.step(heads(v.head("l", lot.Owner{}, 0, 1))), v.pass(handoverSpread+weakHandover)...)), 1, "another host takes it at once")
+		v.step(heads(v.head("l", lot.Owner{}, 0, 1))), v.pass(handoverStep+weakHandover)...)), 1, "another host takes it at once")
 }
 
 // TestOwnerOfALotInAPartThatIsAwayKeepsIt guards against a lot that is taken from its
@@ -256,7 +286,7 @@
 		sign := event.PresenceRead{Rows: []event.PresenceRow{{Host: other.Host, Address: "y:1", Lifetime: other.Lifetime, Version: v.version()}}}
 		require.Empty(t, find[command.AdoptLot](append(v.step(sign), v.pass(time.Second)...)))
 	}
-	require.NotEmpty(t, find[command.AdoptLot](v.pass(adoptAfter+adoptSpread+weakAdopt)))
+	require.NotEmpty(t, find[command.AdoptLot](v.pass(adoptAfter+turnStep+weakAdopt)))
 }
 
 // TestEmptyTableIsKnown guards against a host that read the heads when there were none
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -13,14 +13,17 @@
 // Rollout holds the entities of a host that serves callers and trainers on a
 // platform with a shared store.
 type Rollout struct {
-	Owner   lot.Owner // this process
-	Zone    string
-	Lease   time.Duration // smallest time between orders of two holders
-	Feeds   Table[Feed]   // keyed by table name of the store
-	Desired *desired.State
-	Servers Table[Server] // keyed by server id
-	Models  Table[Model]  // keyed by model name
-	Lots    Table[Lot]    // keyed by lot id
+	Owner lot.Owner // this process
+	Zone  string
+	Lease time.Duration // smallest time between orders of two holders
+	// StoreReads is the number of reading calls per second that the store serves to all
+	// hosts together.
+	StoreReads float64
+	Feeds      Table[Feed] // keyed by table name of the store
+	Desired    *desired.State
+	Servers    Table[Server] // keyed by server id
+	Models     Table[Model]  // keyed by model name
+	Lots       Table[Lot]    // keyed by lot id
 	// HeadsVersion is the version of the store up to which all heads are known. It may
 	// be 0; HeadsKnown is false before all were read.
 	HeadsVersion uint64
