front: bound the channels of callers by the desired state

Change: a timer for each channel follows the limits in force, for the first header and for idle channels.

--- a/cmd/lavender-host/serve.go
+++ b/cmd/lavender-host/serve.go
@@ -20,15 +20,17 @@
 
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/front"
 	"github.com/lavenderstand/lavenderstand/peer"
 	"github.com/lavenderstand/lavenderstand/peer/peerpb"
 	"github.com/lavenderstand/lavenderstand/platform"
 )
 
 const (
-	// idleTimeout keeps a caller's channel open for longer than callers reuse one.
-	idleTimeout   = 60 * time.Second
-	headerTimeout = 5 * time.Second
+	// checkIdle and checkHeader bound the channels of the balancer and of operators. Those
+	// of callers follow the desired state.
+	checkIdle   = 60 * time.Second
+	checkHeader = 5 * time.Second
 	// balancerDelay is the time after readiness was turned off in which new channels
 	// still arrive: the balancer asks each second and wants two misses.
 	balancerDelay = 3 * time.Second
@@ -39,25 +41,28 @@
 // addServers adds the front for callers and the readiness check.
 func (h *host) addServers(g *run.Group) error {
 	quiet := log.New(zap.NewStdLog(h.log).Writer(), "", 0)
-	frontServer := &http.Server{
-		Handler: platform.NewFront(h.service), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: quiet,
-	}
+	channels := &front.Channels{Limits: h.service.Limits}
+	frontServer := &http.Server{Handler: platform.NewFront(h.service), ConnState: channels.State, ErrorLog: quiet} //nolint:gosec // channels bounds the header
 	checks := http.NewServeMux()
 	checks.HandleFunc(platform.ReadinessPath, h.readiness)
-	checkServer := &http.Server{Handler: checks, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: quiet}
+	checkServer := &http.Server{Handler: checks, ReadHeaderTimeout: checkHeader, IdleTimeout: checkIdle, ErrorLog: quiet}
 	servers := []struct {
 		name, address string
 		server        *http.Server
+		wrap          func(net.Listener) net.Listener
 	}{
-		{"front", h.settings.Front, frontServer},
-		{"readiness", h.settings.Ready, checkServer},
-		{"metrics", h.metricsAddress(), &http.Server{Handler: h.operators(), ReadHeaderTimeout: headerTimeout, ErrorLog: quiet}},
+		{"front", h.settings.Front, frontServer, channels.Listen},
+		{"readiness", h.settings.Ready, checkServer, nil},
+		{"metrics", h.metricsAddress(), &http.Server{Handler: h.operators(), ReadHeaderTimeout: checkHeader, ErrorLog: quiet}, nil},
 	}
 	for _, s := range servers {
 		l, err := listen(s.name, s.address)
 		if err != nil {
 			return err
 		}
+		if s.wrap != nil {
+			l = s.wrap(l)
+		}
 		g.Add(func() error { return ignoreClosed(s.server.Serve(l)) }, func(error) { h.shutdown(s.server) })
 	}
 	return nil
--- a/desired/desired.go
+++ b/desired/desired.go
@@ -65,6 +65,21 @@
 	IdleTimeout   time.Duration
 }
 
+// HeaderFits reports whether a header is within the limit on its bytes. It counts names
+// and values only, so that a header at the limit is never refused.
+func (l Limits) HeaderFits(header map[string][]string) bool {
+	if l.HeaderBytes <= 0 {
+		return true
+	}
+	size := 0
+	for name, values := range header {
+		for _, v := range values {
+			size += len(name) + len(v)
+		}
+	}
+	return size <= l.HeaderBytes
+}
+
 // Match returns the route with the longest prefix of path, nil if there is none.
 // Prefixes end with a slash, so a prefix never splits a path segment.
 func (s *State) Match(host, path string) *Route {
--- /dev/null
+++ b/front/channels_test.go
@@ -0,0 +1,81 @@
+package front_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/desired"
+	"github.com/lavenderstand/lavenderstand/front"
+)
+
+// serveChannels starts a server whose limits may change.
+func serveChannels(t *testing.T, limits *atomic.Pointer[desired.Limits]) string {
+	c := &front.Channels{Limits: func() desired.Limits { return *limits.Load() }}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &http.Server{
+		Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { time.Sleep(150 * time.Millisecond) }),
+		ConnState: c.State, ReadHeaderTimeout: time.Minute,
+	}
+	go func() { _ = s.Serve(c.Listen(l)) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+func ask(t *testing.T, conn net.Conn) error {
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	return err
+}
+
+// TestIdleLimitFollowsTheDesiredState guards against a channel that is closed although
+// the operator has raised the idle limit, against one that is never closed, and against a
+// limit that cuts a request off.
+func TestIdleLimitFollowsTheDesiredState(t *testing.T) {
+	var limits atomic.Pointer[desired.Limits]
+	limits.Store(&desired.Limits{IdleTimeout: 100 * time.Millisecond, HeaderTimeout: time.Second})
+	address := serveChannels(t, &limits)
+	conn, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, ask(t, conn), "a request may take longer than the idle limit")
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF, "an idle channel is closed")
+
+	limits.Store(&desired.Limits{IdleTimeout: time.Minute, HeaderTimeout: time.Second})
+	kept, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	defer func() { _ = kept.Close() }()
+	require.NoError(t, ask(t, kept))
+	time.Sleep(300 * time.Millisecond)
+	require.NoError(t, ask(t, kept), "the new limit holds without a restart")
+}
+
+// TestSlowHeaderIsClosed guards against channels that are held open by callers who never
+// finish a header.
+func TestSlowHeaderIsClosed(t *testing.T) {
+	var limits atomic.Pointer[desired.Limits]
+	limits.Store(&desired.Limits{IdleTimeout: time.Minute, HeaderTimeout: 100 * time.Millisecond})
+	conn, err := net.Dial("tcp4", serveChannels(t, &limits))
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\n")
+	require.NoError(t, err)
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = conn.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the server closes the channel")
+}
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -19,6 +19,7 @@
 	ReasonUnknownClass      Reason = "unknown_class"
 	ReasonUnknownModel      Reason = "unknown_model"
 	ReasonBodyTooLarge      Reason = "body_too_large"
+	ReasonHeaderTooLarge    Reason = "header_too_large"
 	ReasonRateLimited       Reason = "rate_limited"
 	ReasonOverload          Reason = "overload"
 	ReasonNoBackend         Reason = "no_backend"
