front: deliver listed results while the store is away

A host whose feed had stopped refused even positions that it knew to be listed.

A reader is answered from there, from the store or from the owner of the lot, which answers reads of other hosts from its memory. What is known to be listed is served however old that knowledge is; only "nothing yet" needs a fresh head.

TestListedResultsOutliveTheStore failed before.

--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -132,7 +134,7 @@
 	}
 	web := transport.NewClientWith(transport.Options{DialTimeout: backendDial, IdleTimeout: backendIdle, KeepAlive: keepAlive, ResetOnClose: true})
 	h.backends = platform.NewBackends(web)
-	h.keeper = &lot.Keeper{Store: h.store}
+	h.keeper = &lot.Keeper{Store: h.store, Recent: new(lot.Recent)}
 	forwarder := &forward.Forwarder{
 		Plans: new(forward.Cell), Sender: h.backends, Log: h.log, Draw: rand.Float64, Count: h.count,
 		Report: func(o forward.Outcome) { h.inbox.Post(event.ServerOutcome{Outcome: o}) },
@@ -140,6 +142,7 @@
 	h.service = &front.Service{
 		Forwarder: forwarder, Keeper: h.keeper, View: front.NewView(), Owner: h.owner, Log: h.log, Now: h.clock.Now,
 		Deliver: h.inbox.Deliver, ViewAge: func() time.Duration { return h.heads.Age() },
+		Ask: func(address string) lot.Reader { return &peer.StoreClient{Dialer: h.dialer, Address: address} },
 	}
 }
 
@@ -211,7 +214,10 @@
 	control.Handle(h.pool, maxWrites, func(ctx context.Context, c command.AdoptLot) event.Event {
 		return executor.AdoptLot(ctx, h.keeper, c)
 	})
-	control.HandleNow(h.pool, func(c command.PublishPeers) { h.store.SetPeers(c.Addresses) })
+	control.HandleNow(h.pool, func(c command.PublishPeers) {
+		h.store.SetPeers(slices.Collect(maps.Values(c.Addresses)))
+		h.service.Hosts.Publish(c)
+	})
 	control.Handle(h.pool, 1, func(ctx context.Context, c command.WritePresence) event.Event {
 		rec := presence.Record{Address: h.peerAddress(), Lifetime: h.owner.Lifetime, Write: rand.Uint64()}
 		version, err := presence.Write(ctx, h.store, h.settings.Host, rec, c.Version, c.Remove)
--- a/command/rollout.go
+++ b/command/rollout.go
@@ -133,8 +133,8 @@
 	Remove  bool
 }
 
-// PublishPeers replaces the addresses of the other hosts.
-type PublishPeers struct{ Addresses []string }
+// PublishPeers replaces the addresses of the other hosts, by name.
+type PublishPeers struct{ Addresses map[string]string }
 
 // Name implements Command.
 func (WritePresence) Name() string { return "write_presence" }
--- a/front/service.go
+++ b/front/service.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +26,9 @@
 	acceptTimeout = 2500 * time.Millisecond
 	// readTimeout bounds a read of the store for a trainer, who asks again.
 	readTimeout = 1200 * time.Millisecond
+	// askTimeout bounds a question to another host, which answers from memory. It leaves
+	// time for the store when that host is gone.
+	askTimeout = 300 * time.Millisecond
 )
 
 // Service is the front of a host.
@@ -36,6 +41,8 @@
 	Owner   lot.Owner
 	Deliver func(context.Context, event.Event) error
 	ViewAge func() time.Duration // age of what control knows of lots
+	Hosts   Hosts
+	Ask     func(address string) lot.Reader // another host, for results that it keeps
 	Log     *zap.Logger
 
 	draining atomic.Bool
@@ -143,6 +150,10 @@
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
+		// What is listed stays listed, however old the knowledge of it is.
+		if known, ok, _ := s.View.lot(id); ok && known.Head.Listed > after {
+			return s.page(ctx, &known.Head, after)
+		}
 		stored, changed, err := s.head(ctx, id)
 		if err != nil {
 			return lot.Page{}, err
@@ -193,16 +204,36 @@
 	return stored, err
 }
 
+// page returns results that a head lists, from memory, from the store or from the owner
+// of the lot, who keeps what it listed.
 func (s *Service) page(ctx context.Context, h *lot.Head, after int) (lot.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	results, err := s.Keeper.Results(ctx, h, after)
+	ways := []func(context.Context, *lot.Head, int) ([]lot.Result, error){s.Keeper.Results, s.ownerResults}
+	if s.ViewAge() >= viewLife {
+		slices.Reverse(ways) // the store has not answered for a while
+	}
+	results, err := ways[0](ctx, h, after)
 	if err != nil {
-		return lot.Page{}, s.unread(h.ID, err)
+		var second error
+		if results, second = ways[1](ctx, h, after); second != nil {
+			return lot.Page{}, s.unread(h.ID, errors.Join(err, second))
+		}
 	}
 	return lot.Page{Total: h.Total, Results: results}, nil
 }
 
+// ownerResults asks the host that runs the lot.
+func (s *Service) ownerResults(ctx context.Context, h *lot.Head, after int) ([]lot.Result, error) {
+	address, ok := s.Hosts.address(h.Owner.Host)
+	if !ok || h.Owner.Host == s.Owner.Host {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonConnectFailed, "the owner of lot %s, %q, cannot be asked", h.ID, h.Owner.Host)
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return s.Keeper.ResultsOf(ctx, s.Ask(address), h, after)
+}
+
 // unread turns a failure to read into a refusal: nothing was changed, and the reader
 // may ask another host.
 func (s *Service) unread(id string, err error) error {
--- /dev/null
+++ b/front/service_test.go
@@ -0,0 +1,83 @@
+package front_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/forward"
+	"github.com/lavenderstand/lavenderstand/front"
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/standin/pamoja"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// listedLot stores a lot of three items with two results and returns its head.
+func listedLot(t *testing.T, k *lot.Keeper) lot.Stored {
+	ctx := context.Background()
+	s := &lot.Submission{ID: "l", Items: []lot.Item{{ID: "i0"}, {ID: "i1"}, {ID: "i2"}}}
+	created, _, err := k.Create(ctx, s, lot.Head{ID: "l", Total: 3, Owner: lot.Owner{Host: "owner"}, Write: "w"})
+	require.NoError(t, err)
+	h := created.Head
+	h.Listed, h.Write = 2, "r"
+	listed, _, err := k.Append(ctx, h, created.Version, []lot.Result{{Item: "i0", Text: "a"}, {Item: "i1", Text: "b"}}, nil)
+	require.NoError(t, err)
+	return listed
+}
+
+func reader(k *lot.Keeper, known lot.Stored, age *time.Duration) *front.Service {
+	s := &front.Service{
+		Forwarder: &forward.Forwarder{Count: func(string, verdict.Reason) {}}, Keeper: k, View: front.NewView(), Log: zap.NewNop(),
+		ViewAge: func() time.Duration { return *age },
+	}
+	s.View.Publish(command.PublishLots{Lots: map[string]lot.Stored{"l": known}})
+	return s
+}
+
+// TestListedResultsOutliveTheStore guards against results that a trainer cannot read
+// while the store, or the part of it that holds them, is away (own day part-outage: steps
+// were lost whose results had all been listed).
+func TestListedResultsOutliveTheStore(t *testing.T) {
+	rows := pamoja.NewRows()
+	owner := &lot.Keeper{Store: rows, Recent: new(lot.Recent)}
+	known := listedLot(t, owner)
+	rows.SetFault(func(pamoja.Call) pamoja.Outcome { return pamoja.LostBefore })
+	ctx := context.Background()
+	for _, age := range []time.Duration{0, time.Minute} {
+		at := age
+		page, err := reader(owner, known, &at).Results(ctx, "l", 1, 0)
+		require.NoError(t, err, "the owner has them in memory")
+		require.Equal(t, "b", page.Results[0].Text)
+
+		other := reader(&lot.Keeper{Store: rows, Recent: new(lot.Recent)}, known, &at)
+		_, err = other.Results(ctx, "l", 0, 0)
+		require.Error(t, err, "the owner is not known")
+		other.Hosts.Publish(command.PublishPeers{Addresses: map[string]string{"owner": "x:1"}})
+		other.Ask = func(string) lot.Reader { return owner.Recent.Serve(rows) }
+		page, err = other.Results(ctx, "l", 0, 0)
+		require.NoError(t, err, "the owner is asked")
+		require.Len(t, page.Results, 2)
+		require.Equal(t, 3, page.Total)
+	}
+}
+
+// TestOldKnowledgeSaysNothingNew guards against "no result yet" at a position that has
+// been listed and read elsewhere since this host last heard from the store.
+func TestOldKnowledgeSaysNothingNew(t *testing.T) {
+	rows := pamoja.NewRows()
+	k := &lot.Keeper{Store: rows, Recent: new(lot.Recent)}
+	known := listedLot(t, k)
+	rows.SetFault(func(pamoja.Call) pamoja.Outcome { return pamoja.LostBefore })
+	age := time.Duration(0)
+	s := reader(k, known, &age)
+	page, err := s.Results(context.Background(), "l", 2, 0)
+	require.NoError(t, err)
+	require.Empty(t, page.Results)
+	age = time.Minute
+	_, err = s.Results(context.Background(), "l", 2, 0)
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+}
--- a/front/view.go
+++ b/front/view.go
@@ -28,6 +28,24 @@
 	return runner, ok
 }
 
+// Hosts is the published knowledge of the other hosts.
+type Hosts struct {
+	p atomic.Pointer[map[string]string] // addresses by name
+}
+
+// Publish replaces what is known.
+func (h *Hosts) Publish(c command.PublishPeers) { h.p.Store(&c.Addresses) }
+
+// address returns where a host answers others.
+func (h *Hosts) address(host string) (string, bool) {
+	known := h.p.Load()
+	if known == nil {
+		return "", false
+	}
+	address, ok := (*known)[host]
+	return address, ok
+}
+
 // View is the published state of lots.
 type View struct{ p atomic.Pointer[published] }
 
--- a/lot/keeper.go
+++ b/lot/keeper.go
@@ -35,6 +35,8 @@
 // Keeper stores lots. Its methods may be called by many goroutines.
 type Keeper struct {
 	Store store.Client
+	// Recent keeps what this host has listed or read, nil to keep nothing.
+	Recent *Recent
 	// Pause is the wait between two tries of a commit, commitPause if it is 0.
 	Pause time.Duration
 }
@@ -101,7 +103,7 @@
 	segments := h.Segments
 	from := h.Listed - len(results)
 	h.Created = h.Creation(version)
-	return k.commit(ctx, h.ID, commitTries, func(try int) (Head, store.Commit) {
+	stored, existing, err := k.commit(ctx, h.ID, commitTries, func(try int) (Head, store.Commit) {
 		part, _ := segmentOf(segments, from)
 		if try > 0 && len(results) > 0 {
 			part = partName(h.ID, from, createTries+try)
@@ -121,6 +123,11 @@
 		}
 		return h, c
 	})
+	if err == nil && existing == nil && len(results) > 0 && k.Recent != nil {
+		part, _ := segmentOf(stored.Head.Segments, from)
+		k.Recent.add(part, from, results)
+	}
+	return stored, existing, err
 }
 
 // commit sends a commit until its outcome is known. build returns it for each try: a
@@ -288,11 +295,27 @@
 	return ParseBody(parts)
 }
 
-// Results reads a page of results from a position on, which the head must list. The
+// Reader is the part of a store that results are read from.
+type Reader interface {
+	Read(ctx context.Context, table, part, from string, limit int) (store.Range, error)
+}
+
+// Results returns a page of results from a position on, which the head must list. The
 // page is never empty: a store without the row does not hold what the head says.
 func (k *Keeper) Results(ctx context.Context, h *Head, from int) ([]Result, error) {
+	if k.Recent != nil {
+		part, end := segmentOf(h.Segments, from)
+		if results := k.Recent.page(part, from, min(end, h.Listed)); len(results) > 0 {
+			return results, nil
+		}
+	}
+	return k.ResultsOf(ctx, k.Store, h, from)
+}
+
+// ResultsOf reads a page of results from a store or from a host that keeps them.
+func (k *Keeper) ResultsOf(ctx context.Context, s Reader, h *Head, from int) ([]Result, error) {
 	part, end := segmentOf(h.Segments, from)
-	r, err := k.Store.Read(ctx, tableResults, part, PositionName(from), pageRows)
+	r, err := s.Read(ctx, tableResults, part, PositionName(from), pageRows)
 	if err != nil {
 		return nil, err
 	}
@@ -301,10 +324,17 @@
 		rows = slices.DeleteFunc(rows, func(row store.Row) bool { return row.Name >= last })
 	}
 	results, err := ParseResults(rows, from)
-	if err == nil && len(results) == 0 {
-		err = fmt.Errorf("part %q of the store holds no result at position %d of the %d that lot %s lists", part, from, h.Listed, h.ID)
+	if err != nil {
+		return nil, err
+	}
+	results = results[:min(len(results), max(0, h.Listed-from))]
+	if len(results) == 0 {
+		return nil, fmt.Errorf("part %q of the store holds no result at position %d of the %d that lot %s lists", part, from, h.Listed, h.ID)
+	}
+	if k.Recent != nil {
+		k.Recent.add(part, from, results)
 	}
-	return results, err
+	return results, nil
 }
 
 // Progress reads what is stored of the unfinished items of a lot.
--- a/system/rollout/presence.go
+++ b/system/rollout/presence.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"slices"
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/command"
@@ -61,14 +60,14 @@
 	return false
 }
 
-func addresses(r *table.Rollout) []string {
-	var all []string
+// addresses returns where the other hosts answer, by name.
+func addresses(r *table.Rollout) map[string]string {
+	all := make(map[string]string)
 	for host, p := range r.Peers.All() {
 		if host != r.Owner.Host && p.Address != "" {
-			all = append(all, p.Address)
+			all[host] = p.Address
 		}
 	}
-	slices.Sort(all)
 	return all
 }
 
