--- a/cmd/lavender-host/decode.go
+++ b/cmd/lavender-host/decode.go
@@ -18,7 +18,7 @@
 func (h *host) feed(name, tableName string, parts []string, share float64, pause time.Duration, decode func([]store.Row, bool, uint64) []event.Event) *executor.Feed {
 	return &executor.Feed{
 		Name: name, Table: tableName, Parts: parts, Store: h.store, Decode: decode, Pause: pause, Wait: feedWait,
-		Pace:    func() time.Duration { return pace.Interval(h.settings.StoreReads, h.store.Hosts(), share) },
+		Pace:    func() time.Duration { return pace.Interval(h.current().StoreReads, h.store.Hosts(), share) },
 		Deliver: h.inbox.Deliver, Broken: h.storeWeb.CloseIdleConnections,
 	}
 }
--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
@@ -61,7 +62,8 @@
 
 // host is the process with its parts.
 type host struct {
-	settings settings.Deployment
+	settings settings.Deployment                 // at the start of the process
+	changed  atomic.Pointer[settings.Deployment] // as read last, nil until then
 	owner    lot.Owner
 	ctx      context.Context
 	cancel   context.CancelFunc
--- a/cmd/lavender-host/serve.go
+++ b/cmd/lavender-host/serve.go
@@ -8,10 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -113,7 +110,7 @@
 
 // shutdown closes idle channels and waits for requests in flight.
 func (h *host) shutdown(s *http.Server) {
-	limit := h.settings.Bounds.Grace - balancerDelay - stopMargin
+	limit := h.current().Bounds.Grace - balancerDelay - stopMargin
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	if err := s.Shutdown(ctx); err != nil {
@@ -127,26 +124,6 @@
 	}
 }
 
-// addSignals ends the process after a planned stop and reads changed settings.
-func (h *host) addSignals(g *run.Group, path string) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	quit := make(chan struct{})
-	g.Add(func() error {
-		for {
-			select {
-			case <-quit:
-				return nil
-			case s := <-signals:
-				if s != syscall.SIGHUP {
-					return h.stop()
-				}
-				h.reload(path)
-			}
-		}
-	}, func(error) { close(quit) })
-}
-
 // stop refuses new lots, hands own ones over and keeps serving until the balancer
 // sends nothing more. The servers end afterwards, with what they still have.
 func (h *host) stop() error {
@@ -165,14 +142,3 @@
 	}
 	return nil
 }
-
-// reload reads the settings file again. Addresses stay as they are for the lifetime
-// of the process.
-func (h *host) reload(path string) {
-	d, err := platform.ReadSettings(path)
-	if err != nil {
-		h.log.Warn("changed settings not used", zap.Error(err))
-		return
-	}
-	h.log.Info("settings read again", zap.Bool("changed", d != h.settings))
-}
--- /dev/null
+++ b/cmd/lavender-host/signals.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/settings"
+)
+
+// settingsEvery is the period at which the settings file is looked at, because it may
+// change without a signal. A look costs one system call.
+const settingsEvery = 5 * time.Second
+
+// addSignals ends the process after a planned stop and reads changed settings.
+func (h *host) addSignals(g *run.Group, path string) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	quit := make(chan struct{})
+	g.Add(func() error {
+		look := time.NewTicker(settingsEvery)
+		defer look.Stop()
+		seen := modified(path)
+		for {
+			select {
+			case <-quit:
+				return nil
+			case <-look.C:
+				if at := modified(path); at != seen {
+					seen = at
+					h.reload(path)
+				}
+			case s := <-signals:
+				if s != syscall.SIGHUP {
+					return h.stop()
+				}
+				seen = modified(path)
+				h.reload(path)
+			}
+		}
+	}, func(error) { close(quit) })
+}
+
+// fileState tells whether a file was written since it was looked at last.
+type fileState struct {
+	at   time.Time
+	size int64
+}
+
+func modified(path string) fileState {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileState{} // it is read when it is back
+	}
+	return fileState{info.ModTime(), info.Size()}
+}
+
+// reload reads the settings file again. Times, rates and the address of the store change
+// at once; own addresses stay as they are for the lifetime of the process.
+func (h *host) reload(path string) {
+	d, err := platform.ReadSettings(path)
+	if err != nil {
+		h.log.Warn("changed settings not used", zap.Error(err))
+		return
+	}
+	old := h.current()
+	h.changed.Store(&d)
+	h.direct.SetAddress(d.Store)
+	h.log.Info("settings read again", zap.String("changed", strings.Join(old.Changes(d), ",")))
+	if err := h.inbox.Deliver(h.ctx, event.SettingsRead{Lease: d.Bounds.Lease, StoreReads: d.StoreReads}); err != nil {
+		h.log.Info("changed settings did not reach control", zap.Error(err))
+	}
+}
+
+// current returns the settings that were read last.
+func (h *host) current() settings.Deployment {
+	if d := h.changed.Load(); d != nil {
+		return *d
+	}
+	return h.settings
+}
--- /dev/null
+++ b/cmd/lavender-host/signals_test.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/platform"
+)
+
+const settingsText = `node=front-a-1
+zone=a
+ipAddress=127.0.0.1
+listen.front=127.0.0.1:1
+listen.ready=127.0.0.1:2
+internalPorts=3,4
+platform.address=127.0.0.1:5
+platform.readsPerS=2000
+bounds.graceS=8
+`
+
+// TestChangedSettingsAreUsed guards against settings that change without a signal and are
+// not noticed, and against a broken file that replaces good settings.
+func TestChangedSettingsAreUsed(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "local.conf")
+	write := func(text string) fileState {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		return modified(path)
+	}
+	before := write(settingsText)
+	d, err := platform.ReadSettings(path)
+	require.NoError(t, err)
+	h := newHost(d)
+	defer h.close()
+	changed := strings.ReplaceAll(settingsText, "graceS=8", "graceS=12") + "bounds.leaseMs=4000\n"
+	require.NotEqual(t, before, write(changed), "the change shows without reading the file")
+	h.reload(path)
+	require.Equal(t, 12*time.Second, h.current().Bounds.Grace)
+	require.Equal(t, 4*time.Second, h.current().Bounds.Lease)
+	write("node")
+	h.reload(path)
+	require.Equal(t, 12*time.Second, h.current().Bounds.Grace)
+	require.NoError(t, os.Remove(path))
+	require.Equal(t, fileState{}, modified(path))
+}
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -16,6 +16,13 @@
 	Failure *Failure
 }
 
+// SettingsRead holds the settings of the host that decisions depend on, after they were
+// read again.
+type SettingsRead struct {
+	Lease      time.Duration
+	StoreReads float64
+}
+
 // RowUnreadable is a row of this system that cannot be decoded, for example one of a
 // newer program.
 type RowUnreadable struct {
@@ -153,6 +160,9 @@
 // Name implements Event.
 func (RowUnreadable) Name() string { return "row_unreadable" }
 
+// Name implements Event.
+func (SettingsRead) Name() string { return "settings_read" }
+
 // Name implements Event.
 func (DesiredRead) Name() string { return "desired_read" }
 
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -1,6 +1,9 @@
 package settings
 
-import "time"
+import (
+	"reflect"
+	"time"
+)
 
 // Deployment is what a platform tells a host process about itself. It comes from
 // the platform's own settings file, which an adapter decodes.
@@ -23,3 +26,15 @@
 	Grace time.Duration // from the signal of a planned stop to the kill
 	Lease time.Duration // smallest time between orders of two holders
 }
+
+// Changes names the fields in which two deployments differ, in the order of the type.
+func (d Deployment) Changes(other Deployment) []string {
+	var names []string
+	a, b := reflect.ValueOf(d), reflect.ValueOf(other)
+	for i := range a.NumField() {
+		if !a.Field(i).Equal(b.Field(i)) {
+			names = append(names, a.Type().Field(i).Name)
+		}
+	}
+	return names
+}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -141,7 +141,7 @@
 		return
 	}
 	record := map[string]any{
-		"service": service, "address": address, "zone": "z", "slots": 4, "state": "ready", "sequence": sequence, "born": 1,
+		"service": service, "address": address, "zone": "z", "slots": 4, "state": "ready", "version": "v1", "coldRemainingMs": 0, "sequence": sequence, "born": 1,
 	}
 	if service == "engines" {
 		record["models"] = []map[string]any{{"name": "m", "version": version}}
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// Feeds notes which feeds of the store work. Silence of other processes says
+// Feeds notes which feeds of the store work, and settings of the host that changed. Silence of other processes says
 // nothing while the feed that would carry their writes is down.
 func Feeds(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
 	for _, e := range in {
@@ -48,6 +48,8 @@
 			row, _ := t.Rollout.Feeds.Upsert(e.Table)
 			row.Down, row.Since = e.Down, now
 			logFeed(e, out)
+		case event.SettingsRead:
+			t.Rollout.Lease, t.Rollout.StoreReads = e.Lease, e.StoreReads
 		case event.RowUnreadable:
 			out.Add(command.Count{Counter: "row_unreadable", Tags: map[string]string{"table": e.Table}, Delta: 1})
 			out.Add(command.LogChange{Message: "row of the store cannot be read", Fields: []command.Field{
--- a/system/rollout/servers_test.go
+++ b/system/rollout/servers_test.go
@@ -179,8 +179,9 @@
 	takes := find[command.WriteDuty](w.pass(time.Second))
 	require.Len(t, takes, 1)
 	require.EqualValues(t, 9, takes[0].Version)
+	w.step(event.SettingsRead{Lease: 4 * time.Second})
 	w.step(event.DutyWritten{SentAt: w.now, Version: 10, Take: true})
-	for w.now < seen+dutyValidFor+w.tables.Rollout.Lease {
+	for w.now < seen+dutyValidFor+4*time.Second {
 		for _, c := range w.step() {
 			require.NotEqual(t, "send_order", c.Name())
 			if c, ok := c.(command.WriteDuty); ok && !c.Take {
