Delete old lots from the store

Change: the holder of the lease for orders deletes a lot whose results are no longer promised, one at a time, its head last. The age is counted from the last change that the host saw, plus a minute. A lot that its trainer never ended is kept for an hour.

--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -225,6 +225,9 @@
 		version, err := presence.Write(ctx, h.store, h.settings.Host, rec, c.Version, c.Remove)
 		return event.PresenceWritten{Version: version, Failure: event.FailureOf(err)}
 	})
+	control.Handle(h.pool, 1, func(ctx context.Context, c command.DeleteLot) event.Event {
+		return executor.DeleteLot(ctx, h.keeper, c)
+	})
 	lease := &duty.Keeper{Store: h.store, Owner: h.owner, Now: h.clock.Now}
 	control.Handle(h.pool, 1, func(ctx context.Context, c command.WriteDuty) event.Event {
 		return executor.WriteDuty(ctx, lease, c)
@@ -236,7 +239,7 @@
 func (h *host) addControl(g *run.Group) {
 	tables := table.New(table.Self{Host: h.settings.Host, Zone: h.settings.Zone})
 	tables.Rollout.Owner, tables.Rollout.Zone, tables.Rollout.Lease = h.owner, h.settings.Zone, h.settings.Bounds.Lease
-	tables.Rollout.StoreReads = h.settings.StoreReads
+	tables.Rollout.StoreReads, tables.Rollout.Keep = h.settings.StoreReads, h.settings.Bounds.Keep
 	tables.Rollout.Presence.Address = h.peerAddress()
 	loop := control.NewLoop(control.Options{
 		Tables: tables, Systems: rollout.Systems(), Inbox: h.inbox, Executor: h.pool,
--- a/command/rollout.go
+++ b/command/rollout.go
@@ -133,6 +133,12 @@
 	Remove  bool
 }
 
+// DeleteLot removes an old lot from the store.
+type DeleteLot struct {
+	Head    lot.Head
+	Version uint64
+}
+
 // PublishPeers replaces the addresses of the other hosts, by name.
 type PublishPeers struct{ Addresses map[string]string }
 
@@ -142,6 +148,9 @@
 // Name implements Command.
 func (PublishPeers) Name() string { return "publish_peers" }
 
+// Name implements Command.
+func (DeleteLot) Name() string { return "delete_lot" }
+
 // AnswerView answers event.ViewAsked.
 type AnswerView struct {
 	RequestID string
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -21,6 +21,13 @@
 type SettingsRead struct {
 	Lease      time.Duration
 	StoreReads float64
+	Keep       time.Duration
+}
+
+// LotDeleted is the outcome of the deletion of an old lot.
+type LotDeleted struct {
+	ID      string
+	Failure *Failure
 }
 
 // RowUnreadable is a row of this system that cannot be decoded, for example one of a
@@ -163,6 +170,9 @@
 // Name implements Event.
 func (SettingsRead) Name() string { return "settings_read" }
 
+// Name implements Event.
+func (LotDeleted) Name() string { return "lot_deleted" }
+
 // Name implements Event.
 func (DesiredRead) Name() string { return "desired_read" }
 
--- a/executor/store.go
+++ b/executor/store.go
@@ -67,6 +67,17 @@
 	return err
 }
 
+// deleteTimeout bounds the deletion of one lot, a few reads and writes for each part.
+const deleteTimeout = 5 * time.Second
+
+// DeleteLot carries out command.DeleteLot.
+func DeleteLot(ctx context.Context, k *lot.Keeper, c command.DeleteLot) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, deleteTimeout)
+	defer cancel()
+	err := k.Delete(ctx, lot.Stored{Head: c.Head, Version: c.Version})
+	return event.LotDeleted{ID: c.Head.ID, Failure: event.FailureOf(err)}
+}
+
 // WriteDuty carries out command.WriteDuty.
 func WriteDuty(ctx context.Context, k *duty.Keeper, c command.WriteDuty) event.Event {
 	w, err := k.Write(ctx, c.Version, c.Release)
--- a/lot/keeper.go
+++ b/lot/keeper.go
@@ -30,6 +30,8 @@
 	endTries = 12
 	// pageRows bounds the rows of one page of results.
 	pageRows = 400
+	// deleteRows is the number of rows that one commit removes; the store allows 100.
+	deleteRows = 90
 )
 
 // Keeper stores lots. Its methods may be called by many goroutines.
@@ -269,6 +271,52 @@
 	return Stored{}, verdict.New(verdict.MayHaveRun, verdict.ReasonConflict, "lot %s changes too often to be ended", id)
 }
 
+// Delete removes a lot, its head last, so that a deletion that was interrupted can be
+// repeated. The head must have the given version.
+func (k *Keeper) Delete(ctx context.Context, s Stored) error {
+	h := &s.Head
+	if h.InObjects {
+		for i := range h.BodyRows {
+			if err := k.Store.DeleteObject(ctx, ObjectName(h.ID, i)); err != nil {
+				return err
+			}
+		}
+	}
+	parts := map[string][]string{tableBodies: {h.BodyPart}, tableProgress: {h.ID}}
+	for _, segment := range h.Segments {
+		parts[tableResults] = append(parts[tableResults], segment.Part)
+	}
+	for table, names := range parts {
+		for _, part := range names {
+			if err := k.deletePart(ctx, table, part); err != nil {
+				return err
+			}
+		}
+	}
+	head := HeadKey(h.ID, h.Place)
+	_, err := k.Store.Commit(ctx, store.Commit{
+		Expect: []store.Expect{{Key: head, Version: s.Version}}, Delete: []store.Key{head},
+	})
+	return err
+}
+
+// deletePart removes all rows of a part, which belongs to one lot.
+func (k *Keeper) deletePart(ctx context.Context, table, part string) error {
+	for {
+		r, err := k.Store.Read(ctx, table, part, "", deleteRows)
+		if err != nil || len(r.Rows) == 0 {
+			return err
+		}
+		var c store.Commit
+		for _, row := range r.Rows {
+			c.Delete = append(c.Delete, row.Key)
+		}
+		if _, err := k.Store.Commit(ctx, c); err != nil {
+			return err
+		}
+	}
+}
+
 // Body reads the submission of a lot.
 func (k *Keeper) Body(ctx context.Context, h Head) (*Submission, error) {
 	parts := make([][]byte, 0, h.BodyRows)
--- a/lot/keeper_test.go
+++ b/lot/keeper_test.go
@@ -317,3 +317,30 @@
 	require.Equal(t, verdict.NotRun, verdict.Of(err))
 	require.False(t, errors.Is(err, store.ErrNoObject))
 }
+
+// TestDeletedLotLeavesNothing guards against rows of old lots that fill the store, and
+// against the deletion of a lot that has changed meanwhile.
+func TestDeletedLotLeavesNothing(t *testing.T) {
+	rows := pamoja.NewRows()
+	k := &lot.Keeper{Store: rows}
+	ctx := context.Background()
+	for _, size := range []int{1, 400_000} {
+		s := submission(200)
+		s.Items[0].Body = []byte(strings.Repeat("x", size))
+		stored, _, err := k.Create(ctx, s, headOf(s, "w1"))
+		require.NoError(t, err)
+		h := stored.Head
+		h.Write, h.Listed = "r1", 50
+		results := make([]lot.Result, 50)
+		for i := range results {
+			results[i].Text = strings.Repeat("t", 5000)
+		}
+		listed, _, err := k.Append(ctx, h, stored.Version, results, []lot.Progress{{Item: "i60", Events: []string{"e"}}})
+		require.NoError(t, err)
+		require.Error(t, k.Delete(ctx, stored), "the head has changed")
+		require.NoError(t, k.Delete(ctx, listed))
+		require.Zero(t, rows.Len(), "rows and objects")
+		_, err = k.Head(ctx, lotID)
+		require.Equal(t, verdict.ReasonUnknownLot, verdict.ReasonOf(err))
+	}
+}
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -25,6 +25,7 @@
 type Bounds struct {
 	Grace time.Duration // from the signal of a planned stop to the kill
 	Lease time.Duration // smallest time between orders of two holders
+	Keep  time.Duration // from a submission on, for which its results can be read
 }
 
 // Changes names the fields in which two deployments differ, in the order of the type.
--- a/standin/pamoja/rows.go
+++ b/standin/pamoja/rows.go
@@ -221,6 +221,13 @@
 	return out, r.changed, nil
 }
 
+// Len returns the number of rows and objects.
+func (r *Rows) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.rows) + len(r.objects)
+}
+
 // Compact drops the history.
 func (r *Rows) Compact() {
 	r.mu.Lock()
--- /dev/null
+++ b/system/rollout/retention.go
@@ -0,0 +1,64 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+const (
+	// keepMargin is added to the time for which the deployment promises results, for
+	// readers that begin at its end.
+	keepMargin = time.Minute
+	// abandonedAfter is the time after which a lot that its trainer never ended counts as
+	// abandoned. Results of a lot that is not ended are promised without a limit; no
+	// trainer reads one for so long.
+	abandonedAfter = time.Hour
+	// deleteEvery is the time between two deletions: well below the time between lots.
+	deleteEvery = 200 * time.Millisecond
+)
+
+// Retention removes old lots from the store. The holder of the lease for orders does it,
+// so that hosts do not race; a race would do no harm. The age is counted from the last
+// change that this host has seen, so that a step of the wall clock cannot shorten it.
+func Retention(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+	r := &t.Rollout
+	for _, e := range in {
+		if d, ok := e.(event.LotDeleted); ok {
+			r.Deleting, r.NextDelete = false, now+deleteEvery
+			logDeleted(d, out)
+		}
+	}
+	if !r.Duty.Held || r.Draining || r.Deleting || r.Keep <= 0 {
+		return
+	}
+	for _, l := range r.Lots.All() {
+		keep := r.Keep + keepMargin
+		if !l.Head.Ended {
+			keep = max(keep, abandonedAfter)
+		}
+		if l.Stage != table.LotForeign || l.Head.Open() || !certain(r, l) || now-l.Seen < keep {
+			continue
+		}
+		if now < r.NextDelete {
+			out.WakeAt(r.NextDelete)
+			return
+		}
+		r.Deleting = true
+		out.Add(command.DeleteLot{Head: l.Head, Version: l.Version})
+		return
+	}
+}
+
+func logDeleted(d event.LotDeleted, out *command.Outbox) {
+	if d.Failure == nil {
+		out.Add(command.LogChange{Message: "old lot deleted", Fields: []command.Field{field("lot", d.ID)}})
+		return
+	}
+	out.Add(command.Count{Counter: "lot_not_deleted", Tags: map[string]string{"reason": string(d.Failure.Reason)}, Delta: 1})
+	out.Add(command.LogChange{Message: "old lot not deleted", Fields: []command.Field{
+		field("lot", d.ID), field("reason", string(d.Failure.Reason)), field("error", d.Failure.Message),
+	}})
+}
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -33,6 +33,7 @@
 		{Name: "writes", Run: Writes},
 		{Name: "duty", Run: Duty},
 		{Name: "weights", Run: Weights},
+		{Name: "retention", Run: Retention},
 		{Name: "runners", Run: Runners},
 		{Name: "publish", Run: Publish},
 		{Name: "view", Run: View},
@@ -49,7 +50,7 @@
 			row.Down, row.Since = e.Down, now
 			logFeed(e, out)
 		case event.SettingsRead:
-			t.Rollout.Lease, t.Rollout.StoreReads = e.Lease, e.StoreReads
+			t.Rollout.Lease, t.Rollout.StoreReads, t.Rollout.Keep = e.Lease, e.StoreReads, e.Keep
 		case event.RowUnreadable:
 			out.Add(command.Count{Counter: "row_unreadable", Tags: map[string]string{"table": e.Table}, Delta: 1})
 			out.Add(command.LogChange{Message: "row of the store cannot be read", Fields: []command.Field{
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -19,7 +19,11 @@
 	// StoreReads is the number of reading calls per second that the store serves to all
 	// hosts together.
 	StoreReads float64
-	Feeds      Table[Feed] // keyed by table name of the store
+	// Keep is the time after its submission for which the results of a lot are promised.
+	Keep       time.Duration
+	Deleting   bool          // the deletion of an old lot is under way
+	NextDelete time.Duration // none before
+	Feeds      Table[Feed]   // keyed by table name of the store
 	Desired    *desired.State
 	Servers    Table[Server] // keyed by server id
 	Models     Table[Model]  // keyed by model name
