--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -19,6 +19,7 @@
 bench ./handler '^Benchmark(Wire|WirePeer)$' 20x
 bench ./handler '^BenchmarkClient$' 200ms
 bench ./handler '^BenchmarkIdleConnection$' 5x
+bench ./platform '^Benchmark(Call|Stream)$' 2000x
 bench ./lease '^BenchmarkRenewal$' 200ms
 bench ./claim '^BenchmarkClaim$' 200ms
 bench ./configstore '^BenchmarkChange$' 200ms
