Store the texts of long items while they run

Texts of unfinished items were stored only at a planned hand-over.

Whoever takes the lot goes on from there. The texts lie in the lot's own part and are no condition of a write: a repeated write leaves them out, and a new owner that cannot read them begins the items again instead of failing to take the lot.

Earlier taking of lots was weighed and left: see docs/platform.md. TestLongItemsSurviveTheirOwner, TestLongRunReportsEachEventOnce and TestProgressIsNoCondition are new.

--- a/event/rollout.go
+++ b/event/rollout.go
@@ -102,7 +102,9 @@
 	Version    uint64
 	Results    []lot.Result
 	Progress   []lot.Progress
-	Failure    *Failure
+	// ProgressLost says why the stored progress could not be read; items begin again.
+	ProgressLost *Failure
+	Failure      *Failure
 }
 
 // LotWritten is the outcome of a commit of an owned lot. Current is the head in the
@@ -127,13 +129,21 @@
 // Name implements Event.
 func (RunBegan) Name() string { return "run_began" }
 
+// RunProgressed holds events of a run that goes on, after those reported before.
+type RunProgressed struct {
+	Key      string
+	Run      int
+	Events   []string
+	Versions []registry.Version // that made them
+}
+
 // RunEnded is the outcome of one run of an item at a backend server.
 type RunEnded struct {
 	Key      string
 	Run      int
 	Server   string
 	Model    string
-	Events   []string // data of the new events
+	Events   []string // data of the events after those reported before
 	Versions []registry.Version
 	Version  registry.Version // newest version that the server stated, 0 if none
 	Gap      time.Duration    // mean time between events, 0 if it was not measured
@@ -200,6 +210,9 @@
 // Name implements Event.
 func (LotWritten) Name() string { return "lot_written" }
 
+// Name implements Event.
+func (RunProgressed) Name() string { return "run_progressed" }
+
 // Name implements Event.
 func (RunEnded) Name() string { return "run_ended" }
 
--- a/executor/run.go
+++ b/executor/run.go
@@ -16,8 +16,13 @@
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
-// minMeasured is the number of events after which the pace of a run is judged.
-const minMeasured = 4
+const (
+	// minMeasured is the number of events after which the pace of a run is judged.
+	minMeasured = 4
+	// reportEvery is the time after which a run that goes on reports what it has
+	// received. Most items take less; what is reported survives the host.
+	reportEvery = time.Second
+)
 
 // Runs runs items at backend servers, one goroutine each.
 type Runs struct {
@@ -68,14 +73,20 @@
 
 // run is one run of an item with what it has received.
 type run struct {
-	c      command.StartRun
-	ended  event.RunEnded
-	first  time.Time // arrival of the first event
-	latest time.Time
+	c        command.StartRun
+	deliver  func(event.Event) error // fails only when the run ends
+	ended    event.RunEnded
+	received int       // events
+	first    time.Time // arrival of the first event
+	latest   time.Time
+	reported time.Time
 }
 
 func (r *Runs) run(ctx context.Context, c command.StartRun) event.RunEnded {
-	u := &run{c: c, ended: event.RunEnded{Key: c.Key, Run: c.Run, Server: c.Target.ID, Model: c.Model}}
+	u := &run{
+		c: c, ended: event.RunEnded{Key: c.Key, Run: c.Run, Server: c.Target.ID, Model: c.Model}, reported: time.Now(),
+		deliver: func(e event.Event) error { return r.Deliver(ctx, e) },
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// The watch ends the run when nothing arrives. It is the only other goroutine
@@ -91,7 +102,7 @@
 	if err == nil {
 		defer stream.Close()
 		u.ended.Version = stream.Version()
-		_ = r.Deliver(ctx, event.RunBegan{Server: c.Target.ID, Model: c.Model, Version: u.ended.Version}) // fails only when the run ends
+		_ = u.deliver(event.RunBegan{Server: c.Target.ID, Model: c.Model, Version: u.ended.Version}) // the outcome says it too
 		err = u.receive(stream, watch)
 	}
 	if err != nil && stalled.Load() {
@@ -142,24 +153,38 @@
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonTooOld, "event %d was made by version %d", e.ID, e.Version)
 	}
 	u.latest = time.Now()
-	if len(u.ended.Events) == 0 {
+	if u.received == 0 {
 		u.first = u.latest
 	}
+	u.received++
 	u.ended.Events = append(u.ended.Events, e.Data)
 	u.ended.Versions = lot.AddVersion(u.ended.Versions, e.Version)
 	if gap := u.gap(); u.c.SlowGap > 0 && gap > u.c.SlowGap {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonSlow, "server %s sends an event each %s", u.c.Target.ID, gap)
 	}
+	u.report()
 	return nil
 }
 
+// report hands what was received since the last report to control. If that fails, the run
+// has ended, and its outcome holds the events.
+func (u *run) report() {
+	if u.latest.Sub(u.reported) < reportEvery {
+		return
+	}
+	u.reported = u.latest
+	e := event.RunProgressed{Key: u.c.Key, Run: u.c.Run, Events: u.ended.Events, Versions: u.ended.Versions}
+	if u.deliver(e) == nil {
+		u.ended.Events, u.ended.Versions = nil, nil
+	}
+}
+
 // gap returns the mean time between events, 0 before enough of them.
 func (u *run) gap() time.Duration {
-	n := len(u.ended.Events)
-	if n < minMeasured {
+	if u.received < minMeasured {
 		return 0
 	}
-	return u.latest.Sub(u.first) / time.Duration(n-1)
+	return u.latest.Sub(u.first) / time.Duration(u.received-1)
 }
 
 func (u *run) measure() { u.ended.Gap = u.gap() }
--- a/executor/store.go
+++ b/executor/store.go
@@ -60,11 +60,11 @@
 		}
 		e.Results = append(e.Results, page...)
 	}
-	if !c.Head.Progress {
-		return nil
+	if c.Head.Progress {
+		e.Progress, err = k.Progress(ctx, &c.Head)
+		e.ProgressLost = event.FailureOf(err)
 	}
-	e.Progress, err = k.Progress(ctx, c.Head.ID)
-	return err
+	return nil
 }
 
 // deleteTimeout bounds the deletion of one lot, a few reads and writes for each part.
--- a/lot/keeper.go
+++ b/lot/keeper.go
@@ -118,10 +118,8 @@
 		for i, r := range results {
 			c.Put = append(c.Put, resultRows(part, from+i, r)...)
 		}
-		for _, p := range progress {
-			if row, ok := ProgressRow(h.ID, p); ok {
-				c.Put = append(c.Put, row)
-			}
+		if try == 0 { // later tries must not depend on one more part of the store
+			c.Put = append(c.Put, progressRows(h.BodyPart, progress)...)
 		}
 		return h, c
 	})
@@ -132,6 +130,16 @@
 	return stored, existing, err
 }
 
+func progressRows(part string, progress []Progress) []store.Row {
+	var rows []store.Row
+	for _, p := range progress {
+		if row, ok := progressRow(part, p); ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
 // commit sends a commit until its outcome is known. build returns it for each try: a
 // later try may use another part of the store, whose data then count only if that try
 // takes effect. If the head in the store has the same Write, one of the tries did.
@@ -282,7 +290,7 @@
 			}
 		}
 	}
-	parts := map[string][]string{tableBodies: {h.BodyPart}, tableProgress: {h.ID}}
+	parts := map[string][]string{tableBodies: {h.BodyPart}, tableProgress: {h.BodyPart}}
 	for _, segment := range h.Segments {
 		parts[tableResults] = append(parts[tableResults], segment.Part)
 	}
@@ -386,8 +394,8 @@
 }
 
 // Progress reads what is stored of the unfinished items of a lot.
-func (k *Keeper) Progress(ctx context.Context, id string) ([]Progress, error) {
-	r, err := k.Store.Read(ctx, tableProgress, id, "", 0)
+func (k *Keeper) Progress(ctx context.Context, h *Head) ([]Progress, error) {
+	r, err := k.Store.Read(ctx, tableProgress, h.BodyPart, "", 0)
 	if err != nil {
 		return nil, err
 	}
--- a/lot/keeper_test.go
+++ b/lot/keeper_test.go
@@ -344,3 +344,34 @@
 		require.Equal(t, verdict.ReasonUnknownLot, verdict.ReasonOf(err))
 	}
 }
+
+// TestProgressIsNoCondition guards against results that are not listed because the part
+// of the store that holds unfinished texts is away.
+func TestProgressIsNoCondition(t *testing.T) {
+	rows := pamoja.NewRows()
+	k := &lot.Keeper{Store: rows}
+	ctx := context.Background()
+	stored, _, err := k.Create(ctx, submission(2), headOf(submission(2), "w1"))
+	require.NoError(t, err)
+	h := stored.Head
+	h.Write, h.Progress = "p1", true
+	texts := []lot.Progress{{Item: "i1", Events: []string{"a"}, Versions: nil}}
+	stored, _, err = k.Append(ctx, h, stored.Version, nil, texts)
+	require.NoError(t, err)
+	read, err := k.Progress(ctx, &stored.Head)
+	require.NoError(t, err)
+	require.Equal(t, texts, read)
+
+	rows.SetFault(func(c pamoja.Call) pamoja.Outcome {
+		if slices.Contains(c.Parts, stored.Head.BodyPart) {
+			return pamoja.LostBefore
+		}
+		return pamoja.Served
+	})
+	h = stored.Head
+	h.Write, h.Listed = "r1", 1
+	listed, existing, err := k.Append(ctx, h, stored.Version, []lot.Result{{Item: "i0"}}, texts)
+	require.NoError(t, err)
+	require.Nil(t, existing)
+	require.Equal(t, 1, listed.Head.Listed)
+}
--- a/lot/rows.go
+++ b/lot/rows.go
@@ -144,10 +144,10 @@
 	return max(n, 1), data
 }
 
-// ProgressRow encodes the progress of an item, ok is false if it is too large.
-func ProgressRow(id string, p Progress) (row store.Row, ok bool) {
+// progressRow encodes the progress of an item, ok is false if it is too large.
+func progressRow(part string, p Progress) (row store.Row, ok bool) {
 	data := encode(p)
-	key := store.Key{Table: tableProgress, Part: id, Name: p.Item}
+	key := store.Key{Table: tableProgress, Part: part, Name: p.Item}
 	return store.Row{Key: key, Value: data}, len(data) <= chunkBytes
 }
 
--- a/system/rollout/dispatch.go
+++ b/system/rollout/dispatch.go
@@ -107,7 +107,7 @@
 		return
 	}
 	if route.SingleVersion && len(w.item.Versions) > 0 && s.Models[w.lot.Head.Model] != w.item.Versions[0] {
-		w.item.Events, w.item.Versions = nil, nil
+		w.item.Events, w.item.Versions, w.item.Stored = nil, nil, 0
 	}
 	w.item.Stage, w.item.Server = table.ItemRunning, s.ID
 	r.Runs++
--- a/system/rollout/lots.go
+++ b/system/rollout/lots.go
@@ -77,7 +77,7 @@
 	}
 	*l = table.Lot{
 		Head: h, Version: version, Seen: now, Stage: table.LotOwned, Submission: s, WroteAt: now,
-		AcceptedAt: now, Listed: make(map[string]bool, len(results)),
+		AcceptedAt: now, ProgressAt: now, Listed: make(map[string]bool, len(results)),
 	}
 	for _, res := range results {
 		l.Listed[res.Item] = true
@@ -114,7 +114,7 @@
 
 // newItem returns an item that continues from what is stored of it.
 func newItem(now time.Duration, id string, spec *lot.Item, p lot.Progress) table.Item {
-	item := table.Item{Lot: id, Spec: spec, Stage: table.ItemWaiting, Events: p.Events, Versions: p.Versions}
+	item := table.Item{Lot: id, Spec: spec, Stage: table.ItemWaiting, Events: p.Events, Versions: p.Versions, Stored: len(p.Events)}
 	if p.Complete && spec.Scorer != nil {
 		item.Stage, item.NotBefore = table.ItemScoring, now
 	}
@@ -126,6 +126,9 @@
 	if l == nil || l.Stage != table.LotAdopting {
 		return
 	}
+	if e.ProgressLost != nil {
+		logLot("progress of lot not read", l, out, field("reason", string(e.ProgressLost.Reason)), field("error", e.ProgressLost.Message))
+	}
 	if e.Failure == nil {
 		own(now, t, e.Head, e.Version, e.Submission, e.Results, e.Progress, out)
 		return
--- a/system/rollout/lots_test.go
+++ b/system/rollout/lots_test.go
@@ -11,6 +11,7 @@
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/registry"
 	"github.com/lavenderstand/lavenderstand/table"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
@@ -254,6 +255,38 @@
 		v.step(heads(v.head("l", lot.Owner{}, 0, 1))), v.pass(handoverStep+weakHandover)...)), 1, "another host takes it at once")
 }
 
+// TestLongItemsSurviveTheirOwner guards against an item of several seconds that begins
+// again when the owner of its lot is lost (trouble-3 of the grown Pamoja site: a step was
+// 3 s late), and against texts that are written again and again.
+func TestLongItemsSurviveTheirOwner(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil))
+	run := find[command.StartRun](w.accept(submission(1)))[0]
+	progressed := func(events ...string) event.Event {
+		return event.RunProgressed{Key: run.Key, Run: run.Run, Events: events, Versions: []registry.Version{1}}
+	}
+	stored := func() []lot.Progress {
+		var all []lot.Progress
+		for range 300 {
+			for _, c := range find[command.WriteLot](w.step()) {
+				all = append(all, c.Progress...)
+				require.True(t, len(c.Progress) == 0 || c.Head.Progress)
+				w.step(w.written(c))
+			}
+		}
+		return all
+	}
+	w.step(progressed("a", "b"))
+	require.Equal(t, []lot.Progress{{Item: "i0", Events: []string{"a", "b"}, Versions: []registry.Version{1}}}, stored())
+	require.Empty(t, stored(), "nothing new")
+	w.step(progressed("c"))
+	require.Equal(t, []string{"a", "b", "c"}, stored()[0].Events)
+	w.step(event.RunProgressed{Key: run.Key, Run: run.Run + 1, Events: []string{"x"}})
+	next := find[command.ScoreItem](w.step(ended(run, "d")))
+	require.Empty(t, next)
+	require.Equal(t, "a\nb\nc\nd", w.tables.Rollout.Lots.Find("l").Pending[0].Text)
+}
+
 // TestOwnerOfALotInAPartThatIsAwayKeepsIt guards against a lot that is taken from its
 // living owner, with all results that wait, when the part of the store that holds its
 // head comes back (scale-2 of the grown Pamoja site: 155 results were made again).
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -33,6 +33,8 @@
 		switch e := e.(type) {
 		case event.RunBegan:
 			runBegan(t, e)
+		case event.RunProgressed:
+			runProgressed(t, e)
 		case event.RunEnded:
 			runEnded(now, t, e, out)
 		}
@@ -50,6 +52,22 @@
 	}
 }
 
+// runProgressed keeps what a run has generated so far, so that it can be stored.
+func runProgressed(t *table.Tables, e event.RunProgressed) {
+	item := t.Rollout.Items.Find(e.Key)
+	if item == nil || item.Stage != table.ItemRunning || item.Run != e.Run {
+		return // the lot ended or went to another owner
+	}
+	addEvents(item, e.Events, e.Versions)
+}
+
+func addEvents(item *table.Item, events []string, versions []registry.Version) {
+	item.Events = append(item.Events, events...)
+	for _, v := range versions {
+		item.Versions = lot.AddVersion(item.Versions, v)
+	}
+}
+
 func runEnded(now time.Duration, t *table.Tables, e event.RunEnded, out *command.Outbox) {
 	r := &t.Rollout
 	s := r.Servers.Find(e.Server)
@@ -62,10 +80,7 @@
 	}
 	release(t, item)
 	item.Stage = table.ItemWaiting
-	item.Events = append(item.Events, e.Events...)
-	for _, v := range e.Versions {
-		item.Versions = lot.AddVersion(item.Versions, v)
-	}
+	addEvents(item, e.Events, e.Versions)
 	logRun(item, e, out)
 	if e.Failure != nil {
 		failedRun(now, t, item, e, out)
@@ -166,7 +181,7 @@
 	route := itemRoute(t, item)
 	if route != nil && route.SingleVersion && len(item.Versions) > 1 {
 		out.Add(command.Count{Counter: "items_mixed_versions", Delta: 1})
-		item.Events, item.Versions = nil, nil
+		item.Events, item.Versions, item.Stored = nil, nil, 0
 		return
 	}
 	if item.Spec.Scorer == nil {
--- a/system/rollout/world_test.go
+++ b/system/rollout/world_test.go
@@ -113,7 +113,9 @@
 
 // written answers a WriteLot as the store does.
 func (w *world) written(c command.WriteLot) event.Event {
-	return event.LotWritten{ID: c.Head.ID, Write: c.Head.Write, Head: c.Head, Version: w.version()}
+	h := c.Head
+	h.Created = h.Creation(c.Version)
+	return event.LotWritten{ID: h.ID, Write: h.Write, Head: h, Version: w.version()}
 }
 
 // ended is the outcome of a run without a failure.
--- a/system/rollout/writes.go
+++ b/system/rollout/writes.go
@@ -20,6 +20,9 @@
 	// maxProgress and maxProgressBytes bound the unfinished texts beside them.
 	maxProgress      = 30
 	maxProgressBytes = 200_000
+	// progressEvery is the time between two writes with the texts of unfinished items.
+	// After the loss of the owner an item goes on from there.
+	progressEvery = time.Second
 	// writeRetry is the wait before a write whose outcome is unknown is sent again.
 	writeRetry = 120 * time.Millisecond
 )
@@ -32,7 +35,7 @@
 			continue
 		}
 		if l.Write == nil {
-			beginWrite(now, &t.Rollout, l, out)
+			beginWrite(now, t, l, out)
 		}
 		if l.Write != nil && !l.Write.InFlight {
 			sendWrite(now, t, l, out)
@@ -40,7 +43,7 @@
 	}
 }
 
-func beginWrite(now time.Duration, r *table.Rollout, l *table.Lot, out *command.Outbox) {
+func beginWrite(now time.Duration, t *table.Tables, l *table.Lot, out *command.Outbox) {
 	due := l.WroteAt + touchEvery
 	if len(l.Pending) > 0 {
 		due = min(due, l.PendingAt+gatherFor)
@@ -52,8 +55,12 @@
 	n := fitting(l.Pending)
 	h := l.Head
 	h.Listed += n
-	h.Write = nextWrite(r)
+	h.Write = nextWrite(&t.Rollout)
 	l.Write = &table.LotWrite{Head: h, Results: l.Pending[:n:n]}
+	if now-l.ProgressAt >= progressEvery {
+		l.ProgressAt = now
+		addProgress(l.Write, progress(t, l))
+	}
 	l.Pending = l.Pending[n:]
 	l.RetryAt = now
 }
@@ -76,13 +83,15 @@
 		return
 	}
 	l.Write.InFlight, l.WroteAt = true, now
-	c := command.WriteLot{Head: l.Write.Head, Version: l.Version, Results: l.Write.Results}
 	if l.Write.Release {
-		c.Progress = progress(t, l)
-		c.Head.Progress = c.Head.Progress || len(c.Progress) > 0
-		l.Write.Head.Progress = c.Head.Progress
+		addProgress(l.Write, progress(t, l))
 	}
-	out.Add(c)
+	out.Add(command.WriteLot{Head: l.Write.Head, Version: l.Version, Results: l.Write.Results, Progress: l.Write.Progress})
+}
+
+func addProgress(w *table.LotWrite, all []lot.Progress) {
+	w.Progress = all
+	w.Head.Progress = w.Head.Progress || len(all) > 0
 }
 
 // written takes the outcome of a write.
@@ -120,6 +129,11 @@
 	r := &t.Rollout
 	r.ViewChanged = r.ViewChanged || len(w.Results) > 0
 	l.Head, l.Version, l.Seen = e.Head, e.Version, now
+	for _, p := range w.Progress {
+		if item := r.Items.Find(table.ItemKey(e.ID, p.Item)); item != nil {
+			item.Stored = len(p.Events)
+		}
+	}
 	if len(w.Results) > 0 {
 		out.Add(command.Count{Counter: "results_listed", Delta: int64(len(w.Results))})
 	}
@@ -134,14 +148,14 @@
 	l.Stage = table.LotForeign
 }
 
-// progress returns what has been generated of the unfinished items of a lot, as
-// far as it fits a commit.
+// progress returns what has been generated of the unfinished items of a lot and is not
+// stored yet, as far as it fits a commit.
 func progress(t *table.Tables, l *table.Lot) []lot.Progress {
 	var all []lot.Progress
 	bytes := 0
 	for _, key := range itemKeys(l) {
 		item := t.Rollout.Items.Find(key)
-		if item == nil || len(item.Events) == 0 {
+		if item == nil || len(item.Events) == item.Stored {
 			continue
 		}
 		for _, e := range item.Events {
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -135,13 +135,15 @@
 	PendingAt  time.Duration   // when the first of them became ready
 	Write      *LotWrite       // the write in flight, nil if there is none
 	WroteAt    time.Duration   // when the last write began
+	ProgressAt time.Duration   // when the last write with progress of items began
 	RetryAt    time.Duration   // next adoption or write after a failure
 }
 
 // LotWrite is a commit of a lot. It stays the same until its outcome is known.
 type LotWrite struct {
 	Head     lot.Head
-	Results  []lot.Result `json:"-"`
+	Results  []lot.Result   `json:"-"`
+	Progress []lot.Progress `json:"-"`
 	InFlight bool
 	Release  bool
 }
@@ -170,6 +172,7 @@
 
 	Events   []string `json:"-"` // data of the events so far
 	Versions []registry.Version
+	Stored   int // events that are stored as progress
 
 	Failures     int // answers that say the run failed
 	Unprocessed  int // answers that say the item can never be done
