lot, platform: split what grew; forget refusals when the direct way is back

A store that turned a host away by its rate was left at the first further refusal; the count of refusals is cleared now when the store serves the host again. No behaviour beside that.

--- /dev/null
+++ b/lot/delete.go
@@ -0,0 +1,56 @@
+package lot
+
+import (
+	"context"
+
+	"github.com/lavenderstand/lavenderstand/store"
+)
+
+// deleteRows is the number of rows that one commit removes; the store allows 100.
+const deleteRows = 90
+
+// Delete removes a lot, its head last, so that a deletion that was interrupted can be
+// repeated. The head must have the given version.
+func (k *Keeper) Delete(ctx context.Context, s Stored) error {
+	h := &s.Head
+	if h.InObjects {
+		for i := range h.BodyRows {
+			if err := k.Store.DeleteObject(ctx, ObjectName(h.ID, i)); err != nil {
+				return err
+			}
+		}
+	}
+	parts := map[string][]string{tableBodies: {h.BodyPart}, tableProgress: {h.BodyPart}}
+	for _, segment := range h.Segments {
+		parts[tableResults] = append(parts[tableResults], segment.Part)
+	}
+	for table, names := range parts {
+		for _, part := range names {
+			if err := k.deletePart(ctx, table, part); err != nil {
+				return err
+			}
+		}
+	}
+	head := HeadKey(h.ID, h.Place)
+	_, err := k.Store.Commit(ctx, store.Commit{
+		Expect: []store.Expect{{Key: head, Version: s.Version}}, Delete: []store.Key{head},
+	})
+	return err
+}
+
+// deletePart removes all rows of a part, which belongs to one lot.
+func (k *Keeper) deletePart(ctx context.Context, table, part string) error {
+	for {
+		r, err := k.Store.Read(ctx, table, part, "", deleteRows)
+		if err != nil || len(r.Rows) == 0 {
+			return err
+		}
+		var c store.Commit
+		for _, row := range r.Rows {
+			c.Delete = append(c.Delete, row.Key)
+		}
+		if _, err := k.Store.Commit(ctx, c); err != nil {
+			return err
+		}
+	}
+}
--- a/lot/keeper.go
+++ b/lot/keeper.go
@@ -4,11 +4,8 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
-	"math"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/store"
@@ -28,10 +25,6 @@
 	commitTimeout = 1100 * time.Millisecond
 	// endTries bounds the commits of an end that races with writes of the owner.
 	endTries = 12
-	// pageRows bounds the rows of one page of results.
-	pageRows = 400
-	// deleteRows is the number of rows that one commit removes; the store allows 100.
-	deleteRows = 90
 )
 
 // Keeper stores lots. Its methods may be called by many goroutines.
@@ -212,46 +205,6 @@
 	return Stored{}, first, nil
 }
 
-// Head reads the head of a lot. Its error has the reason unknown_lot if there is none
-// in any place; a place that cannot be read makes the answer uncertain, because it may
-// hold the head that counts.
-func (k *Keeper) Head(ctx context.Context, id string) (Stored, error) {
-	heads := make([]Stored, places)
-	failures := make([]error, places)
-	var wg sync.WaitGroup
-	for place := range places {
-		wg.Go(func() { heads[place], failures[place] = k.HeadAt(ctx, id, place) })
-	}
-	wg.Wait()
-	var first Stored
-	for place, h := range heads {
-		if failures[place] != nil {
-			return Stored{}, failures[place]
-		}
-		if h.Version != 0 && (first.Version == 0 || h.Creation() < first.Creation()) {
-			first = h
-		}
-	}
-	if first.Version == 0 {
-		return Stored{}, verdict.New(verdict.NotRun, verdict.ReasonUnknownLot, "lot %q does not exist", id)
-	}
-	return first, nil
-}
-
-// HeadAt reads the head in one place, a zero Stored if there is none.
-func (k *Keeper) HeadAt(ctx context.Context, id string, place int) (Stored, error) {
-	key := HeadKey(id, place)
-	r, err := k.Store.Read(ctx, key.Table, key.Part, key.Name, 1)
-	if err != nil || len(r.Rows) == 0 || r.Rows[0].Key != key {
-		return Stored{}, err
-	}
-	h, ok := ParseHead(r.Rows[0])
-	if !ok {
-		return Stored{}, verdict.New(verdict.NotRun, verdict.ReasonInternal, "the head of lot %s cannot be read", id)
-	}
-	return Stored{Head: h, Version: r.Rows[0].Version}, nil
-}
-
 // End ends a lot. It may be repeated. current is the head as far as it is known, zero
 // if it is not; nonce must differ with each call.
 func (k *Keeper) End(ctx context.Context, id string, current Stored, nonce string) (Stored, error) {
@@ -279,135 +232,6 @@
 	return Stored{}, verdict.New(verdict.MayHaveRun, verdict.ReasonConflict, "lot %s changes too often to be ended", id)
 }
 
-// Delete removes a lot, its head last, so that a deletion that was interrupted can be
-// repeated. The head must have the given version.
-func (k *Keeper) Delete(ctx context.Context, s Stored) error {
-	h := &s.Head
-	if h.InObjects {
-		for i := range h.BodyRows {
-			if err := k.Store.DeleteObject(ctx, ObjectName(h.ID, i)); err != nil {
-				return err
-			}
-		}
-	}
-	parts := map[string][]string{tableBodies: {h.BodyPart}, tableProgress: {h.BodyPart}}
-	for _, segment := range h.Segments {
-		parts[tableResults] = append(parts[tableResults], segment.Part)
-	}
-	for table, names := range parts {
-		for _, part := range names {
-			if err := k.deletePart(ctx, table, part); err != nil {
-				return err
-			}
-		}
-	}
-	head := HeadKey(h.ID, h.Place)
-	_, err := k.Store.Commit(ctx, store.Commit{
-		Expect: []store.Expect{{Key: head, Version: s.Version}}, Delete: []store.Key{head},
-	})
-	return err
-}
-
-// deletePart removes all rows of a part, which belongs to one lot.
-func (k *Keeper) deletePart(ctx context.Context, table, part string) error {
-	for {
-		r, err := k.Store.Read(ctx, table, part, "", deleteRows)
-		if err != nil || len(r.Rows) == 0 {
-			return err
-		}
-		var c store.Commit
-		for _, row := range r.Rows {
-			c.Delete = append(c.Delete, row.Key)
-		}
-		if _, err := k.Store.Commit(ctx, c); err != nil {
-			return err
-		}
-	}
-}
-
-// Body reads the submission of a lot.
-func (k *Keeper) Body(ctx context.Context, h Head) (*Submission, error) {
-	parts := make([][]byte, 0, h.BodyRows)
-	if h.InObjects {
-		for i := range h.BodyRows {
-			data, err := k.Store.GetObject(ctx, ObjectName(h.ID, i))
-			if err != nil {
-				return nil, err
-			}
-			parts = append(parts, data)
-		}
-		return ParseBody(parts)
-	}
-	r, err := k.Store.Read(ctx, tableBodies, h.BodyPart, "", 0)
-	if err != nil {
-		return nil, err
-	}
-	if len(r.Rows) != h.BodyRows {
-		return nil, fmt.Errorf("the submission of lot %s has %d rows instead of %d", h.ID, len(r.Rows), h.BodyRows)
-	}
-	for _, row := range r.Rows {
-		parts = append(parts, row.Value)
-	}
-	return ParseBody(parts)
-}
-
-// Reader is the part of a store that results are read from.
-type Reader interface {
-	Read(ctx context.Context, table, part, from string, limit int) (store.Range, error)
-}
-
-// Results returns a page of results from a position on, which the head must list. The
-// page is never empty: a store without the row does not hold what the head says.
-func (k *Keeper) Results(ctx context.Context, h *Head, from int) ([]Result, error) {
-	if k.Recent != nil {
-		part, end := segmentOf(h.Segments, from)
-		if results := k.Recent.page(part, from, min(end, h.Listed)); len(results) > 0 {
-			return results, nil
-		}
-	}
-	return k.ResultsOf(ctx, k.Store, h, from)
-}
-
-// ResultsOf reads a page of results from a store or from a host that keeps them.
-func (k *Keeper) ResultsOf(ctx context.Context, s Reader, h *Head, from int) ([]Result, error) {
-	part, end := segmentOf(h.Segments, from)
-	r, err := s.Read(ctx, tableResults, part, PositionName(from), pageRows)
-	if err != nil {
-		return nil, err
-	}
-	rows := r.Rows
-	if last := PositionName(end); end != math.MaxInt {
-		rows = slices.DeleteFunc(rows, func(row store.Row) bool { return row.Name >= last })
-	}
-	results, err := ParseResults(rows, from)
-	if err != nil {
-		return nil, err
-	}
-	results = results[:min(len(results), max(0, h.Listed-from))]
-	if len(results) == 0 {
-		return nil, fmt.Errorf("part %q of the store holds no result at position %d of the %d that lot %s lists", part, from, h.Listed, h.ID)
-	}
-	if k.Recent != nil {
-		k.Recent.add(part, from, results)
-	}
-	return results, nil
-}
-
-// Progress reads what is stored of the unfinished items of a lot.
-func (k *Keeper) Progress(ctx context.Context, h *Head) ([]Progress, error) {
-	r, err := k.Store.Read(ctx, tableProgress, h.BodyPart, "", 0)
-	if err != nil {
-		return nil, err
-	}
-	var all []Progress
-	for _, row := range r.Rows {
-		if p, ok := ParseProgress(row); ok {
-			all = append(all, p)
-		}
-	}
-	return all, nil
-}
-
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -253,6 +253,7 @@
 			if c.probe(ctx) == nil {
 				c.down.Store(false)
 				c.pauseTo.Store(0)
+				c.refused.clear()
 				c.Changed(false, nil)
 				return
 			}
