dispatch: prefer faster servers, leave slow ones when there is room

Six items of one step ended on the slow server within 0.6 s, as they should, and began again on the same one, because the faster servers of the model were full at that moment; there they stayed to the end, since a run on a server that is known to be slow is not moved.

Change: an item waits up to a second for a faster server instead of going to a slow one. Long runs report their pace once a second, so a server stays known as slow; runs leave it when faster servers of the model have free slots and nothing waits for them.

TestItemsPreferFasterServers failed before: the item went back to the slow server at once.

--- a/event/rollout.go
+++ b/event/rollout.go
@@ -133,8 +133,10 @@
 type RunProgressed struct {
 	Key      string
 	Run      int
+	Server   string
 	Events   []string
 	Versions []registry.Version // that made them
+	Gap      time.Duration      // mean time between events, 0 if it was not measured
 }
 
 // RunEnded is the outcome of one run of an item at a backend server.
--- a/executor/run.go
+++ b/executor/run.go
@@ -173,7 +173,9 @@
 		return
 	}
 	u.reported = u.latest
-	e := event.RunProgressed{Key: u.c.Key, Run: u.c.Run, Events: u.ended.Events, Versions: u.ended.Versions}
+	e := event.RunProgressed{
+		Key: u.c.Key, Run: u.c.Run, Server: u.c.Target.ID, Events: u.ended.Events, Versions: u.ended.Versions, Gap: u.gap(),
+	}
 	if u.deliver(e) == nil {
 		u.ended.Events, u.ended.Versions = nil, nil
 	}
--- a/system/rollout/dispatch.go
+++ b/system/rollout/dispatch.go
@@ -9,7 +9,6 @@
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/lot"
-	"github.com/lavenderstand/lavenderstand/registry"
 	"github.com/lavenderstand/lavenderstand/table"
 )
 
@@ -26,6 +25,10 @@
 	// slowFactor is the pace, against the median of a service, at which a run moves to
 	// another server. A full server is a third slower than an idle one.
 	slowFactor = 1.9
+	// fasterWithin is how long an item waits for a faster server while only slow ones have
+	// room. Slots get free several times a second, and a slow server holds an item for
+	// seconds longer.
+	fasterWithin = time.Second
 	// typicalEvery is the period at which the median pace is worked out again.
 	typicalEvery = 300 * time.Millisecond
 	// defaultMaxAge holds for lots whose route states none.
@@ -45,6 +48,7 @@
 	expireItems(now, t, out)
 	waiting := waitingItems(now, t, out)
 	if len(waiting) == 0 {
+		leaveSlowServers(now, t, out)
 		return
 	}
 	wakeForServers(now, r, out)
@@ -109,7 +113,7 @@
 	if route.SingleVersion && len(w.item.Versions) > 0 && s.Models[w.lot.Head.Model] != w.item.Versions[0] {
 		w.item.Events, w.item.Versions, w.item.Stored = nil, nil, 0
 	}
-	w.item.Stage, w.item.Server = table.ItemRunning, s.ID
+	w.item.Stage, w.item.Server, w.item.Stopping = table.ItemRunning, s.ID, false
 	r.Runs++
 	w.item.Run = r.Runs
 	s.Running++
@@ -134,106 +138,6 @@
 	return min(9, urgencyBase+max(0, route.Priority))
 }
 
-// poolKey names the servers that can run the items of a lot.
-type poolKey struct {
-	service, model string
-	minimum        registry.Version
-}
-
-// pools keeps, for one tick, the servers that have room for the items of a lot.
-type pools map[poolKey][]*table.Server
-
-// choose returns the server on which an item is done first, nil if none has room.
-// Suspect servers are used only if no other has the weights.
-func (p pools) choose(now time.Duration, r *table.Rollout, w waitingItem, service string) *table.Server {
-	key := poolKey{service, w.lot.Head.Model, w.lot.Submission.MinimumVersion}
-	pool, ok := p[key]
-	if !ok {
-		pool = newPool(r, key)
-	}
-	pool = slices.DeleteFunc(pool, func(s *table.Server) bool {
-		return s.Running >= s.Slots+queuedPerServer || now < s.BusyUntil
-	})
-	p[key] = pool
-	var best *table.Server
-	var bestScore float64
-	for _, s := range pool {
-		if score := serverScore(now, r, w, s); best == nil || score < bestScore {
-			best, bestScore = s, score
-		}
-	}
-	return best
-}
-
-func serverScore(now time.Duration, r *table.Rollout, w waitingItem, s *table.Server) float64 {
-	score := float64(s.Running+1) / float64(s.Slots)
-	if now < s.SlowUntil {
-		score += 4
-	}
-	if s.SuspectUntil != 0 {
-		score += 8
-	}
-	if s.ID == w.item.Avoid {
-		score += 2
-	}
-	if s.Zone != r.Zone {
-		score += 0.05 // traffic between zones has a delay and a price
-	}
-	return score
-}
-
-// newPool returns the servers with the weights. If one of the engines that are meant
-// for the model can run its items, the others are left to their own models.
-func newPool(r *table.Rollout, key poolKey) []*table.Server {
-	var home, all []*table.Server
-	trusted := false
-	for _, s := range r.Servers.All() {
-		if s.Service != key.service || s.Leaving || !hasWeights(s, key) {
-			continue
-		}
-		all = append(all, s)
-		if s.Home == key.model {
-			home = append(home, s)
-			trusted = trusted || s.SuspectUntil == 0
-		}
-	}
-	if trusted {
-		return home
-	}
-	return all
-}
-
-func hasWeights(s *table.Server, key poolKey) bool {
-	return key.minimum <= 0 || key.model == "" || s.Models[key.model] >= key.minimum
-}
-
-// measurePace works out the median pace of each service from its measured servers.
-func measurePace(now time.Duration, r *table.Rollout) {
-	if r.Typical == nil {
-		r.Typical = make(map[string]table.Typical)
-	}
-	gaps := make(map[string][]time.Duration)
-	for _, s := range r.Servers.All() {
-		if s.Gap > 0 && now-r.Typical[s.Service].At >= typicalEvery {
-			gaps[s.Service] = append(gaps[s.Service], s.Gap)
-		}
-	}
-	for service, list := range gaps {
-		slices.Sort(list)
-		r.Typical[service] = table.Typical{Gap: list[(len(list)-1)/2], At: now}
-	}
-}
-
-// slowGap returns the mean gap between events above which a run on s moves, 0 if
-// there is no other server to move to.
-func slowGap(now time.Duration, r *table.Rollout, service string, s *table.Server) time.Duration {
-	typical := r.Typical[service].Gap
-	if typical == 0 || now < s.SlowUntil {
-		return 0 // the pace is not known, or there was no faster server for this run
-	}
-	return time.Duration(slowFactor * float64(typical))
-}
-
 func maxAge(route *desired.Route) time.Duration {
 	if route.MaxAge > 0 {
 		return route.MaxAge
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -34,7 +34,7 @@
 		case event.RunBegan:
 			runBegan(t, e)
 		case event.RunProgressed:
-			runProgressed(t, e)
+			runProgressed(now, t, e)
 		case event.RunEnded:
 			runEnded(now, t, e, out)
 		}
@@ -52,8 +52,14 @@
 	}
 }
 
-// runProgressed keeps what a run has generated so far, so that it can be stored.
-func runProgressed(t *table.Tables, e event.RunProgressed) {
+// runProgressed keeps what a run has generated so far, so that it can be stored, and
+// learns the pace of its server.
+func runProgressed(now time.Duration, t *table.Tables, e event.RunProgressed) {
+	if s := t.Rollout.Servers.Find(e.Server); s != nil && e.Gap > 0 {
+		if limit := slowLimit(&t.Rollout, s.Service); limit > 0 && e.Gap > limit {
+			s.SlowUntil = now + slowFor
+		}
+	}
 	item := t.Rollout.Items.Find(e.Key)
 	if item == nil || item.Stage != table.ItemRunning || item.Run != e.Run {
 		return // the lot ended or went to another owner
--- a/system/rollout/servers_test.go
+++ b/system/rollout/servers_test.go
@@ -11,6 +11,7 @@
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/table"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -108,6 +109,38 @@
 	require.Equal(t, 1, next[0].After)
 }
 
+// TestItemsPreferFasterServers guards against items that go back to the slow server they
+// just left because it is the only one with room, and stay there to the end (quiet-1 of
+// pamoja-offcuts: six items of a step took 6 to 9 s).
+func TestItemsPreferFasterServers(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil), w.server("s2", nil))
+	runs := find[command.StartRun](w.accept(submission(6)))
+	require.Len(t, runs, 6, "both servers are full")
+	on := make(map[string][]command.StartRun)
+	for _, run := range runs {
+		on[run.Target.ID] = append(on[run.Target.ID], run)
+	}
+	slow := ended(on["s1"][0], "a")
+	slow.Failure, slow.Gap = &event.Failure{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonSlow}, 100*time.Millisecond
+	require.Empty(t, find[command.StartRun](append(w.step(slow), w.pass(fasterWithin/2)...)), "it waits for the faster server")
+	next := find[command.StartRun](append(w.step(ended(on["s2"][0], "x")), w.step()...))
+	require.Len(t, next, 1)
+	require.Equal(t, "s2", next[0].Target.ID)
+
+	slow = ended(on["s1"][1], "a")
+	slow.Failure, slow.Gap = &event.Failure{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonSlow}, 100*time.Millisecond
+	back := find[command.StartRun](append(w.step(slow), w.pass(fasterWithin+50*time.Millisecond)...))
+	require.Len(t, back, 1, "it does not wait for good")
+	require.Equal(t, "s1", back[0].Target.ID)
+
+	w.tables.Rollout.Typical = map[string]table.Typical{"engines": {Gap: 30 * time.Millisecond, At: w.now}}
+	w.step(event.RunProgressed{Key: back[0].Key, Run: back[0].Run, Server: "s1", Events: []string{"b"}, Gap: 100 * time.Millisecond})
+	stops := find[command.StopRun](append(w.step(ended(on["s2"][1], "x"), ended(on["s2"][2], "x")), w.step()...))
+	require.NotEmpty(t, stops, "runs leave the slow server when a faster one has free slots")
+	require.Len(t, stops, 1, "not more than there are free slots")
+}
+
 // TestWeightsOlderThanTheLotAllows guards against samples of versions that are too
 // old.
 func TestWeightsOlderThanTheLotAllows(t *testing.T) {
--- /dev/null
+++ b/system/rollout/slow.go
@@ -0,0 +1,91 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// measurePace works out the median pace of each service from its measured servers.
+func measurePace(now time.Duration, r *table.Rollout) {
+	if r.Typical == nil {
+		r.Typical = make(map[string]table.Typical)
+	}
+	gaps := make(map[string][]time.Duration)
+	for _, s := range r.Servers.All() {
+		if s.Gap > 0 && now-r.Typical[s.Service].At >= typicalEvery {
+			gaps[s.Service] = append(gaps[s.Service], s.Gap)
+		}
+	}
+	for service, list := range gaps {
+		slices.Sort(list)
+		r.Typical[service] = table.Typical{Gap: list[(len(list)-1)/2], At: now}
+	}
+}
+
+// slowGap returns the mean gap between events above which a run on s moves, 0 if
+// there is no other server to move to.
+func slowGap(now time.Duration, r *table.Rollout, service string, s *table.Server) time.Duration {
+	if now < s.SlowUntil {
+		return 0 // there was no faster server for this run
+	}
+	return slowLimit(r, service)
+}
+
+// slowLimit returns the mean gap between events above which a server of a service counts
+// as slow, 0 before the pace of the service is known.
+func slowLimit(r *table.Rollout, service string) time.Duration {
+	return time.Duration(slowFactor * float64(r.Typical[service].Gap))
+}
+
+// leaveSlowServers ends runs on slow servers while faster ones with the weights have free
+// slots and no item waits for them. The items go on there from their last event.
+func leaveSlowServers(now time.Duration, t *table.Tables, out *command.Outbox) {
+	r := &t.Rollout
+	free := make(map[poolKey]int)
+	var candidates []string
+	for key, item := range r.Items.All() {
+		s, l := r.Servers.Find(item.Server), r.Lots.Find(item.Lot)
+		if item.Stage != table.ItemRunning || s == nil || l == nil || isFast(now, s) {
+			continue
+		}
+		pool := slowPool(s, l)
+		if _, ok := free[pool]; !ok {
+			free[pool] = freeSlots(now, newPool(r, pool))
+		}
+		if item.Stopping {
+			free[pool]-- // it takes one as soon as its run has ended
+			continue
+		}
+		candidates = append(candidates, key)
+	}
+	for _, key := range candidates {
+		item := r.Items.Find(key)
+		pool := slowPool(r.Servers.Find(item.Server), r.Lots.Find(item.Lot))
+		if free[pool] <= 0 {
+			continue
+		}
+		free[pool]--
+		item.Stopping = true
+		out.Add(command.StopRun{Key: key, Run: item.Run})
+		out.Add(command.Count{Counter: "runs_moved", Tags: map[string]string{"reason": string(verdict.ReasonSlow)}, Delta: 1})
+	}
+}
+
+func slowPool(s *table.Server, l *table.Lot) poolKey {
+	return poolKey{s.Service, l.Head.Model, l.Submission.MinimumVersion}
+}
+
+// freeSlots returns the number of free slots of the fast servers among the given ones.
+func freeSlots(now time.Duration, servers []*table.Server) int {
+	n := 0
+	for _, s := range servers {
+		if isFast(now, s) && now >= s.BusyUntil {
+			n += max(0, s.Slots-s.Running)
+		}
+	}
+	return n
+}
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -167,6 +167,7 @@
 
 	Run       int    // number of the newest run
 	Server    string // of the newest run
+	Stopping  bool   // the newest run has been told to end
 	Avoid     string // server that failed or was slow last
 	NotBefore time.Duration
 
