--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"hash/crc32"
 	"math/rand/v2"
 	"os"
 	"sync"
@@ -73,6 +74,15 @@
 		}
 		return pamoja.Served
 	})},
+	{"carry out half of all writes seconds later", lateWrites},
+	{"take a quarter of the parts of the store away", storeFault(func(c pamoja.Call) pamoja.Outcome {
+		for _, part := range c.Parts {
+			if part != "" && crc32.ChecksumIEEE([]byte(part))%4 == 0 {
+				return pamoja.LostBefore
+			}
+		}
+		return pamoja.Served
+	})},
 	{"drop the history of the store", func(w *world, _ *rand.Rand) func() { w.rows.Compact(); return nil }},
 	{"change the desired state", func(w *world, _ *rand.Rand) func() { w.desire(); return nil }},
 	{"name a version", func(w *world, _ *rand.Rand) func() {
@@ -108,6 +118,22 @@
 	}
 }
 
+// lateWrites leaves writes without an answer and carries them out 1 s and more later.
+func lateWrites(w *world, _ *rand.Rand) func() {
+	w.rows.SetFault(func(c pamoja.Call) pamoja.Outcome {
+		if c.Write && rand.IntN(2) == 0 {
+			return pamoja.Late
+		}
+		return pamoja.Served
+	})
+	apply := time.AfterFunc(time.Second, w.rows.ApplyLate)
+	return func() {
+		apply.Stop()
+		w.rows.SetFault(nil)
+		time.AfterFunc(time.Second, w.rows.ApplyLate)
+	}
+}
+
 func serverTrouble(name string, count int, marks func(*world) map[string]bool) func(*world, *rand.Rand) func() {
 	return func(w *world, r *rand.Rand) func() {
 		id := fmt.Sprintf(name, r.IntN(count))
