lots: the acceptor takes a lot whose chosen runner does not show up

A lot accepted at 4.03 s was given to the host that had run the model's lots and had died a second before; it was taken at 6.5 s, after the silence that an owner is allowed.

Change: the host that accepted a lot for another one takes it 0.6 s later (and two intervals of the feed in large deployments) if that one has not written the head. A weak host leaves it to others, as before.

TestAcceptedLotOfADeadHost is new.

--- a/front/service.go
+++ b/front/service.go
@@ -119,9 +119,6 @@
 	// strongRunner is the part of this host's processor share that another host needs
 	// to be given a lot.
 	strongRunner = 0.75
-	// weakHost is the processor share, in thousandths of a core, below which a host
-	// leaves its lots to whichever host takes them first.
-	weakHost = 400
 )
 
 // runner returns the process that should run a lot: the one that runs the lots of the
@@ -132,7 +129,7 @@
 	switch {
 	case alive && float64(known.Owner.Power) >= strongRunner*float64(s.Owner.Power):
 		return known.Owner
-	case s.Owner.Power < weakHost:
+	case s.Owner.Weak():
 		return lot.Owner{}
 	default:
 		return s.Owner
--- a/lot/lot.go
+++ b/lot/lot.go
@@ -81,6 +81,13 @@
 	Power int `json:"power,omitempty"`
 }
 
+// weakPower is the processor share, in thousandths of a core, below which a host leaves
+// lots to others.
+const weakPower = 400
+
+// Weak reports whether the host of the process should leave lots to others.
+func (o Owner) Weak() bool { return o.Power < weakPower }
+
 // Head is the record that orders all changes of a lot. Each commit of a lot is
 // conditional on the version of its head.
 type Head struct {
--- a/system/rollout/lots.go
+++ b/system/rollout/lots.go
@@ -43,6 +43,10 @@
 	// acceptWithin is the time in which a submission whose storing seemed to fail may
 	// still turn out to be accepted by this process.
 	acceptWithin = 1500 * time.Millisecond
+	// acceptedWithin is the time in which the process that was chosen to run a lot shows
+	// that it does. The host that accepted the lot takes it after that: the chosen one may
+	// have died shortly before.
+	acceptedWithin = 600 * time.Millisecond
 	// adoptRetry is the wait after an adoption that failed.
 	adoptRetry = 300 * time.Millisecond
 )
@@ -297,6 +301,9 @@
 		return 0, 0 // an earlier lifetime of this process: it cannot be alive
 	case l.Head.Owner == lot.Owner{}:
 		return lacking(r, weakHandover), handoverStep
+	case strings.HasPrefix(l.Head.Write, writePrefix(r)) && !r.Owner.Weak():
+		feed := pace.Interval(r.StoreReads, r.Peers.Len(), pace.Coordination)
+		return acceptedWithin + 2*feed, 0 // this process accepted it for another one
 	default:
 		return adoptAfter + lacking(r, weakAdopt), turnStep
 	}
--- a/system/rollout/lots_test.go
+++ b/system/rollout/lots_test.go
@@ -114,6 +114,25 @@
 	require.Nil(t, w.tables.Rollout.Items.Find(table.ItemKey("l", "i0")), "a listed item does not run again")
 }
 
+// TestAcceptedLotOfADeadHost guards against a lot that waits for the silence of a host
+// which died shortly before the lot was given to it (incident inc-841d of pamoja-offcuts:
+// 2.5 s of a step).
+func TestAcceptedLotOfADeadHost(t *testing.T) {
+	w := newWorld(t)
+	h := w.head("l", other, 0, 2)
+	h.Head.Write = writePrefix(&w.tables.Rollout) + "front/1"
+	w.step(heads(h))
+	require.Empty(t, find[command.AdoptLot](w.pass(acceptedWithin-50*time.Millisecond)), "the other host has its time")
+	require.Len(t, find[command.AdoptLot](w.pass(100*time.Millisecond)), 1)
+
+	v := newWorld(t)
+	h = v.head("l", other, 0, 2)
+	h.Head.Write = writePrefix(&v.tables.Rollout) + "front/1"
+	v.step(heads(h))
+	v.step(heads(v.changed(h.Head, h.Version, "b/1/1")))
+	require.Empty(t, find[command.AdoptLot](v.pass(adoptAfter-100*time.Millisecond)), "the other host runs it")
+}
+
 // TestHostsTakeTurns guards against all hosts of a large deployment that try to take a lot
 // at the same moment (a site of 300 hosts: the store refused most calls).
 func TestHostsTakeTurns(t *testing.T) {
