--- a/executor/feed_test.go
+++ b/executor/feed_test.go
@@ -106,19 +106,9 @@
 	done := make(chan struct{})
 	go func() { _ = f.Run(ctx); close(done) }()
 	defer func() { cancel(); <-done }()
-	select {
-	case <-time.After(20 * time.Second):
-		t.Fatal("the table is not known")
-	case e := <-events:
-		for {
-			if read, ok := e.(event.HeadsRead); ok {
-				require.True(t, read.Full)
-				require.Len(t, read.Heads, 1)
-				return
-			}
-			e = <-events
-		}
-	}
+	read := next[event.HeadsRead](t, events)
+	require.True(t, read.Full)
+	require.Len(t, read.Heads, 1)
 }
 
 // limited is a store that refuses reads by its rate.
