system/rollout: try a failing server with one run at a time

Change: a suspect server gets no items while another one is not suspect. After its suspect period, and when all servers are suspect, one run at a time tries it, 100 ms apart.

Tests: TestCrashedServerIsTriedByOneItem, TestAllServersCrashed; both fail without the limit to one run, the latter also without the wait.

--- a/system/rollout/moves.go
+++ b/system/rollout/moves.go
@@ -114,7 +114,7 @@
 func freeServers(now time.Duration, r *table.Rollout, key poolKey) []freeServer {
 	var free []freeServer
 	for _, s := range eligibleServers(r, key) {
-		if n := serverRoom(now, s); n > 0 && s.SuspectUntil == 0 {
+		if n := serverRoom(now, s); n > 0 {
 			free = append(free, freeServer{eventInterval(now, r, s), n})
 		}
 	}
--- a/system/rollout/placement_test.go
+++ b/system/rollout/placement_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/lot"
 	"github.com/lavenderstand/lavenderstand/table"
 	"github.com/lavenderstand/lavenderstand/verdict"
@@ -165,6 +166,54 @@
 	require.Len(t, commandsOf[command.StartRun](w.step()), 1, "the server is as fast as usual again")
 }
 
+// TestCrashedServerIsTriedByOneItem guards against items that are sent again and again to
+// a server that refuses connections, because it is the only one with room. In a simulated
+// day, 1,728 runs failed to connect within seconds.
+func TestCrashedServerIsTriedByOneItem(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("up", nil), w.server("crashed", nil))
+	tries := 0
+	commands := w.accept(submission(20))
+	for end := w.now + 3*time.Second; w.now < end; {
+		var ended []event.Event
+		for _, c := range commandsOf[command.StartRun](commands) {
+			if c.Target.ID != "crashed" {
+				continue
+			}
+			tries++
+			e := endedRun(c)
+			e.Versions, e.Version = nil, 0
+			e.Failure = &event.Failure{Verdict: verdict.NotRun, Reason: verdict.ReasonConnectFailed}
+			ended = append(ended, e)
+		}
+		commands = w.step(ended...)
+	}
+	require.LessOrEqual(t, tries, 2+3, "two items at first, then one after each suspect period of 0.5, 1 and 2 s")
+	w.now += suspectRetryDelay
+	runs := commandsOf[command.StartRun](w.step(event.ServerOutcome{Outcome: forward.Outcome{Server: "crashed", Answered: true}}))
+	require.Len(t, runs, 2, "the server works again")
+}
+
+// TestAllServersCrashed guards against a busy loop of failing runs when no server is left.
+func TestAllServersCrashed(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil))
+	tries := 0
+	commands := w.accept(submission(4))
+	for end := w.now + time.Second; w.now < end; {
+		var ended []event.Event
+		for _, c := range commandsOf[command.StartRun](commands) {
+			tries++
+			e := endedRun(c)
+			e.Failure = &event.Failure{Verdict: verdict.NotRun, Reason: verdict.ReasonConnectFailed}
+			ended = append(ended, e)
+		}
+		commands = w.step(ended...)
+	}
+	require.LessOrEqual(t, tries, 2+int(time.Second/suspectRetryDelay))
+	require.Greater(t, tries, 4, "the server is tried again")
+}
+
 // TestItemsClosestToDueStartFirst guards against an order by age of the lot alone, in
 // which the long items of a new lot wait behind short ones that have time left.
 func TestItemsClosestToDueStartFirst(t *testing.T) {
--- a/system/rollout/pools.go
+++ b/system/rollout/pools.go
@@ -17,9 +17,6 @@
 	crossZoneDelay = 10 * time.Millisecond
 	// avoidedServerDelay is added for the server on which the last run of the item failed.
 	avoidedServerDelay = 2 * time.Second
-	// suspectServerDelay is added for a suspect server, so that it is used only if no other
-	// server has room.
-	suspectServerDelay = time.Hour
 )
 
 // poolKey identifies the set of servers that can run the items of a lot.
@@ -55,8 +52,8 @@
 	if now < s.BusyUntil {
 		return 0
 	}
-	if isUnproven(now, s) {
-		return 1 - s.Running
+	if isUnproven(now, s) || s.Failures >= suspectThreshold {
+		return 1 - s.Running // one run tests the server
 	}
 	return s.Slots - s.Running
 }
@@ -66,9 +63,6 @@
 func completionTime(now time.Duration, r *table.Rollout, w waitingItem, s *table.Server) time.Duration {
 	load := 1 + fullServerSlowdown*float64(s.Running+1)/float64(s.Slots)
 	t := time.Duration(w.remaining * load * float64(eventInterval(now, r, s)))
-	if s.SuspectUntil != 0 {
-		t += suspectServerDelay
-	}
 	if s.ID == w.item.AvoidServer {
 		t += avoidedServerDelay
 	}
@@ -78,26 +72,33 @@
 	return t
 }
 
-// eligibleServers returns the servers that have the weights, with or without room. If at
-// least one engine that is assigned to the model is not suspect, only the assigned
-// engines are returned, so that the others stay free for their own models.
+// eligibleServers returns the servers that have the weights, with or without room: the
+// engines that are assigned to the model, so that the others stay free for their own
+// models; if all of those are suspect, the other engines; if all engines are suspect, all
+// of them.
 func eligibleServers(r *table.Rollout, key poolKey) []*table.Server {
-	var preferred, all []*table.Server
-	healthy := false
+	var preferred, healthy, all []*table.Server
 	for _, s := range r.Servers.All() {
 		if s.Service != key.service || s.Leaving || !hasWeights(s, key) {
 			continue
 		}
 		all = append(all, s)
+		if s.SuspectUntil != 0 {
+			continue
+		}
+		healthy = append(healthy, s)
 		if s.PreferredModel == key.model {
 			preferred = append(preferred, s)
-			healthy = healthy || s.SuspectUntil == 0
 		}
 	}
-	if healthy {
+	switch {
+	case len(preferred) > 0:
 		return preferred
+	case len(healthy) > 0:
+		return healthy
+	default:
+		return all
 	}
-	return all
 }
 
 // hasWeights reports whether a server has the model in at least the minimum version, or
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -116,6 +116,9 @@
 		recordSuccess(r, s) // the server answers; the failure is the item's
 	default:
 		recordFailure(now, r, s, out)
+		if s.Failures >= suspectThreshold {
+			s.BusyUntil = now + suspectRetryDelay
+		}
 	}
 }
 
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -23,6 +23,9 @@
 	// each further failure up to maxSuspectPeriod. After it, the server is tried again.
 	minSuspectPeriod = 500 * time.Millisecond
 	maxSuspectPeriod = 4 * time.Second
+	// suspectRetryDelay is the wait between two runs on a suspect server if no other server
+	// is left.
+	suspectRetryDelay = 100 * time.Millisecond
 	// minBusyPause is the time for which a server that refused an item is sent no other,
 	// about the time in which one of eight running items ends. It doubles with each
 	// further refusal up to maxBusyPause, because a server that loads weights refuses
