executor: a stopped run is not a failure of its server

Cause: a run that was stopped for a move ended with the error of its broken stream, truncated_answer, and counted as a failure of the server. Change: the cause of the end is kept; a stopped run reports canceled. Test: TestStoppedRunIsNotAFailure, seen to fail without the new case.

--- a/executor/run.go
+++ b/executor/run.go
@@ -43,18 +43,22 @@
 }
 
 type activeRun struct {
-	run    int // number of the run of the item
-	cancel context.CancelFunc
+	run  int // number of the run of the item
+	stop context.CancelCauseFunc
 }
 
+// errStopped is the cause of the end of a run that was stopped by command.StopRun.
+var errStopped = errors.New("the run was stopped")
+
 // Start starts a run of an item.
 func (r *Runs) Start(c command.StartRun) {
-	ctx, cancel := context.WithTimeout(r.Ctx, c.Deadline)
+	timeout, cancel := context.WithTimeout(r.Ctx, c.Deadline)
+	ctx, stop := context.WithCancelCause(timeout)
 	r.mu.Lock()
 	if r.active == nil {
 		r.active = make(map[string]activeRun)
 	}
-	r.active[c.Key] = activeRun{c.Run, cancel}
+	r.active[c.Key] = activeRun{c.Run, stop}
 	r.mu.Unlock()
 	go func() {
 		ended := r.runItem(ctx, c)
@@ -73,7 +77,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if a, ok := r.active[c.Key]; ok && a.run == c.Run {
-		a.cancel()
+		a.stop(errStopped)
 	}
 }
 
@@ -94,6 +98,7 @@
 		cmd: c, outcome: event.RunEnded{Key: c.Key, Run: c.Run, Server: c.Target.ID, Model: c.Model}, reportedAt: time.Now(),
 		deliver: func(e event.Event) error { return r.Deliver(ctx, e) },
 	}
+	stopped := func() bool { return errors.Is(context.Cause(ctx), errStopped) }
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// The watchdog ends the run when no event arrives in time. Its goroutine shares only
@@ -112,7 +117,11 @@
 		_ = u.deliver(event.RunStarted{Server: c.Target.ID, Model: c.Model, Version: u.outcome.Version}) // an error may be ignored, because the outcome also holds the version
 		err = u.receive(stream, watchdog)
 	}
-	if err != nil && stalled.Load() {
+	switch {
+	case err == nil:
+	case stopped(): // the broken stream says nothing about the server
+		err = verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonCanceled, "the run was stopped")
+	case stalled.Load():
 		err = verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonStalled, "server %s sent no event in time", c.Target.ID)
 	}
 	u.outcome.Failure = event.FailureOf(err)
--- a/executor/run_test.go
+++ b/executor/run_test.go
@@ -15,6 +15,7 @@
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/lot"
 	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
 // slowStream sends an event every 200 ms.
@@ -77,3 +78,45 @@
 		}
 	}
 }
+
+// brokenStream ends with an error when its context ends, as a connection does.
+type brokenStream struct {
+	slowStream
+	ctx context.Context
+}
+
+func (s *brokenStream) Next() (forward.Event, error) {
+	<-s.ctx.Done()
+	return forward.Event{}, verdict.New(verdict.MayHaveRun, verdict.ReasonTruncatedAnswer, "unexpected EOF")
+}
+
+type blockedServer struct{ forward.Sender }
+
+func (blockedServer) OpenStream(ctx context.Context, _ *forward.Target, _ *forward.Request, _ int, _ time.Duration) (forward.Stream, error) {
+	return &brokenStream{ctx: ctx}, nil
+}
+
+// TestStoppedRunIsNotAFailure guards against a server that counts as failed because its
+// runs were moved to another server. In a simulated day, 36 runs of one step were moved
+// off two slow servers, which were then suspect.
+func TestStoppedRunIsNotAFailure(t *testing.T) {
+	start := func(firstEventTimeout time.Duration) (*executor.Runs, <-chan event.Event) {
+		events := make(chan event.Event, 10)
+		runs := &executor.Runs{
+			Ctx: context.Background(), Sender: blockedServer{}, SetUrgency: func(http.Header, int) {},
+			Deliver: func(_ context.Context, e event.Event) error { events <- e; return nil },
+		}
+		runs.Start(command.StartRun{
+			Key: "k", Run: 1, Spec: &lot.Item{ID: "i"}, Target: &forward.Target{ID: "s", Load: new(forward.Load)},
+			FirstEventTimeout: firstEventTimeout, NextEventTimeout: time.Second, Deadline: 10 * time.Second,
+		})
+		require.IsType(t, event.RunStarted{}, <-events)
+		return runs, events
+	}
+	runs, events := start(5 * time.Second)
+	runs.Stop(command.StopRun{Key: "k", Run: 1})
+	require.Equal(t, verdict.ReasonCanceled, (<-events).(event.RunEnded).Failure.Reason)
+
+	_, events = start(10 * time.Millisecond)
+	require.Equal(t, verdict.ReasonStalled, (<-events).(event.RunEnded).Failure.Reason, "a run that was not stopped counts")
+}
