system/rollout: keep lots with live owners during partial outages

Other hosts tried to adopt the lots all the while, and one of them committed before the live owner when the partitions were back: 5 s of output were lost. Besides, a planned stop stopped all runs at once, also when the store could not take the handover, and no host ran the items until the end of the outage.

Change: an adoption that failed because of the store says nothing about the owner. The head is then read until its partition answers, and the owner has 1.5 s to renew it before the next adoption. A planned stop keeps the items of a lot running until the store has committed a write of the lot. The wait for the handover may take half of the grace period that remains.

--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -87,7 +87,8 @@
 	repository       *lot.Repository
 	service          *frontend.Service
 	coordinationFeed *executor.Feed
-	handoverDone     chan struct{} // closed when a graceful shutdown has handed over all lots
+	handoverDone     chan struct{}             // closed when a graceful shutdown has handed over all lots
+	stopBy           atomic.Pointer[time.Time] // by when a graceful shutdown must have completed the requests in flight
 }
 
 func serve(path string) error {
@@ -223,6 +224,9 @@
 	control.Handle(h.dispatcher, maxConcurrentWrites, func(ctx context.Context, c command.AdoptLot) event.Event {
 		return executor.AdoptLot(ctx, h.repository, c)
 	})
+	control.Handle(h.dispatcher, maxConcurrentWrites, func(ctx context.Context, c command.CheckHead) event.Event {
+		return executor.CheckHead(ctx, h.repository, c)
+	})
 	control.HandleNow(h.dispatcher, func(c command.PublishPeers) {
 		h.store.SetPeers(slices.Collect(maps.Values(c.Addresses)))
 		h.service.Peers.Publish(c)
--- a/cmd/lavender-host/serve.go
+++ b/cmd/lavender-host/serve.go
@@ -33,7 +33,7 @@
 	// host after two failed checks.
 	balancerDrainDelay = 3 * time.Second
 	// stopMargin is the part of the grace period that is reserved for the exit of the
-	// process. It also bounds the wait for the handover of lots after balancerDrainDelay.
+	// process.
 	stopMargin = 700 * time.Millisecond
 )
 
@@ -115,8 +115,11 @@
 // shutdown closes idle connections and waits for requests in flight, at most until the end
 // of the grace period.
 func (h *host) shutdown(s *http.Server) {
-	limit := h.currentSettings().Bounds.GracePeriod - balancerDrainDelay - stopMargin
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	limit := time.Now().Add(h.currentSettings().Bounds.GracePeriod - stopMargin)
+	if planned := h.stopBy.Load(); planned != nil {
+		limit = *planned
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
 	if err := s.Shutdown(ctx); err != nil {
 		h.log.Warn("requests cut off at the end of the grace period", zap.Error(err))
@@ -135,6 +138,8 @@
 // servers down, which complete the requests in flight.
 func (h *host) stop() error {
 	h.log.Info("stopping")
+	stopBy := time.Now().Add(h.currentSettings().Bounds.GracePeriod - stopMargin)
+	h.stopBy.Store(&stopBy)
 	h.service.Drain()
 	if err := h.inbox.Deliver(h.ctx, event.DrainRequested{}); err != nil {
 		return err
@@ -144,7 +149,7 @@
 	<-timer.C
 	select {
 	case <-h.handoverDone:
-	case <-time.After(stopMargin):
+	case <-time.After(time.Until(stopBy) / 2): // the rest is left for requests in flight
 		h.log.Warn("stopping before all lots were handed over")
 	}
 	return nil
--- a/command/rollout.go
+++ b/command/rollout.go
@@ -35,6 +35,13 @@
 	Version uint64
 }
 
+// CheckHead reads the head of a lot whose adoption failed, to find out whether its
+// partition of the store is available.
+type CheckHead struct {
+	ID             string
+	CandidateIndex int
+}
+
 // WriteLot commits the head of an owned lot, whose row has the given version, and stores
 // results and progress. The same write may be sent again after an unknown outcome.
 type WriteLot struct {
@@ -104,6 +111,9 @@
 // Name implements Command.
 func (AdoptLot) Name() string { return "adopt_lot" }
 
+// Name implements Command.
+func (CheckHead) Name() string { return "check_head" }
+
 // Name implements Command.
 func (WriteLot) Name() string { return "write_lot" }
 
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -107,6 +107,12 @@
 	Failure      *Failure
 }
 
+// HeadChecked is the outcome of command.CheckHead. Row is the head that was read.
+type HeadChecked struct {
+	Row     HeadRow
+	Failure *Failure
+}
+
 // LotWritten is the outcome of a commit of an owned lot. If another write was committed
 // before, Current is the head in the store.
 type LotWritten struct {
@@ -210,6 +216,9 @@
 // Name implements Event.
 func (LotAdopted) Name() string { return "lot_adopted" }
 
+// Name implements Event.
+func (HeadChecked) Name() string { return "head_checked" }
+
 // Name implements Event.
 func (LotWritten) Name() string { return "lot_written" }
 
--- a/executor/store.go
+++ b/executor/store.go
@@ -38,6 +38,17 @@
 	return e
 }
 
+// CheckHead executes command.CheckHead.
+func CheckHead(ctx context.Context, repo *lot.Repository, c command.CheckHead) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	stored, err := repo.HeadAt(ctx, c.ID, c.CandidateIndex)
+	return event.HeadChecked{
+		Row:     event.HeadRow{ID: c.ID, Head: stored.Head, Version: stored.Version},
+		Failure: event.FailureOf(err),
+	}
+}
+
 // adoptLot commits the new head of a lot and reads what the new owner needs into e.
 func adoptLot(ctx context.Context, repo *lot.Repository, c command.AdoptLot, e *event.LotAdopted) error {
 	stored, existing, err := repo.Append(ctx, c.Head, c.Version, nil, nil)
--- a/system/rollout/dispatch.go
+++ b/system/rollout/dispatch.go
@@ -30,7 +30,7 @@
 // of their lot by most, or to meet it with the least time left, come first.
 func Dispatch(now time.Duration, t *table.Tables, _ []event.Event, out *command.Outbox) {
 	r := &t.Rollout
-	if r.Desired == nil || r.Draining {
+	if r.Desired == nil {
 		return
 	}
 	expireItems(now, t, out)
@@ -82,7 +82,7 @@
 			continue
 		}
 		l := r.Lots.Find(item.Lot)
-		if l == nil || l.Stage != table.LotOwned || !headConfirmed(r, l) {
+		if l == nil || l.Stage != table.LotOwned || l.Releasing || !headConfirmed(r, l) {
 			continue
 		}
 		if route := r.Desired.Match(l.Submission.Host, item.Spec.Path); route != nil {
--- a/system/rollout/drain.go
+++ b/system/rollout/drain.go
@@ -9,15 +9,19 @@
 	"github.com/lavenderstand/lavenderstand/table"
 )
 
+// recentCommitAge is the age of the last commit of a lot up to which the store is expected
+// to take the handover of the lot as well.
+const recentCommitAge = 300 * time.Millisecond
+
 // Drain hands over the lots of this process during a graceful shutdown. It stops the runs
-// and writes their output so far together with the handover, so that the next owner
-// continues from there.
+// of a lot and writes their output so far together with the handover, so that the next
+// owner continues from there. While the store takes no commit of the lot, its items keep
+// running: no other host could continue them.
 func Drain(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
 	r := &t.Rollout
 	for _, e := range in {
 		if _, ok := e.(event.DrainRequested); ok && !r.Draining {
 			r.Draining = true
-			stopRuns(t, out)
 		}
 	}
 	if !r.Draining {
@@ -29,7 +33,11 @@
 			continue
 		}
 		pending = true
-		if l.Write == nil && !hasRunningItem(t, l) {
+		if !l.Releasing && l.Write == nil && now-l.VersionSeenAt <= recentCommitAge {
+			l.Releasing = true
+			stopRuns(t, l, out)
+		}
+		if l.Releasing && l.Write == nil && !hasRunningItem(t, l) {
 			beginHandover(now, r, l)
 		}
 	}
@@ -39,10 +47,10 @@
 	}
 }
 
-// stopRuns stops the runs of all items.
-func stopRuns(t *table.Tables, out *command.Outbox) {
-	for key, item := range t.Rollout.Items.All() {
-		if item.Stage == table.ItemRunning {
+// stopRuns stops the runs of a lot's items.
+func stopRuns(t *table.Tables, l *table.Lot, out *command.Outbox) {
+	for _, key := range itemKeys(l) {
+		if item := t.Rollout.Items.Find(key); item != nil && item.Stage == table.ItemRunning {
 			out.Add(command.StopRun{Key: key, Run: item.Run})
 		}
 	}
--- a/system/rollout/lots.go
+++ b/system/rollout/lots.go
@@ -13,6 +13,7 @@
 	"github.com/lavenderstand/lavenderstand/lot"
 	"github.com/lavenderstand/lavenderstand/readbudget"
 	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
 // Names of the feeds whose state affects decisions.
@@ -53,6 +54,10 @@
 	assignedOwnerTimeout = 600 * time.Millisecond
 	// adoptRetryDelay is the wait after a failed adoption.
 	adoptRetryDelay = 300 * time.Millisecond
+	// ownerReturnDelay is the time that an owner is given to renew the head of its lot after
+	// the partition of the head has become available again. It covers a write that was sent
+	// during the outage, its timeout and its repetition.
+	ownerReturnDelay = 1500 * time.Millisecond
 )
 
 // Lots maintains the table of lots: those that this process accepted or adopted, and
@@ -66,6 +71,8 @@
 			handleAdopted(now, t, e, out)
 		case event.HeadsRead:
 			applyHeads(now, t, e, out)
+		case event.HeadChecked:
+			handleChecked(now, t, e, out)
 		case event.LotWritten:
 			handleWritten(now, t, e, out)
 		}
@@ -148,6 +155,7 @@
 		return
 	}
 	l.Stage, l.RetryAt = table.LotNotOwned, now+adoptRetryDelay
+	l.PartitionDown = e.Failure.Reason == verdict.ReasonStoreUnavailable && mayHaveLiveOwner(&t.Rollout, l)
 	out.Add(command.Count{Counter: "lot_adoption_failed", Tags: map[string]string{"reason": string(e.Failure.Reason)}, Delta: 1})
 	logLot("lot not adopted", l, out, field("reason", string(e.Failure.Reason)), field("error", e.Failure.Message))
 }
@@ -271,7 +279,7 @@
 		return
 	}
 	for id, l := range r.Lots.All() {
-		if l.Stage != table.LotNotOwned || !l.Head.Open() || !headConfirmed(r, l) {
+		if l.Stage != table.LotNotOwned || l.Checking || !l.Head.Open() || !headConfirmed(r, l) {
 			continue
 		}
 		wait, step := adoptionWait(r, l)
@@ -286,6 +294,11 @@
 			out.WakeAt(due)
 			continue
 		}
+		if l.PartitionDown {
+			l.Checking = true
+			out.Add(command.CheckHead{ID: id, CandidateIndex: l.Head.CandidateIndex})
+			continue
+		}
 		l.Stage = table.LotAdopting
 		h := l.Head
 		h.Owner, h.WriteID = r.Self, newWriteID(r)
@@ -295,6 +308,30 @@
 	}
 }
 
+// mayHaveLiveOwner reports whether another host owns a lot and may still be alive.
+func mayHaveLiveOwner(r *table.Rollout, l *table.Lot) bool {
+	return l.Head.Owner != (lot.Process{}) && l.Head.Owner.Host != r.Self.Host
+}
+
+// handleChecked applies the outcome of a check whether the partition of a head is
+// available. Once it is, the owner gets ownerReturnDelay to renew the head: it could not do
+// so before, and an adoption would discard the results that it could not commit.
+func handleChecked(now time.Duration, t *table.Tables, e event.HeadChecked, out *command.Outbox) {
+	l := t.Rollout.Lots.Find(e.Row.ID)
+	if l == nil || !l.Checking {
+		return
+	}
+	l.Checking = false
+	if e.Failure != nil {
+		l.RetryAt = now + adoptRetryDelay
+		return
+	}
+	l.PartitionDown, l.RetryAt = false, now+ownerReturnDelay
+	if e.Row.Version > l.Version {
+		applyHead(now, t, &e.Row, out)
+	}
+}
+
 // ownerLastSeen returns the time of the owner's last heartbeat: the last change of the
 // lot's head or of the owner's presence row, which an owner writes when it cannot write
 // the head.
--- a/system/rollout/moves.go
+++ b/system/rollout/moves.go
@@ -36,7 +36,7 @@
 // so that the slots are those that no waiting item took.
 func MoveRuns(now time.Duration, t *table.Tables, _ []event.Event, out *command.Outbox) {
 	r := &t.Rollout
-	if r.Desired == nil || r.Draining {
+	if r.Desired == nil {
 		return
 	}
 	if r.Items.Len() == 0 {
@@ -51,7 +51,7 @@
 	moves := make(map[poolKey][]move)
 	for key, item := range r.Items.All() {
 		s, l := r.Servers.Find(item.Server), r.Lots.Find(item.Lot)
-		if item.Stage != table.ItemRunning || s == nil || l == nil {
+		if item.Stage != table.ItemRunning || s == nil || l == nil || l.Releasing {
 			continue
 		}
 		pk := poolKeyOf(s, l)
--- a/system/rollout/writes.go
+++ b/system/rollout/writes.go
@@ -39,7 +39,7 @@
 		if l.Stage != table.LotOwned || !headConfirmed(&t.Rollout, l) {
 			continue
 		}
-		if l.Write == nil {
+		if l.Write == nil && !l.Releasing { // the handover holds the remaining results
 			beginWrite(now, t, l, out)
 		}
 		if l.Write != nil && !l.Write.InFlight {
@@ -51,6 +51,9 @@
 // beginWrite prepares the next write of a lot when it is due.
 func beginWrite(now time.Duration, t *table.Tables, l *table.Lot, out *command.Outbox) {
 	due := l.LastWriteAt + headRenewInterval
+	if t.Rollout.Draining && !l.Releasing {
+		due = now // shows whether the store takes the handover
+	}
 	if len(l.Pending) > 0 {
 		due = min(due, l.PendingSince+resultGatherWindow)
 	}
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -145,6 +145,11 @@
 	SeenAt        time.Duration // when this process saw the lot first
 	Stage         LotStage
 
+	// PartitionDown is set when the partition of the head did not take an adoption by this
+	// process, which says nothing about the owner.
+	PartitionDown bool
+	Checking      bool // a check whether the partition is available is under way
+
 	// The following fields are set for owned lots only, apart from RetryAt.
 	Submission     *lot.Submission `json:"-"`
 	AcceptedAt     time.Duration   // when this process accepted or adopted the lot
@@ -155,6 +160,7 @@
 	LastWriteAt    time.Duration   // when the last write began
 	LastProgressAt time.Duration   // when the last write with progress of items began
 	RetryAt        time.Duration   // earliest time of the next adoption or write after a failure
+	Releasing      bool            // the runs have been stopped for a planned handover
 }
 
 // LotWrite is a commit of a lot. It is sent again unchanged until its outcome is known.
