--- a/forward/stream.go
+++ b/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"time"
 
@@ -18,8 +19,9 @@
 	Event(e Event) error // writes an event
 }
 
-// streamIdleTimeout bounds the time between two events of a stream. After it, the connection
-// to the server is considered lost. It is far longer than the usual time between events.
+// streamIdleTimeout bounds the time between two events of a stream that may be resumed. After
+// it, the connection to the server is considered lost. It is far longer than the usual time
+// between events. Other streams are slow rather than lost: they last until their deadline.
 const streamIdleTimeout = 700 * time.Millisecond
 
 // ForwardStream forwards the events of a stream as they arrive. If the stream breaks and its
@@ -102,13 +104,24 @@
 		s.w.Begin(stream.Header())
 		s.headerSent = true
 	}
-	return s.copyEvents(stream)
+	return s.copyEvents(ctx, stream)
+}
+
+// idleTimeout returns the time without an event after which the current attempt is given
+// up. It is unlimited if no other attempt may follow.
+func (s *streamCall) idleTimeout() time.Duration {
+	if s.route.Resumable && s.mayHaveRun < max(1, s.route.MaxAttempts) {
+		return streamIdleTimeout
+	}
+	return math.MaxInt64
 }
 
 // copyEvents forwards events until the stream ends. It closes the stream if no event arrives
-// within streamIdleTimeout.
-func (s *streamCall) copyEvents(stream Stream) error {
-	idleTimer := time.AfterFunc(streamIdleTimeout, stream.Close)
+// within idleTimeout or before the deadline; bytes that form no event do not count.
+func (s *streamCall) copyEvents(ctx context.Context, stream Stream) error {
+	stop := context.AfterFunc(ctx, stream.Close)
+	defer stop()
+	idleTimer := time.AfterFunc(s.idleTimeout(), stream.Close)
 	defer idleTimer.Stop()
 	for {
 		e, err := stream.Next()
@@ -122,6 +135,6 @@
 			return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonCanceled, "the caller disconnected")
 		}
 		s.lastEventID = e.ID
-		idleTimer.Reset(streamIdleTimeout)
+		idleTimer.Reset(s.idleTimeout())
 	}
 }
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -83,3 +84,81 @@
 	require.Equal(t, "12", w.events)
 	require.Len(t, s.opened, 1)
 }
+
+// timedStream sends an event after each gap, and then waits until it is closed.
+type timedStream struct {
+	fakeStream
+	gaps   []time.Duration
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (s *timedStream) Close() { s.once.Do(func() { close(s.closed) }) }
+
+func (s *timedStream) Next() (forward.Event, error) {
+	gap := time.Hour
+	if len(s.gaps) > 0 {
+		gap, s.gaps = s.gaps[0], s.gaps[1:]
+	} else if s.next > 5 {
+		return forward.Event{}, forward.ErrStreamEnd
+	}
+	select {
+	case <-s.closed:
+		return forward.Event{}, lost()
+	case <-time.After(gap):
+	}
+	s.next++
+	return forward.Event{ID: s.next - 1, Raw: []byte(strconv.Itoa(s.next - 1))}, nil
+}
+
+// timedStreams is a Sender of timedStreams.
+type timedStreams struct {
+	sender
+	gaps   [][]time.Duration // by stream
+	opened []int
+}
+
+func (s *timedStreams) OpenStream(_ context.Context, _ *forward.Target, _ *forward.Request, after int, _ time.Duration) (forward.Stream, error) {
+	n := len(s.opened)
+	s.opened = append(s.opened, after)
+	return &timedStream{fakeStream: fakeStream{next: after + 1}, gaps: s.gaps[n], closed: make(chan struct{})}, nil
+}
+
+func forwardTimedStream(resumable bool, timeout time.Duration, gaps ...[]time.Duration) (*written, *timedStreams, error) {
+	s := &timedStreams{gaps: gaps}
+	f, _ := newForwarder(&s.sender, desired.KindStream)
+	f.Sender = s
+	route := &f.Plans.Load().Desired.Routes[0]
+	route.Resumable, route.Timeout, route.MaxAttempts = resumable, timeout, 2
+	w := &written{}
+	return w, s, f.ForwardStream(context.Background(), request(), w)
+}
+
+// TestSlowSoundStreamIsNotCut guards against a stream that is cut because its events are far
+// apart, although no other server could continue it.
+func TestSlowSoundStreamIsNotCut(t *testing.T) {
+	t.Parallel()
+	const gap = 900 * time.Millisecond
+	w, s, err := forwardTimedStream(false, 10*time.Second, []time.Duration{gap, 0, gap, 0, 0})
+	require.NoError(t, err)
+	require.Equal(t, "12345", w.events)
+	require.Len(t, s.opened, 1)
+
+	w, s, err = forwardTimedStream(true, 10*time.Second, []time.Duration{0, gap}, []time.Duration{0, gap, 0, 0})
+	require.NoError(t, err, "the last attempt is not cut")
+	require.Equal(t, "12345", w.events)
+	require.Equal(t, []int{0, 1}, s.opened)
+}
+
+// TestStalledStreamEnds guards against a stream that never ends because its server sends
+// no further event.
+func TestStalledStreamEnds(t *testing.T) {
+	t.Parallel()
+	for _, resumable := range []bool{false, true} {
+		start := time.Now()
+		_, _, err := forwardTimedStream(resumable, 1500*time.Millisecond, []time.Duration{0, time.Hour}, []time.Duration{time.Hour})
+		require.Error(t, err)
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+		require.InDelta(t, 1500, time.Since(start).Milliseconds(), 300, "the stream ends at its deadline")
+	}
+}
--- a/system/rollout/dispatch.go
+++ b/system/rollout/dispatch.go
@@ -16,9 +16,14 @@
 	// firstEventTimeout bounds the wait for the first event of a run. It covers the time
 	// that an item can wait at the server behind other items and a load of weights.
 	firstEventTimeout = 2500 * time.Millisecond
-	// nextEventTimeout bounds the time between two events of a run. Events are about
-	// 30 ms apart; a preempted request waits several times longer.
-	nextEventTimeout = 900 * time.Millisecond
+	// minNextEventTimeout and nextEventIntervals bound the time between two events of a run,
+	// the latter as a multiple of the server's usual time between events. A preempted request
+	// waits several times longer than usual.
+	minNextEventTimeout = 900 * time.Millisecond
+	nextEventIntervals  = 10
+	// maxTimeoutDoublings bounds the doublings of both timeouts, one for each run of the item
+	// that stalled. Without them, an item that takes long everywhere would never be done.
+	maxTimeoutDoublings = 3
 	// defaultItemTimeout applies to lots whose route has no ItemTimeout.
 	defaultItemTimeout = 60 * time.Second
 	// Priorities of items at an engine, from 0 (first) to 9 (last).
@@ -137,12 +142,21 @@
 	out.Add(command.StartRun{
 		Key: w.key, Run: w.item.Run, Spec: w.item.Spec, Host: w.lot.Submission.Host, Target: target(s),
 		Model: w.lot.Head.Model, MinVersion: w.lot.Submission.MinimumVersion, AfterEvent: len(w.item.Events),
-		Priority: enginePriority(now, w, w.route), FirstEventTimeout: firstEventTimeout, NextEventTimeout: nextEventTimeout,
+		Priority: enginePriority(now, w, w.route), FirstEventTimeout: firstEventTimeout << doublings(w.item), NextEventTimeout: nextEventTimeout(r, s) << doublings(w.item),
 		SlowInterval: slowInterval(r, w.pool.service),
 		Deadline:     max(time.Second, itemTimeout(w.route)-(now-w.lot.AcceptedAt)),
 	})
 }
 
+// nextEventTimeout returns the time without an event after which a run on a server is given
+// up.
+func nextEventTimeout(r *table.Rollout, s *table.Server) time.Duration {
+	return max(minNextEventTimeout, nextEventIntervals*eventInterval(r, s))
+}
+
+// doublings returns the number of doublings of the timeouts of an item's next run.
+func doublings(item *table.Item) int { return min(item.Stalls, maxTimeoutDoublings) }
+
 // enginePriority returns the priority of an item at the engine. It follows the
 // priority of the route; a lot that has used more than half of its CompletionTarget
 // is urgent.
--- a/system/rollout/placement_test.go
+++ b/system/rollout/placement_test.go
@@ -370,3 +370,27 @@
 		}
 	})
 }
+
+// TestStalledItemGetsMoreTime guards against an item that is never done because each of its
+// runs is given up before a slow but sound server sends an event, and against a server that
+// is usually slow and whose runs are given up for that.
+func TestStalledItemGetsMoreTime(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil))
+	run := commandsOf[command.StartRun](w.accept(submission(1)))[0]
+	first, next := run.FirstEventTimeout, run.NextEventTimeout
+	for stalls := range maxTimeoutDoublings + 2 {
+		require.Equal(t, first<<min(stalls, maxTimeoutDoublings), run.FirstEventTimeout)
+		require.GreaterOrEqual(t, run.NextEventTimeout, next<<min(stalls, maxTimeoutDoublings))
+		e := endedRun(run)
+		e.Failure = &event.Failure{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonStalled}
+		commands := append(w.step(e), w.advance(maxSuspectPeriod+suspectRetryDelay)...)
+		run = commandsOf[command.StartRun](commands)[0]
+	}
+
+	w = newWorld(t)
+	w.step(w.server("slow", nil))
+	w.measure("slow", 2*time.Second)
+	run = commandsOf[command.StartRun](w.accept(submission(1)))[0]
+	require.Greater(t, run.NextEventTimeout, 2*time.Second)
+}
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -143,6 +143,8 @@
 		item.NotBefore = now + runRetryDelay
 	case verdict.ReasonTerminated:
 		item.UnprocessableAnswers++
+	case verdict.ReasonStalled:
+		item.Stalls++
 	}
 	if item.UnprocessableAnswers > 0 || item.Failures >= maxItemAttempts(t, item) {
 		finishItem(now, t, item, lot.Result{Item: item.Spec.ID, State: lot.StateTerminated}, out)
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -202,6 +202,7 @@
 	StoredEvents int                // number of events that are stored as progress
 	EventsAt     time.Duration      // start of the newest run or its last progress report
 
+	Stalls               int // number of runs that sent no event in time
 	Failures             int // number of answers that reported a failure of the run
 	UnprocessableAnswers int // number of answers that reported that the item can never be processed
 	ScoreRuns            int // number of scoring requests sent
--- a/transport/trace.go
+++ b/transport/trace.go
@@ -35,6 +35,16 @@
 	t.used = append(t.used, used)
 }
 
+// Close closes the connections of the request, so that bytes that follow a response are not
+// read as the response to a later request.
+func (t *Trace) Close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, used := range t.used {
+		_ = used.conn.Close()
+	}
+}
+
 // NothingSent reports whether no byte of the attempt was written. If it returns true, it
 // has also closed the connections of the attempt, so that no byte will be written later.
 // It returns false if a connection does not count its writes, because it may have sent
