executor, forward: a panic on data from outside ends one request or row

Cause: goroutines that decode answers of servers and rows of other writers had no guard; one message that makes a decoder panic ended the process and, as each host reads the same rows, all hosts. Change: verdict.Recover turns the panic into an error, may have run, reason internal, with the stack. A row at fault is reported as unreadable and the others are applied.

--- a/executor/feed.go
+++ b/executor/feed.go
@@ -90,7 +90,7 @@
 		}
 		retryInterval = minFeedRetryInterval
 		f.handleReadSuccess(ctx)
-		for _, e := range f.Decode(rows, full, f.version) {
+		for _, e := range f.decode(rows, full) {
 			_ = f.Deliver(ctx, e) // fails only when the process ends
 		}
 		f.freshAt.Store(sent.UnixNano())
@@ -99,6 +99,34 @@
 	return nil
 }
 
+// decode converts rows to events. If that panics, the rows at fault are left out and
+// reported as unreadable.
+func (f *Feed) decode(rows []store.Row, full bool) []event.Event {
+	events, err := f.tryDecode(rows, full)
+	if err == nil {
+		return events
+	}
+	var readable []store.Row
+	var unreadable []event.Event
+	for _, row := range rows {
+		if _, err := f.tryDecode([]store.Row{row}, false); err != nil {
+			unreadable = append(unreadable, event.RowUnreadable{Table: f.Table, Row: row.Name, Version: row.Version})
+			continue
+		}
+		readable = append(readable, row)
+	}
+	events, err = f.tryDecode(readable, full)
+	if err != nil {
+		events = append(events, event.RowUnreadable{Table: f.Table, Version: f.version})
+	}
+	return append(events, unreadable...)
+}
+
+func (f *Feed) tryDecode(rows []store.Row, full bool) (events []event.Event, err error) {
+	defer verdict.Recover(&err)
+	return f.Decode(rows, full, f.version), nil
+}
+
 // waitForNextRead waits until the next read is due.
 func (f *Feed) waitForNextRead(ctx context.Context, sent time.Time, changed bool) {
 	var delay time.Duration
--- a/executor/feed_test.go
+++ b/executor/feed_test.go
@@ -17,10 +17,15 @@
 
 // runFeed runs a feed of the coordination table until the test ends and returns its events.
 func runFeed(t *testing.T, rows *pamoja.Store) <-chan event.Event {
+	return runFeedWith(t, rows, executor.DecodeCoordination)
+}
+
+// runFeedWith does the same with another decoder.
+func runFeedWith(t *testing.T, rows *pamoja.Store, decode func([]store.Row, bool, uint64) []event.Event) <-chan event.Event {
 	events := make(chan event.Event, 100)
 	f := &executor.Feed{
 		Name: "coordination", Table: lot.TableCoordination, Parts: lot.CoordinationParts(), Store: rows, LongPollWait: 50 * time.Millisecond,
-		Decode: executor.DecodeCoordination, OnReadFailure: func() {},
+		Decode: decode, OnReadFailure: func() {},
 		Deliver: func(_ context.Context, e event.Event) error { events <- e; return nil },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/executor/run.go
+++ b/executor/run.go
@@ -114,7 +114,7 @@
 	end, _ := ctx.Deadline()
 	c.Target.Load.InFlight.Add(1)
 	defer c.Target.Load.InFlight.Add(-1)
-	stream, err := r.Sender.OpenStream(ctx, c.Target, r.newRequest(c), c.AfterEvent, time.Until(end))
+	stream, err := r.open(ctx, c.Target, r.newRequest(c), c.AfterEvent, time.Until(end))
 	if err == nil {
 		defer stream.Close()
 		u.outcome.Version = stream.Version()
@@ -133,6 +133,12 @@
 	return u.outcome
 }
 
+// open opens a stream. A panic while the response is decoded becomes an error.
+func (r *Runs) open(ctx context.Context, to *forward.Target, req *forward.Request, after int, remaining time.Duration) (stream forward.Stream, err error) {
+	defer verdict.Recover(&err)
+	return r.Sender.OpenStream(ctx, to, req, after, remaining)
+}
+
 // newRequest returns the request of an item, with the priority of the run in its header.
 func (r *Runs) newRequest(c command.StartRun) *forward.Request {
 	h := make(http.Header, len(c.Spec.Headers)+2)
@@ -146,8 +152,9 @@
 	}
 }
 
-// receive handles events until the stream ends, fails or is too slow.
-func (u *run) receive(s forward.Stream, watchdog *time.Timer) error {
+// receive handles events until the stream ends or fails.
+func (u *run) receive(s forward.Stream, watchdog *time.Timer) (err error) {
+	defer verdict.Recover(&err)
 	for {
 		e, err := s.Next()
 		if errors.Is(err, forward.ErrStreamEnd) {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -234,7 +234,7 @@
 	target.Load.InFlight.Add(1)
 	go func() {
 		start := time.Now()
-		answer, err := c.f.Sender.Send(ctx, target, c.r, remaining)
+		answer, err := c.f.send(ctx, target, c.r, remaining)
 		target.Load.InFlight.Add(-1)
 		select {
 		case c.results <- result{target, answer, err, time.Since(start)}:
@@ -244,6 +244,12 @@
 	return 0, nil
 }
 
+// send sends a request. A panic while the response is decoded becomes an error.
+func (f *Forwarder) send(ctx context.Context, to *Target, r *Request, remaining time.Duration) (answer *Answer, err error) {
+	defer verdict.Recover(&err)
+	return f.Sender.Send(ctx, to, r, remaining)
+}
+
 // handleResult processes the result of an attempt. If the request has ended, done is true and
 // answer or err is its outcome.
 func (c *call) handleResult(res result) (answer *Answer, done bool, err error) {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -183,3 +183,21 @@
 	_, err = f.Forward(context.Background(), request())
 	require.Equal(t, verdict.ReasonNotReady, verdict.ReasonOf(err))
 }
+
+// TestMalformedAnswerEndsOneRequest guards against an answer that ends the process because
+// its decoding panics.
+func TestMalformedAnswerEndsOneRequest(t *testing.T) {
+	s := &sender{reply: func(_ context.Context, _ string, n int) (*forward.Answer, error) {
+		if n == 1 {
+			panic("malformed answer")
+		}
+		return ok, nil
+	}}
+	f, _ := newForwarder(s, desired.KindIdempotent)
+	_, err := f.Forward(context.Background(), request())
+	require.NoError(t, err)
+	f, _ = newForwarder(&sender{reply: s.reply}, desired.KindNonIdempotent)
+	_, err = f.Forward(context.Background(), request())
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+	require.Equal(t, verdict.ReasonInternal, verdict.ReasonOf(err))
+}
