peer: a call that panics does not end the process

Cause: grpc-go does not recover panics of handlers; one malformed call of another process would have ended this one. Change: RecoverInterceptor in both gRPC servers logs the call and answers may have run, internal.

--- a/cmd/lavender-host/serve.go
+++ b/cmd/lavender-host/serve.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	server := grpc.NewServer()
+	server := grpc.NewServer(grpc.UnaryInterceptor(peer.RecoverInterceptor(h.log)))
 	peerpb.RegisterStoreServer(server, &peer.StoreServer{Store: h.repository.Cache.CachingClient(h.directStore)})
 	g.Add(func() error { return server.Serve(l) }, func(error) { server.Stop() })
 	return nil
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -72,7 +72,9 @@
 	if err != nil {
 		return err
 	}
-	server := grpc.NewServer(grpc.UnaryInterceptor(peer.TokenInterceptor(b.Principals.CheckProcess)))
+	server := grpc.NewServer(grpc.ChainUnaryInterceptor(
+		peer.RecoverInterceptor(b.Log), peer.TokenInterceptor(b.Principals.CheckProcess),
+	))
 	register(server)
 	g.Add(func() error { return server.Serve(listener) }, func(error) {
 		timer := time.AfterFunc(shutdownTimeout, server.Stop)
