system/rollout: try a loading engine near the end of its load

Change: how long an engine refuses items is measured by service. One that lags behind the named version and refused an item is tried again after 0.8 of that time. engine: blank lines count towards the limit of an event. Tests: TestLoadingEngineIsTriedNearItsEnd, TestEventReaderIsBounded (never returned for blank lines before).

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -19,6 +19,7 @@
 	limit  int
 	data   []byte
 	size   int // bytes read of the current event, including fields other than data
+	blank  int // bytes read since the last event before the current one began
 }
 
 // NewEventReader returns a reader of events of at most limit bytes.
@@ -30,7 +31,7 @@
 // Next. At the end of the stream it returns io.EOF, or io.ErrUnexpectedEOF if the
 // stream ends within an event.
 func (e *EventReader) Next() ([]byte, error) {
-	e.data, e.size = e.data[:0], 0
+	e.data, e.size, e.blank = e.data[:0], 0, 0
 	hasData := false
 	for {
 		line, err := e.readLine()
@@ -38,10 +39,11 @@
 			return nil, e.endError(err)
 		}
 		if len(line) == 0 {
-			e.size = 0
 			if hasData {
 				return e.data, nil
 			}
+			e.blank += e.size
+			e.size = 0
 			continue
 		}
 		if field, ok := bytes.CutPrefix(line, []byte("data:")); ok {
@@ -69,7 +71,7 @@
 	for {
 		part, err := e.reader.ReadSlice('\n')
 		e.size += len(part)
-		if e.size > e.limit {
+		if e.blank+e.size > e.limit {
 			return nil, ErrEventTooLarge
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -67,3 +67,23 @@
 		}
 	})
 }
+
+// endless is a reader of the same bytes without end.
+type endless string
+
+func (e endless) Read(p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		n += copy(p[n:], e)
+	}
+	return n, nil
+}
+
+// TestEventReaderIsBounded guards against a reader that never returns because the server
+// sends bytes without end that form no event.
+func TestEventReaderIsBounded(t *testing.T) {
+	for _, text := range []string{"x", "\n", "\r\n", ": comment\n", ": comment\n\n", "data: x\n"} {
+		_, err := NewEventReader(endless(text), 1000).Next()
+		require.ErrorIs(t, err, ErrEventTooLarge, "%q", text)
+	}
+}
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -29,7 +29,7 @@
 	for _, e := range in {
 		switch e := e.(type) {
 		case event.RunStarted:
-			runStarted(t, e)
+			runStarted(now, t, e)
 		case event.RunProgressed:
 			runProgressed(now, t, e)
 		case event.RunEnded:
@@ -39,12 +39,13 @@
 }
 
 // runStarted records that a server has accepted a run and which version it stated.
-func runStarted(t *table.Tables, e event.RunStarted) {
+func runStarted(now time.Duration, t *table.Tables, e event.RunStarted) {
 	s := t.Rollout.Servers.Find(e.Server)
 	if s == nil {
 		return
 	}
-	s.Refusals, s.BusyUntil = 0, 0
+	recordLoadEnd(now, &t.Rollout, s)
+	s.Refusals, s.RefusedSince, s.BusyUntil = 0, 0, 0
 	if e.Version != 0 && e.Model != "" && s.Models[e.Model] != e.Version {
 		setModelVersion(s, e.Model, e.Version)
 	}
@@ -109,8 +110,7 @@
 	out.Add(command.Count{Counter: "runs_failed", Tags: map[string]string{"reason": string(e.Failure.Reason)}, Delta: 1})
 	switch e.Failure.Reason {
 	case verdict.ReasonBackendRefused:
-		s.BusyUntil = now + min(maxBusyPause, minBusyPause<<min(s.Refusals, 4))
-		s.Refusals++
+		recordRefusal(now, r, s)
 	case verdict.ReasonCanceled, verdict.ReasonTerminated, verdict.ReasonTooOld:
 	case verdict.ReasonBackendFailed:
 		recordSuccess(r, s) // the server answers; the failure is the item's
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -31,7 +31,13 @@
 	// further refusal up to maxBusyPause, because a server that loads weights refuses
 	// items for about a second.
 	minBusyPause = 40 * time.Millisecond
-	maxBusyPause = 160 * time.Millisecond
+	// earlyTryRatio is the share of the expected time of a load after which an engine that
+	// refused an item is tried again.
+	earlyTryRatio = 0.8
+	// loadTimeSmoothing is the weight, from 0 to 1, of a new measurement in the expected time
+	// of a load.
+	loadTimeSmoothing = 0.3
+	maxBusyPause      = 160 * time.Millisecond
 )
 
 // Servers maintains the table of backend servers from their published records.
@@ -176,6 +182,36 @@
 	}
 }
 
+// recordRefusal leaves a server alone after it refused an item. An engine that lags behind
+// the named version of its model loads weights: it is tried again shortly before the load is
+// expected to end.
+func recordRefusal(now time.Duration, r *table.Rollout, s *table.Server) {
+	if s.RefusedSince == 0 {
+		s.RefusedSince = now
+	}
+	s.BusyUntil = now + min(maxBusyPause, minBusyPause<<min(s.Refusals, 4))
+	if s.Models[s.PreferredModel] < namedVersion(r, s.PreferredModel) {
+		expected := time.Duration(earlyTryRatio * float64(r.LoadTimes[s.Service]))
+		s.BusyUntil = max(s.BusyUntil, s.RefusedSince+expected)
+	}
+	s.Refusals++
+}
+
+// recordLoadEnd records how long a server refused items until now, when it accepted one.
+func recordLoadEnd(now time.Duration, r *table.Rollout, s *table.Server) {
+	if s.RefusedSince == 0 {
+		return
+	}
+	if r.LoadTimes == nil {
+		r.LoadTimes = make(map[string]time.Duration)
+	}
+	took := now - s.RefusedSince
+	if old := r.LoadTimes[s.Service]; old > 0 {
+		took = smooth(old, took, loadTimeSmoothing)
+	}
+	r.LoadTimes[s.Service] = took
+}
+
 // routingPlan builds the immutable plan that request goroutines use. It leaves out
 // servers that are leaving. Servers with a missing record are included until
 // expireMissing deletes them, because their record may return after an outage.
--- a/system/rollout/servers_test.go
+++ b/system/rollout/servers_test.go
@@ -118,6 +118,47 @@
 	}
 }
 
+// TestLoadingEngineIsTriedNearItsEnd guards against items that are sent to an engine again
+// and again while it loads weights. In a simulated day, each load refused seven.
+func TestLoadingEngineIsTriedNearItsEnd(t *testing.T) {
+	const load = 900 * time.Millisecond
+	w := newWorld(t)
+	w.step(w.server("s1", nil))
+	w.advance(assignInterval)
+	tries := 0
+	loadOnce := func(version registry.Version, id string) {
+		tries = 0
+		commands := w.step(event.VersionNamed{Model: model, Version: version})
+		s := submission(1)
+		s.ID = id
+		commands = append(commands, w.accept(s)...)
+		for end := w.now + load; ; {
+			var in []event.Event
+			for _, c := range commandsOf[command.StartRun](commands) {
+				tries++
+				if w.now > end {
+					w.step(event.RunStarted{Server: "s1", Model: model, Version: version})
+					done := endedRun(c, "x")
+					done.Version = version
+					w.step(done)
+					return
+				}
+				e := endedRun(c)
+				e.Versions, e.Version = nil, 0
+				e.Failure = &event.Failure{Verdict: verdict.NotRun, Reason: verdict.ReasonBackendRefused}
+				in = append(in, e)
+			}
+			commands = w.step(in...)
+		}
+	}
+	loadOnce(2, "l1")
+	require.Greater(t, tries, 3, "the time of a load is not known yet")
+	loadOnce(3, "l2")
+	require.LessOrEqual(t, tries, 4, "one try at the start, few near the end")
+	loadOnce(4, "l3")
+	require.LessOrEqual(t, tries, 4)
+}
+
 // TestWeightsOlderThanTheLotAllows guards against items that are generated with weights
 // older than the minimum version of their lot.
 func TestWeightsOlderThanTheLotAllows(t *testing.T) {
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -39,6 +39,7 @@
 	// Presence is the state of the row by which other hosts find this host.
 	Presence          Presence
 	MedianIntervals   map[string]MedianInterval // by service
+	LoadTimes         map[string]time.Duration  // expected time of a load of weights, by service
 	EnginesAssignedAt time.Duration             // when engines were last assigned to models
 	MovesCheckedAt    time.Duration             // when runs that would gain by a move were last searched
 	Runners           map[string]command.Runner // as last published, by model
@@ -93,6 +94,7 @@
 	Failures       int           // consecutive failures
 	BusyUntil      time.Duration // until then no items are sent, after a refusal for lack of a slot or during a load
 	Refusals       int           // consecutive refusals; while there are any, items are sent one at a time
+	RefusedSince   time.Duration // first of the consecutive refusals, 0 if there is none
 	Order          Order
 	PreferredModel string // model to which the engine is assigned
 }
