system: a rollout that was superseded once completes before the next

Cause: each newer version superseded the rollout in progress. Where versions are named faster than they are loaded on all engines, no version was ever activated: 11 versions 1.5 s apart, with loads of 0.5 s one at a time on four engines, left all of them at version 1. Change: one rollout may be superseded; the next one completes first, for at most 10 s, while the newest version waits. Only the holder of the model's partition knows the progress; the others follow the wanted version. Tests: TestVersionsNamedFasterThanLoaded, seen to fail before the change (only version 1 was ever active), TestStuckRolloutIsSuperseded.

--- a/system/rollout_test.go
+++ b/system/rollout_test.go
@@ -131,3 +131,50 @@
 	runWithReports(w, 4*time.Second)
 	require.Equal(t, ledger.Version(2), n.t.Backends.Find("m3").Active)
 }
+
+// TestVersionsNamedFasterThanLoaded guards against a rollout that is superseded each time
+// before all engines have loaded its version, so that no version is ever activated.
+func TestVersionsNamedFasterThanLoaded(t *testing.T) {
+	w := newWorld(1)
+	addEngines(w, "", "m1", "m2", "m3", "m4")
+	n := w.nodes[0]
+	n.t.Config.Body.Policy.MaxWeightFetches = 1
+	seen := make(map[ledger.Version]bool)
+	last := ledger.Version(12)
+	for version := ledger.Version(2); version <= last; version++ {
+		w.weights = []event.WeightsRow{{Model: "m", RowVersion: uint64(version), Version: version}}
+		for range 15 {
+			runWithReports(w, 100*time.Millisecond)
+			seen[n.t.Backends.Find("m1").Active] = true
+		}
+	}
+	require.GreaterOrEqual(t, len(seen), 3, "versions that were active: %v", seen)
+	runWithReports(w, 8*time.Second)
+	for _, name := range []string{"m1", "m2", "m3", "m4"} {
+		require.Equal(t, last, n.t.Backends.Find(name).Active, "the newest version is active in the end")
+	}
+}
+
+// TestStuckRolloutIsSuperseded guards against a newer version that waits without end for a
+// rollout that cannot complete.
+func TestStuckRolloutIsSuperseded(t *testing.T) {
+	w := newWorld(1)
+	addEngines(w, "", "m1", "m2")
+	n := w.nodes[0]
+	inner, stuck := w.outcome, true
+	w.outcome = func(n *node, c command.Command) outcome {
+		if o, ok := c.(command.OrderWeights); ok && stuck && o.Backend == "m2" {
+			return outcome{}
+		}
+		return inner(n, c)
+	}
+	for version := ledger.Version(2); version <= 4; version++ {
+		w.weights = []event.WeightsRow{{Model: "m", RowVersion: uint64(version), Version: version}}
+		runWithReports(w, time.Second)
+	}
+	runWithReports(w, 15*time.Second)
+	stuck = false
+	runWithReports(w, 12*time.Second)
+	require.Equal(t, ledger.Version(4), n.t.Backends.Find("m1").Active)
+	require.Equal(t, ledger.Version(4), n.t.Backends.Find("m2").Active)
+}
--- a/system/weights.go
+++ b/system/weights.go
@@ -23,6 +23,12 @@
 	// orderRetryInterval is the time after which an order is sent again if the
 	// engine's reports show no effect. Reports lag by about a second.
 	orderRetryInterval = 5 * time.Second
+	// maxSuperseded is the number of successive rollouts of a model that may be superseded
+	// before they are active. The next one completes first, or no version would ever become
+	// active while versions are named faster than they can be loaded.
+	maxSuperseded = 1
+	// maxRolloutTime is the time after which a rollout is superseded in any case.
+	maxRolloutTime = 10 * time.Second
 	// maxReportAge is the maximum age of a report. If the last report is older, the
 	// engine's state is unknown: it neither delays a rollout nor receives orders.
 	maxReportAge = 5 * time.Second
@@ -45,6 +51,7 @@
 		scheduleWeightsRead(now, t, out)
 		updateMinVersions(now, t, out)
 		for _, w := range t.Weights.All() {
+			startRollout(now, t, w, out)
 			p := t.Partitions.Find(table.PartitionKey(w.Partition))
 			if p == nil || !p.Held || p.Releasing || w.Version == 0 {
 				continue
@@ -69,18 +76,39 @@
 	}
 	for _, row := range e.Rows {
 		w, created := t.Weights.Upsert(row.Model)
-		if !created && row.RowVersion <= w.RowVersion {
+		if !created && row.RowVersion <= w.Wanted.RowVersion {
 			continue
 		}
-		if w.Version != 0 && w.ActiveAt == 0 && !created {
-			countReason(out, "rollout_ended", "superseded")
-		}
-		*w = table.Weights{
-			Model: row.Model, RowVersion: row.RowVersion, Version: row.Version, Previous: w.Version,
-			Partition: ledger.PartitionOf(row.Model, partitions), StartedAt: now, MinVersion: w.MinVersion,
-		}
-		logRollout(out, "weight rollout started", w, "")
+		w.Model = row.Model
+		w.Partition = ledger.PartitionOf(row.Model, partitions)
+		w.Wanted = table.WantedWeights{RowVersion: row.RowVersion, Version: row.Version}
+		startRollout(now, t, w, out)
+	}
+}
+
+// startRollout starts the rollout of the wanted version of a model if the one in progress
+// may be superseded. A process that does not hold the model's partition does not know the
+// progress and follows the wanted version.
+func startRollout(now time.Duration, t *table.Tables, w *table.Weights, out *command.Outbox) {
+	if w.Wanted.RowVersion <= w.RowVersion {
+		return
+	}
+	p := t.Partitions.Find(table.PartitionKey(w.Partition))
+	inProgress := w.Version != 0 && w.ActiveAt == 0
+	if p != nil && p.Held && inProgress && w.Superseded >= maxSuperseded && now < w.StartedAt+maxRolloutTime {
+		out.WakeAt(w.StartedAt + maxRolloutTime)
+		return
+	}
+	superseded := 0
+	if inProgress {
+		superseded = w.Superseded + 1
+		countReason(out, "rollout_ended", "superseded")
+	}
+	*w = table.Weights{
+		Model: w.Model, RowVersion: w.Wanted.RowVersion, Version: w.Wanted.Version, Previous: w.Version, Wanted: w.Wanted,
+		Partition: w.Partition, StartedAt: now, MinVersion: w.MinVersion, Superseded: superseded,
 	}
+	logRollout(out, "weight rollout started", w, "")
 }
 
 func applyOrder(now time.Duration, t *table.Tables, e event.OrderAnswered, out *command.Outbox) {
--- a/table/training.go
+++ b/table/training.go
@@ -209,10 +209,19 @@
 	HeldFence  uint64        // fencing token under which Engines was filled
 	Engines    map[string]*EngineUpdate
 
+	Wanted     WantedWeights // newest published version
+	Superseded int           // number of successive rollouts that ended before their version was active
+
 	FirstActive time.Duration  // when an engine first reported the version as active, zero before
 	MinVersion  ledger.Version // oldest version whose engines are given training work
 }
 
+// WantedWeights is a published version of a model and the version of its row.
+type WantedWeights struct {
+	RowVersion uint64
+	Version    ledger.Version
+}
+
 // EngineUpdate is the progress of a weight update on one engine.
 type EngineUpdate struct {
 	BootID         string
