system/rollout: end the reservation of a run that completed before its move

Cause: found while reading. A run that completed between the order to stop and its end kept the slot reserved until its output was scored. Change: the reservation ends with the run. Test: TestReservationEndsWithRun, seen to fail without the change.

--- a/system/rollout/dispatch.go
+++ b/system/rollout/dispatch.go
@@ -142,9 +142,11 @@
 	out.Add(command.StartRun{
 		Key: w.key, Run: w.item.Run, Spec: w.item.Spec, Host: w.lot.Submission.Host, Target: target(s),
 		Model: w.lot.Head.Model, MinVersion: w.lot.Submission.MinimumVersion, AfterEvent: len(w.item.Events),
-		Priority: enginePriority(now, w, w.route), FirstEventTimeout: firstEventTimeout << doublings(w.item), NextEventTimeout: nextEventTimeout(r, s) << doublings(w.item),
-		SlowInterval: slowInterval(r, w.pool.service),
-		Deadline:     max(time.Second, itemTimeout(w.route)-(now-w.lot.AcceptedAt)),
+		Priority:          enginePriority(now, w, w.route),
+		FirstEventTimeout: firstEventTimeout << doublings(w.item),
+		NextEventTimeout:  nextEventTimeout(r, s) << doublings(w.item),
+		SlowInterval:      slowInterval(r, w.pool.service),
+		Deadline:          max(time.Second, itemTimeout(w.route)-(now-w.lot.AcceptedAt)),
 	})
 }
 
--- a/system/rollout/placement_test.go
+++ b/system/rollout/placement_test.go
@@ -158,6 +158,35 @@
 	require.Zero(t, w.tables.Rollout.Servers.Find("fast").Reserved)
 }
 
+// TestReservationEndsWithRun guards against a slot that stays reserved while the output of a
+// run that ended before it could be moved is scored.
+func TestReservationEndsWithRun(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("fast", nil), w.server("slower", nil))
+	w.learnLengths()
+	w.measure("fast", fastInterval)
+	w.measure("slower", 3*fastInterval)
+	s := submission(3)
+	for i := range s.Items {
+		s.Items[i].EstimatedTokens = 1000
+		s.Items[i].Scorer = &lot.Scorer{ID: "s", Host: "h", Path: "/s/x"}
+	}
+	commands := w.accept(s)
+	var slower command.StartRun
+	for _, c := range commandsOf[command.StartRun](commands) {
+		if c.Target.ID == "fast" {
+			w.step(endedRun(c, "x"))
+		} else {
+			slower = c
+		}
+	}
+	require.Len(t, commandsOf[command.StopRun](w.advance(2*moveCheckInterval)), 1)
+	require.Equal(t, 1, w.tables.Rollout.Servers.Find("fast").Reserved)
+	w.step(endedRun(slower, "x"))
+	require.Equal(t, table.ItemScoring, w.tables.Rollout.Items.Find(slower.Key).Stage)
+	require.Zero(t, w.tables.Rollout.Servers.Find("fast").Reserved)
+}
+
 // TestShortRunStays guards against a move of a run that is about to end.
 func TestShortRunStays(t *testing.T) {
 	w := newWorld(t)
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -92,6 +92,7 @@
 		retryOrTerminate(now, t, item, e, out)
 		return
 	}
+	cancelReservation(r, item) // the run ended before it could be moved
 	m, _ := r.Models.Upsert(e.Model)
 	recordLength(m, item.Spec, len(item.Events))
 	scoreOrFinish(now, t, item, out)
