--- a/system/rollout/placement_test.go
+++ b/system/rollout/placement_test.go
@@ -27,6 +27,17 @@
 	w.tables.Rollout.Servers.Find(server).Pace = table.Pace{Usual: interval, Recent: interval, MeasuredAt: w.now}
 }
 
+// newPacedWorld returns a world with a fast server and one that is slower by a factor, both
+// of two slots, and with known lengths of outputs.
+func newPacedWorld(t *testing.T, factor float64) *world {
+	w := newWorld(t)
+	w.step(w.server("fast", nil), w.server("slower", nil))
+	w.learnLengths()
+	w.measure("fast", fastInterval)
+	w.measure("slower", time.Duration(factor*float64(fastInterval)))
+	return w
+}
+
 // learnLengths sets the length statistics of the model to one event per 10 tokens.
 func (w *world) learnLengths() {
 	m, _ := w.tables.Rollout.Models.Upsert(model)
@@ -60,11 +71,7 @@
 // ones occupy the fast ones. In a simulated day, steps waited for one item of 203 events
 // that took 9.9 s on a slower engine instead of 7.7 s.
 func TestLongestItemsGetFastestServers(t *testing.T) {
-	w := newWorld(t)
-	w.step(w.server("fast", nil), w.server("slower", nil))
-	w.learnLengths()
-	w.measure("fast", fastInterval)
-	w.measure("slower", time.Duration(slowerFactor*float64(fastInterval)))
+	w := newPacedWorld(t, slowerFactor)
 	s := submission(4)
 	for i, tokens := range []int{100, 1500, 200, 2000} {
 		s.Items[i].EstimatedTokens = tokens
@@ -80,11 +87,7 @@
 // while a faster one has a free slot, against moves that cost more than they gain, and
 // against more moves than there are free slots.
 func TestLongRunMovesToFasterServer(t *testing.T) {
-	w := newWorld(t)
-	w.step(w.server("fast", nil), w.server("slower", nil))
-	w.learnLengths()
-	w.measure("fast", fastInterval)
-	w.measure("slower", time.Duration(slowerFactor*float64(fastInterval)))
+	w := newPacedWorld(t, slowerFactor)
 	s := submission(4)
 	for i, tokens := range []int{1500, 1600, 1200, 1300} {
 		s.Items[i].EstimatedTokens = tokens
@@ -108,11 +111,7 @@
 // slot as it becomes free, while long runs stay on slower servers. In a simulated day, runs
 // of 203 events stayed there for 2 to 4 s, and each delayed its step by a fifth of that.
 func TestLongRunTakesFastSlotBeforeShortItems(t *testing.T) {
-	w := newWorld(t)
-	w.step(w.server("fast", nil), w.server("slower", nil))
-	w.learnLengths()
-	w.measure("fast", fastInterval)
-	w.measure("slower", time.Duration(slowerFactor*float64(fastInterval)))
+	w := newPacedWorld(t, slowerFactor)
 	s := submission(6)
 	for i, tokens := range []int{2000, 1900, 1800, 1700, 200, 100} {
 		s.Items[i].EstimatedTokens = tokens
@@ -134,11 +133,7 @@
 // TestReservationEndsWithItem guards against slots that stay reserved for items that are
 // gone.
 func TestReservationEndsWithItem(t *testing.T) {
-	w := newWorld(t)
-	w.step(w.server("fast", nil), w.server("slower", nil))
-	w.learnLengths()
-	w.measure("fast", fastInterval)
-	w.measure("slower", 3*fastInterval)
+	w := newPacedWorld(t, 3)
 	s := submission(4)
 	for i := range s.Items {
 		s.Items[i].EstimatedTokens = 1000
@@ -161,11 +156,7 @@
 // TestReservationEndsWithRun guards against a slot that stays reserved while the output of a
 // run that ended before it could be moved is scored.
 func TestReservationEndsWithRun(t *testing.T) {
-	w := newWorld(t)
-	w.step(w.server("fast", nil), w.server("slower", nil))
-	w.learnLengths()
-	w.measure("fast", fastInterval)
-	w.measure("slower", 3*fastInterval)
+	w := newPacedWorld(t, 3)
 	s := submission(3)
 	for i := range s.Items {
 		s.Items[i].EstimatedTokens = 1000
