system/rollout: idle time is no load time

Cause: found while reading. An engine that refused an item and was tried again only with the next lot, seconds later, was recorded as loading all the while; after its next refusals it was left alone for that long. Change: a time longer than a load can take is not recorded. A newer head shows that its partition of the store is available. Test: TestIdleTimeIsNoLoadTime, seen to fail without the bound.

--- a/system/rollout/lots.go
+++ b/system/rollout/lots.go
@@ -214,7 +214,7 @@
 func replaceHead(now time.Duration, t *table.Tables, l *table.Lot, h *event.HeadRow, out *command.Outbox) {
 	r := &t.Rollout
 	previous := l.Head
-	l.Head, l.Version, l.VersionSeenAt = h.Head, h.Version, now
+	l.Head, l.Version, l.VersionSeenAt, l.PartitionDown = h.Head, h.Version, now, false
 	r.LotsChanged = r.LotsChanged || previous.Listed != h.Head.Listed || previous.Ended != h.Head.Ended || previous.Total != h.Head.Total
 	if l.Stage != table.LotOwned {
 		return
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -31,13 +31,13 @@
 	// further refusal up to maxBusyPause, because a server that loads weights refuses
 	// items for about a second.
 	minBusyPause = 40 * time.Millisecond
+	maxBusyPause = 160 * time.Millisecond
 	// earlyTryRatio is the share of the expected time of a load after which an engine that
 	// refused an item is tried again.
 	earlyTryRatio = 0.8
 	// loadTimeSmoothing is the weight, from 0 to 1, of a new measurement in the expected time
 	// of a load.
 	loadTimeSmoothing = 0.3
-	maxBusyPause      = 160 * time.Millisecond
 )
 
 // Servers maintains the table of backend servers from their published records.
@@ -197,15 +197,17 @@
 	s.Refusals++
 }
 
-// recordLoadEnd records how long a server refused items until now, when it accepted one.
+// recordLoadEnd records how long a server refused items until now, when it accepted one. A
+// time longer than a load can take is not recorded: the server was not tried earlier because
+// no item waited.
 func recordLoadEnd(now time.Duration, r *table.Rollout, s *table.Server) {
-	if s.RefusedSince == 0 {
+	took := now - s.RefusedSince
+	if s.RefusedSince == 0 || took > loadTimeout {
 		return
 	}
 	if r.LoadTimes == nil {
 		r.LoadTimes = make(map[string]time.Duration)
 	}
-	took := now - s.RefusedSince
 	if old := r.LoadTimes[s.Service]; old > 0 {
 		took = smooth(old, took, loadTimeSmoothing)
 	}
--- a/system/rollout/servers_test.go
+++ b/system/rollout/servers_test.go
@@ -159,6 +159,22 @@
 	require.LessOrEqual(t, tries, 4)
 }
 
+// TestIdleTimeIsNoLoadTime guards against engines that are left alone for seconds after each
+// refusal, because the time between two lots was taken for the time of a load.
+func TestIdleTimeIsNoLoadTime(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil))
+	s := w.tables.Rollout.Servers.Find("s1")
+	recordRefusal(w.now, &w.tables.Rollout, s)
+	w.now += 10 * time.Second
+	w.step(event.RunStarted{Server: "s1", Model: model, Version: 1})
+	require.Zero(t, w.tables.Rollout.LoadTimes["engines"])
+	recordRefusal(w.now, &w.tables.Rollout, s)
+	w.now += loadTimeout / 2
+	w.step(event.RunStarted{Server: "s1", Model: model, Version: 1})
+	require.InDelta(t, loadTimeout/2, w.tables.Rollout.LoadTimes["engines"], float64(20*time.Millisecond))
+}
+
 // TestWeightsOlderThanTheLotAllows guards against items that are generated with weights
 // older than the minimum version of their lot.
 func TestWeightsOlderThanTheLotAllows(t *testing.T) {
