transport: a closed connection writes nothing for the next request

Cause: TestSecondCopyOfAnswer failed once in a run with the race detector: the next request had been given the connection of the foreign answer before the HTTP client noticed that it was closed. Its write failed after it had been counted, so the request was reported as one that may have run. Change: writes to the connection are blocked before it is closed; such a request is reported as not sent and may be repeated.

--- a/transport/conn.go
+++ b/transport/conn.go
@@ -8,7 +8,7 @@
 
 // errWritesBlocked is returned by writes to a connection whose request was reported as
 // not sent.
-var errWritesBlocked = errors.New("writes to connection are blocked: request was reported as not sent")
+var errWritesBlocked = errors.New("writes to connection are blocked: it was closed, or a request was reported as not sent")
 
 // countingConn counts its writes and can block further ones.
 type countingConn struct {
@@ -67,3 +67,10 @@
 	c.writesBlocked = true
 	return true
 }
+
+// blockWrites makes all later writes fail.
+func (c *countingConn) blockWrites() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writesBlocked = true
+}
--- a/transport/trace.go
+++ b/transport/trace.go
@@ -36,11 +36,15 @@
 }
 
 // Close closes the connections of the request, so that bytes that follow a response are not
-// read as the response to a later request.
+// read as the response to a later request. A later request that was given the connection
+// before the HTTP client noticed that it is closed writes nothing and is reported as not sent.
 func (t *Trace) Close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, used := range t.used {
+		if c, ok := used.conn.(*countingConn); ok {
+			c.blockWrites()
+		}
 		_ = used.conn.Close()
 	}
 }
