--- a/event/rollout.go
+++ b/event/rollout.go
@@ -35,6 +35,7 @@
 type RowUnreadable struct {
 	Table, Row string
 	Version    uint64
+	Message    string // why the row cannot be decoded, empty if its content is invalid
 }
 
 // DesiredRead holds a desired state as read from the store.
--- a/executor/feed.go
+++ b/executor/feed.go
@@ -110,14 +110,14 @@
 	var unreadable []event.Event
 	for _, row := range rows {
 		if _, err := f.tryDecode([]store.Row{row}, false); err != nil {
-			unreadable = append(unreadable, event.RowUnreadable{Table: f.Table, Row: row.Name, Version: row.Version})
+			unreadable = append(unreadable, event.RowUnreadable{Table: f.Table, Row: row.Name, Version: row.Version, Message: verdict.Message(err)})
 			continue
 		}
 		readable = append(readable, row)
 	}
 	events, err = f.tryDecode(readable, full)
 	if err != nil {
-		events = append(events, event.RowUnreadable{Table: f.Table, Version: f.version})
+		events = append(events, event.RowUnreadable{Table: f.Table, Version: f.version, Message: verdict.Message(err)})
 	}
 	return append(events, unreadable...)
 }
--- a/executor/panic_test.go
+++ b/executor/panic_test.go
@@ -78,5 +78,7 @@
 	read := next[event.HeadsRead](t, events)
 	require.True(t, read.Full)
 	require.Len(t, read.Heads, 2)
-	require.Contains(t, next[event.RowUnreadable](t, events).Row, "bad")
+	unreadable := next[event.RowUnreadable](t, events)
+	require.Contains(t, unreadable.Row, "bad")
+	require.Contains(t, unreadable.Message, "malformed row")
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -116,7 +116,7 @@
 // is idempotent, a hedged attempt also starts while another attempt has not been answered in
 // time.
 func (c *call) run(ctx context.Context) (*Answer, error) {
-	hedge, room := time.NewTimer(time.Hour), time.NewTimer(time.Hour)
+	hedge, room := time.NewTimer(noWait), time.NewTimer(noWait)
 	defer hedge.Stop()
 	defer room.Stop()
 	if err := c.admit(ctx); err != nil {
@@ -150,7 +150,7 @@
 	}
 }
 
-// noWait is returned by startAttempts if no attempt waits for room.
+// noWait is the wait if nothing is waited for. It is longer than any request lasts.
 const noWait = time.Hour
 
 // startAttempts starts the wanted attempts. If all servers are full, it returns the time
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -89,12 +89,11 @@
 	defer target.Load.InFlight.Add(-1)
 	stream, err := s.f.Sender.OpenStream(ctx, target, s.r, s.lastEventID, time.Until(end))
 	if err != nil {
-		if verdict.Of(err) != verdict.NotRun {
-			s.mayHaveRun++
-		}
 		if verdict.Of(err) == verdict.NotRun {
 			now := time.Now()
 			target.Load.recordRefusal(refusalPause(target, now), now)
+		} else {
+			s.mayHaveRun++
 		}
 		return err
 	}
--- a/system/rollout/placement_test.go
+++ b/system/rollout/placement_test.go
@@ -130,22 +130,30 @@
 	require.Zero(t, w.tables.Rollout.Servers.Find("fast").Reserved)
 }
 
-// TestReservationEndsWithItem guards against slots that stay reserved for items that are
-// gone.
-func TestReservationEndsWithItem(t *testing.T) {
-	w := newPacedWorld(t, 3)
-	s := submission(4)
+// reserveSlots accepts a submission of equal items, ends the runs on the fast server, and
+// returns those on the slower one, for each of which a slot is then reserved.
+func (w *world) reserveSlots(s *lot.Submission) (slower []command.StartRun) {
 	for i := range s.Items {
 		s.Items[i].EstimatedTokens = 1000
 	}
-	commands := w.accept(s)
-	for _, c := range commandsOf[command.StartRun](commands) {
+	for _, c := range commandsOf[command.StartRun](w.accept(s)) {
 		if c.Target.ID == "fast" {
 			w.step(endedRun(c, "x"))
+		} else {
+			slower = append(slower, c)
 		}
 	}
-	require.Len(t, commandsOf[command.StopRun](w.advance(2*moveCheckInterval)), 2)
-	require.Equal(t, 2, w.tables.Rollout.Servers.Find("fast").Reserved)
+	require.NotEmpty(w.t, slower)
+	require.Len(w.t, commandsOf[command.StopRun](w.advance(2*moveCheckInterval)), len(slower))
+	require.Equal(w.t, len(slower), w.tables.Rollout.Servers.Find("fast").Reserved)
+	return slower
+}
+
+// TestReservationEndsWithItem guards against slots that stay reserved for items that are
+// gone.
+func TestReservationEndsWithItem(t *testing.T) {
+	w := newPacedWorld(t, 3)
+	require.Len(t, w.reserveSlots(submission(4)), 2)
 	ended := w.tables.Rollout.Lots.Find("l").Head
 	ended.Ended = true
 	w.step(headsRead(w.rewritten(ended, w.tables.Rollout.Lots.Find("l").Version, "end")))
@@ -159,22 +167,12 @@
 	w := newPacedWorld(t, 3)
 	s := submission(3)
 	for i := range s.Items {
-		s.Items[i].EstimatedTokens = 1000
 		s.Items[i].Scorer = &lot.Scorer{ID: "s", Host: "h", Path: "/s/x"}
 	}
-	commands := w.accept(s)
-	var slower command.StartRun
-	for _, c := range commandsOf[command.StartRun](commands) {
-		if c.Target.ID == "fast" {
-			w.step(endedRun(c, "x"))
-		} else {
-			slower = c
-		}
-	}
-	require.Len(t, commandsOf[command.StopRun](w.advance(2*moveCheckInterval)), 1)
-	require.Equal(t, 1, w.tables.Rollout.Servers.Find("fast").Reserved)
-	w.step(endedRun(slower, "x"))
-	require.Equal(t, table.ItemScoring, w.tables.Rollout.Items.Find(slower.Key).Stage)
+	slower := w.reserveSlots(s)
+	require.Len(t, slower, 1)
+	w.step(endedRun(slower[0], "x"))
+	require.Equal(t, table.ItemScoring, w.tables.Rollout.Items.Find(slower[0].Key).Stage)
 	require.Zero(t, w.tables.Rollout.Servers.Find("fast").Reserved)
 }
 
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -57,6 +57,7 @@
 			out.Add(command.Count{Counter: "row_unreadable", Tags: map[string]string{"table": e.Table}, Delta: 1})
 			out.Add(command.LogChange{Message: "store row cannot be decoded", Fields: []command.Field{
 				field("table", e.Table), field("row", e.Row), field("row_version", strconv.FormatUint(e.Version, 10)),
+				field("error", e.Message),
 			}})
 		}
 	}
