forward: a request that all servers refused until its deadline is overload

The caller then got the last refusal, true but without the time to come back. Change: both ends of such a request report overload with Retry-After.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -189,6 +189,9 @@
 	return verdict.WithRetryAfter(verdict.New(verdict.NotRun, verdict.ReasonOverload, format, args...), wait)
 }
 
+// refusedByAll reports whether each attempt so far was refused or reached no server.
+func (c *call) refusedByAll() bool { return c.refusals > 0 && c.mayHaveRun == 0 }
+
 // choose returns the server for the next attempt.
 func (c *call) choose(plan *Plan, avoid string) choice {
 	ch := chooser{now: time.Now(), tried: c.tried, avoid: avoid, background: c.r.Background, random: c.f.Rand}
@@ -219,7 +222,7 @@
 	end, _ := ctx.Deadline()
 	remaining := time.Until(end)
 	if remaining < best.wait+minRemaining {
-		if best.wait > 0 {
+		if best.wait > 0 || c.refusedByAll() {
 			return 0, c.overload(best.wait, "all servers are full until the deadline")
 		}
 		return 0, verdict.New(verdict.NotRun, verdict.ReasonDeadline, "the deadline is too close for another attempt")
@@ -311,6 +314,9 @@
 	if c.failedAnswer != nil {
 		return c.failedAnswer, nil
 	}
+	if c.refusedByAll() {
+		return nil, c.overload(0, "all servers were full until the deadline")
+	}
 	v := verdict.NotRun
 	if c.mayHaveRun > 0 {
 		v = verdict.MayHaveRun
