forward: test the end of a request that all servers refused

Cause: the failure of TestFullServersAreLeftAlone depends on a delayed wake-up; TestRefusedUntilDeadlineIsOverload brings both ends about at will.

--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -223,3 +223,25 @@
 	}
 	return rejected, total / time.Duration(served)
 }
+
+// TestRefusedUntilDeadlineIsOverload guards against a caller that is not told when to come
+// back because its deadline passed while no server happened to be paused.
+func TestRefusedUntilDeadlineIsOverload(t *testing.T) {
+	f := testForwarder(&refusingSender{}, testPlan(1, 4))
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now())
+	defer cancel()
+	<-ctx.Done()
+	c := &call{f: f, r: &Request{ID: "q"}, service: "s", tried: map[string]int{}, refusals: 1}
+	_, ended := c.contextEnded(ctx)
+	_, tooClose := c.startAttempt(ctx)
+	for _, err := range []error{ended, tooClose} {
+		require.Equal(t, verdict.NotRun, verdict.Of(err))
+		require.Equal(t, verdict.ReasonOverload, verdict.ReasonOf(err))
+		after, stated := verdict.RetryAfter(err)
+		require.True(t, stated)
+		require.Positive(t, after)
+	}
+	c.mayHaveRun = 1
+	_, ended = c.contextEnded(ctx)
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(ended))
+}
