forward, system/rollout: log and count the request limits of backend servers

The logs could not tell when a host learned of a server's request limit, so a host that ignores it looked like several that each keep to it. Each host now logs when a server names or lifts a limit, and counts the attempts at servers with a limit by their cause.

--- a/event/rollout.go
+++ b/event/rollout.go
@@ -131,6 +131,7 @@
 	Server  string
 	Model   string
 	Version registry.Version
+	Limit   float64 // requests per second that the server takes from all hosts, 0 if it named no limit
 }
 
 // Name implements Event.
--- a/executor/run.go
+++ b/executor/run.go
@@ -118,7 +118,7 @@
 	if err == nil {
 		defer stream.Close()
 		u.outcome.Version = stream.Version()
-		_ = u.deliver(event.RunStarted{Server: c.Target.ID, Model: c.Model, Version: u.outcome.Version}) // an error may be ignored, because the outcome also holds the version
+		_ = u.deliver(event.RunStarted{Server: c.Target.ID, Model: c.Model, Version: u.outcome.Version, Limit: c.Target.Load.Limit()}) // an error may be ignored, because the outcome also holds the version
 		err = u.receive(stream, watchdog)
 	}
 	switch {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -64,7 +64,7 @@
 	defer cancel()
 	c := &call{
 		f: f, r: r, route: route, service: route.Service(r.ID), idempotent: route.Kind == desired.KindIdempotent,
-		tried: make(map[string]int), results: make(chan result, 1), startedAt: time.Now(), wanted: 1,
+		tried: make(map[string]int), results: make(chan result, 1), startedAt: time.Now(), wanted: 1, cause: verdict.ReasonFirstAttempt,
 	}
 	answer, err := c.run(ctx)
 	c.log(answer, err)
@@ -96,7 +96,8 @@
 	refusals     int
 	failureCount int // number of failure responses
 	inFlight     int
-	wanted       int // number of attempts to start
+	wanted       int            // number of attempts to start
+	cause        verdict.Reason // why the next attempt starts
 	results      chan result
 	startedAt    time.Time
 	lastServer   string // server of the last attempt
@@ -140,6 +141,7 @@
 			if c.inFlight > 0 && c.mayRepeat() {
 				c.wanted = 1
 				c.f.Count("retried", verdict.ReasonSlow)
+				c.cause = verdict.ReasonSlow
 			}
 		case res := <-c.results:
 			c.inFlight--
@@ -230,6 +232,9 @@
 	if target == nil {
 		return best.wait, nil
 	}
+	if target.Load.Limit() > 0 {
+		c.f.Count("limited_attempts", c.cause)
+	}
 	c.tried[target.ID]++
 	c.mayHaveRun++
 	c.inFlight++
@@ -281,7 +286,8 @@
 		answer, err = c.giveUp()
 		return answer, true, err
 	}
-	c.f.Count("retried", reasonOf(res))
+	c.cause = reasonOf(res)
+	c.f.Count("retried", c.cause)
 	c.wanted++
 	return nil, false, nil
 }
@@ -338,6 +344,7 @@
 		Request: c.r.ID, Server: res.target.ID, Answered: res.err == nil, Took: res.took,
 		Failed:  failed && reason != verdict.ReasonBackendRefused && reason != verdict.ReasonCanceled,
 		Refused: reason == verdict.ReasonBackendRefused, Leaving: reason == verdict.ReasonBackendLeaving,
+		Limit: res.target.Load.Limit(),
 	})
 }
 
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -29,7 +29,7 @@
 	for _, e := range in {
 		switch e := e.(type) {
 		case event.RunStarted:
-			runStarted(now, t, e)
+			runStarted(now, t, e, out)
 		case event.RunProgressed:
 			runProgressed(now, t, e)
 		case event.RunEnded:
@@ -39,11 +39,12 @@
 }
 
 // runStarted records that a server has accepted a run and which version it stated.
-func runStarted(now time.Duration, t *table.Tables, e event.RunStarted) {
+func runStarted(now time.Duration, t *table.Tables, e event.RunStarted, out *command.Outbox) {
 	s := t.Rollout.Servers.Find(e.Server)
 	if s == nil {
 		return
 	}
+	recordRequestLimit(s, e.Limit, out)
 	recordLoadEnd(now, &t.Rollout, s)
 	s.Refusals, s.RefusedSince, s.BusyUntil = 0, 0, 0
 	if e.Version != 0 && e.Model != "" && s.Models[e.Model] != e.Version {
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/command"
@@ -142,6 +143,9 @@
 			continue
 		}
 		s := t.Rollout.Servers.Find(o.Server)
+		if s != nil {
+			recordRequestLimit(s, o.Limit, out)
+		}
 		switch {
 		case s == nil || o.Refused:
 		case o.Failed:
@@ -160,6 +164,21 @@
 	}
 }
 
+// recordRequestLimit records the number of requests per second that a server takes from all
+// hosts together, 0 if it names no limit.
+func recordRequestLimit(s *table.Server, limit float64, out *command.Outbox) {
+	if limit == s.RequestLimit {
+		return
+	}
+	if (limit > 0) != (s.RequestLimit > 0) {
+		out.Add(command.LogChange{Message: "request limit of backend server changed", Fields: []command.Field{
+			field("server", s.ID), field("service", s.Service), field("limit_per_s", strconv.FormatFloat(limit, 'g', 4, 64)),
+		}})
+		out.Add(command.Count{Counter: "server_limit_changed", Delta: 1})
+	}
+	s.RequestLimit = limit
+}
+
 // recordFailure counts a failure of a server and makes it suspect at the threshold.
 func recordFailure(now time.Duration, r *table.Rollout, s *table.Server, out *command.Outbox) {
 	s.Failures++
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -95,6 +95,7 @@
 	BusyUntil      time.Duration // until then no items are sent, after a refusal for lack of a slot or during a load
 	Refusals       int           // consecutive refusals; while there are any, items are sent one at a time
 	RefusedSince   time.Duration // first of the consecutive refusals, 0 if there is none
+	RequestLimit   float64       // requests per second that the server takes from all hosts, 0 if it named no limit
 	Order          Order
 	PreferredModel string // model to which the engine is assigned
 }
