soak: requests over a server's limit, failing

Three hosts and servers that name a limit of 4 requests/s, with callers and with lots. A server may get 29 requests in 4 s (one and a half times the limit, and five).

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -63,9 +63,11 @@
 	ledger ledger
 
 	mu           sync.Mutex
-	versions     map[string]int  // loaded weight version by backend server
-	faulty       map[string]bool // backend servers that fail some requests
-	unregistered map[string]bool // backend servers whose record is removed
+	versions     map[string]int         // loaded weight version by backend server
+	faulty       map[string]bool        // backend servers that fail some requests
+	unregistered map[string]bool        // backend servers whose record is removed
+	requestLimit float64                // that each backend server names, 0 for none
+	arrivals     map[string][]time.Time // of requests, by backend server
 	stateVersion uint64
 }
 
@@ -83,7 +85,7 @@
 func newCluster(t *testing.T, seed uint64) *cluster {
 	c := &cluster{
 		t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(seed, 1)), store: pamoja.NewStore(),
-		versions: make(map[string]int), faulty: make(map[string]bool), unregistered: make(map[string]bool),
+		versions: make(map[string]int), faulty: make(map[string]bool), unregistered: make(map[string]bool), arrivals: make(map[string][]time.Time),
 		ledger: ledger{runs: make(map[string][]pamoja.Run)},
 	}
 	e := echo.New()
@@ -106,7 +108,7 @@
 
 // addServer starts a backend server and writes its record every heartbeat interval.
 func (c *cluster) addServer(id, service string) {
-	s := &pamoja.Backend{ID: id, Events: eventsPerItem, EventInterval: eventGap, OnRun: c.ledger.recordRun, Fault: func(string) pamoja.BackendFault { return c.serverFault(id) }}
+	s := &pamoja.Backend{ID: id, Events: eventsPerItem, EventInterval: eventGap, OnRun: c.ledger.recordRun, RequestLimit: c.currentLimit, Fault: func(string) pamoja.BackendFault { return c.serverFault(id) }}
 	c.setVersion(id, 1)
 	s.SetWeights(func(string) int { c.mu.Lock(); defer c.mu.Unlock(); return c.versions[id] }, func(_ string, v int, fence uint64) {
 		c.ledger.checkFence(id, fence)
@@ -128,6 +130,18 @@
 	}()
 }
 
+func (c *cluster) setRequestLimit(perSecond float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requestLimit = perSecond
+}
+
+func (c *cluster) currentLimit() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requestLimit
+}
+
 func (c *cluster) setVersion(id string, v int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -158,6 +172,7 @@
 func (c *cluster) serverFault(id string) pamoja.BackendFault {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.arrivals[id] = append(c.arrivals[id], time.Now())
 	if !c.faulty[id] {
 		return pamoja.BackendFault{}
 	}
--- a/standin/pamoja/http.go
+++ b/standin/pamoja/http.go
@@ -135,6 +135,9 @@
 	Events        int           // number of events of each text
 	EventInterval time.Duration // between two events
 
+	// RequestLimit, if set, returns the number of requests per second that the server names as
+	// its limit for all hosts together, 0 if it names none. It does not enforce the limit.
+	RequestLimit func() float64
 	// Fault, if set, returns the faults of the request with the given attempt ID.
 	Fault func(id string) BackendFault
 	// OnRun is called for each request that the server executes.
@@ -203,6 +206,11 @@
 
 func (s *Backend) serveRequest(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Attempt-Id")
+	if s.RequestLimit != nil {
+		if limit := s.RequestLimit(); limit > 0 {
+			w.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
+		}
+	}
 	var fault BackendFault
 	if s.Fault != nil {
 		fault = s.Fault(id)
