permit, forward: hosts keep to the request limit of a server together

A backend server in trouble names the requests per second that it takes from all hosts together.

Before a request goes to a server with a limit, the host asks for a permit. One host, chosen by a hash of server and host names, grants the permits of a server from a token bucket that its control loop owns: callers reserve up to the time that they have left, in the order in which they ask, and are rejected at once if no permit comes in time; scores and items get half of the limit even if callers use all of it. Servers without a limit come first; hedged attempts and moves avoid the others.

Dividing the limit equally among hosts was weighed: one host runs the items of a model and would get a ninth of the limit of its engines; 300 hosts would each get a request in minutes.

--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -27,6 +27,7 @@
 	"github.com/lavenderstand/lavenderstand/lot"
 	"github.com/lavenderstand/lavenderstand/orderlease"
 	"github.com/lavenderstand/lavenderstand/peer"
+	"github.com/lavenderstand/lavenderstand/permit"
 	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/presence"
 	"github.com/lavenderstand/lavenderstand/readbudget"
@@ -84,6 +85,7 @@
 	dialer           *peer.Dialer
 	storeHTTP        *http.Client
 	backends         *platform.BackendClient
+	permits          *permit.Client
 	repository       *lot.Repository
 	service          *frontend.Service
 	coordinationFeed *executor.Feed
@@ -143,8 +145,16 @@
 	backendHTTP := transport.NewClientWith(transport.Options{DialTimeout: backendDialTimeout, IdleTimeout: backendIdleTimeout, KeepAlive: keepAlive, ResetOnClose: true})
 	h.backends = platform.NewBackendClient(backendHTTP)
 	h.repository = &lot.Repository{Store: h.store, Cache: new(lot.ResultCache)}
+	h.permits = &permit.Client{
+		Self: h.settings.Host, Local: localPermits{h},
+		Dial: func(address string) permit.Granter { return &peer.PermitClient{Dialer: h.dialer, Address: address} },
+		OnFailure: func(host string, err error) {
+			h.log.Warn("host does not grant permits", zap.String("peer", host), zap.String("error", verdict.Message(err)))
+			h.count("permit_host_failed", verdict.ReasonOf(err))
+		},
+	}
 	forwarder := &forward.Forwarder{
-		Plans: new(forward.AtomicPlan), Sender: h.backends, Log: h.log, Rand: rand.Float64, Count: h.count,
+		Plans: new(forward.AtomicPlan), Sender: h.backends, Permits: h.permits, Log: h.log, Rand: rand.Float64, Count: h.count,
 		Report: func(o forward.Outcome) { h.inbox.Post(event.ServerOutcome{Outcome: o}) },
 	}
 	h.service = &frontend.Service{
@@ -211,8 +221,9 @@
 	control.HandleNow(h.dispatcher, h.service.Lots.Publish)
 	control.HandleNow(h.dispatcher, h.service.Runners.Publish)
 	control.HandleNow(h.dispatcher, func(command.HandoverFinished) { close(h.handoverDone) })
+	control.HandleNow(h.dispatcher, func(c command.AnswerPermit) { h.waiters.Answer(c.RequestID, c) })
 	control.HandleNow(h.dispatcher, func(c command.AnswerHostView) { h.waiters.Answer(c.RequestID, c) })
-	runs := &executor.Runs{Ctx: h.ctx, Sender: h.backends, Deliver: h.inbox.Deliver, SetUrgency: platform.SetUrgency}
+	runs := &executor.Runs{Ctx: h.ctx, Sender: h.backends, Permits: h.permits, Deliver: h.inbox.Deliver, SetUrgency: platform.SetUrgency}
 	control.HandleNow(h.dispatcher, runs.Start)
 	control.HandleNow(h.dispatcher, runs.Stop)
 	control.Handle(h.dispatcher, maxConcurrentScores, func(ctx context.Context, c command.ScoreItem) event.Event {
@@ -230,6 +241,7 @@
 	control.HandleNow(h.dispatcher, func(c command.PublishPeers) {
 		h.store.SetPeers(slices.Collect(maps.Values(c.Addresses)))
 		h.service.Peers.Publish(c)
+		h.permits.SetPeers(c.Addresses)
 	})
 	control.Handle(h.dispatcher, 1, func(ctx context.Context, c command.WritePresence) event.Event {
 		rec := presence.Record{Address: h.peerAddress(), BootID: h.self.BootID, WriteID: rand.Uint64()}
--- a/cmd/lavender-host/serve.go
+++ b/cmd/lavender-host/serve.go
@@ -17,10 +17,13 @@
 
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/frontend"
 	"github.com/lavenderstand/lavenderstand/peer"
 	"github.com/lavenderstand/lavenderstand/peer/peerpb"
+	"github.com/lavenderstand/lavenderstand/permit"
 	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
 const (
@@ -101,10 +104,24 @@
 	}
 	server := grpc.NewServer(grpc.UnaryInterceptor(peer.RecoverInterceptor(h.log)))
 	peerpb.RegisterStoreServer(server, &peer.StoreServer{Store: h.repository.Cache.CachingClient(h.directStore)})
+	peerpb.RegisterPermitsServer(server, &peer.PermitServer{Granter: localPermits{h}})
 	g.Add(func() error { return server.Serve(l) }, func(error) { server.Stop() })
 	return nil
 }
 
+// localPermits grants the permits of this host.
+type localPermits struct{ host *host }
+
+// Grant implements permit.Granter.
+func (l localPermits) Grant(ctx context.Context, r permit.Request) (forward.Permit, error) {
+	id := strconv.FormatUint(rand.Uint64(), 36)
+	answer, err := l.host.waiters.Call(ctx, l.host.inbox, id, event.PermitRequested{RequestID: id, Request: r})
+	if err != nil {
+		return forward.Permit{}, verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonDeadline, "grant a permit")
+	}
+	return answer.(command.AnswerPermit).Permit, nil
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/command/rollout.go
+++ b/command/rollout.go
@@ -94,6 +94,15 @@
 	ValidUntil time.Duration
 }
 
+// AnswerPermit answers event.PermitRequested.
+type AnswerPermit struct {
+	RequestID string
+	Permit    forward.Permit
+}
+
+// Name implements Command.
+func (AnswerPermit) Name() string { return "answer_permit" }
+
 // WriteOrderLease acquires, renews or releases the order lease, whose row has the given
 // version.
 type WriteOrderLease struct {
--- a/event/event.go
+++ b/event/event.go
@@ -2,7 +2,11 @@
 // an executor observed. It never carries an encoded message.
 package event
 
-import "github.com/lavenderstand/lavenderstand/verdict"
+import (
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
 
 // Event is an input of the control loop. Its name is used in counters and recorded
 // sessions.
@@ -13,6 +17,8 @@
 	Verdict verdict.Verdict
 	Reason  verdict.Reason
 	Message string
+	// RetryAfter is the time after which the call may be repeated, 0 if it is not known.
+	RetryAfter time.Duration
 }
 
 // FailureOf returns the failure that describes err, nil for a nil error.
@@ -20,7 +26,8 @@
 	if err == nil {
 		return nil
 	}
-	return &Failure{Verdict: verdict.Of(err), Reason: verdict.ReasonOf(err), Message: verdict.Message(err)}
+	retryAfter, _ := verdict.RetryAfter(err)
+	return &Failure{Verdict: verdict.Of(err), Reason: verdict.ReasonOf(err), Message: verdict.Message(err), RetryAfter: retryAfter}
 }
 
 // DrainRequested asks this process to begin its graceful shutdown.
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -6,6 +6,7 @@
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/permit"
 	"github.com/lavenderstand/lavenderstand/registry"
 )
 
@@ -263,6 +264,15 @@
 // Name implements Event.
 func (PresenceWritten) Name() string { return "presence_written" }
 
+// PermitRequested asks this host for a permit for a request to a server that names a limit.
+type PermitRequested struct {
+	RequestID string
+	Request   permit.Request
+}
+
+// Name implements Event.
+func (PermitRequested) Name() string { return "permit_requested" }
+
 // HostViewRequested asks for the state of this host, including its view of other hosts.
 type HostViewRequested struct{ RequestID string }
 
--- a/executor/run.go
+++ b/executor/run.go
@@ -37,6 +37,7 @@
 type Runs struct {
 	Ctx     context.Context // ends all runs
 	Sender  forward.Sender
+	Permits forward.Permits
 	Deliver func(context.Context, event.Event) error
 	// SetUrgency sets the header that carries the priority of a run.
 	SetUrgency func(h http.Header, urgency int)
@@ -111,6 +112,11 @@
 	watchdog := time.AfterFunc(c.FirstEventTimeout, func() { stalled.Store(true); cancel() })
 	defer watchdog.Stop()
 
+	if err := forward.AwaitPermit(ctx, r.Permits, c.Target, true, 0); err != nil {
+		u.outcome.Failure = event.FailureOf(err)
+		return u.outcome
+	}
+	watchdog.Reset(c.FirstEventTimeout)
 	end, _ := ctx.Deadline()
 	c.Target.Load.InFlight.Add(1)
 	defer c.Target.Load.InFlight.Add(-1)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -33,10 +33,12 @@
 type Forwarder struct {
 	Plans  *AtomicPlan
 	Sender Sender
-	Report func(Outcome)
-	Count  func(name string, reason verdict.Reason)
-	Log    *zap.Logger
-	Rand   func() float64 // returns uniform random numbers in [0, 1), used to break ties
+	// Permits grants permits for servers that name a request limit.
+	Permits Permits
+	Report  func(Outcome)
+	Count   func(name string, reason verdict.Reason)
+	Log     *zap.Logger
+	Rand    func() float64 // returns uniform random numbers in [0, 1), used to break ties
 }
 
 // Route returns the current plan and the route of a request. The error has the verdict not
@@ -196,7 +198,7 @@
 
 // choose returns the server for the next attempt.
 func (c *call) choose(plan *Plan, avoid string) choice {
-	ch := chooser{now: time.Now(), tried: c.tried, avoid: avoid, background: c.r.Background, random: c.f.Rand}
+	ch := chooser{now: time.Now(), tried: c.tried, avoid: avoid, avoidLimited: c.inFlight > 0, background: c.r.Background, random: c.f.Rand}
 	return ch.choose(plan, c.service)
 }
 
@@ -232,6 +234,9 @@
 	if target == nil {
 		return best.wait, nil
 	}
+	if best.permitWait > 0 && best.expected > remaining {
+		return 0, c.overload(best.expected-remaining, "the request limits of all servers are used until the deadline")
+	}
 	if target.Load.Limit() > 0 {
 		c.f.Count("limited_attempts", c.cause)
 	}
@@ -241,17 +246,27 @@
 	c.lastServer = target.ID
 	target.Load.InFlight.Add(1)
 	go func() {
-		start := time.Now()
-		answer, err := c.f.send(ctx, target, c.r, remaining)
+		res := c.f.attempt(ctx, best, c.r, end)
 		target.Load.InFlight.Add(-1)
 		select {
-		case c.results <- result{target, answer, err, time.Since(start)}:
+		case c.results <- res:
 		case <-ctx.Done():
 		}
 	}()
 	return 0, nil
 }
 
+// attempt sends a request to the chosen server, after a wait if the server names a limit.
+func (f *Forwarder) attempt(ctx context.Context, to choice, r *Request, end time.Time) result {
+	maxWait := time.Until(end) - (to.expected - to.permitWait)
+	if err := AwaitPermit(ctx, f.Permits, to.target, r.Background, maxWait); err != nil {
+		return result{target: to.target, err: err}
+	}
+	start := time.Now()
+	answer, err := f.send(ctx, to.target, r, time.Until(end))
+	return result{to.target, answer, err, time.Since(start)}
+}
+
 // send sends a request. A panic while the response is decoded becomes an error.
 func (f *Forwarder) send(ctx context.Context, to *Target, r *Request, remaining time.Duration) (answer *Answer, err error) {
 	defer verdict.Recover(&err)
@@ -279,6 +294,9 @@
 		c.mayHaveRun--
 		c.refusals++
 	}
+	if isLimitReached(res.err) {
+		c.tried[res.target.ID]-- // the server was not asked
+	}
 	if !notRun && !c.mayRepeat() {
 		if c.inFlight > 0 {
 			return nil, false, nil
@@ -337,12 +355,13 @@
 	switch {
 	case !failed: // a server may fail faster than it answers
 		res.target.Load.recordResponse(res.took, now)
+	case isLimitReached(res.err):
 	case res.err != nil && verdict.Of(res.err) == verdict.NotRun: // full or not reachable
 		res.target.Load.recordRefusal(refusalPause(res.target, now), now)
 	}
 	c.f.Report(Outcome{
 		Request: c.r.ID, Server: res.target.ID, Answered: res.err == nil, Took: res.took,
-		Failed:  failed && reason != verdict.ReasonBackendRefused && reason != verdict.ReasonCanceled,
+		Failed:  failed && reason != verdict.ReasonBackendRefused && reason != verdict.ReasonCanceled && reason != verdict.ReasonServerLimit,
 		Refused: reason == verdict.ReasonBackendRefused, Leaving: reason == verdict.ReasonBackendLeaving,
 		Limit: res.target.Load.Limit(),
 	})
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -10,6 +10,9 @@
 	crossZonePenalty = 0.15
 	// defaultResponseTime is assumed while no response of a service has been measured.
 	defaultResponseTime = 25 * time.Millisecond
+	// limitedPenalty is the share of the response time that is added for servers that name a
+	// request limit, so that the others are used first.
+	limitedPenalty = 0.5
 	// tieBreak is the share of the response time up to which a random amount is added, so
 	// that hosts with the same view do not all choose the same server.
 	tieBreak = 0.05
@@ -28,17 +31,20 @@
 type choice struct {
 	target   *Target
 	expected time.Duration // expected time until the response of target
-	queued   bool          // all slots of target are taken, so the request waits there
-	wait     time.Duration
+	queued   bool          // the request waits for a slot or for a permit of target
+	// permitWait is the part of expected in which the request waits for a permit.
+	permitWait time.Duration
+	wait       time.Duration
 }
 
 // chooser holds what the choice of a server depends on besides the plan.
 type chooser struct {
-	now        time.Time
-	tried      map[string]int
-	avoid      string         // id of a server that is never chosen
-	background bool           // leave the servers' queues to callers that wait for a response
-	random     func() float64 // uniform in [0, 1)
+	now          time.Time
+	tried        map[string]int
+	avoid        string         // id of a server that is never chosen
+	avoidLimited bool           // never choose a server that names a request limit
+	background   bool           // leave the servers' queues to callers that wait for a response
+	random       func() float64 // uniform in [0, 1)
 }
 
 // choose returns the server of a service that is expected to respond first.
@@ -48,10 +54,11 @@
 	var best choice
 	var bestScore time.Duration
 	for _, t := range targets {
-		if t.ID == c.avoid {
+		if t.ID == c.avoid || (c.avoidLimited && t.Load.Limit() > 0) {
 			continue
 		}
 		e := estimate(t, fastest, c.now)
+		e.permitWait = t.Load.permitWait(c.background, c.now)
 		if wait := c.waitFor(t, e); wait > 0 {
 			if best.target == nil && (best.wait == 0 || wait < best.wait) {
 				best.wait = wait
@@ -59,7 +66,7 @@
 			continue
 		}
 		if score := c.score(p, t, e); best.target == nil || score < bestScore {
-			best, bestScore = choice{target: t, expected: e.total(), queued: e.queued()}, score
+			best, bestScore = choice{target: t, expected: e.total(), queued: e.queued() || e.permitWait > 0, permitWait: e.permitWait}, score
 		}
 	}
 	return best
@@ -70,6 +77,9 @@
 	if wait := t.Load.refusedUntil(c.now); wait > 0 {
 		return wait
 	}
+	if c.background && e.permitWait > 0 {
+		return max(minRefusalPause, e.permitWait)
+	}
 	if c.background && e.queued() {
 		return max(minRefusalPause, e.response/time.Duration(e.slots))
 	}
@@ -82,6 +92,9 @@
 	if t.Zone != p.Zone {
 		factor += crossZonePenalty
 	}
+	if t.Load.Limit() > 0 {
+		factor += limitedPenalty
+	}
 	score := e.total() + time.Duration((factor+float64(e.requests)/float64(e.slots))*float64(e.response))
 	score += time.Duration(c.tried[t.ID]) * triedPenalty
 	if t.Suspect {
@@ -92,18 +105,19 @@
 
 // responseEstimate is what this host expects of a request to a server.
 type responseEstimate struct {
-	response time.Duration // response time of a request that does not wait
-	requests int           // running and waiting at the server
-	slots    int
+	response   time.Duration // response time of a request that does not wait
+	requests   int           // running and waiting at the server
+	slots      int
+	permitWait time.Duration // until a permit is expected, if the server names a limit
 }
 
 // queued reports whether a request would wait for a slot.
 func (e responseEstimate) queued() bool { return e.requests >= e.slots }
 
-// total returns the expected time until the response, including the wait for a slot.
+// total returns the expected time until the response, including the waits for a permit and for a slot.
 func (e responseEstimate) total() time.Duration {
 	ahead := max(0, e.requests+1-e.slots)
-	return e.response + e.response*time.Duration(ahead)/time.Duration(e.slots)
+	return e.permitWait + e.response + e.response*time.Duration(ahead)/time.Duration(e.slots)
 }
 
 // estimate returns the estimate for a server. fastest is assumed if the server has not been
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -83,8 +83,11 @@
 	if target == nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonNoBackend, "the service has no backend server")
 	}
-	s.tried[target.ID]++
 	end, _ := ctx.Deadline()
+	if err := AwaitPermit(ctx, s.f.Permits, target, false, time.Until(end)-(best.expected-best.permitWait)); err != nil {
+		return err
+	}
+	s.tried[target.ID]++
 	target.Load.InFlight.Add(1)
 	defer target.Load.InFlight.Add(-1)
 	stream, err := s.f.Sender.OpenStream(ctx, target, s.r, s.lastEventID, time.Until(end))
--- a/forward/types.go
+++ b/forward/types.go
@@ -89,14 +89,17 @@
 // Load holds the load counters of one backend server. Successive plans share them, and
 // request goroutines update them.
 type Load struct {
-	InFlight    atomic.Int32  // requests in flight from this process
-	reported    atomic.Int32  // running and waiting requests of all callers, as last reported by the server
-	reportedAt  atomic.Int64  // time of the last report, Unix nanoseconds
-	response    atomic.Int64  // smoothed response time, nanoseconds
-	measuredAt  atomic.Int64  // time of the last measurement of response, Unix nanoseconds
-	fullUntil   atomic.Int64  // time until which the server is sent nothing after a refusal, Unix nanoseconds
-	limit       atomic.Uint64 // requests per second that the server takes from all hosts, bits of a float64, 0 if it named no limit
-	limitSeenAt atomic.Int64  // time of the last answer that named or lifted the limit, Unix nanoseconds
+	InFlight   atomic.Int32  // requests in flight from this process
+	reported   atomic.Int32  // running and waiting requests of all callers, as last reported by the server
+	reportedAt atomic.Int64  // time of the last report, Unix nanoseconds
+	response   atomic.Int64  // smoothed response time, nanoseconds
+	measuredAt atomic.Int64  // time of the last measurement of response, Unix nanoseconds
+	fullUntil  atomic.Int64  // time until which the server is sent nothing after a refusal, Unix nanoseconds
+	limit      atomic.Uint64 // requests per second that the server takes from all hosts, bits of a float64, 0 if it named no limit
+	// nextCallerPermit and nextBackgroundPermit are the times at which the next permit of a
+	// server with a limit is expected to be available, Unix nanoseconds.
+	nextCallerPermit     atomic.Int64
+	nextBackgroundPermit atomic.Int64
 }
 
 // Report records the load that the server reported.
--- a/system/rollout/dispatch.go
+++ b/system/rollout/dispatch.go
@@ -136,8 +136,8 @@
 	r.RunCount++
 	w.item.Run = r.RunCount
 	s.Running++
-	if s.Refusals > 0 {
-		s.BusyUntil = now + maxBusyPause // only this item tests whether the server has room
+	if s.Refusals > 0 || s.RequestLimit > 0 {
+		s.BusyUntil = now + maxBusyPause // only this item tests whether the server takes it
 	}
 	out.Add(command.StartRun{
 		Key: w.key, Run: w.item.Run, Spec: w.item.Spec, Host: w.lot.Submission.Host, Target: target(s),
--- a/system/rollout/moves.go
+++ b/system/rollout/moves.go
@@ -101,10 +101,14 @@
 	slots    int
 }
 
-// freeServers returns the servers of a pool with free slots, the fastest first.
+// freeServers returns the servers of a pool with free slots and without a request limit, the
+// fastest first.
 func freeServers(now time.Duration, r *table.Rollout, key poolKey) []freeServer {
 	var free []freeServer
 	for _, s := range eligibleServers(r, key) {
+		if s.RequestLimit > 0 {
+			continue // each move is one request more
+		}
 		if n := serverRoom(now, s); n > 0 {
 			free = append(free, freeServer{s, eventInterval(r, s), n})
 		}
--- /dev/null
+++ b/system/rollout/permits_test.go
@@ -0,0 +1,111 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/forward"
+	"github.com/lavenderstand/lavenderstand/permit"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// acquire asks for a permit of server s with a limit of 4/s.
+func (w *world) acquire(maxWait time.Duration, background bool) forward.Permit {
+	request := permit.Request{PermitRequest: forward.PermitRequest{Server: "s", Limit: 4, MaxWait: maxWait, Background: background}, Share: 1}
+	return commandsOf[command.AnswerPermit](w.step(event.PermitRequested{RequestID: "q", Request: request}))[0].Permit
+}
+
+// TestPermitsKeepToTheLimit guards against more permits in a second than a server takes,
+// whatever the mix of callers and requests in the background, and against a limit that is
+// left unused.
+func TestPermitsKeepToTheLimit(t *testing.T) {
+	for name, background := range map[string]func(int) bool{
+		"callers": func(int) bool { return false }, "background": func(int) bool { return true }, "both": func(i int) bool { return i%2 == 0 },
+	} {
+		w := newWorld(t)
+		var usable []time.Duration // when each permit may be used
+		for i := 0; w.now < 9*time.Second; i++ {
+			if p := w.acquire(0, background(i)); p.Granted {
+				usable = append(usable, w.now+p.Wait)
+			}
+		}
+		for i, from := range usable {
+			n := 0
+			for _, at := range usable[i:] {
+				if at < from+4*time.Second {
+					n++
+				}
+			}
+			require.LessOrEqual(t, n, 4*4+4, "%s: the limit and the permits saved up in one second", name)
+		}
+		require.GreaterOrEqual(t, len(usable), 8*4-1, name)
+	}
+}
+
+// TestPermitsAreReservedInOrder guards against callers that overtake one another, and against
+// a reservation beyond the time that a caller has.
+func TestPermitsAreReservedInOrder(t *testing.T) {
+	w := newWorld(t)
+	var last time.Duration
+	granted := 0
+	for range 20 {
+		p := w.acquire(time.Second, false)
+		if !p.Granted {
+			require.Greater(t, p.Wait, time.Second)
+			continue
+		}
+		granted++
+		require.LessOrEqual(t, p.Wait, time.Second)
+		require.GreaterOrEqual(t, w.now+p.Wait, last)
+		last = w.now + p.Wait
+	}
+	require.InDelta(t, 5, granted, 1, "one at once and those of the next second")
+}
+
+// TestCallersDoNotStarveScores guards against lots that never end because callers use up the
+// limits of the servers that score their items.
+func TestCallersDoNotStarveScores(t *testing.T) {
+	w := newWorld(t)
+	background := 0
+	for w.now < 11*time.Second {
+		w.acquire(2*time.Second, false)
+		if w.acquire(0, true).Granted {
+			background++
+		}
+	}
+	require.GreaterOrEqual(t, background, 10*4/2-1, "half of the limit")
+}
+
+// TestLimitedEngineGetsOneItemAtATime guards against items that are sent to an engine whose
+// limit is used up, and count as failures of that engine.
+func TestLimitedEngineGetsOneItemAtATime(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("e1", nil))
+	w.step(event.RunStarted{Server: "e1", Model: model, Version: 1, Limit: 2})
+	started := commandsOf[command.StartRun](w.accept(submission(3)))
+	require.Len(t, started, 1)
+	w.step(event.RunEnded{Key: started[0].Key, Run: started[0].Run, Server: "e1", Model: model, Failure: &event.Failure{
+		Verdict: verdict.NotRun, Reason: verdict.ReasonServerLimit, RetryAfter: 500 * time.Millisecond,
+	}})
+	require.Empty(t, commandsOf[command.StartRun](w.advance(450*time.Millisecond)))
+	require.Len(t, commandsOf[command.StartRun](w.advance(100*time.Millisecond)), 1)
+	s := w.tables.Rollout.Servers.Find("e1")
+	require.Zero(t, s.Failures)
+	require.Zero(t, s.Refusals)
+}
+
+// TestRunsDoNotMoveToLimitedEngines guards against moves, each of which is a request more, to
+// an engine that takes few requests.
+func TestRunsDoNotMoveToLimitedEngines(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("fast", nil))
+	w.step(event.RunStarted{Server: "fast", Model: model, Version: 1, Limit: 2})
+	r := &w.tables.Rollout
+	require.Empty(t, freeServers(w.now, r, poolKey{service: "engines", model: model, minVersion: 1}))
+	w.step(event.RunStarted{Server: "fast", Model: model, Version: 1})
+	require.Len(t, freeServers(w.now, r, poolKey{service: "engines", model: model, minVersion: 1}), 1)
+}
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -23,6 +23,7 @@
 		{Name: "desired", Run: Desired},
 		{Name: "presence", Run: Presence},
 		{Name: "servers", Run: Servers},
+		{Name: "permits", Run: Permits},
 		{Name: "judgement", Run: ServerHealth},
 		{Name: "lots", Run: Lots},
 		{Name: "runs", Run: Runs},
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -88,7 +88,9 @@
 	releaseSlot(t, item)
 	item.Stage = table.ItemWaiting
 	addEvents(item, e.Events, e.Versions)
-	logRun(item, e, out)
+	if e.Failure == nil || e.Failure.Reason != verdict.ReasonServerLimit {
+		logRun(item, e, out)
+	}
 	if e.Failure != nil {
 		retryOrTerminate(now, t, item, e, out)
 		return
@@ -113,6 +115,8 @@
 	switch e.Failure.Reason {
 	case verdict.ReasonBackendRefused:
 		recordRefusal(now, r, s)
+	case verdict.ReasonServerLimit:
+		s.BusyUntil = max(s.BusyUntil, now+e.Failure.RetryAfter)
 	case verdict.ReasonCanceled, verdict.ReasonTerminated, verdict.ReasonTooOld:
 	case verdict.ReasonBackendFailed:
 		recordSuccess(r, s) // the server answers; the failure is the item's
@@ -138,7 +142,10 @@
 // retryOrTerminate lets an item wait for its next run after a failed one, or terminates
 // it if it can never be done or has used up its attempts.
 func retryOrTerminate(now time.Duration, t *table.Tables, item *table.Item, e event.RunEnded, out *command.Outbox) {
-	item.AvoidServer, item.NotBefore = e.Server, now
+	item.NotBefore = now
+	if e.Failure.Reason != verdict.ReasonServerLimit {
+		item.AvoidServer = e.Server
+	}
 	switch e.Failure.Reason {
 	case verdict.ReasonBackendFailed:
 		item.Failures++
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -31,11 +31,12 @@
 	Lots            Table[Lot]    // keyed by lot id
 	// HeadsVersion is the version of the store up to which all heads are known. It may
 	// be 0; HeadsKnown is set once all heads have been read.
-	HeadsVersion uint64
-	HeadsKnown   bool
-	Items        Table[Item] // keyed by ItemKey; only items of lots that this process owns
-	OrderLease   OrderLease
-	Peers        Table[PeerHost] // keyed by host name, this host included
+	HeadsVersion  uint64
+	HeadsKnown    bool
+	Items         Table[Item] // keyed by ItemKey; only items of lots that this process owns
+	OrderLease    OrderLease
+	Peers         Table[PeerHost]     // keyed by host name, this host included
+	PermitBuckets Table[PermitBucket] // keyed by server id
 	// Presence is the state of the row by which other hosts find this host.
 	Presence          Presence
 	MedianIntervals   map[string]MedianInterval // by service
@@ -61,6 +62,14 @@
 	Deleted       bool
 }
 
+// PermitBucket holds the permits that this host may grant for requests to a server with a
+// request limit. Available is negative while permits are reserved for later.
+type PermitBucket struct {
+	Available  float64
+	Background float64 // permits that requests in the background get even if Available is used up
+	FilledAt   time.Duration
+}
+
 // Presence is the state of writing the presence row of this host.
 type Presence struct {
 	Address   string
