forward: log the servers that ended under a request and its content

The lines of a failed request hold the id of the attempt, which differs each time a caller comes again. They now hold a fingerprint of the content and the servers that ended while they had the request: after a lost connection a dial tells a server that has ended from a lost answer.

--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -154,7 +154,7 @@
 		},
 	}
 	forwarder := &forward.Forwarder{
-		Plans: new(forward.AtomicPlan), Sender: h.backends, Permits: h.permits, Log: h.log, Rand: rand.Float64, Count: h.count,
+		Plans: new(forward.AtomicPlan), Sender: h.backends, Permits: h.permits, ServerEnded: h.backends.Ended, Log: h.log, Rand: rand.Float64, Count: h.count,
 		Report: func(o forward.Outcome) { h.inbox.Post(event.ServerOutcome{Outcome: o}) },
 	}
 	h.service = &frontend.Service{
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -35,10 +35,13 @@
 	Sender Sender
 	// Permits grants permits for servers that name a request limit.
 	Permits Permits
-	Report  func(Outcome)
-	Count   func(name string, reason verdict.Reason)
-	Log     *zap.Logger
-	Rand    func() float64 // returns uniform random numbers in [0, 1), used to break ties
+	// ServerEnded reports whether a server has ended, after the connection with a request was
+	// lost. Nil means that it is not known.
+	ServerEnded func(ctx context.Context, to *Target) bool
+	Report      func(Outcome)
+	Count       func(name string, reason verdict.Reason)
+	Log         *zap.Logger
+	Rand        func() float64 // returns uniform random numbers in [0, 1), used to break ties
 }
 
 // Route returns the current plan and the route of a request. The error has the verdict not
@@ -102,7 +105,8 @@
 	cause        verdict.Reason // why the next attempt starts
 	results      chan result
 	startedAt    time.Time
-	lastServer   string // server of the last attempt
+	ended        []string // servers that ended while they had the request
+	lastServer   string   // server of the last attempt
 	failedAnswer *Answer
 	lastErr      error
 }
@@ -112,6 +116,7 @@
 	answer *Answer
 	err    error
 	took   time.Duration
+	ended  bool // the server ended while it had the request
 }
 
 // run starts attempts until one of them ends the request. Another attempt starts after a
@@ -264,7 +269,20 @@
 	}
 	start := time.Now()
 	answer, err := f.send(ctx, to.target, r, time.Until(end))
-	return result{to.target, answer, err, time.Since(start)}
+	took := time.Since(start)
+	ended := connectionLost(err) && f.ServerEnded != nil && f.ServerEnded(ctx, to.target)
+	return result{to.target, answer, err, took, ended}
+}
+
+// connectionLost reports whether the server closed the connection before the end of its
+// answer.
+func connectionLost(err error) bool {
+	switch verdict.ReasonOf(err) {
+	case verdict.ReasonConnectionLost, verdict.ReasonTruncatedAnswer:
+		return verdict.Of(err) == verdict.MayHaveRun
+	default:
+		return false
+	}
 }
 
 // send sends a request. A panic while the response is decoded becomes an error.
@@ -276,6 +294,9 @@
 // handleResult processes the result of an attempt. If the request has ended, done is true and
 // answer or err is its outcome.
 func (c *call) handleResult(res result) (answer *Answer, done bool, err error) {
+	if res.ended {
+		c.ended = append(c.ended, res.target.ID)
+	}
 	c.reportOutcome(res)
 	if res.err == nil && res.answer.serverFailed() {
 		c.failureCount++
@@ -363,7 +384,7 @@
 		Request: c.r.ID, Server: res.target.ID, Answered: res.err == nil, Took: res.took,
 		Failed:  failed && reason != verdict.ReasonBackendRefused && reason != verdict.ReasonCanceled && reason != verdict.ReasonServerLimit,
 		Refused: reason == verdict.ReasonBackendRefused, Leaving: reason == verdict.ReasonBackendLeaving,
-		Limit: res.target.Load.Limit(),
+		Limit: res.target.Load.Limit(), Ended: res.ended,
 	})
 }
 
@@ -372,11 +393,12 @@
 	fields := []zap.Field{
 		zap.String("request", c.r.ID), zap.String("route", c.route.Name), zap.String("service", c.service),
 		zap.Int("servers_tried", len(c.tried)), zap.Int("refusals", c.refusals), zap.String("last_server", c.lastServer),
+		zap.Strings("servers_ended", c.ended),
 		zap.Duration("took", time.Since(c.startedAt)), zap.Uint64("desired_version", c.f.Plans.Load().Desired.Version),
 	}
 	if err != nil {
 		c.f.Count("refused", verdict.ReasonOf(err))
-		c.f.Log.Info("request failed", append(fields, zap.Stringer("verdict", verdict.Of(err)),
+		c.f.Log.Info("request failed", append(fields, zap.String("content", c.r.Fingerprint()), zap.Stringer("verdict", verdict.Of(err)),
 			zap.String("reason", string(verdict.ReasonOf(err))), zap.String("error", verdict.Message(err)))...)
 		return
 	}
--- a/forward/types.go
+++ b/forward/types.go
@@ -27,6 +27,7 @@
 	Header   http.Header
 	Body     []byte
 	Deadline time.Time // zero if the caller set none
+	Caller   string    // identity of the caller, empty if the deployment does not tell callers apart
 	// Background is set for requests that no caller waits for. They do not take places in
 	// the queues of servers.
 	Background bool
@@ -184,6 +185,7 @@
 	Refused  bool // the server was full
 	Silent   bool // no response within the time of a slow response
 	Leaving  bool // the server is closing its connections
+	Ended    bool // the server ended while it had the request
 	Took     time.Duration
 	Limit    float64 // requests per second that the server takes from all hosts, 0 if it named no limit
 }
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -145,6 +145,7 @@
 		s := t.Rollout.Servers.Find(o.Server)
 		if s != nil {
 			recordRequestLimit(s, o.Limit, out)
+			logServerEnded(s, o, out)
 		}
 		switch {
 		case s == nil || o.Refused:
@@ -164,6 +165,14 @@
 	}
 }
 
+// logServerEnded reports a server that ended while it had a request.
+func logServerEnded(s *table.Server, o event.ServerOutcome, out *command.Outbox) {
+	if o.Ended {
+		logServer("backend server ended under a request", &s.Server, out)
+		out.Add(command.Count{Counter: "server_ended_under_request", Delta: 1})
+	}
+}
+
 // recordRequestLimit records the number of requests per second that a server takes from all
 // hosts together, 0 if it names no limit.
 func recordRequestLimit(s *table.Server, limit float64, out *command.Outbox) {
