--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -106,7 +106,7 @@
 	return c
 }
 
-// addServer starts a backend server and writes its record every heartbeat interval.
+// addServer starts a backend server.
 func (c *cluster) addServer(id, service string) {
 	s := &pamoja.Backend{ID: id, Events: eventsPerItem, EventInterval: eventGap, OnRun: c.ledger.recordRun, RequestLimit: c.currentLimit, Fault: func(string) pamoja.BackendFault { return c.serverFault(id) }}
 	c.setVersion(id, 1)
@@ -116,11 +116,16 @@
 	})
 	server := httptest.NewServer(s)
 	c.t.Cleanup(server.CloseClientConnections)
+	c.keepRegistered(id, service, strings.TrimPrefix(server.URL, "http://"))
+}
+
+// keepRegistered writes the record of a backend server every heartbeat interval.
+func (c *cluster) keepRegistered(id, service, address string) {
 	done := make(chan struct{})
 	c.t.Cleanup(func() { close(done) })
 	go func() {
 		for sequence := 0; ; sequence++ {
-			c.register(id, service, strings.TrimPrefix(server.URL, "http://"), sequence)
+			c.register(id, service, address, sequence)
 			select {
 			case <-done:
 				return
