quarantine, forward: a request that crashes servers is sent to no further server

Each host started anew, because what it learned stayed in the attempt.

A request is now given up once two servers ended under it, told from lost answers by a refused dial, and its content (method, host, path, query, caller, body) is put in quarantine: further requests with it are refused as not run. The host tells all others directly, which takes milliseconds, since the caller comes back at once at another host, and writes a row that hosts read when they start. Ends under single attempts are counted by two hosts chosen by a hash of the content; three within a minute suffice. A success clears a content, a quarantine ends after 5 minutes, and items and their scores are never held back. While a request runs under which a server has ended, others avoid its server.

Weighed: one end suffices (each request in flight at the server would be refused); counting in the store alone (the row reaches other hosts after the caller does).

--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -30,6 +30,7 @@
 	"github.com/lavenderstand/lavenderstand/permit"
 	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/presence"
+	"github.com/lavenderstand/lavenderstand/quarantine"
 	"github.com/lavenderstand/lavenderstand/readbudget"
 	"github.com/lavenderstand/lavenderstand/relay"
 	"github.com/lavenderstand/lavenderstand/settings"
@@ -61,9 +62,10 @@
 	feedLongPollWait         = time.Second
 	coordinationLongPollWait = 500 * time.Millisecond
 	// Maximum numbers of commands of one kind that run at the same time.
-	maxConcurrentWrites = 32
-	maxConcurrentScores = 64
-	maxConcurrentOrders = 16
+	maxConcurrentWrites  = 32
+	maxConcurrentScores  = 64
+	maxConcurrentOrders  = 16
+	maxConcurrentReports = 16
 )
 
 // host holds the components of a lavender-host process.
@@ -86,6 +88,7 @@
 	storeHTTP        *http.Client
 	backends         *platform.BackendClient
 	permits          *permit.Client
+	reporter         *quarantine.Reporter
 	repository       *lot.Repository
 	service          *frontend.Service
 	coordinationFeed *executor.Feed
@@ -153,6 +156,13 @@
 			h.count("permit_host_failed", verdict.ReasonOf(err))
 		},
 	}
+	h.reporter = &quarantine.Reporter{
+		Self: h.settings.Host,
+		Dial: func(address string) quarantine.Receiver {
+			return &peer.QuarantineClient{Dialer: h.dialer, Address: address}
+		},
+		OnFailure: func(host string, err error) { h.count("suspect_report_failed", verdict.ReasonOf(err)) },
+	}
 	forwarder := &forward.Forwarder{
 		Plans: new(forward.AtomicPlan), Sender: h.backends, Permits: h.permits, ServerEnded: h.backends.Ended, Log: h.log, Rand: rand.Float64, Count: h.count,
 		Report: func(o forward.Outcome) { h.inbox.Post(event.ServerOutcome{Outcome: o}) },
@@ -221,6 +231,15 @@
 	control.HandleNow(h.dispatcher, h.service.Lots.Publish)
 	control.HandleNow(h.dispatcher, h.service.Runners.Publish)
 	control.HandleNow(h.dispatcher, func(command.HandoverFinished) { close(h.handoverDone) })
+	control.HandleNow(h.dispatcher, func(c command.PublishQuarantine) { h.service.Quarantine.Publish(c.Contents) })
+	control.Handle(h.dispatcher, maxConcurrentReports, func(ctx context.Context, c command.ReportSuspect) event.Event {
+		h.reporter.Send(ctx, c.Report)
+		return nil
+	})
+	control.Handle(h.dispatcher, maxConcurrentWrites, func(ctx context.Context, c command.WriteQuarantine) event.Event {
+		err := quarantine.Write(ctx, h.store, c.Content, c.Version, c.Remove)
+		return event.QuarantineWritten{Content: c.Content, Failure: event.FailureOf(err)}
+	})
 	control.HandleNow(h.dispatcher, func(c command.AnswerPermit) { h.waiters.Answer(c.RequestID, c) })
 	control.HandleNow(h.dispatcher, func(c command.AnswerHostView) { h.waiters.Answer(c.RequestID, c) })
 	runs := &executor.Runs{Ctx: h.ctx, Sender: h.backends, Permits: h.permits, Deliver: h.inbox.Deliver, SetUrgency: platform.SetUrgency}
@@ -242,6 +261,7 @@
 		h.store.SetPeers(slices.Collect(maps.Values(c.Addresses)))
 		h.service.Peers.Publish(c)
 		h.permits.SetPeers(c.Addresses)
+		h.reporter.SetPeers(c.Addresses)
 	})
 	control.Handle(h.dispatcher, 1, func(ctx context.Context, c command.WritePresence) event.Event {
 		rec := presence.Record{Address: h.peerAddress(), BootID: h.self.BootID, WriteID: rand.Uint64()}
--- a/cmd/lavender-host/serve.go
+++ b/cmd/lavender-host/serve.go
@@ -23,6 +23,7 @@
 	"github.com/lavenderstand/lavenderstand/peer/peerpb"
 	"github.com/lavenderstand/lavenderstand/permit"
 	"github.com/lavenderstand/lavenderstand/platform"
+	"github.com/lavenderstand/lavenderstand/quarantine"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -105,6 +106,7 @@
 	server := grpc.NewServer(grpc.UnaryInterceptor(peer.RecoverInterceptor(h.log)))
 	peerpb.RegisterStoreServer(server, &peer.StoreServer{Store: h.repository.Cache.CachingClient(h.directStore)})
 	peerpb.RegisterPermitsServer(server, &peer.PermitServer{Granter: localPermits{h}})
+	peerpb.RegisterQuarantineServer(server, &peer.QuarantineServer{Receiver: localReceiver{h}})
 	g.Add(func() error { return server.Serve(l) }, func(error) { server.Stop() })
 	return nil
 }
@@ -122,6 +124,14 @@
 	return answer.(command.AnswerPermit).Permit, nil
 }
 
+// localReceiver passes the reports of other hosts to control.
+type localReceiver struct{ host *host }
+
+// Report implements quarantine.Receiver.
+func (l localReceiver) Report(ctx context.Context, r quarantine.Report) error {
+	return l.host.inbox.Deliver(ctx, event.SuspectReported{Report: r})
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/command/rollout.go
+++ b/command/rollout.go
@@ -5,6 +5,7 @@
 
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/quarantine"
 	"github.com/lavenderstand/lavenderstand/registry"
 	"github.com/lavenderstand/lavenderstand/status"
 )
@@ -94,6 +95,30 @@
 	ValidUntil time.Duration
 }
 
+// PublishQuarantine replaces the contents of requests that are sent to no server.
+type PublishQuarantine struct{ Contents map[string]bool }
+
+// Name implements Command.
+func (PublishQuarantine) Name() string { return "publish_quarantine" }
+
+// ReportSuspect tells other hosts of a request under which a backend server ended: all hosts
+// if the content is in quarantine, else those that count the reports about it.
+type ReportSuspect struct{ quarantine.Report }
+
+// Name implements Command.
+func (ReportSuspect) Name() string { return "report_suspect" }
+
+// WriteQuarantine writes or, with Remove, deletes the row of a quarantined content. Version is
+// that of the present row, 0 if there is none.
+type WriteQuarantine struct {
+	Content string
+	Version uint64
+	Remove  bool
+}
+
+// Name implements Command.
+func (WriteQuarantine) Name() string { return "write_quarantine" }
+
 // AnswerPermit answers event.PermitRequested.
 type AnswerPermit struct {
 	RequestID string
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -7,6 +7,7 @@
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/lot"
 	"github.com/lavenderstand/lavenderstand/permit"
+	"github.com/lavenderstand/lavenderstand/quarantine"
 	"github.com/lavenderstand/lavenderstand/registry"
 )
 
@@ -273,6 +274,35 @@
 // Name implements Event.
 func (PermitRequested) Name() string { return "permit_requested" }
 
+// SuspectReported holds what another host reports about a request under which a backend
+// server ended.
+type SuspectReported struct{ quarantine.Report }
+
+// Name implements Event.
+func (SuspectReported) Name() string { return "suspect_reported" }
+
+// QuarantineRow is the row of a quarantined content as read from the store.
+type QuarantineRow struct {
+	Content string
+	Version uint64
+	Deleted bool
+}
+
+// QuarantineRead holds changed rows of quarantined contents.
+type QuarantineRead struct{ Rows []QuarantineRow }
+
+// Name implements Event.
+func (QuarantineRead) Name() string { return "quarantine_read" }
+
+// QuarantineWritten is the outcome of command.WriteQuarantine.
+type QuarantineWritten struct {
+	Content string
+	Failure *Failure
+}
+
+// Name implements Event.
+func (QuarantineWritten) Name() string { return "quarantine_written" }
+
 // HostViewRequested asks for the state of this host, including its view of other hosts.
 type HostViewRequested struct{ RequestID string }
 
--- a/executor/store.go
+++ b/executor/store.go
@@ -9,6 +9,7 @@
 	"github.com/lavenderstand/lavenderstand/lot"
 	"github.com/lavenderstand/lavenderstand/orderlease"
 	"github.com/lavenderstand/lavenderstand/presence"
+	"github.com/lavenderstand/lavenderstand/quarantine"
 	"github.com/lavenderstand/lavenderstand/store"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
@@ -103,6 +104,7 @@
 func DecodeCoordination(rows []store.Row, full bool, version uint64) []event.Event {
 	heads := event.HeadsRead{Full: full, Version: version}
 	var hosts event.PresenceRead
+	var contents event.QuarantineRead
 	var events []event.Event
 	for _, r := range rows {
 		if r.Key == orderlease.Key {
@@ -119,6 +121,10 @@
 			})
 			continue
 		}
+		if content := quarantine.Content(r); content != "" {
+			contents.Rows = append(contents.Rows, event.QuarantineRow{Content: content, Version: r.Version, Deleted: r.Deleted})
+			continue
+		}
 		id := lot.HeadID(r.Name)
 		if id == "" {
 			continue
@@ -129,6 +135,9 @@
 			heads.Heads = append(heads.Heads, event.HeadRow{ID: id, Head: h, Version: r.Version, Deleted: r.Deleted})
 		}
 	}
+	if len(contents.Rows) > 0 {
+		events = append(events, contents)
+	}
 	if len(hosts.Rows) > 0 {
 		events = append(events, hosts)
 	}
--- a/forward/fingerprint.go
+++ b/forward/fingerprint.go
@@ -6,6 +6,14 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// content returns the fingerprint of a request of a caller, empty for others.
+func (r *Request) content() string {
+	if r.Background {
+		return ""
+	}
+	return r.Fingerprint()
+}
+
 // Fingerprint identifies the content of a request. Requests with the same method, host,
 // path, query, caller and body have the same fingerprint, whatever their ids.
 func (r *Request) Fingerprint() string {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -38,6 +38,7 @@
 	// ServerEnded reports whether a server has ended, after the connection with a request was
 	// lost. Nil means that it is not known.
 	ServerEnded func(ctx context.Context, to *Target) bool
+	Quarantine  Quarantine
 	Report      func(Outcome)
 	Count       func(name string, reason verdict.Reason)
 	Log         *zap.Logger
@@ -127,6 +128,9 @@
 	hedge, room := time.NewTimer(noWait), time.NewTimer(noWait)
 	defer hedge.Stop()
 	defer room.Stop()
+	if err := c.f.checkQuarantine(c.r); err != nil {
+		return nil, err
+	}
 	if err := c.admit(ctx); err != nil {
 		return nil, err
 	}
@@ -219,6 +223,9 @@
 // startAttempt starts an attempt at the best server of the current plan. If all servers are
 // full, it starts none and returns the time after which one is expected to have room.
 func (c *call) startAttempt(ctx context.Context) (wait time.Duration, err error) {
+	if err := c.f.checkQuarantine(c.r); err != nil {
+		return 0, err
+	}
 	avoid := ""
 	if c.inFlight > 0 {
 		avoid = c.lastServer // do not hedge at the server that has not responded
@@ -249,10 +256,13 @@
 	c.mayHaveRun++
 	c.inFlight++
 	c.lastServer = target.ID
+	suspects := int32(min(1, len(c.ended)))
 	target.Load.InFlight.Add(1)
+	target.Load.suspects.Add(suspects)
 	go func() {
 		res := c.f.attempt(ctx, best, c.r, end)
 		target.Load.InFlight.Add(-1)
+		target.Load.suspects.Add(-suspects)
 		select {
 		case c.results <- res:
 		case <-ctx.Done():
@@ -298,6 +308,9 @@
 		c.ended = append(c.ended, res.target.ID)
 	}
 	c.reportOutcome(res)
+	if res.ended && tooManyEnded(c.r, len(c.ended)) {
+		return nil, true, errTooManyEnded(res.err, len(c.ended))
+	}
 	if res.err == nil && res.answer.serverFailed() {
 		c.failureCount++
 		res.answer.Failures = c.failureCount
@@ -384,7 +397,7 @@
 		Request: c.r.ID, Server: res.target.ID, Answered: res.err == nil, Took: res.took,
 		Failed:  failed && reason != verdict.ReasonBackendRefused && reason != verdict.ReasonCanceled && reason != verdict.ReasonServerLimit,
 		Refused: reason == verdict.ReasonBackendRefused, Leaving: reason == verdict.ReasonBackendLeaving,
-		Limit: res.target.Load.Limit(), Ended: res.ended,
+		Limit: res.target.Load.Limit(), Ended: res.ended, EndedServers: len(c.ended), Content: c.r.content(),
 	})
 }
 
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -100,6 +100,9 @@
 	if t.Suspect {
 		score += suspectPenalty
 	}
+	if t.Load.suspects.Load() > 0 {
+		score += isolationPenalty
+	}
 	return score
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -31,6 +31,10 @@
 	if err != nil {
 		return err
 	}
+	if err := f.checkQuarantine(r); err != nil {
+		f.Count("refused", verdict.ReasonOf(err))
+		return err
+	}
 	ctx, cancel := context.WithDeadline(ctx, requestDeadline(r, route))
 	defer cancel()
 	s := &streamCall{f: f, r: r, route: route, w: w, tried: make(map[string]int)}
@@ -39,6 +43,7 @@
 		f.Count("refused", verdict.ReasonOf(err))
 		f.Log.Info("stream failed", zap.String("request", r.ID), zap.String("route", route.Name),
 			zap.Int("events", s.lastEventID), zap.Int("servers_tried", len(s.tried)),
+			zap.Strings("servers_ended", s.ended), zap.String("content", r.Fingerprint()),
 			zap.Stringer("verdict", verdict.Of(err)), zap.String("error", verdict.Message(err)))
 	}
 	return err
@@ -50,17 +55,27 @@
 	route       *desired.Route
 	w           StreamWriter
 	tried       map[string]int
-	lastEventID int // id of the last forwarded event
-	mayHaveRun  int // number of attempts that may have run
+	lastEventID int      // id of the last forwarded event
+	mayHaveRun  int      // number of attempts that may have run
+	ended       []string // servers that ended while they had the request
+	lastServer  *Target
 	headerSent  bool
 }
 
 func (s *streamCall) run(ctx context.Context) error {
 	for {
 		err := s.attempt(ctx)
+		if err == nil {
+			s.f.Report(Outcome{
+				Request: s.r.ID, Server: s.lastServer.ID, Answered: true, Limit: s.lastServer.Load.Limit(), Content: s.r.content(),
+			})
+		}
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
+		if s.serverEnded(ctx, err) && tooManyEnded(s.r, len(s.ended)) {
+			return errTooManyEnded(err, len(s.ended))
+		}
 		notRun := verdict.Of(err) == verdict.NotRun
 		if !notRun && (!s.route.Resumable || s.mayHaveRun >= max(1, s.route.MaxAttempts)) {
 			return err
@@ -72,6 +87,19 @@
 	}
 }
 
+// serverEnded reports whether the server of a failed attempt ended, and tells control if so.
+func (s *streamCall) serverEnded(ctx context.Context, err error) bool {
+	if !connectionLost(err) || s.f.ServerEnded == nil || !s.f.ServerEnded(ctx, s.lastServer) {
+		return false
+	}
+	s.ended = append(s.ended, s.lastServer.ID)
+	s.f.Report(Outcome{
+		Request: s.r.ID, Server: s.lastServer.ID, Failed: true, Limit: s.lastServer.Load.Limit(),
+		Ended: true, EndedServers: len(s.ended), Content: s.r.content(),
+	})
+	return true
+}
+
 // attempt forwards the events of one server. It returns nil at the end of a complete stream.
 func (s *streamCall) attempt(ctx context.Context) error {
 	ch := chooser{now: time.Now(), tried: s.tried, random: s.f.Rand}
@@ -88,6 +116,7 @@
 		return err
 	}
 	s.tried[target.ID]++
+	s.lastServer = target
 	target.Load.InFlight.Add(1)
 	defer target.Load.InFlight.Add(-1)
 	stream, err := s.f.Sender.OpenStream(ctx, target, s.r, s.lastEventID, time.Until(end))
--- a/forward/types.go
+++ b/forward/types.go
@@ -95,6 +95,7 @@
 	reportedAt atomic.Int64  // time of the last report, Unix nanoseconds
 	response   atomic.Int64  // smoothed response time, nanoseconds
 	measuredAt atomic.Int64  // time of the last measurement of response, Unix nanoseconds
+	suspects   atomic.Int32  // requests in flight under which another server ended
 	fullUntil  atomic.Int64  // time until which the server is sent nothing after a refusal, Unix nanoseconds
 	limit      atomic.Uint64 // requests per second that the server takes from all hosts, bits of a float64, 0 if it named no limit
 	// nextCallerPermit and nextBackgroundPermit are the times at which the next permit of a
@@ -186,6 +187,10 @@
 	Silent   bool // no response within the time of a slow response
 	Leaving  bool // the server is closing its connections
 	Ended    bool // the server ended while it had the request
-	Took     time.Duration
-	Limit    float64 // requests per second that the server takes from all hosts, 0 if it named no limit
+	// EndedServers is the number of servers that ended under the request so far, this one
+	// included.
+	EndedServers int
+	Content      string // fingerprint of the request, empty if it is in the background
+	Took         time.Duration
+	Limit        float64 // requests per second that the server takes from all hosts, 0 if it named no limit
 }
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -104,20 +104,28 @@
 
 // order returns the known hosts in the order in which they grant the permits of a server.
 func (c *Client) order(server string) []string {
-	hosts := []string{c.Self}
-	if peers := c.peers.Load(); peers != nil {
-		for host := range *peers {
-			hosts = append(hosts, host)
-		}
+	peers := c.peers.Load()
+	if peers == nil {
+		return []string{c.Self}
+	}
+	return Order(server, c.Self, *peers)
+}
+
+// Order returns the hosts in the order in which they are responsible for a key. All hosts that
+// know the same hosts get the same order.
+func Order(key, self string, peers map[string]string) []string {
+	hosts := []string{self}
+	for host := range peers {
+		hosts = append(hosts, host)
 	}
 	slices.SortFunc(hosts, func(a, b string) int {
-		return cmp.Or(cmp.Compare(rank(server, a), rank(server, b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(rank(key, a), rank(key, b)), cmp.Compare(a, b))
 	})
 	return hosts
 }
 
-// rank returns the position of a host in the order of a server.
-func rank(server, host string) uint64 { return xxhash.Sum64String(server + "/" + host) }
+// rank returns the position of a host in the order of a key.
+func rank(key, host string) uint64 { return xxhash.Sum64String(key + "/" + host) }
 
 func (c *Client) failure(host string) failure {
 	c.mu.Lock()
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -25,6 +25,7 @@
 		{Name: "servers", Run: Servers},
 		{Name: "permits", Run: Permits},
 		{Name: "judgement", Run: ServerHealth},
+		{Name: "quarantine", Run: Quarantine},
 		{Name: "lots", Run: Lots},
 		{Name: "runs", Run: Runs},
 		{Name: "scores", Run: Scores},
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -31,12 +31,14 @@
 	Lots            Table[Lot]    // keyed by lot id
 	// HeadsVersion is the version of the store up to which all heads are known. It may
 	// be 0; HeadsKnown is set once all heads have been read.
-	HeadsVersion  uint64
-	HeadsKnown    bool
-	Items         Table[Item] // keyed by ItemKey; only items of lots that this process owns
-	OrderLease    OrderLease
-	Peers         Table[PeerHost]     // keyed by host name, this host included
-	PermitBuckets Table[PermitBucket] // keyed by server id
+	HeadsVersion    uint64
+	HeadsKnown      bool
+	Items           Table[Item] // keyed by ItemKey; only items of lots that this process owns
+	OrderLease      OrderLease
+	Peers           Table[PeerHost]     // keyed by host name, this host included
+	Suspects        Table[Suspect]      // keyed by content of a request
+	SuspectsChanged bool                // the quarantined contents must be published again
+	PermitBuckets   Table[PermitBucket] // keyed by server id
 	// Presence is the state of the row by which other hosts find this host.
 	Presence          Presence
 	MedianIntervals   map[string]MedianInterval // by service
@@ -62,6 +64,23 @@
 	Deleted       bool
 }
 
+// Suspect is the content of requests under which backend servers ended.
+type Suspect struct {
+	Ended       []EndedServer
+	Quarantined bool
+	Until       time.Duration // when the entry expires
+	Reporter    bool          // this process put the content in quarantine
+	RowVersion  uint64        // of the row in the store, 0 if there is none
+	Writing     bool          // a write of the row is under way
+	NextWrite   time.Duration // earliest time of the next write
+}
+
+// EndedServer is a backend server that ended.
+type EndedServer struct {
+	Server string
+	At     time.Duration // when this process learned of it
+}
+
 // PermitBucket holds the permits that this host may grant for requests to a server with a
 // request limit. Available is negative while permits are reserved for later.
 type PermitBucket struct {
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -53,6 +53,7 @@
 	ReasonStalled           Reason = "stalled"
 	ReasonNotReady          Reason = "not_ready"
 	ReasonInternal          Reason = "internal"
+	ReasonQuarantined       Reason = "quarantined"
 	ReasonServerLimit       Reason = "server_limit"
 	ReasonFirstAttempt      Reason = "first_attempt"
 	ReasonUnknown           Reason = "unknown"
