system/rollout: engines with a request limit are divided among models separately

Engines were divided among models by number. A model whose engines all named limits got less than its lots need, while another model had all engines without a limit. Hosts publish in their presence rows which engines name a limit, and every host divides these and the others separately.

--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -264,7 +264,7 @@
 		h.reporter.SetPeers(c.Addresses)
 	})
 	control.Handle(h.dispatcher, 1, func(ctx context.Context, c command.WritePresence) event.Event {
-		rec := presence.Record{Address: h.peerAddress(), BootID: h.self.BootID, WriteID: rand.Uint64()}
+		rec := presence.Record{Address: h.peerAddress(), BootID: h.self.BootID, WriteID: rand.Uint64(), LimitedEngines: c.LimitedEngines}
 		version, err := presence.Write(ctx, h.store, h.settings.Host, rec, c.Version, c.Remove)
 		return event.PresenceWritten{Version: version, Failure: event.FailureOf(err)}
 	})
--- a/command/rollout.go
+++ b/command/rollout.go
@@ -173,11 +173,13 @@
 // Name implements Command.
 func (HandoverFinished) Name() string { return "handed_over" }
 
-// WritePresence writes or, with Remove, deletes the presence row of this host. Version is
+// WritePresence writes or, with Remove, deletes the presence row of this host. The row lists
+// the engines of which this host knows that they name a request limit. Version is
 // that of the present row, 0 if there is none.
 type WritePresence struct {
-	Version uint64
-	Remove  bool
+	LimitedEngines []string
+	Version        uint64
+	Remove         bool
 }
 
 // DeleteLot removes an old lot from the store.
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -246,8 +246,10 @@
 	Host    string
 	Address string // address for calls from other hosts
 	BootID  string // boot id of the process that wrote the row
-	Version uint64
-	Deleted bool
+	// LimitedEngines lists the engines of which the host knows that they name a request limit.
+	LimitedEngines []string
+	Version        uint64
+	Deleted        bool
 }
 
 // PresenceRead holds changed presence rows.
--- a/executor/store.go
+++ b/executor/store.go
@@ -117,7 +117,7 @@
 			rec, ok := presence.Parse(r) // the address is empty if the row is not valid
 			appendUnreadable(ok, r, &events)
 			hosts.Rows = append(hosts.Rows, event.PresenceRow{
-				Host: host, Address: rec.Address, BootID: rec.BootID, Version: r.Version, Deleted: r.Deleted,
+				Host: host, Address: rec.Address, BootID: rec.BootID, LimitedEngines: rec.LimitedEngines, Version: r.Version, Deleted: r.Deleted,
 			})
 			continue
 		}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -26,6 +26,8 @@
 	Address string `json:"address"`
 	BootID  string `json:"lifetime"`
 	WriteID uint64 `json:"write"`
+	// LimitedEngines lists the engines of which the host knows that they name a request limit.
+	LimitedEngines []string `json:"limited_engines,omitempty"`
 }
 
 func key(host string) store.Key {
--- a/system/rollout/assignment.go
+++ b/system/rollout/assignment.go
@@ -19,32 +19,72 @@
 
 // EngineAssignment divides the engines of each service among its models by demand, so
 // that the lots of one model do not wait behind those of others, and a weight version is
-// loaded only on engines that serve its model. Every host computes the same division
-// from the published state.
+// loaded only on engines that serve its model. Engines that name a request limit are divided
+// separately, because a model with no others may get less than its lots need. Every host
+// computes the same division from the published state.
 func EngineAssignment(now time.Duration, t *table.Tables, _ []event.Event, out *command.Outbox) {
 	r := &t.Rollout
 	if r.Desired == nil || now-r.EnginesAssignedAt < assignInterval {
 		return
 	}
 	r.EnginesAssignedAt = now
-	demand := meanLotTokens(r)
+	demand, limited := meanLotTokens(r), limitedEngines(now, r)
 	for name, service := range r.Desired.Services {
 		if len(service.Models) == 0 {
 			continue
 		}
-		servers := engines(r, name)
-		quotas := computeQuotas(len(servers), service.Models, demand)
-		changed := 0
-		for i, model := range assignModels(r, servers, quotas) {
-			if servers[i].PreferredModel != model {
-				changed++
-			}
-			servers[i].PreferredModel = model
+		all := engines(r, name)
+		withLimit := func(s *table.Server) bool { return limited[s.ID] }
+		assignEngines(r, name, slices.DeleteFunc(slices.Clone(all), withLimit), service.Models, demand, out)
+		assignEngines(r, name, slices.DeleteFunc(all, func(s *table.Server) bool { return !withLimit(s) }), service.Models, demand, out)
+	}
+}
+
+// assignEngines divides engines of a service among its models.
+func assignEngines(r *table.Rollout, service string, servers []*table.Server, models []string, demand map[string]int, out *command.Outbox) {
+	quotas := computeQuotas(len(servers), models, demand)
+	changed := 0
+	for i, model := range assignModels(r, servers, quotas) {
+		if servers[i].PreferredModel != model {
+			changed++
+		}
+		servers[i].PreferredModel = model
+	}
+	if changed > 0 {
+		logAssignment(service, quotas, changed, out)
+	}
+}
+
+// limitMemory is the time for which an engine counts as limited after its last answer that
+// named a request limit. An engine that gets no requests names none.
+const limitMemory = 30 * time.Second
+
+// ownLimitedEngines returns the ids of the engines of which this host knows that they name a
+// request limit, sorted.
+func ownLimitedEngines(now time.Duration, r *table.Rollout) []string {
+	var ids []string
+	for id, s := range r.Servers.All() {
+		if s.RequestLimit > 0 && len(s.Models) > 0 && now-s.LimitSeenAt < limitMemory {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// limitedEngines returns the engines that name a request limit according to the presence rows
+// of all hosts, so that all hosts divide the engines in the same way.
+func limitedEngines(now time.Duration, r *table.Rollout) map[string]bool {
+	limited := make(map[string]bool)
+	for _, p := range r.Peers.All() {
+		if p.Deleted || now-p.VersionSeenAt >= limitMemory {
+			continue
 		}
-		if changed > 0 {
-			logAssignment(name, quotas, changed, out)
+		for _, id := range p.LimitedEngines {
+			limited[id] = true
 		}
 	}
+	return limited
 }
 
 func logAssignment(service string, quotas []quota, changed int, out *command.Outbox) {
--- a/system/rollout/permits_test.go
+++ b/system/rollout/permits_test.go
@@ -1,15 +1,19 @@
 package rollout
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/permit"
+	"github.com/lavenderstand/lavenderstand/registry"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -109,3 +113,59 @@
 	w.step(event.RunStarted{Server: "fast", Model: model, Version: 1})
 	require.Len(t, freeServers(w.now, r, poolKey{service: "engines", model: model, minVersion: 1}), 1)
 }
+
+// TestNoModelHasOnlyLimitedEngines guards against a model that is late because all its engines
+// name request limits while other models have engines without.
+func TestNoModelHasOnlyLimitedEngines(t *testing.T) {
+	w := newWorld(t)
+	r := &w.tables.Rollout
+	d := state(2)
+	d.Services = map[string]desired.Service{"engines": {Name: "engines", Models: []string{"m", "n"}}}
+	w.step(event.DesiredRead{State: d})
+	for i := range 6 {
+		w.step(w.server(fmt.Sprintf("e%d", i), func(s *registry.Server) { s.Models = map[string]registry.Version{"m": 1, "n": 1} }))
+	}
+	w.advance(2 * assignInterval)
+	var limited []string
+	for id, s := range r.Servers.All() {
+		if s.PreferredModel == "m" {
+			limited = append(limited, id)
+		}
+	}
+	require.Len(t, limited, 3)
+	slices.Sort(limited)
+	w.step(event.PresenceRead{Rows: []event.PresenceRow{{Host: "b", Address: "b:1", LimitedEngines: limited, Version: w.version()}}})
+	w.advance(2 * assignInterval)
+	without := make(map[string]int)
+	for id, s := range r.Servers.All() {
+		if !slices.Contains(limited, id) {
+			without[s.PreferredModel]++
+		}
+	}
+	require.NotZero(t, without["m"])
+	require.NotZero(t, without["n"])
+}
+
+// TestLimitedEnginesArePublished guards against hosts that divide the engines differently
+// because only some of them know the limits.
+func TestLimitedEnginesArePublished(t *testing.T) {
+	w := newWorld(t)
+	w.tables.Rollout.Presence.Address = "a:1"
+	w.step(w.server("e1", nil))
+	w.step(event.PresenceWritten{}, event.PresenceRead{Rows: []event.PresenceRow{{Host: "a", Address: "a:1", Version: w.version()}}})
+	w.advance(presenceRetryDelay)
+	w.step(event.RunStarted{Server: "e1", Model: model, Version: 1, Limit: 2})
+	written := commandsOf[command.WritePresence](w.step())
+	require.Len(t, written, 1)
+	require.Equal(t, []string{"e1"}, written[0].LimitedEngines)
+	w.step(event.PresenceWritten{}, event.PresenceRead{Rows: []event.PresenceRow{{Host: "a", Address: "a:1", LimitedEngines: []string{"e1"}, Version: w.version()}}})
+	require.Empty(t, commandsOf[command.WritePresence](w.advance(2*time.Second)), "nothing has changed")
+	require.True(t, limitedEngines(w.now, &w.tables.Rollout)["e1"])
+
+	w.step(event.RunStarted{Server: "e1", Model: model, Version: 1})
+	written = commandsOf[command.WritePresence](w.advance(presenceRetryDelay))
+	require.Len(t, written, 1)
+	require.Empty(t, written[0].LimitedEngines)
+	w.advance(limitMemory)
+	require.Empty(t, limitedEngines(w.now, &w.tables.Rollout), "an old row does not count")
+}
--- a/system/rollout/presence.go
+++ b/system/rollout/presence.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/command"
@@ -43,18 +44,21 @@
 		return false
 	}
 	changed := p.Address != h.Address
-	*p = table.PeerHost{Address: h.Address, BootID: h.BootID, Version: h.Version, VersionSeenAt: now, Deleted: h.Deleted}
+	*p = table.PeerHost{Address: h.Address, BootID: h.BootID, LimitedEngines: h.LimitedEngines, Version: h.Version, VersionSeenAt: now, Deleted: h.Deleted}
 	return changed
 }
 
 // presenceRenewalDue reports whether this host must write its row to show that it is
-// alive: it cannot write the head of a lot that it owns, and the row is older than
+// alive: the row lists engines with a limit, which others believe for limitMemory, or it cannot write the head of a lot that it owns, and the row is older than
 // headRenewInterval. Without the row, another host would adopt the lot as soon as the
 // head can be written again, and the results that wait for their commit would be lost.
 func presenceRenewalDue(now time.Duration, r *table.Rollout, own *table.PeerHost) bool {
 	if now-own.VersionSeenAt < headRenewInterval {
 		return false
 	}
+	if len(own.LimitedEngines) > 0 && now-own.VersionSeenAt > limitMemory/2 {
+		return true
+	}
 	for _, l := range r.Lots.All() {
 		if l.Stage == table.LotOwned && l.Write != nil && now-l.VersionSeenAt > 2*headRenewInterval {
 			return true
@@ -82,7 +86,8 @@
 		return
 	}
 	own := r.Peers.Find(r.Self.Host)
-	upToDate := own != nil && !own.Deleted && own.Address == r.Presence.Address
+	limited := ownLimitedEngines(now, r)
+	upToDate := own != nil && !own.Deleted && own.Address == r.Presence.Address && (r.Draining || slices.Equal(own.LimitedEngines, limited))
 	if upToDate != r.Draining && (r.Draining || !presenceRenewalDue(now, r, own)) {
 		return
 	}
@@ -91,7 +96,7 @@
 		return
 	}
 	r.Presence.Writing = true
-	c := command.WritePresence{Remove: r.Draining}
+	c := command.WritePresence{LimitedEngines: limited, Remove: r.Draining}
 	if own != nil && !own.Deleted {
 		c.Version = own.Version
 	}
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -44,7 +44,7 @@
 	if s == nil {
 		return
 	}
-	recordRequestLimit(s, e.Limit, out)
+	recordRequestLimit(now, s, e.Limit, out)
 	recordLoadEnd(now, &t.Rollout, s)
 	s.Refusals, s.RefusedSince, s.BusyUntil = 0, 0, 0
 	if e.Version != 0 && e.Model != "" && s.Models[e.Model] != e.Version {
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -144,7 +144,7 @@
 		}
 		s := t.Rollout.Servers.Find(o.Server)
 		if s != nil {
-			recordRequestLimit(s, o.Limit, out)
+			recordRequestLimit(now, s, o.Limit, out)
 			logServerEnded(s, o, out)
 		}
 		switch {
@@ -175,7 +175,10 @@
 
 // recordRequestLimit records the number of requests per second that a server takes from all
 // hosts together, 0 if it names no limit.
-func recordRequestLimit(s *table.Server, limit float64, out *command.Outbox) {
+func recordRequestLimit(now time.Duration, s *table.Server, limit float64, out *command.Outbox) {
+	if limit > 0 {
+		s.LimitSeenAt = now
+	}
 	if limit == s.RequestLimit {
 		return
 	}
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -57,11 +57,12 @@
 
 // PeerHost is a host of the system as described by its presence row in the store.
 type PeerHost struct {
-	Address       string
-	BootID        string
-	Version       uint64
-	VersionSeenAt time.Duration // when this process saw Version change last
-	Deleted       bool
+	Address        string
+	BootID         string
+	LimitedEngines []string // engines that name a request limit, as the host knows, sorted
+	Version        uint64
+	VersionSeenAt  time.Duration // when this process saw Version change last
+	Deleted        bool
 }
 
 // Suspect is the content of requests under which backend servers ended.
@@ -123,6 +124,7 @@
 	BusyUntil      time.Duration // until then no items are sent, after a refusal for lack of a slot or during a load
 	Refusals       int           // consecutive refusals; while there are any, items are sent one at a time
 	RefusedSince   time.Duration // first of the consecutive refusals, 0 if there is none
+	LimitSeenAt    time.Duration // last answer that named RequestLimit
 	RequestLimit   float64       // requests per second that the server takes from all hosts, 0 if it named no limit
 	Order          Order
 	PreferredModel string // model to which the engine is assigned
