transport: a request is not repeated by the HTTP client

net/http repeats a GET request without a body on another connection if the kept connection on which it was sent is lost. The repetition is in no count of attempts: a GET on a route that must not be repeated ran twice, and a request whose answers were lost reached a server more often than its route allows.

Writes to a further connection of the same attempt are blocked once a byte was written.

TestLostConnectionIsNotReplayed failed before (the second request was answered by the third arrival) and passes.

--- a/transport/trace.go
+++ b/transport/trace.go
@@ -25,16 +25,32 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
 }
 
+// gotConn records a connection. net/http obtains a further one for the same request if the
+// first is lost, and repeats a GET request on it. That is prevented, because the sender
+// decides about repetitions, unless nothing was written before.
 func (t *Trace) gotConn(info httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	used := usedConn{conn: info.Conn}
 	if c, ok := info.Conn.(*countingConn); ok {
 		used.writesBefore = c.count()
+		if t.written() {
+			c.blockWrites()
+		}
 	}
 	t.used = append(t.used, used)
 }
 
+// written reports whether a byte may have been written to a connection of the attempt.
+func (t *Trace) written() bool {
+	for _, used := range t.used {
+		if c, ok := used.conn.(*countingConn); !ok || c.count() != used.writesBefore {
+			return true
+		}
+	}
+	return false
+}
+
 // Close closes the connections of the request, so that bytes that follow a response are not
 // read as the response to a later request. A later request that was given the connection
 // before the HTTP client noticed that it is closed writes nothing and is reported as not sent.
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -90,3 +91,40 @@
 	require.Error(t, err)
 	require.ErrorIs(t, <-end, syscall.ECONNRESET)
 }
+
+// TestLostConnectionIsNotReplayed guards against the HTTP client, which repeats a GET request
+// on another connection by itself if its kept connection is lost: the repetition is in no
+// count of attempts, and a request that must not be repeated runs twice.
+func TestLostConnectionIsNotReplayed(t *testing.T) {
+	var requests atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if requests.Add(1) != 2 {
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = conn.Close() // the request has run, its answer is lost
+		}
+	}))
+	defer server.Close()
+	client := NewClient()
+	defer client.CloseIdleConnections()
+	send := func() (*Trace, error) {
+		trace := new(Trace)
+		r, err := http.NewRequestWithContext(trace.Attach(context.Background()), http.MethodGet, server.URL, http.NoBody)
+		require.NoError(t, err)
+		resp, err := client.Do(r)
+		if err == nil {
+			require.NoError(t, resp.Body.Close())
+		}
+		return trace, err
+	}
+	_, err := send()
+	require.NoError(t, err)
+	trace, err := send()
+	require.Error(t, err)
+	require.False(t, trace.NothingSent(), "it may have run")
+	require.EqualValues(t, 2, requests.Load())
+	_, err = send()
+	require.NoError(t, err, "later requests are sent")
+}
