--- a/cmd/lavenderctl/host.go
+++ b/cmd/lavenderctl/host.go
@@ -57,8 +57,11 @@
 		p.line("feed %s: down %t for %d ms", f.Table, f.Down, f.AgeMS)
 	}
 	for _, s := range v.Servers {
-		p.line("server %s of %s in %s: leaving %t, missing %t, suspect %t, items %d, event interval %.1f ms, preferred model %q, versions %v",
-			s.ID, s.Service, s.Zone, s.Leaving, s.Missing, s.Suspect, s.Running, s.EventIntervalMS, s.PreferredModel, s.Versions)
+		p.line("server %s of %s in %s: leaving %t, missing %t, suspect %t, request limit %g/s, items %d, event interval %.1f ms, preferred model %q, versions %v",
+			s.ID, s.Service, s.Zone, s.Leaving, s.Missing, s.Suspect, s.RequestLimit, s.Running, s.EventIntervalMS, s.PreferredModel, s.Versions)
+	}
+	for _, content := range v.Quarantined {
+		p.line("requests with content %s are sent to no server", content)
 	}
 	for _, l := range v.Lots {
 		p.line("lot %s of %s: owner %q, %s, listed %d of %d, ended %t, unchanged for %d ms", l.ID, l.Model, l.Owner, l.Stage, l.Listed, l.Total, l.Ended, l.SilentMS)
--- a/cmd/lavenderctl/host_test.go
+++ b/cmd/lavenderctl/host_test.go
@@ -33,14 +33,15 @@
 		}
 		_ = json.NewEncoder(w).Encode(status.HostView{
 			Host: "h1", DesiredVersion: 7, OrderLease: status.OrderLeaseView{Holder: "h2"},
-			Feeds: []status.FeedView{{Table: "servers", Down: true}},
-			Lots:  []status.LotView{{ID: "l1", Owner: "h3", Listed: 2, Total: 4}},
+			Feeds:   []status.FeedView{{Table: "servers", Down: true}},
+			Servers: []status.ServerView{{ID: "i1", RequestLimit: 2.5}}, Quarantined: []string{"9fb"},
+			Lots: []status.LotView{{ID: "l1", Owner: "h3", Listed: 2, Total: 4}},
 		})
 	}))
 	defer server.Close()
 	out, err := runCtl("host-view", strings.TrimPrefix(server.URL, "http://"))
 	require.NoError(t, err)
-	for _, want := range []string{"host h1", "desired state 7", `holder "h2"`, "feed servers: down true", `lot l1 of : owner "h3"`, "listed 2 of 4"} {
+	for _, want := range []string{"host h1", "desired state 7", `holder "h2"`, "feed servers: down true", `lot l1 of : owner "h3"`, "listed 2 of 4", "request limit 2.5/s", "content 9fb"} {
 		require.Contains(t, out, want)
 	}
 	_, err = runCtl("host-view", "127.0.0.1:1")
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -114,18 +114,30 @@
 // Order returns the hosts in the order in which they are responsible for a key. All hosts that
 // know the same hosts get the same order.
 func Order(key, self string, peers map[string]string) []string {
-	hosts := []string{self}
+	ranked := make([]rankedHost, 0, len(peers)+1)
+	ranked = append(ranked, newRankedHost(key, self))
 	for host := range peers {
-		hosts = append(hosts, host)
+		ranked = append(ranked, newRankedHost(key, host))
 	}
-	slices.SortFunc(hosts, func(a, b string) int {
-		return cmp.Or(cmp.Compare(rank(key, a), rank(key, b)), cmp.Compare(a, b))
+	slices.SortFunc(ranked, func(a, b rankedHost) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.host, b.host))
 	})
+	hosts := make([]string, len(ranked))
+	for i, r := range ranked {
+		hosts[i] = r.host
+	}
 	return hosts
 }
 
-// rank returns the position of a host in the order of a key.
-func rank(key, host string) uint64 { return xxhash.Sum64String(key + "/" + host) }
+// rankedHost is a host with its position in the order of a key.
+type rankedHost struct {
+	host string
+	rank uint64
+}
+
+func newRankedHost(key, host string) rankedHost {
+	return rankedHost{host, xxhash.Sum64String(key + "/" + host)}
+}
 
 func (c *Client) failure(host string) failure {
 	c.mu.Lock()
--- a/status/host.go
+++ b/status/host.go
@@ -15,6 +15,7 @@
 	Models         map[string]int `json:"models"` // newest weight version that the trainer named, by model
 	Lots           []LotView      `json:"lots"`
 	Peers          []string       `json:"peers"`
+	Quarantined    []string       `json:"quarantined,omitempty"` // contents of requests that crash servers
 }
 
 // FeedView is the state of the feed of one table of the store.
@@ -42,8 +43,9 @@
 	Leaving         bool           `json:"leaving"`
 	Missing         bool           `json:"missing"` // its record expired while the store was unavailable
 	Suspect         bool           `json:"suspect"`
-	Running         int            `json:"running"` // number of items that this host runs on it
-	EventIntervalMS float64        `json:"gap_ms"`  // smoothed time between two events, in milliseconds
+	Running         int            `json:"running"`                 // number of items that this host runs on it
+	EventIntervalMS float64        `json:"gap_ms"`                  // smoothed time between two events, in milliseconds
+	RequestLimit    float64        `json:"request_limit,omitempty"` // requests per second that it takes from all hosts, 0 for no limit
 	PreferredModel  string         `json:"home,omitempty"`
 	Versions        map[string]int `json:"versions,omitempty"`
 }
--- a/system/rollout/capacity_bench_test.go
+++ b/system/rollout/capacity_bench_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/forward"
+	"github.com/lavenderstand/lavenderstand/permit"
 	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/table"
 )
 
 // benchWorld returns a world with servers and with lots owned by another process.
@@ -70,3 +74,17 @@
 		})
 	}
 }
+
+// BenchmarkGrantPermit measures the grant of a permit with buckets for 1,000 servers.
+func BenchmarkGrantPermit(b *testing.B) {
+	t := table.New(table.Self{Host: "a"})
+	r := &t.Rollout
+	request := permit.Request{PermitRequest: forward.PermitRequest{Limit: 4, MaxWait: time.Second}, Share: 1}
+	for i := range 1000 {
+		request.Server = strconv.Itoa(i)
+		grantPermit(0, r, request)
+	}
+	for b.Loop() {
+		grantPermit(0, r, request)
+	}
+}
--- a/system/rollout/host_view.go
+++ b/system/rollout/host_view.go
@@ -31,6 +31,7 @@
 	if r.Desired != nil {
 		v.DesiredVersion = r.Desired.Version
 	}
+	v.Quarantined = slices.Sorted(maps.Keys(quarantinedContents(r)))
 	for name, f := range r.Feeds.All() {
 		v.Feeds = append(v.Feeds, status.FeedView{Table: name, Down: f.Down, AgeMS: status.Millis(now - f.Since)})
 	}
@@ -52,7 +53,7 @@
 func serverView(id string, s *table.Server) status.ServerView {
 	v := status.ServerView{
 		ID: id, Service: s.Service, Zone: s.Zone, Leaving: s.Leaving, Missing: s.MissingSince != 0,
-		Suspect: s.SuspectUntil != 0, Running: s.Running, EventIntervalMS: float64(s.Pace.Recent.Microseconds()) / 1000, PreferredModel: s.PreferredModel,
+		Suspect: s.SuspectUntil != 0, Running: s.Running, EventIntervalMS: float64(s.Pace.Recent.Microseconds()) / 1000, PreferredModel: s.PreferredModel, RequestLimit: s.RequestLimit,
 		Versions: make(map[string]int, len(s.Models)),
 	}
 	for model, version := range s.Models {
