system/rollout: limited engines go to the models whose other engines do not suffice

With fewer engines without a limit than models, a model without one got as few of the limited engines as the others. The limited engines are now divided by the demand that the others leave.

--- a/system/rollout/assignment.go
+++ b/system/rollout/assignment.go
@@ -35,9 +35,47 @@
 		}
 		all := engines(r, name)
 		withLimit := func(s *table.Server) bool { return limited[s.ID] }
-		assignEngines(r, name, slices.DeleteFunc(slices.Clone(all), withLimit), service.Models, demand, out)
-		assignEngines(r, name, slices.DeleteFunc(all, func(s *table.Server) bool { return !withLimit(s) }), service.Models, demand, out)
+		free := slices.DeleteFunc(slices.Clone(all), withLimit)
+		scarce := slices.DeleteFunc(all, func(s *table.Server) bool { return !withLimit(s) })
+		assignEngines(r, name, free, service.Models, demand, out)
+		if len(scarce) > 0 {
+			assignEngines(r, name, scarce, service.Models, unmetDemand(service.Models, demand, free, len(scarce)), out)
+		}
+	}
+}
+
+// limitedEngineShare is the share of the work of other engines that an engine with a request
+// limit is assumed to do.
+const limitedEngineShare = 0.25
+
+// unmetDemand returns the demand that is left for engines with a request limit once the others
+// are divided among the models. Models without known demand count with the mean of the others.
+func unmetDemand(models []string, demand map[string]int, free []*table.Server, scarce int) map[string]int {
+	known, sum := 0, 0
+	for _, m := range models {
+		if demand[m] > 0 {
+			known++
+			sum += demand[m]
+		}
+	}
+	if known == 0 {
+		return demand
+	}
+	mean := sum / known
+	perEngine := float64(sum+mean*(len(models)-known)) / (float64(len(free)) + limitedEngineShare*float64(scarce))
+	met := make(map[string]float64)
+	for _, s := range free {
+		met[s.PreferredModel] += perEngine
+	}
+	unmet := make(map[string]int, len(models))
+	for _, m := range models {
+		d := demand[m]
+		if d == 0 {
+			d = mean
+		}
+		unmet[m] = max(1, d-int(met[m]))
 	}
+	return unmet
 }
 
 // assignEngines divides engines of a service among its models.
--- a/system/rollout/permits_test.go
+++ b/system/rollout/permits_test.go
@@ -14,6 +14,7 @@
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/permit"
 	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/table"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -169,3 +170,14 @@
 	w.advance(limitMemory)
 	require.Empty(t, limitedEngines(w.now, &w.tables.Rollout), "an old row does not count")
 }
+
+// TestLimitedEnginesMakeUpForOthers guards against a model without any engine that takes all
+// requests and with as few of the limited ones as models that have one.
+func TestLimitedEnginesMakeUpForOthers(t *testing.T) {
+	free := []*table.Server{{PreferredModel: "m"}, {PreferredModel: "n"}}
+	unmet := unmetDemand([]string{"m", "n", "o"}, map[string]int{"m": 160, "n": 300, "o": 300}, free, 7)
+	quotas := computeQuotas(7, []string{"m", "n", "o"}, unmet)
+	require.GreaterOrEqual(t, quotas[2].servers, 4, "the model without another engine gets most")
+	require.Positive(t, quotas[0].servers)
+	require.Positive(t, quotas[1].servers)
+}
