--- a/forward/forward.go
+++ b/forward/forward.go
@@ -128,9 +128,6 @@
 	hedge, room := time.NewTimer(noWait), time.NewTimer(noWait)
 	defer hedge.Stop()
 	defer room.Stop()
-	if err := c.f.checkQuarantine(c.r); err != nil {
-		return nil, err
-	}
 	if err := c.admit(ctx); err != nil {
 		return nil, err
 	}
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// maxEndedServers is the number of servers that may end under one request before it is
-	// given up. A single one may have ended for another reason.
-	maxEndedServers = 2
+	// MaxEndedServers is the number of servers that may end under one request, one after the
+	// other, before it is given up and its content is put in quarantine. A single one may have
+	// ended for another reason.
+	MaxEndedServers = 2
 	// quarantineRetryAfter is the time after which callers of quarantined requests come back.
 	quarantineRetryAfter = time.Second
 	// isolationPenalty is added for servers that run a request under which another server
@@ -48,7 +49,7 @@
 
 // tooManyEnded reports whether a request under which a number of servers ended must be given
 // up.
-func tooManyEnded(r *Request, servers int) bool { return !r.Background && servers >= maxEndedServers }
+func tooManyEnded(r *Request, servers int) bool { return !r.Background && servers >= MaxEndedServers }
 
 // errTooManyEnded returns the error of a request that is given up because servers ended.
 func errTooManyEnded(cause error, servers int) error {
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -5,16 +5,13 @@
 package permit
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/lavenderstand/lavenderstand/forward"
+	"github.com/lavenderstand/lavenderstand/rendezvous"
 )
 
 const (
@@ -26,6 +23,8 @@
 	// gonePeriod is the time without an answer after which a host no longer counts. All other
 	// hosts have noticed its failure by then.
 	gonePeriod = 5 * time.Second
+	// maxFailedAsks bounds the hosts that a request for a permit waits for in vain.
+	maxFailedAsks = 2
 	// standInShare is the part of a limit that the second host in the order of a server grants
 	// while the first does not answer. Other hosts may still reach the first.
 	standInShare = 0.2
@@ -66,20 +65,22 @@
 // SetPeers replaces the addresses of the other hosts by name.
 func (c *Client) SetPeers(addresses map[string]string) { c.peers.Store(&addresses) }
 
-// Acquire implements forward.Permits. If neither of the first two hosts in the order of the
-// server answers, this host grants itself an equal share of the limit.
+// Acquire implements forward.Permits. If the hosts that are responsible do not answer, this host
+// grants itself an equal share of the limit.
 func (c *Client) Acquire(ctx context.Context, r forward.PermitRequest) forward.Permit {
 	hosts := c.order(r.Server)
-	share := 1.0
-	for rank := 0; rank < len(hosts) && share >= standInShare; rank++ {
-		f := c.failure(hosts[rank])
-		if !time.Now().Before(f.retryAt) {
-			if p, err := c.ask(ctx, hosts[rank], Request{r, share}); err == nil {
+	share, failed := 1.0, 0
+	for _, host := range hosts {
+		if share < standInShare || failed == maxFailedAsks {
+			break
+		}
+		if !time.Now().Before(c.failure(host).retryAt) {
+			if p, err := c.ask(ctx, host, Request{r, share}); err == nil {
 				return p
 			}
-			f = c.failure(hosts[rank])
+			failed++
 		}
-		if time.Since(f.since) < gonePeriod {
+		if time.Since(c.failure(host).since) < gonePeriod {
 			share *= standInShare
 		}
 	}
@@ -90,7 +91,7 @@
 	return p
 }
 
-// ask asks a host and marks it as down if it does not answer.
+// ask asks a host and records whether it answered.
 func (c *Client) ask(ctx context.Context, host string, r Request) (forward.Permit, error) {
 	if host == c.Self {
 		return c.Local.Grant(ctx, r)
@@ -108,35 +109,7 @@
 	if peers == nil {
 		return []string{c.Self}
 	}
-	return Order(server, c.Self, *peers)
-}
-
-// Order returns the hosts in the order in which they are responsible for a key. All hosts that
-// know the same hosts get the same order.
-func Order(key, self string, peers map[string]string) []string {
-	ranked := make([]rankedHost, 0, len(peers)+1)
-	ranked = append(ranked, newRankedHost(key, self))
-	for host := range peers {
-		ranked = append(ranked, newRankedHost(key, host))
-	}
-	slices.SortFunc(ranked, func(a, b rankedHost) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.host, b.host))
-	})
-	hosts := make([]string, len(ranked))
-	for i, r := range ranked {
-		hosts[i] = r.host
-	}
-	return hosts
-}
-
-// rankedHost is a host with its position in the order of a key.
-type rankedHost struct {
-	host string
-	rank uint64
-}
-
-func newRankedHost(key, host string) rankedHost {
-	return rankedHost{host, xxhash.Sum64String(key + "/" + host)}
+	return rendezvous.Order(server, c.Self, *peers)
 }
 
 func (c *Client) failure(host string) failure {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/lot"
-	"github.com/lavenderstand/lavenderstand/permit"
+	"github.com/lavenderstand/lavenderstand/rendezvous"
 	"github.com/lavenderstand/lavenderstand/store"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
@@ -62,7 +62,7 @@
 	if peers == nil {
 		return
 	}
-	hosts := permit.Order(report.Content, r.Self, *peers)
+	hosts := rendezvous.Order(report.Content, r.Self, *peers)
 	if !report.Quarantined {
 		hosts = hosts[:min(countingHosts, len(hosts))]
 	}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -23,5 +23,5 @@
 bench ./lease '^BenchmarkRenewal$' 200ms
 bench ./claim '^BenchmarkClaim$' 200ms
 bench ./configstore '^BenchmarkChange$' 200ms
-bench ./permit '^BenchmarkOrder$' 200ms
+bench ./rendezvous '^BenchmarkOrder$' 200ms
 bench ./system/rollout '^BenchmarkGrantPermit$' 200ms
--- a/system/rollout/assignment.go
+++ b/system/rollout/assignment.go
@@ -51,13 +51,7 @@
 // unmetDemand returns the demand that is left for engines with a request limit once the others
 // are divided among the models. Models without known demand count with the mean of the others.
 func unmetDemand(models []string, demand map[string]int, free []*table.Server, scarce int) map[string]int {
-	known, sum := 0, 0
-	for _, m := range models {
-		if demand[m] > 0 {
-			known++
-			sum += demand[m]
-		}
-	}
+	known, sum := knownDemand(models, demand)
 	if known == 0 {
 		return demand
 	}
@@ -147,6 +141,17 @@
 	return demand
 }
 
+// knownDemand returns the number of models with known demand and the sum of their demand.
+func knownDemand(models []string, demand map[string]int) (known, sum int) {
+	for _, m := range models {
+		if demand[m] > 0 {
+			known++
+			sum += demand[m]
+		}
+	}
+	return known, sum
+}
+
 // quota is the number of engines that a model should have.
 type quota struct {
 	model   string
@@ -157,13 +162,7 @@
 // with at least one server for each model. Models without known demand count with the
 // mean of the others.
 func computeQuotas(servers int, models []string, demand map[string]int) []quota {
-	known, sum := 0, 0
-	for _, m := range models {
-		if demand[m] > 0 {
-			known++
-			sum += demand[m]
-		}
-	}
+	known, sum := knownDemand(models, demand)
 	mean := 1.0
 	if known > 0 {
 		mean = float64(sum) / float64(known)
--- a/system/rollout/quarantine.go
+++ b/system/rollout/quarantine.go
@@ -12,12 +12,9 @@
 )
 
 const (
-	// endedForOneRequest is the number of servers that end under one request, one after the
-	// other, after which its content is put in quarantine.
-	endedForOneRequest = 2
 	// endedForContent is the number of servers that end under different requests with the same
-	// content after which the content is put in quarantine. It is higher, because the same
-	// harmless request may be in flight at several servers.
+	// content after which the content is put in quarantine. It is higher than that for one
+	// request, because the same harmless content may be in flight at several servers.
 	endedForContent = 3
 	// suspectPeriod is the time for which an ended server counts against a content.
 	suspectPeriod = time.Minute
@@ -80,7 +77,7 @@
 	}
 	addEnded(now, s, o.Server)
 	report := quarantine.Report{Content: o.Content, Server: o.Server}
-	if o.EndedServers >= endedForOneRequest || len(s.Ended) >= endedForContent {
+	if o.EndedServers >= forward.MaxEndedServers || len(s.Ended) >= endedForContent {
 		beginQuarantine(now, r, o.Content, s, out)
 		s.Reporter, report.Quarantined = true, true
 	}
