transport, executor: a kept connection that the server closed costs no attempt

A write that failed without sending a byte counted as sent. Since the HTTP client's repetitions are prevented after a byte was written, a request on a kept connection that its server had closed would have ended as possibly run. Such a write is not counted now, and an engine's report, which may be repeated, is requested once more after a lost connection.

TestFailedWriteIsNotSent and TestReportIsRequestedAgain failed before and pass.

--- a/executor/order.go
+++ b/executor/order.go
@@ -40,6 +40,9 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	report, err := o.Engines.Report(ctx, c.Target)
+	if err != nil && verdict.ReasonOf(err) == verdict.ReasonConnectionLost {
+		report, err = o.Engines.Report(ctx, c.Target) // the engine may have closed a kept connection
+	}
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonOf(err), "request engine report")
 	}
--- /dev/null
+++ b/executor/order_test.go
@@ -0,0 +1,42 @@
+package executor_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/executor"
+	"github.com/lavenderstand/lavenderstand/forward"
+	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// closingEngine has closed the kept connection on which its first report is requested.
+type closingEngine struct{ reports, orders int }
+
+func (e *closingEngine) Report(context.Context, *forward.Target) (registry.EngineReport, error) {
+	e.reports++
+	if e.reports == 1 {
+		return registry.EngineReport{}, verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, "connection lost")
+	}
+	return registry.EngineReport{}, nil
+}
+
+func (e *closingEngine) SendOrder(context.Context, *forward.Target, registry.Order) error {
+	e.orders++
+	return nil
+}
+
+// TestReportIsRequestedAgain guards against an order that is delayed because the engine closed
+// a kept connection in the moment in which its report was requested.
+func TestReportIsRequestedAgain(t *testing.T) {
+	engine := new(closingEngine)
+	orders := &executor.Orders{Engines: engine, Now: func() time.Duration { return 0 }}
+	ended := orders.Send(context.Background(), command.SendOrder{Target: &forward.Target{}, Model: "m", Version: 2, ValidUntil: time.Second})
+	require.Nil(t, ended.(event.OrderEnded).Failure)
+	require.Equal(t, 1, engine.orders)
+}
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -23,7 +23,11 @@
 	if !c.countWrite() {
 		return 0, errWritesBlocked
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if n == 0 && err != nil {
+		c.uncountWrite()
+	}
+	return n, err
 }
 
 // countWrite counts a write before it starts, because a write that fails may have sent
@@ -38,6 +42,14 @@
 	return true
 }
 
+// uncountWrite takes back the count of a write that failed without a byte being sent, as on
+// a kept connection that the server has closed.
+func (c *countingConn) uncountWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes--
+}
+
 // count returns the number of writes so far.
 func (c *countingConn) count() uint64 {
 	c.mu.Lock()
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -128,3 +128,19 @@
 	_, err = send()
 	require.NoError(t, err, "later requests are sent")
 }
+
+// failingConn fails all writes before it sends a byte.
+type failingConn struct{ net.Conn }
+
+func (failingConn) Write([]byte) (int, error) { return 0, syscall.EPIPE }
+func (failingConn) Close() error              { return nil }
+
+// TestFailedWriteIsNotSent guards against a request that counts as sent because it was given a
+// kept connection that the server had closed.
+func TestFailedWriteIsNotSent(t *testing.T) {
+	c := &countingConn{Conn: failingConn{}}
+	trace := Trace{used: []usedConn{{conn: c}}}
+	_, err := c.Write([]byte("x"))
+	require.ErrorIs(t, err, syscall.EPIPE)
+	require.True(t, trace.NothingSent())
+}
