--- a/rendezvous/rendezvous_test.go
+++ b/rendezvous/rendezvous_test.go
@@ -40,3 +40,11 @@
 		}
 	}
 }
+
+func ExampleOrder() {
+	peers := map[string]string{"host-b": "10.0.0.2:7380", "host-c": "10.0.0.3:7380"}
+	first := rendezvous.Order("server-1", "host-a", peers)[0]
+	same := rendezvous.Order("server-1", "host-b", map[string]string{"host-a": "10.0.0.1:7380", "host-c": "10.0.0.3:7380"})[0]
+	fmt.Println("all hosts select the same one:", first == same)
+	// Output: all hosts select the same one: true
+}
