event: recorded sessions leave out an unknown time to retry

The field that came with permits appeared in the recorded failures of two golden sessions (TestLoadSession, TestDepartureSession), which have no such time.

--- a/event/event.go
+++ b/event/event.go
@@ -18,7 +18,7 @@
 	Reason  verdict.Reason
 	Message string
 	// RetryAfter is the time after which the call may be repeated, 0 if it is not known.
-	RetryAfter time.Duration
+	RetryAfter time.Duration `json:",omitempty"`
 }
 
 // FailureOf returns the failure that describes err, nil for a nil error.
