--- a/forward/stream.go
+++ b/forward/stream.go
@@ -58,7 +58,7 @@
 	lastEventID int      // id of the last forwarded event
 	mayHaveRun  int      // number of attempts that may have run
 	ended       []string // servers that ended while they had the request
-	lastServer  *Target
+	lastServer  *Target  // server of the last attempt that was sent
 	headerSent  bool
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -100,7 +100,7 @@
 }
 
 // Write writes or removes the row of a content. version is the expected version of the row.
-// A row that another host has written or removed meanwhile is as good.
+// If another host has written or removed the row meanwhile, the error has the reason conflict.
 func Write(ctx context.Context, s store.Client, content string, version uint64, remove bool) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
