system/rollout, forward: log the software versions that a stream has events of

Hypotheses 1 to 3 of docs/incidents/two-software-versions.md could not be told apart: the lines of a run named neither the software version nor the event after which it resumed, and live streams that completed left no line. The version is read from the records of servers, kept with an item's output and its stored progress, and logged with each run and stream. No choice of a server depends on it yet.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lavenderstand/lavenderstand/desired"
+	"github.com/lavenderstand/lavenderstand/registry"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -39,13 +40,7 @@
 	defer cancel()
 	s := &streamCall{f: f, r: r, route: route, w: w, tried: make(map[string]int)}
 	err = s.run(ctx)
-	if err != nil {
-		f.Count("refused", verdict.ReasonOf(err))
-		f.Log.Info("stream failed", zap.String("request", r.ID), zap.String("route", route.Name),
-			zap.Int("events", s.lastEventID), zap.Int("servers_tried", len(s.tried)),
-			zap.Strings("servers_ended", s.ended), zap.String("content", r.Fingerprint()),
-			zap.Stringer("verdict", verdict.Of(err)), zap.String("error", verdict.Message(err)))
-	}
+	s.log(err)
 	return err
 }
 
@@ -60,6 +55,14 @@
 	ended       []string // servers that ended while they had the request
 	lastServer  *Target  // server of the last attempt that was sent
 	headerSent  bool
+	parts       []streamPart
+}
+
+// streamPart is the part of a stream that one server sent.
+type streamPart struct {
+	server   string
+	software registry.Software
+	after    int // id of the event after which the part began
 }
 
 func (s *streamCall) run(ctx context.Context) error {
@@ -131,6 +134,7 @@
 	}
 	defer stream.Close()
 	s.mayHaveRun++
+	s.parts = append(s.parts, streamPart{server: target.ID, software: target.Software, after: s.lastEventID})
 	if !s.headerSent {
 		s.w.Begin(stream.Header())
 		s.headerSent = true
@@ -169,3 +173,24 @@
 		idleTimer.Reset(s.idleTimeout())
 	}
 }
+
+// log writes one log line for the stream, with the servers that sent its parts.
+func (s *streamCall) log(err error) {
+	servers, software, after := make([]string, len(s.parts)), make([]string, len(s.parts)), make([]int, len(s.parts))
+	for i, p := range s.parts {
+		servers[i], software[i], after[i] = p.server, string(p.software), p.after
+	}
+	fields := []zap.Field{
+		zap.String("request", s.r.ID), zap.String("route", s.route.Name), zap.String("service", s.route.Service(s.r.ID)),
+		zap.String("resumes", s.r.Resumes), zap.Int("resume_after", s.r.ResumeAfter), zap.Int("events", s.lastEventID),
+		zap.Strings("servers", servers), zap.Strings("software", software), zap.Ints("parts_after", after),
+	}
+	if err == nil {
+		s.f.Log.Info("stream completed", fields...)
+		return
+	}
+	s.f.Count("refused", verdict.ReasonOf(err))
+	s.f.Log.Info("stream failed", append(fields, zap.Int("servers_tried", len(s.tried)),
+		zap.Strings("servers_ended", s.ended), zap.String("content", s.r.Fingerprint()),
+		zap.Stringer("verdict", verdict.Of(err)), zap.String("reason", string(verdict.ReasonOf(err))), zap.String("error", verdict.Message(err)))...)
+}
--- a/forward/types.go
+++ b/forward/types.go
@@ -28,6 +28,11 @@
 	Body     []byte
 	Deadline time.Time // zero if the caller set none
 	Caller   string    // identity of the caller, empty if the deployment does not tell callers apart
+	// Resumes is the id of the attempt that brought the first event of the stream that the
+	// caller takes up again, and ResumeAfter the id of the last event that it received. They
+	// are empty and 0 for a new stream.
+	Resumes     string
+	ResumeAfter int
 	// Background is set for requests that no caller waits for. They do not take places in
 	// the queues of servers.
 	Background bool
@@ -83,8 +88,10 @@
 	Address string
 	Zone    string
 	Slots   int
-	Suspect bool // recently failed or did not respond; used only if no other server is left
-	Load    *Load
+	// Software is the version of the server's software.
+	Software registry.Software
+	Suspect  bool // recently failed or did not respond; used only if no other server is left
+	Load     *Load
 }
 
 // Load holds the load counters of one backend server. Successive plans share them, and
--- a/lot/lot.go
+++ b/lot/lot.go
@@ -70,6 +70,7 @@
 	Item     string             `json:"item"`
 	Events   []string           `json:"events"` // data of the events in order; event ids start at 1
 	Versions []registry.Version `json:"versions"`
+	Software registry.Software  `json:"software,omitempty"` // software version of the server that began the output
 	Complete bool               `json:"complete,omitempty"` // the output is complete, only the score is missing
 }
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -5,6 +5,32 @@
 // Version is the version number of a model's weights. Numbers start at 1.
 type Version int
 
+// Software is the version of the software that a backend server runs, empty if it is not
+// known.
+type Software string
+
+// SoftwareRelation says whether two servers run the same software.
+type SoftwareRelation string
+
+// Relations of two software versions.
+const (
+	SoftwareSame    SoftwareRelation = "same"
+	SoftwareOther   SoftwareRelation = "other"
+	SoftwareUnknown SoftwareRelation = "unknown" // one of the versions is not known
+)
+
+// Relation returns the relation of s to another version.
+func (s Software) Relation(other Software) SoftwareRelation {
+	switch {
+	case s == "" || other == "":
+		return SoftwareUnknown
+	case s == other:
+		return SoftwareSame
+	default:
+		return SoftwareOther
+	}
+}
+
 // Server is the published record of one backend server.
 type Server struct {
 	ID            string // usually new at each start of the server; see StartedUnixMS
@@ -15,6 +41,7 @@
 	Leaving       bool
 	StartedUnixMS int64 // start of the server in Unix milliseconds, 0 if not published; changes when the server restarts under the same id
 	Models        map[string]Version
+	Software      Software
 }
 
 // Change is a change of one record. Server is nil if the record was removed or does not
--- a/system/rollout/dispatch.go
+++ b/system/rollout/dispatch.go
@@ -133,8 +133,10 @@
 		w.item.Events, w.item.Versions, w.item.StoredEvents = nil, nil, 0
 	}
 	w.item.Stage, w.item.Server, w.item.Stopping, w.item.EventsAt = table.ItemRunning, s.ID, false, now
+	w.item.RunSoftware, w.item.RunAfter = s.Software, len(w.item.Events)
 	r.RunCount++
 	w.item.Run = r.RunCount
+	countResumed(w.item, out)
 	s.Running++
 	if s.Refusals > 0 || s.RequestLimit > 0 {
 		s.BusyUntil = now + maxBusyPause // only this item tests whether the server takes it
@@ -150,6 +152,15 @@
 	})
 }
 
+// countResumed counts a run that continues an output, by whether its server has the software
+// version that began the output.
+func countResumed(item *table.Item, out *command.Outbox) {
+	if item.RunAfter == 0 {
+		return
+	}
+	out.Add(command.Count{Counter: "runs_resumed", Tags: map[string]string{"software": string(item.Software.Relation(item.RunSoftware))}, Delta: 1})
+}
+
 // nextEventTimeout returns the time without an event after which a run on a server is given
 // up.
 func nextEventTimeout(r *table.Rollout, s *table.Server) time.Duration {
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -68,6 +68,9 @@
 
 // addEvents appends the events of a run, and the versions that generated them, to an item.
 func addEvents(item *table.Item, events []string, versions []registry.Version) {
+	if len(item.Events) == 0 {
+		item.Software = item.RunSoftware
+	}
 	item.Events = append(item.Events, events...)
 	for _, v := range versions {
 		item.Versions = lot.AddVersion(item.Versions, v)
@@ -164,6 +167,7 @@
 	fields := []command.Field{
 		field("lot", item.Lot), field("item", item.Spec.ID), field("server", e.Server), field("run", itoa(e.Run)),
 		field("events", itoa(len(item.Events))), field("version", itoa(int(e.Version))), field("gap_ms", millis(e.EventInterval)),
+		field("software", string(item.RunSoftware)), field("resumed_after", itoa(item.RunAfter)), field("began_software", string(item.Software)),
 	}
 	if e.Failure == nil {
 		out.Add(command.LogChange{Message: "run of item completed", Fields: fields})
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -92,6 +92,7 @@
 func logServer(message string, s *registry.Server, out *command.Outbox) {
 	out.Add(command.LogChange{Message: message, Fields: []command.Field{
 		field("server", s.ID), field("service", s.Service), field("address", s.Address), field("zone", s.Zone),
+		field("software", string(s.Software)),
 	}})
 }
 
@@ -260,6 +261,6 @@
 
 func target(s *table.Server) *forward.Target {
 	return &forward.Target{
-		ID: s.ID, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Suspect: s.SuspectUntil != 0, Load: s.Load,
+		ID: s.ID, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Software: s.Software, Suspect: s.SuspectUntil != 0, Load: s.Load,
 	}
 }
--- a/system/rollout/writes.go
+++ b/system/rollout/writes.go
@@ -178,7 +178,7 @@
 			break
 		}
 		all = append(all, lot.Progress{
-			Item: item.Spec.ID, Events: item.Events, Versions: item.Versions, Complete: item.Stage == table.ItemScoring,
+			Item: item.Spec.ID, Events: item.Events, Versions: item.Versions, Software: item.Software, Complete: item.Stage == table.ItemScoring,
 		})
 	}
 	return all
