soak, system/rollout: streams joined from two software versions, failing

Three session tests show the same for items: after a lost server, beside a faster server of another version, and after an adoption.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -32,6 +32,8 @@
 	// eventsPerItem and eventGap make the generation of an item last about 300 ms.
 	eventsPerItem = 12
 	eventGap      = 25 * time.Millisecond
+	// firstSoftware is the software version of the backend servers at the start.
+	firstSoftware = "v1"
 	heartbeat     = 300 * time.Millisecond // interval at which a backend server writes its record
 )
 
@@ -63,9 +65,13 @@
 	ledger ledger
 
 	mu           sync.Mutex
-	versions     map[string]int         // loaded weight version by backend server
-	faulty       map[string]bool        // backend servers that fail some requests
-	unregistered map[string]bool        // backend servers whose record is removed
+	versions     map[string]int    // loaded weight version by backend server
+	faulty       map[string]bool   // backend servers that fail some requests
+	unregistered map[string]bool   // backend servers whose record is removed
+	draining     map[string]bool   // backend servers whose record says that they leave
+	software     map[string]string // software version by backend server
+	servers      map[string]*httptest.Server
+	textEvents   int                    // number of events of each text
 	requestLimit float64                // that each backend server names, 0 for none
 	arrivals     map[string][]time.Time // of requests, by backend server
 	stateVersion uint64
@@ -82,10 +88,14 @@
 	stopped            bool
 }
 
-func newCluster(t *testing.T, seed uint64) *cluster {
+func newCluster(t *testing.T, seed uint64) *cluster { return newClusterOf(t, seed, eventsPerItem) }
+
+// newClusterOf returns a cluster whose texts have a number of events.
+func newClusterOf(t *testing.T, seed uint64, textEvents int) *cluster {
 	c := &cluster{
 		t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(seed, 1)), store: pamoja.NewStore(),
-		versions: make(map[string]int), faulty: make(map[string]bool), unregistered: make(map[string]bool), arrivals: make(map[string][]time.Time),
+		versions: make(map[string]int), faulty: make(map[string]bool), unregistered: make(map[string]bool), draining: make(map[string]bool),
+		software: make(map[string]string), servers: make(map[string]*httptest.Server), textEvents: textEvents, arrivals: make(map[string][]time.Time),
 		ledger: ledger{runs: make(map[string][]pamoja.Run)},
 	}
 	e := echo.New()
@@ -93,10 +103,10 @@
 	storeServer := httptest.NewServer(e)
 	t.Cleanup(storeServer.Close)
 	for i := range samplers {
-		c.addServer(fmt.Sprintf("sampler-%d", i), "engines")
+		c.addServer(fmt.Sprintf("sampler-%d", i), "engines", firstSoftware)
 	}
 	for i := range apps {
-		c.addServer(fmt.Sprintf("app-%d", i), "app")
+		c.addServer(fmt.Sprintf("app-%d", i), "app", firstSoftware)
 	}
 	c.writeDesiredState()
 	subnet := int(clusterCount.Add(1)) % 250
@@ -107,8 +117,8 @@
 }
 
 // addServer starts a backend server.
-func (c *cluster) addServer(id, service string) {
-	s := &pamoja.Backend{ID: id, Events: eventsPerItem, EventInterval: eventGap, OnRun: c.ledger.recordRun, RequestLimit: c.currentLimit, Fault: func(string) pamoja.BackendFault { return c.serverFault(id) }}
+func (c *cluster) addServer(id, service, software string) {
+	s := &pamoja.Backend{ID: id, Software: software, Events: c.textEvents, EventInterval: eventGap, OnRun: c.ledger.recordRun, RequestLimit: c.currentLimit, Fault: func(string) pamoja.BackendFault { return c.serverFault(id) }}
 	c.setVersion(id, 1)
 	s.SetWeights(func(string) int { c.mu.Lock(); defer c.mu.Unlock(); return c.versions[id] }, func(_ string, v int, fence uint64) {
 		c.ledger.checkFence(id, fence)
@@ -116,6 +126,9 @@
 	})
 	server := httptest.NewServer(s)
 	c.t.Cleanup(server.CloseClientConnections)
+	c.mu.Lock()
+	c.software[id], c.servers[id] = software, server
+	c.mu.Unlock()
 	c.keepRegistered(id, service, strings.TrimPrefix(server.URL, "http://"))
 }
 
@@ -135,6 +148,30 @@
 	}()
 }
 
+// leaveTime is the time for which a backend server that leaves still serves requests.
+const leaveTime = 800 * time.Millisecond
+
+// replaceServer starts a backend server with a software version, lets another one leave and
+// ends it after leaveTime.
+func (c *cluster) replaceServer(id, replacement, software string) {
+	c.mu.Lock()
+	version := c.versions[id]
+	c.mu.Unlock()
+	c.addServer(replacement, "engines", software)
+	c.setVersion(replacement, version)
+	c.mu.Lock()
+	c.draining[id] = true
+	server := c.servers[id]
+	c.mu.Unlock()
+	time.AfterFunc(leaveTime, func() {
+		c.mu.Lock()
+		c.unregistered[id] = true
+		c.mu.Unlock()
+		_ = server.Listener.Close()
+		server.CloseClientConnections()
+	})
+}
+
 func (c *cluster) setRequestLimit(perSecond float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -158,13 +195,17 @@
 func (c *cluster) register(id, service, address string, sequence int) {
 	c.mu.Lock()
 	version, unregistered := c.versions[id], c.unregistered[id]
+	software, state := c.software[id], "ready"
+	if c.draining[id] {
+		state = "draining"
+	}
 	c.mu.Unlock()
 	if unregistered {
 		c.store.Remove("servers", id)
 		return
 	}
 	record := map[string]any{
-		"service": service, "address": address, "zone": "z", "slots": 4, "state": "ready", "version": "v1", "coldRemainingMs": 0, "sequence": sequence, "born": 1,
+		"service": service, "address": address, "zone": "z", "slots": 4, "state": state, "version": software, "coldRemainingMs": 0, "sequence": sequence, "born": 1,
 	}
 	if service == "engines" {
 		record["models"] = []map[string]any{{"name": "m", "version": version}}
@@ -194,11 +235,14 @@
 			"targetLatencyMs": 200, "attempts": 3, "runAimMs": 7500, "maxAgeS": 60,
 		}
 	}
+	streams := route("streams", "/streams/", "streaming", "engines")
+	streams["resumable"] = true
 	c.store.Set("op", "config", encode(map[string]any{
 		"version": c.stateVersion,
 		"routes": []map[string]any{
 			route("lots", "/lots/", "rollout", "engines"), route("scores", "/scores/", "safe", "app"),
 			route("calls", "/calls/", "safe", "app"), route("once", "/once/", "unsafe", "app"),
+			streams,
 		},
 		"services": []map[string]any{
 			{"name": "engines", "engine": map[string]any{"models": []map[string]any{{"name": "m"}}}}, {"name": "app"},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -102,6 +102,10 @@
 	}},
 	{"fail some requests of a sampler", backendFault("sampler-%d", samplers, func(c *cluster) map[string]bool { return c.faulty })},
 	{"fail some requests of an application server", backendFault("app-%d", apps, func(c *cluster) map[string]bool { return c.faulty })},
+	{"replace a sampler by one of another software version", func(c *cluster, r *rand.Rand) func() {
+		c.replaceRandomSampler(r)
+		return nil
+	}},
 	{"remove the record of a sampler", backendFault("sampler-%d", samplers, func(c *cluster) map[string]bool { return c.unregistered })},
 }
 
--- a/soak/verify_test.go
+++ b/soak/verify_test.go
@@ -175,7 +175,7 @@
 				t.Errorf("item %s is listed twice", r.ID)
 			}
 			seen[r.ID] = true
-			if r.State == "completed" && (r.Text != pamoja.Text(r.ID, eventsPerItem) || r.Score != "stamp-score-"+r.ID || len(r.Versions) == 0) {
+			if r.State == "completed" && (!tr.cluster.wholeText(r.ID, r.Text) || r.Score != "stamp-score-"+r.ID || len(r.Versions) == 0) {
 				t.Errorf("completed item %s has a wrong text or score, or no version: %+v", r.ID, r)
 			}
 		}
@@ -184,6 +184,19 @@
 	return listed
 }
 
+// wholeText reports whether a text is the whole text of an item or stream as servers of one
+// software version generate it.
+func (c *cluster) wholeText(id, text string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, software := range c.software {
+		if text == pamoja.Text(id, software, c.textEvents) {
+			return true
+		}
+	}
+	return false
+}
+
 // verifyRefused checks that no item of a lot ran if every attempt to submit it was refused.
 func (tr *trainer) verifyRefused(t *testing.T, l *submittedLot) {
 	for _, id := range l.items {
--- a/standin/pamoja/http.go
+++ b/standin/pamoja/http.go
@@ -132,6 +132,7 @@
 // serves plain calls.
 type Backend struct {
 	ID            string
+	Software      string        // software version; a part of each event, if not empty, so that texts joined from two versions differ from both
 	Events        int           // number of events of each text
 	EventInterval time.Duration // between two events
 
@@ -150,6 +151,7 @@
 // Run is an execution of a request by a server.
 type Run struct {
 	Server, ID, Path string // ID is the attempt ID
+	Software         string // of the server
 	After            int    // event after which the run started
 	Events           int    // number of events sent
 	Complete         bool   // all events were sent
@@ -241,20 +243,31 @@
 }
 
 // Text returns the whole text that the server generates for an item.
-func (s *Backend) Text(id string) string { return Text(id, s.Events) }
+func (s *Backend) Text(id string) string { return Text(id, s.Software, s.Events) }
 
-// Text returns the text of an item with a number of events.
-func Text(id string, events int) string {
+// Text returns the text of an item with a number of events by servers of a software version.
+func Text(id, software string, events int) string {
 	lines := make([]string, events)
 	for i := range lines {
-		lines[i] = id + "-" + strconv.Itoa(i+1)
+		lines[i] = eventData(id, software, i+1)
 	}
 	return strings.Join(lines, "\n")
 }
 
+func eventData(id, software string, event int) string {
+	data := id + "-" + strconv.Itoa(event)
+	if software != "" {
+		data += "@" + software
+	}
+	return data
+}
+
 func (s *Backend) stream(w http.ResponseWriter, r *http.Request, id string, fault BackendFault) {
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // without the header, the run starts at the first event
-	run := Run{Server: s.ID, ID: id, Path: r.URL.Path, After: after}
+	if resumes := r.Header.Get("Resumes"); resumes != "" {
+		id = resumes // the text is that of the attempt that began the stream
+	}
+	run := Run{Server: s.ID, Software: s.Software, ID: id, Path: r.URL.Path, After: after}
 	defer func() { s.OnRun(run) }()
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Weight-Versions", strconv.Itoa(s.version(r.Header.Get("Model"))))
@@ -268,7 +281,7 @@
 			return
 		case <-time.After(s.EventInterval):
 		}
-		if _, err := io.WriteString(w, "id: "+strconv.Itoa(i)+"\ndata: "+id+"-"+strconv.Itoa(i)+"\n\n"); err != nil {
+		if _, err := io.WriteString(w, "id: "+strconv.Itoa(i)+"\ndata: "+eventData(id, s.Software, i)+"\n\n"); err != nil {
 			return
 		}
 		if flush.Flush() != nil {
--- /dev/null
+++ b/system/rollout/software_test.go
@@ -0,0 +1,77 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// software returns a change of a server's record to a software version.
+func software(v registry.Software) func(*registry.Server) {
+	return func(s *registry.Server) { s.Software = v }
+}
+
+// brokenRun returns the outcome of a run that broke off after a number of events.
+func brokenRun(c command.StartRun, events ...string) event.RunEnded {
+	e := endedRun(c, events...)
+	e.Failure = &event.Failure{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonTruncatedAnswer}
+	return e
+}
+
+// TestOutputIsNotContinuedByOtherSoftware guards against an output that two software versions
+// wrote: the version that began it has no server left.
+func TestOutputIsNotContinuedByOtherSoftware(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("old", software("v1")))
+	run := commandsOf[command.StartRun](w.accept(submission(1)))[0]
+	w.step(w.server("new", software("v2")), w.removed("old"))
+	commands := w.step(brokenRun(run, "a", "b"))
+	commands = append(commands, w.advance(100*time.Millisecond)...)
+	next := commandsOf[command.StartRun](commands)
+	require.Len(t, next, 1)
+	require.Equal(t, "new", next[0].Target.ID)
+	require.Zero(t, next[0].AfterEvent, "the output begins anew")
+}
+
+// TestOutputGoesOnAtItsSoftware guards against an output that is thrown away while a server of
+// its version could continue it, although one of another version is faster.
+func TestOutputGoesOnAtItsSoftware(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("old-1", software("v1")))
+	run := commandsOf[command.StartRun](w.accept(submission(1)))[0]
+	slow := func(s *registry.Server) { s.Software, s.Zone = "v1", "far" }
+	w.step(w.server("new", software("v2")), w.server("old-2", slow), w.removed("old-1"))
+	commands := w.step(brokenRun(run, "a", "b"))
+	next := commandsOf[command.StartRun](commands)
+	require.Len(t, next, 1)
+	require.Equal(t, "old-2", next[0].Target.ID)
+	require.Equal(t, 2, next[0].AfterEvent)
+}
+
+// TestAdoptedOutputKeepsItsSoftware guards against a new owner that continues a stored output
+// at a server of another version, or of one that is not known.
+func TestAdoptedOutputKeepsItsSoftware(t *testing.T) {
+	for began, after := range map[registry.Software]int{"v1": 0, "v2": 2, "": 0} {
+		w := newWorld(t)
+		w.step(w.server("new", software("v2")))
+		h := w.head("l", lot.Process{Host: "b", BootID: "1"}, 0, 1)
+		w.step(headsRead(h))
+		adopt := commandsOf[command.AdoptLot](w.advance(4 * time.Second))
+		require.NotEmpty(t, adopt)
+		taken := w.rewritten(adopt[0].Head, h.Version, adopt[0].Head.WriteID)
+		commands := w.step(event.LotAdopted{
+			ID: "l", Submission: submission(1), Head: taken.Head, Version: taken.Version,
+			Progress: []lot.Progress{{Item: "i0", Events: []string{"a", "b"}, Software: began}},
+		})
+		next := commandsOf[command.StartRun](append(commands, w.step(headsRead(taken))...))
+		require.Len(t, next, 1, "%q", began)
+		require.Equal(t, after, next[0].AfterEvent, "%q", began)
+	}
+}
