system/rollout: an output goes on only at its software version

Nothing that chooses a server knew which version began an output: moves, retries after broken runs, adoptions.

The version is part of an item's output and of its stored progress. Servers are compared by expected completion: one of another version generates the whole output again, one of the same version only the rest. An output waits for a full server of its version for as long as it would take to generate it again, then begins anew elsewhere; at once if the version has no server. Moves pay for the lost output in the same way. A version that is not known fits none. If the record of a server shows another version than a run was started on, the server has restarted under its id: the run is stopped and its output discarded.

--- a/system/rollout/dispatch.go
+++ b/system/rollout/dispatch.go
@@ -113,24 +113,31 @@
 }
 
 func newWaitingItem(r *table.Rollout, key string, item *table.Item, l *table.Lot, route *desired.Route) waitingItem {
-	pool := poolKey{route.Service(item.Spec.ID), l.Head.Model, l.Submission.MinimumVersion}
+	pool := poolKey{service: route.Service(item.Spec.ID), model: l.Head.Model, minVersion: l.Submission.MinimumVersion}
 	w := waitingItem{key: key, item: item, lot: l, route: route, pool: pool}
 	w.remaining = remainingEvents(r.Models.Find(l.Head.Model), item.Spec, float64(len(item.Events)))
 	w.latest = lotDue(l, route) - time.Duration(w.remaining*float64(medianInterval(r, pool.service)))
 	return w
 }
 
-// startRun starts a run of an item if a server has room for it. On a route that requires
-// a single version, the output so far is discarded if the server has another version.
+// startRun starts a run of an item if a server has room for it. The output so far is discarded
+// if the server cannot continue it, or has another version of the weights on a route that
+// requires a single one.
 func startRun(now time.Duration, t *table.Tables, w waitingItem, servers pools, out *command.Outbox) {
 	r := &t.Rollout
 	s := servers.choose(now, r, w)
 	if s == nil {
+		if due := restartDue(r, w); len(w.item.Events) > 0 && now < due {
+			out.WakeAt(due)
+		}
 		return
 	}
 	cancelReservation(r, w.item)
-	if w.route.SingleVersion && len(w.item.Versions) > 0 && s.Models[w.lot.Head.Model] != w.item.Versions[0] {
-		w.item.Events, w.item.Versions, w.item.StoredEvents = nil, nil, 0
+	switch {
+	case !canContinue(w.item, s):
+		discardOutput(w.item, discardSoftware, out)
+	case w.route.SingleVersion && len(w.item.Versions) > 0 && s.Models[w.lot.Head.Model] != w.item.Versions[0]:
+		discardOutput(w.item, discardWeights, out)
 	}
 	w.item.Stage, w.item.Server, w.item.Stopping, w.item.EventsAt = table.ItemRunning, s.ID, false, now
 	w.item.RunSoftware, w.item.RunAfter = s.Software, len(w.item.Events)
@@ -152,15 +159,6 @@
 	})
 }
 
-// countResumed counts a run that continues an output, by whether its server has the software
-// version that began the output.
-func countResumed(item *table.Item, out *command.Outbox) {
-	if item.RunAfter == 0 {
-		return
-	}
-	out.Add(command.Count{Counter: "runs_resumed", Tags: map[string]string{"software": string(item.Software.Relation(item.RunSoftware))}, Delta: 1})
-}
-
 // nextEventTimeout returns the time without an event after which a run on a server is given
 // up.
 func nextEventTimeout(r *table.Rollout, s *table.Server) time.Duration {
--- a/system/rollout/lots.go
+++ b/system/rollout/lots.go
@@ -134,7 +134,7 @@
 
 // newItem returns an item that continues from its stored progress.
 func newItem(now time.Duration, id string, spec *lot.Item, p lot.Progress) table.Item {
-	item := table.Item{Lot: id, Spec: spec, Stage: table.ItemWaiting, Events: p.Events, Versions: p.Versions, Software: p.Software, StoredEvents: len(p.Events)}
+	item := table.Item{Lot: id, Spec: spec, Stage: table.ItemWaiting, WaitingSince: now, Events: p.Events, Versions: p.Versions, Software: p.Software, StoredEvents: len(p.Events)}
 	if p.Complete && spec.Scorer != nil {
 		item.Stage, item.NotBefore = table.ItemScoring, now
 	}
--- a/system/rollout/lots_test.go
+++ b/system/rollout/lots_test.go
@@ -107,7 +107,7 @@
 	s := submission(2)
 	w.step(w.server("s1", nil), event.LotAdopted{
 		ID: "l", Submission: s, Head: adopt[0].Head, Version: w.version(),
-		Results: []lot.Result{{Item: "i0"}}, Progress: []lot.Progress{{Item: "i1", Events: []string{"a"}}},
+		Results: []lot.Result{{Item: "i0"}}, Progress: []lot.Progress{{Item: "i1", Events: []string{"a"}, Software: "v1"}},
 	})
 	item := w.tables.Rollout.Items.Find(table.ItemKey("l", "i1"))
 	require.Equal(t, []string{"a"}, item.Events, "the new owner continues after the stored events")
@@ -298,7 +298,7 @@
 		return all
 	}
 	w.step(progressed("a", "b"))
-	require.Equal(t, []lot.Progress{{Item: "i0", Events: []string{"a", "b"}, Versions: []registry.Version{1}}}, stored())
+	require.Equal(t, []lot.Progress{{Item: "i0", Events: []string{"a", "b"}, Versions: []registry.Version{1}, Software: "v1"}}, stored())
 	require.Empty(t, stored(), "unchanged progress is not written again")
 	w.step(progressed("c"))
 	require.Equal(t, []string{"a", "b", "c"}, stored()[0].Events)
--- a/system/rollout/moves.go
+++ b/system/rollout/moves.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/registry"
 	"github.com/lavenderstand/lavenderstand/table"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
@@ -26,15 +27,36 @@
 type move struct {
 	key      string
 	item     *table.Item
+	done     float64       // estimated number of events so far
 	events   float64       // expected number of further events
 	interval time.Duration // event interval where the item runs now
 }
 
-// gain returns the time by which the run completes sooner if it takes a slot of a server
-// with the given event interval, less the time that the most demanding waiting item loses,
-// which takes over the slower slot.
-func (m *move) gain(interval time.Duration, waiting float64) time.Duration {
-	return time.Duration((m.events-waiting)*float64(m.interval-interval)) - moveCost
+// gain returns the time by which the run completes sooner if it takes a slot of another
+// server, less the time that the most demanding waiting item loses, which takes over the slower
+// slot. A server of another software version generates all events again.
+func (m *move) gain(to freeServer, waiting float64) time.Duration {
+	gain := (m.events - waiting) * float64(m.interval-to.interval)
+	if m.item.RunSoftware.Relation(to.server.Software) != registry.SoftwareSame {
+		gain -= m.done * float64(to.interval)
+	}
+	return time.Duration(gain) - moveCost
+}
+
+// bestSlot returns the index of the free server by which the run gains most. free holds the
+// fastest servers first, so the first one of each software version suffices.
+func (m *move) bestSlot(free []freeServer, waiting float64) (best int, gain time.Duration) {
+	var seen []registry.Software
+	for i, f := range free {
+		if slices.Contains(seen, f.server.Software) {
+			continue
+		}
+		seen = append(seen, f.server.Software)
+		if g := m.gain(f, waiting); i == 0 || g > gain {
+			best, gain = i, g
+		}
+	}
+	return best, gain
 }
 
 // moveRuns stops runs that are expected to complete sooner on another server with a free
@@ -68,8 +90,9 @@
 			free[pool] = freeServers(now, r, pool)
 		}
 		if interval := eventInterval(r, s); len(free[pool]) > 0 && free[pool][0].interval < interval {
-			events := remainingEvents(r.Models.Find(l.Head.Model), item.Spec, eventsDone(now, item, interval))
-			moves[pool] = append(moves[pool], move{key: key, item: item, events: events, interval: interval})
+			done := eventsDone(now, item, interval)
+			events := remainingEvents(r.Models.Find(l.Head.Model), item.Spec, done)
+			moves[pool] = append(moves[pool], move{key: key, item: item, done: done, events: events, interval: interval})
 		}
 	}
 	for pool, list := range moves {
@@ -79,16 +102,23 @@
 
 // startMoves stops the runs that gain most, at most one for each free slot.
 func startMoves(list []move, free []freeServer, waiting float64, out *command.Outbox) {
-	fastest := free[0].interval
+	gains := make(map[string]time.Duration, len(list))
+	for _, m := range list {
+		_, gains[m.key] = m.bestSlot(free, waiting)
+	}
 	slices.SortFunc(list, func(a, b move) int {
-		return cmp.Or(-cmp.Compare(a.gain(fastest, waiting), b.gain(fastest, waiting)), cmp.Compare(a.key, b.key))
+		return cmp.Or(-cmp.Compare(gains[a.key], gains[b.key]), cmp.Compare(a.key, b.key))
 	})
 	for _, m := range list {
-		if len(free) == 0 || m.gain(free[0].interval, waiting) < minMoveGain {
+		if len(free) == 0 || gains[m.key] < minMoveGain {
 			return
 		}
-		m.item.Stopping, m.item.MoveTo = true, free[0].server.ID
-		free = takeSlot(free)
+		i, gain := m.bestSlot(free, waiting)
+		if gain < minMoveGain {
+			continue // faster servers of its version have no slot left
+		}
+		m.item.Stopping, m.item.MoveTo = true, free[i].server.ID
+		free = takeSlot(free, i)
 		out.Add(command.StopRun{Key: m.key, Run: m.item.Run})
 		out.Add(command.Count{Counter: "runs_moved", Tags: map[string]string{"reason": string(verdict.ReasonSlow)}, Delta: 1})
 	}
@@ -119,12 +149,12 @@
 	return free
 }
 
-// takeSlot reserves a slot of the fastest free server.
-func takeSlot(free []freeServer) []freeServer {
-	free[0].server.Reserved++
-	free[0].slots--
-	if free[0].slots == 0 {
-		return free[1:]
+// takeSlot reserves a slot of the free server at an index.
+func takeSlot(free []freeServer, i int) []freeServer {
+	free[i].server.Reserved++
+	free[i].slots--
+	if free[i].slots == 0 {
+		return slices.Delete(free, i, i+1)
 	}
 	return free
 }
@@ -139,5 +169,5 @@
 
 // poolKeyOf returns the key of the pool that a running item of l on s belongs to.
 func poolKeyOf(s *table.Server, l *table.Lot) poolKey {
-	return poolKey{s.Service, l.Head.Model, l.Submission.MinimumVersion}
+	return poolKey{service: s.Service, model: l.Head.Model, minVersion: l.Submission.MinimumVersion}
 }
--- a/system/rollout/pools.go
+++ b/system/rollout/pools.go
@@ -23,23 +23,48 @@
 type poolKey struct {
 	service, model string
 	minVersion     registry.Version
+	software       registry.Software // required version of the servers' software, empty if any will do
 }
 
 // pools caches the servers with room by pool during one tick.
 type pools map[poolKey][]*table.Server
 
-// choose returns the server on which an item with a number of further events is expected
-// to complete first, nil if no server has room.
+// choose returns the server on which an item is expected to complete first, nil if no server
+// has room. An output that a server of its software version could continue waits for one for as
+// long as it would take to generate the output again.
 func (p pools) choose(now time.Duration, r *table.Rollout, w waitingItem) *table.Server {
-	servers, ok := p[w.pool]
-	if !ok {
-		servers = eligibleServers(r, w.pool)
-	}
-	if reserved := r.Servers.Find(w.item.MoveTo); reserved != nil && slices.Contains(servers, reserved) && now >= reserved.BusyUntil {
+	if reserved := r.Servers.Find(w.item.MoveTo); reserved != nil && now >= reserved.BusyUntil && slices.Contains(eligibleServers(r, w.pool), reserved) {
 		return reserved
 	}
+	best := p.fastest(now, r, w, w.pool)
+	if len(w.item.Events) == 0 || w.item.Software == "" {
+		return best
+	}
+	same := w.pool
+	same.software = w.item.Software
+	if s := p.fastest(now, r, w, same); s != nil && (best == nil || completionTime(r, w, s) < completionTime(r, w, best)+minMoveGain) {
+		return s
+	}
+	if best != nil && !canContinue(w.item, best) && now < restartDue(r, w) && len(eligibleServers(r, same)) > 0 {
+		return nil
+	}
+	return best
+}
+
+// restartDue returns the time until which an item with an output waits for a server that can
+// continue it.
+func restartDue(r *table.Rollout, w waitingItem) time.Duration {
+	return w.item.WaitingSince + time.Duration(len(w.item.Events))*medianInterval(r, w.pool.service)
+}
+
+// fastest returns the server with room on which an item is expected to complete first.
+func (p pools) fastest(now time.Duration, r *table.Rollout, w waitingItem, key poolKey) *table.Server {
+	servers, ok := p[key]
+	if !ok {
+		servers = eligibleServers(r, key)
+	}
 	servers = slices.DeleteFunc(servers, func(s *table.Server) bool { return s.Reserved == 0 && serverRoom(now, s) <= 0 })
-	p[w.pool] = servers
+	p[key] = servers
 	var best *table.Server
 	var bestTime time.Duration
 	for _, s := range servers {
@@ -68,7 +93,11 @@
 // penalties.
 func completionTime(r *table.Rollout, w waitingItem, s *table.Server) time.Duration {
 	load := 1 + fullServerSlowdown*float64(s.Running+1)/float64(s.Slots)
-	t := time.Duration(w.remaining * load * float64(eventInterval(r, s)))
+	events := w.remaining
+	if !canContinue(w.item, s) {
+		events += float64(len(w.item.Events))
+	}
+	t := time.Duration(events * load * float64(eventInterval(r, s)))
 	if s.ID == w.item.AvoidServer {
 		t += avoidedServerDelay
 	}
@@ -85,7 +114,7 @@
 func eligibleServers(r *table.Rollout, key poolKey) []*table.Server {
 	var preferred, healthy, all []*table.Server
 	for _, s := range r.Servers.All() {
-		if s.Service != key.service || s.Leaving || !hasWeights(s, key) {
+		if s.Service != key.service || s.Leaving || !hasWeights(s, key) || (key.software != "" && s.Software != key.software) {
 			continue
 		}
 		all = append(all, s)
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -89,15 +89,22 @@
 		return // the lot ended or went to another owner
 	}
 	releaseSlot(t, item)
-	item.Stage = table.ItemWaiting
+	item.Stage, item.WaitingSince = table.ItemWaiting, now
 	addEvents(item, e.Events, e.Versions)
 	if e.Failure == nil || e.Failure.Reason != verdict.ReasonServerLimit {
 		logRun(item, e, out)
 	}
+	discarded := item.DiscardOutput
+	if discarded {
+		discardOutput(item, discardRestart, out)
+	}
 	if e.Failure != nil {
 		retryOrTerminate(now, t, item, e, out)
 		return
 	}
+	if discarded {
+		return
+	}
 	cancelReservation(r, item) // the run ended before it could be moved
 	m, _ := r.Models.Upsert(e.Model)
 	recordLength(m, item.Spec, len(item.Events))
@@ -199,7 +206,7 @@
 	route := itemRoute(t, item)
 	if route != nil && route.SingleVersion && len(item.Versions) > 1 {
 		out.Add(command.Count{Counter: "items_mixed_versions", Delta: 1})
-		item.Events, item.Versions, item.StoredEvents = nil, nil, 0
+		discardOutput(item, discardWeights, out)
 		return
 	}
 	if item.Spec.Scorer == nil {
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -86,7 +86,12 @@
 			logServer("backend server is leaving", c.Server, out)
 		}
 	}
+	changed := s.Software != c.Server.Software
 	s.Server, s.RowVersion, s.MissingSince = *c.Server, c.RowVersion, 0
+	if changed {
+		r.PlanChanged = true
+		stopRunsOnOtherSoftware(r, s, out)
+	}
 }
 
 func logServer(message string, s *registry.Server, out *command.Outbox) {
--- a/system/rollout/software_test.go
+++ b/system/rollout/software_test.go
@@ -75,3 +75,69 @@
 		require.Equal(t, after, next[0].AfterEvent, "%q", began)
 	}
 }
+
+// TestOutputWaitsForItsSoftwareInVain guards against an item that waits for good for the only
+// server of its version, which is full, while others have room.
+func TestOutputWaitsForItsSoftwareInVain(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("old-1", software("v1")))
+	run := commandsOf[command.StartRun](w.accept(submission(1)))[0]
+	w.step(w.server("old-2", software("v1")), w.removed("old-1"))
+	w.tables.Rollout.Servers.Find("old-2").Running = 2 // of another lot
+	w.step(w.server("new", software("v2")))
+	events := []string{"a", "b", "c", "d", "e"}
+	restart := time.Duration(len(events)) * defaultEventInterval
+	commands := append(w.step(brokenRun(run, events...)), w.advance(restart-20*time.Millisecond)...)
+	require.Empty(t, commandsOf[command.StartRun](commands), "a slot may become free")
+	next := commandsOf[command.StartRun](w.advance(40 * time.Millisecond))
+	require.Len(t, next, 1, "the output would have been generated again by now")
+	require.Equal(t, "new", next[0].Target.ID)
+	require.Zero(t, next[0].AfterEvent)
+}
+
+// TestRunMovesWithinItsSoftware guards against a move to a faster server of another version
+// that costs more than it gains, and against runs that never leave a server that is far slower.
+func TestRunMovesWithinItsSoftware(t *testing.T) {
+	for slowdown, want := range map[float64]string{1.5: "", 20: "new"} {
+		w := newWorld(t)
+		w.step(w.server("old", software("v1")))
+		w.learnLengths()
+		w.measure("old", fastInterval)
+		s := submission(1)
+		s.Items[0].EstimatedTokens = 1000
+		run := commandsOf[command.StartRun](w.accept(s))[0]
+		w.step(w.server("new", software("v2")))
+		w.measure("new", fastInterval)
+		slow := time.Duration(slowdown * float64(fastInterval))
+		var stops []command.StopRun
+		for range 3 {
+			stops = append(stops, commandsOf[command.StopRun](w.step(progressed(&run, 20, slow)))...)
+		}
+		stops = append(stops, commandsOf[command.StopRun](w.advance(100*time.Millisecond))...)
+		if want == "" {
+			require.Empty(t, stops, "slowdown %g", slowdown)
+			continue
+		}
+		require.Len(t, stops, 1, "slowdown %g", slowdown)
+		next := commandsOf[command.StartRun](w.step(w.stopped(stops[0])))
+		require.Len(t, next, 1)
+		require.Equal(t, want, next[0].Target.ID)
+		require.Zero(t, next[0].AfterEvent)
+	}
+}
+
+// TestRunAtRestartedServerBeginsAnew guards against an output that goes on at a server which
+// started again with another software version under its id, before its record said so.
+func TestRunAtRestartedServerBeginsAnew(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s", software("v1")))
+	run := commandsOf[command.StartRun](w.accept(submission(1)))[0]
+	again := commandsOf[command.StartRun](w.step(brokenRun(run, "a", "b")))
+	require.Len(t, again, 1)
+	require.Equal(t, 2, again[0].AfterEvent)
+	stops := commandsOf[command.StopRun](w.step(w.server("s", func(s *registry.Server) { s.Software, s.StartedUnixMS = "v2", 2 })))
+	require.Len(t, stops, 1)
+	next := commandsOf[command.StartRun](w.step(endedRun(again[0], "c"))) // complete before the stop took effect
+	require.Len(t, next, 1)
+	require.Zero(t, next[0].AfterEvent)
+}
--- a/system/rollout/world_test.go
+++ b/system/rollout/world_test.go
@@ -76,7 +76,7 @@
 // server returns a read of a server's record, modified by change if it is not nil.
 func (w *world) server(id string, change func(*registry.Server)) event.Event {
 	s := &registry.Server{
-		ID: id, Service: "engines", Address: id + ":1", Zone: "z", Slots: 2, StartedUnixMS: 1,
+		ID: id, Service: "engines", Address: id + ":1", Zone: "z", Slots: 2, StartedUnixMS: 1, Software: "v1",
 		Models: map[string]registry.Version{model: 1},
 	}
 	if change != nil {
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -223,14 +223,16 @@
 	Spec  *lot.Item `json:"-"`
 	Stage ItemStage
 
-	Run         int               // number of the newest run
-	Server      string            // server of the newest run
-	RunSoftware registry.Software // software version of Server
-	RunAfter    int               // number of events before the newest run
-	Stopping    bool              // the newest run has been told to stop
-	MoveTo      string            // server on which a slot is reserved for the next run
-	AvoidServer string            // server of the last run that failed or was too slow
-	NotBefore   time.Duration     // earliest time of the next run or scoring request, 0 while a request is under way
+	Run           int               // number of the newest run
+	Server        string            // server of the newest run
+	RunSoftware   registry.Software // software version of Server
+	RunAfter      int               // number of events before the newest run
+	Stopping      bool              // the newest run has been told to stop
+	MoveTo        string            // server on which a slot is reserved for the next run
+	AvoidServer   string            // server of the last run that failed or was too slow
+	NotBefore     time.Duration     // earliest time of the next run or scoring request, 0 while a request is under way
+	WaitingSince  time.Duration     // when the item began to wait for its next run
+	DiscardOutput bool              // the output is discarded when the newest run ends
 
 	Events       []string           `json:"-"` // data of the events so far
 	Versions     []registry.Version // weight versions that generated Events
