forward: a stream goes on at servers of the software version that began it

A live stream that broke off was resumed at any server of its service; a stream that a caller took up was opened as a new one, so its events counted as a gap and three servers generated them in vain (0 of 112 went on). Now the first event binds the stream to the version of its server. A stream that a caller takes up begins after Last-Event-Id and at the version that Origins names for the id in Resumes; if that is not known, or no server has it, the request is refused at once, as not run. In mid-stream the connection is closed at once. A silent stream is cut only if another server could continue it. A stream given up after refusals no longer says that it has not run if an earlier attempt may have.

Hosts do not implement Origins yet, so streams are still not taken up there.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -71,7 +71,7 @@
 		Timeout: time.Second, LatencyTarget: 100 * time.Millisecond, MaxAttempts: 3,
 	}}}}
 	for _, id := range []string{"s1", "s2", "s3"} {
-		plan.Services["s"] = append(plan.Services["s"], &forward.Target{ID: id, Zone: "a", Slots: 4, Load: new(forward.Load)})
+		plan.Services["s"] = append(plan.Services["s"], &forward.Target{ID: id, Zone: "a", Slots: 4, Software: "v1", Load: new(forward.Load)})
 	}
 	f.Plans.Publish(plan)
 	return f, &outcomes
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -41,10 +41,11 @@
 type chooser struct {
 	now          time.Time
 	tried        map[string]int
-	avoid        string         // id of a server that is never chosen
-	avoidLimited bool           // never choose a server that names a request limit
-	background   bool           // leave the servers' queues to callers that wait for a response
-	random       func() float64 // uniform in [0, 1)
+	avoid        string             // id of a server that is never chosen
+	avoidLimited bool               // never choose a server that names a request limit
+	background   bool               // leave the servers' queues to callers that wait for a response
+	random       func() float64     // uniform in [0, 1)
+	usable       func(*Target) bool // servers that may be chosen, nil for all
 }
 
 // choose returns the server of a service that is expected to respond first.
@@ -54,7 +55,7 @@
 	var best choice
 	var bestScore time.Duration
 	for _, t := range targets {
-		if t.ID == c.avoid || (c.avoidLimited && t.Load.Limit() > 0) {
+		if t.ID == c.avoid || (c.avoidLimited && t.Load.Limit() > 0) || (c.usable != nil && !c.usable(t)) {
 			continue
 		}
 		e := estimate(t, fastest, c.now)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math"
 	"net/http"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,7 +28,9 @@
 const streamIdleTimeout = 700 * time.Millisecond
 
 // ForwardStream forwards the events of a stream as they arrive. If the stream breaks and its
-// route is resumable, it continues at another server after the last forwarded event.
+// route is resumable, it continues after the last forwarded event at another server of the
+// software version that began it. The caller may have received its first events from another
+// host.
 func (f *Forwarder) ForwardStream(ctx context.Context, r *Request, w StreamWriter) error {
 	_, route, err := f.Route(r.Host, r.Path)
 	if err != nil {
@@ -38,8 +42,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, requestDeadline(r, route))
 	defer cancel()
-	s := &streamCall{f: f, r: r, route: route, w: w, tried: make(map[string]int)}
-	err = s.run(ctx)
+	s := &streamCall{f: f, r: r, route: route, w: w, tried: make(map[string]int), lastEventID: r.ResumeAfter}
+	if err = s.findOrigin(ctx); err == nil {
+		err = s.run(ctx)
+	}
 	s.log(err)
 	return err
 }
@@ -56,6 +62,8 @@
 	lastServer  *Target  // server of the last attempt that was sent
 	headerSent  bool
 	parts       []streamPart
+	begun       bool              // a server has sent the first event, here or before the caller took the stream up
+	software    registry.Software // version of the server that sent the first event
 }
 
 // streamPart is the part of a stream that one server sent.
@@ -65,6 +73,25 @@
 	after    int // id of the event after which the part began
 }
 
+// id identifies the stream across the attempts of its caller.
+func (s *streamCall) id() StreamID {
+	attempt := s.r.ID
+	if s.r.ResumeAfter > 0 && s.r.Resumes != "" {
+		attempt = s.r.Resumes
+	}
+	return StreamID{Service: s.route.Service(attempt), Attempt: attempt}
+}
+
+// findOrigin determines the software version that began a stream that the caller takes up.
+func (s *streamCall) findOrigin(ctx context.Context) (err error) {
+	if s.r.ResumeAfter == 0 {
+		return nil
+	}
+	s.begun = true
+	s.software, err = s.f.findOrigin(ctx, s.id())
+	return err
+}
+
 func (s *streamCall) run(ctx context.Context) error {
 	for {
 		err := s.attempt(ctx)
@@ -74,22 +101,34 @@
 			})
 		}
 		if err == nil || ctx.Err() != nil {
-			return err
+			return s.finalError(err)
 		}
 		if s.serverEnded(ctx, err) && tooManyEnded(s.r, len(s.ended)) {
 			return errTooManyEnded(err, len(s.ended))
 		}
+		if verdict.ReasonOf(err) == verdict.ReasonSoftwareGone {
+			return s.finalError(err)
+		}
 		notRun := verdict.Of(err) == verdict.NotRun
 		if !notRun && (!s.route.Resumable || s.mayHaveRun >= max(1, s.route.MaxAttempts)) {
 			return err
 		}
 		s.f.Count("retried", verdict.ReasonOf(err))
 		if !sleep(ctx, streamRetryDelay) {
-			return err
+			return s.finalError(err)
 		}
 	}
 }
 
+// finalError returns the error of a stream that is given up after a refusal. An earlier attempt
+// may have run.
+func (s *streamCall) finalError(err error) error {
+	if s.mayHaveRun > 0 && verdict.Of(err) == verdict.NotRun {
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonOf(err), "an earlier attempt may have run")
+	}
+	return err
+}
+
 // serverEnded reports whether the server of a failed attempt ended, and tells control if so.
 func (s *streamCall) serverEnded(ctx context.Context, err error) bool {
 	if !connectionLost(err) || s.f.ServerEnded == nil || !s.f.ServerEnded(ctx, s.lastServer) {
@@ -105,12 +144,15 @@
 
 // attempt forwards the events of one server. It returns nil at the end of a complete stream.
 func (s *streamCall) attempt(ctx context.Context) error {
-	ch := chooser{now: time.Now(), tried: s.tried, random: s.f.Rand}
-	best := ch.choose(s.f.Plans.Load(), s.route.Service(s.r.ID))
+	ch := chooser{now: time.Now(), tried: s.tried, random: s.f.Rand, usable: s.usable}
+	best := ch.choose(s.f.Plans.Load(), s.id().Service)
 	target := best.target
 	if target == nil && best.wait > 0 {
 		return verdict.New(verdict.NotRun, verdict.ReasonOverload, "all servers of the service are full")
 	}
+	if target == nil && s.begun {
+		return verdict.New(verdict.NotRun, verdict.ReasonSoftwareGone, "no server has the software version %q that began the stream", s.software)
+	}
 	if target == nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonNoBackend, "the service has no backend server")
 	}
@@ -139,7 +181,12 @@
 		s.w.Begin(stream.Header())
 		s.headerSent = true
 	}
-	return s.copyEvents(ctx, stream)
+	return s.copyEvents(ctx, stream, target)
+}
+
+// usable reports whether a server can continue the stream. Any server can begin one.
+func (s *streamCall) usable(t *Target) bool {
+	return !s.begun || s.software.Relation(t.Software) == registry.SoftwareSame
 }
 
 // idleTimeout returns the time without an event after which the current attempt is given
@@ -152,13 +199,21 @@
 }
 
 // copyEvents forwards events until the stream ends. It closes the stream if no event arrives
-// within idleTimeout or before the deadline; bytes that form no event do not count.
-func (s *streamCall) copyEvents(ctx context.Context, stream Stream) error {
+// within idleTimeout, unless no other server could continue it, or before the deadline; bytes
+// that form no event do not count.
+func (s *streamCall) copyEvents(ctx context.Context, stream Stream, from *Target) error {
 	stop := context.AfterFunc(ctx, stream.Close)
 	defer stop()
-	idleTimer := time.AfterFunc(s.idleTimeout(), stream.Close)
+	begun := new(atomic.Bool) // s.begun for the goroutine of the timer
+	begun.Store(s.begun)
+	service := s.id().Service
+	idleTimer := time.AfterFunc(s.idleTimeout(), func() {
+		if s.f.hasAlternative(service, from, begun.Load()) {
+			stream.Close()
+		}
+	})
 	defer idleTimer.Stop()
-	for {
+	for first := true; ; first = false {
 		e, err := stream.Next()
 		if errors.Is(err, ErrStreamEnd) {
 			return nil
@@ -166,6 +221,10 @@
 		if err != nil {
 			return err
 		}
+		if first {
+			s.recordOrigin(from.Software)
+			begun.Store(true)
+		}
 		if err := s.w.Event(e); err != nil {
 			return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonCanceled, "the caller disconnected")
 		}
@@ -174,6 +233,25 @@
 	}
 }
 
+// hasAlternative reports whether a server other than from can serve a stream of from, which
+// has begun or not.
+func (f *Forwarder) hasAlternative(service string, from *Target, begun bool) bool {
+	return slices.ContainsFunc(f.Plans.Load().Services[service], func(t *Target) bool {
+		return t.ID != from.ID && (!begun || from.Software.Relation(t.Software) == registry.SoftwareSame)
+	})
+}
+
+// recordOrigin records the software version that began the stream before its first event is
+// forwarded. Streams that cannot be taken up have no use for it.
+func (s *streamCall) recordOrigin(v registry.Software) {
+	if !s.begun {
+		s.begun, s.software = true, v
+	}
+	if s.route.Resumable && s.f.Origins != nil {
+		s.f.Origins.Began(s.id(), s.software)
+	}
+}
+
 // log writes one log line for the stream, with the servers that sent its parts.
 func (s *streamCall) log(err error) {
 	servers, software, after := make([]string, len(s.parts)), make([]string, len(s.parts)), make([]int, len(s.parts))
@@ -181,7 +259,7 @@
 		servers[i], software[i], after[i] = p.server, string(p.software), p.after
 	}
 	fields := []zap.Field{
-		zap.String("request", s.r.ID), zap.String("route", s.route.Name), zap.String("service", s.route.Service(s.r.ID)),
+		zap.String("request", s.r.ID), zap.String("route", s.route.Name), zap.String("service", s.id().Service),
 		zap.String("resumes", s.r.Resumes), zap.Int("resume_after", s.r.ResumeAfter), zap.Int("events", s.lastEventID),
 		zap.Strings("servers", servers), zap.Strings("software", software), zap.Ints("parts_after", after),
 	}
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -55,6 +55,8 @@
 	ReasonInternal          Reason = "internal"
 	ReasonQuarantined       Reason = "quarantined"
 	ReasonServerLimit       Reason = "server_limit"
+	ReasonSoftwareGone      Reason = "software_gone"    // no server has the software version that began a stream
+	ReasonSoftwareUnknown   Reason = "software_unknown" // it is not known which software version began a stream
 	ReasonFirstAttempt      Reason = "first_attempt"
 	ReasonUnknown           Reason = "unknown"
 )
