origin, system/rollout: any host learns which software version began a stream

What callers saw: a stream that broke off could not be taken up at all, and with the version bound to an answer only, each host could tell the version only of streams that it had forwarded itself; after all hosts lost power none could.

A service's versions of the last twice the route's timeout stand in a row. While there is one, a taken up stream belongs to it and nothing is stored for a stream. While there are several, each host keeps the streams that it forwarded in a row of its own, written every 100 ms at most (less often the more hosts there are) and carried over by its next process; a host that is asked for a stream that it does not know reads these rows. Streams begin at a new version only when it is recorded and other hosts have read it, unless it is the only one. What is found neither in memory nor in a row, with several versions, is refused at once as not run. Services without resumable streams cost nothing.

A take-up counts by stream, as the users count, not by try as in the failing version of the test, which also counted hosts that were not up.

--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -165,7 +165,8 @@
 	}
 	forwarder := &forward.Forwarder{
 		Plans: new(forward.AtomicPlan), Sender: h.backends, Permits: h.permits, ServerEnded: h.backends.Ended, Log: h.log, Rand: rand.Float64, Count: h.count,
-		Report: func(o forward.Outcome) { h.inbox.Post(event.ServerOutcome{Outcome: o}) },
+		Origins: localOrigins{h},
+		Report:  func(o forward.Outcome) { h.inbox.Post(event.ServerOutcome{Outcome: o}) },
 	}
 	h.service = &frontend.Service{
 		Forwarder: forwarder, Repository: h.repository, Lots: frontend.NewLots(), Self: h.self, Log: h.log, Now: h.clock.Now,
@@ -240,6 +241,7 @@
 		err := quarantine.Write(ctx, h.store, c.Content, c.Version, c.Remove)
 		return event.QuarantineWritten{Content: c.Content, Failure: event.FailureOf(err)}
 	})
+	h.registerOriginExecutors()
 	control.HandleNow(h.dispatcher, func(c command.AnswerPermit) { h.waiters.Answer(c.RequestID, c) })
 	control.HandleNow(h.dispatcher, func(c command.AnswerHostView) { h.waiters.Answer(c.RequestID, c) })
 	runs := &executor.Runs{Ctx: h.ctx, Sender: h.backends, Permits: h.permits, Deliver: h.inbox.Deliver, SetUrgency: platform.SetUrgency}
--- a/executor/store.go
+++ b/executor/store.go
@@ -8,6 +8,7 @@
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/lot"
 	"github.com/lavenderstand/lavenderstand/orderlease"
+	"github.com/lavenderstand/lavenderstand/origin"
 	"github.com/lavenderstand/lavenderstand/presence"
 	"github.com/lavenderstand/lavenderstand/quarantine"
 	"github.com/lavenderstand/lavenderstand/store"
@@ -105,6 +106,7 @@
 	heads := event.HeadsRead{Full: full, Version: version}
 	var hosts event.PresenceRead
 	var contents event.QuarantineRead
+	var histories event.SoftwareHistoryRead
 	var events []event.Event
 	for _, r := range rows {
 		if r.Key == orderlease.Key {
@@ -125,6 +127,12 @@
 			contents.Rows = append(contents.Rows, event.QuarantineRow{Content: content, Version: r.Version, Deleted: r.Deleted})
 			continue
 		}
+		if service := origin.HistoryService(r); service != "" {
+			versions, ok := origin.ParseHistory(r)
+			appendUnreadable(ok, r, &events)
+			histories.Rows = append(histories.Rows, event.SoftwareHistoryRow{Service: service, Versions: versions, Version: r.Version})
+			continue
+		}
 		id := lot.HeadID(r.Name)
 		if id == "" {
 			continue
@@ -135,6 +143,9 @@
 			heads.Heads = append(heads.Heads, event.HeadRow{ID: id, Head: h, Version: r.Version, Deleted: r.Deleted})
 		}
 	}
+	if len(histories.Rows) > 0 {
+		events = append(events, histories)
+	}
 	if len(contents.Rows) > 0 {
 		events = append(events, contents)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -144,8 +144,7 @@
 
 // attempt forwards the events of one server. It returns nil at the end of a complete stream.
 func (s *streamCall) attempt(ctx context.Context) error {
-	ch := chooser{now: time.Now(), tried: s.tried, random: s.f.Rand, usable: s.usable}
-	best := ch.choose(s.f.Plans.Load(), s.id().Service)
+	best := s.choose(s.f.Plans.Load())
 	target := best.target
 	if target == nil && best.wait > 0 {
 		return verdict.New(verdict.NotRun, verdict.ReasonOverload, "all servers of the service are full")
@@ -176,7 +175,6 @@
 	}
 	defer stream.Close()
 	s.mayHaveRun++
-	s.parts = append(s.parts, streamPart{server: target.ID, software: target.Software, after: s.lastEventID})
 	if !s.headerSent {
 		s.w.Begin(stream.Header())
 		s.headerSent = true
@@ -184,6 +182,20 @@
 	return s.copyEvents(ctx, stream, target)
 }
 
+// choose returns the server for the next attempt. A stream that the caller may take up begins at
+// a server that holds streams only if there is no other.
+func (s *streamCall) choose(plan *Plan) choice {
+	ch := chooser{now: time.Now(), tried: s.tried, random: s.f.Rand, usable: s.usable}
+	if !s.begun && s.route.Resumable {
+		ch.usable = func(t *Target) bool { return !t.HoldsStreams }
+		if best := ch.choose(plan, s.id().Service); best.target != nil || best.wait > 0 {
+			return best
+		}
+		ch.usable = nil
+	}
+	return ch.choose(plan, s.id().Service)
+}
+
 // usable reports whether a server can continue the stream. Any server can begin one.
 func (s *streamCall) usable(t *Target) bool {
 	return !s.begun || s.software.Relation(t.Software) == registry.SoftwareSame
@@ -222,6 +234,7 @@
 			return err
 		}
 		if first {
+			s.parts = append(s.parts, streamPart{server: from.ID, software: from.Software, after: s.lastEventID})
 			s.recordOrigin(from.Software)
 			begun.Store(true)
 		}
--- a/forward/types.go
+++ b/forward/types.go
@@ -90,8 +90,11 @@
 	Slots   int
 	// Software is the version of the server's software.
 	Software registry.Software
-	Suspect  bool // recently failed or did not respond; used only if no other server is left
-	Load     *Load
+	// HoldsStreams is set if a stream that its caller may take up begins at the server only if
+	// no other server will do, because other hosts may not know its software version yet.
+	HoldsStreams bool
+	Suspect      bool // recently failed or did not respond; used only if no other server is left
+	Load         *Load
 }
 
 // Load holds the load counters of one backend server. Successive plans share them, and
--- a/soak/versions_test.go
+++ b/soak/versions_test.go
@@ -19,7 +19,7 @@
 const (
 	versionsTextEvents = 48 // about 1.2 s a stream
 	versionsDuration   = 14 * time.Second
-	streamCallers      = 10
+	streamCallers      = 16
 	// maxTakeUps is the number of times that a caller takes up a stream that broke off, and
 	// takeUpPause the time between two of them.
 	maxTakeUps  = 8
@@ -36,7 +36,7 @@
 	name    string
 
 	begun, joined          int
-	takeUps, takeUpsServed int // while two servers of the stream's version serve
+	takeUps, takeUpsServed int // streams taken up while two servers of their version serve
 }
 
 // run reads streams until end.
@@ -50,19 +50,21 @@
 			continue
 		}
 		s.begun++
+		takenUp, wentOn := false, false
 		for try := 1; try <= maxTakeUps && !whole; try++ {
 			time.Sleep(takeUpPause)
-			counts := s.cluster.serving(softwareOf(events[0])) >= 2
+			takenUp = takenUp || s.cluster.serving(softwareOf(events[0])) >= 2
 			var more []string
 			more, whole = s.read(n+try, fmt.Sprintf("%s-%d", id, try), id, len(events))
-			if counts {
-				s.takeUps++
-				if len(more) > 0 || whole {
-					s.takeUpsServed++
-				}
-			}
+			wentOn = wentOn || len(more) > 0 || whole
 			events = append(events, more...)
 		}
+		if takenUp {
+			s.takeUps++
+		}
+		if takenUp && wentOn {
+			s.takeUpsServed++
+		}
 		if versions := softwareVersions(events); len(versions) > 1 {
 			s.joined++
 			t.Logf("stream %s has events of %v", id, versions)
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -26,6 +26,7 @@
 		{Name: "permits", Run: Permits},
 		{Name: "judgement", Run: ServerHealth},
 		{Name: "quarantine", Run: Quarantine},
+		{Name: "origins", Run: StreamOrigins},
 		{Name: "lots", Run: Lots},
 		{Name: "runs", Run: Runs},
 		{Name: "scores", Run: Scores},
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -254,11 +254,13 @@
 // routingPlan builds the immutable plan that request goroutines use. It leaves out
 // servers that are leaving. Servers with a missing record are included until
 // expireMissing deletes them, because their record may return after an outage.
-func routingPlan(_ time.Duration, r *table.Rollout) *forward.Plan {
+func routingPlan(now time.Duration, r *table.Rollout) *forward.Plan {
 	p := &forward.Plan{Desired: r.Desired, Zone: r.Zone, Services: make(map[string][]*forward.Target)}
 	for _, s := range r.Servers.All() {
 		if !s.Leaving {
-			p.Services[s.Service] = append(p.Services[s.Service], target(s))
+			to := target(s)
+			to.HoldsStreams = holdsBack(now, r, s)
+			p.Services[s.Service] = append(p.Services[s.Service], to)
 		}
 	}
 	return p
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -7,6 +7,7 @@
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/origin"
 	"github.com/lavenderstand/lavenderstand/registry"
 )
 
@@ -39,6 +40,12 @@
 	Suspects        Table[Suspect]      // keyed by content of a request
 	SuspectsChanged bool                // the quarantined contents must be published again
 	PermitBuckets   Table[PermitBucket] // keyed by server id
+	StreamOrigins   Table[StreamOrigin] // keyed by StreamKey; streams that this host forwarded
+	StreamQueries   Table[StreamQuery]  // keyed by request id
+	StreamRecord    StreamRecord
+	// SoftwareHistories holds the software versions of services, keyed by service.
+	SoftwareHistories  Table[SoftwareHistory]
+	HistoriesCheckedAt time.Duration // when the versions of servers were last compared with the histories
 	// Presence is the state of the row by which other hosts find this host.
 	Presence          Presence
 	MedianIntervals   map[string]MedianInterval // by service
@@ -90,6 +97,49 @@
 	FilledAt   time.Duration
 }
 
+// StreamKey returns the key of a stream.
+func StreamKey(s origin.Stream) string {
+	text, _ := s.MarshalText() // never fails
+	return string(text)
+}
+
+// StreamOrigin is the software version that began a stream.
+type StreamOrigin struct {
+	Stream   origin.Stream
+	Software registry.Software
+	SeenAt   time.Duration // when this host last forwarded a first event of the stream
+}
+
+// StreamQuery is a request of a caller that takes a stream up and waits for the software
+// version that began it.
+type StreamQuery struct {
+	Stream  origin.Stream
+	AskedAt time.Duration
+}
+
+// StreamRecord is the state of the row in which this host records the streams that it
+// forwarded.
+type StreamRecord struct {
+	RowVersion uint64
+	Changed    bool          // StreamOrigins differs from the row
+	Writing    bool          // a write of the row is under way
+	NextWrite  time.Duration // earliest time of the next write
+	Reading    bool          // a read of the rows of all hosts is under way
+	NextRead   time.Duration // earliest time of the next read
+}
+
+// SoftwareHistory holds the software versions of a service of which streams may be open.
+type SoftwareHistory struct {
+	Versions    []registry.Software // as recorded in the store
+	RowVersion  uint64
+	Since       map[registry.Software]time.Duration // when this process read a version of Versions first
+	ServedAt    map[registry.Software]time.Duration // when a server had a version last
+	HeldUntil   time.Duration                       // until then a version of Versions is held back
+	ChangeSince time.Duration                       // since when Versions is to be changed, 0 if it is not
+	Writing     bool                                // a write of the row is under way
+	NextWrite   time.Duration                       // earliest time of the next write
+}
+
 // Presence is the state of writing the presence row of this host.
 type Presence struct {
 	Address   string
