--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -326,6 +326,16 @@
 	}
 }
 
+// countLogLines returns the number of lines in the logs of all hosts that contain a text.
+func (c *cluster) countLogLines(text string) int {
+	n := 0
+	for _, h := range c.hosts {
+		data, _ := os.ReadFile(filepath.Join(c.dir, h.name+".log"))
+		n += strings.Count(string(data), text)
+	}
+	return n
+}
+
 // ready reports whether a host answers 404 for a path without a route. It does so
 // once it listens and has read the desired state.
 func (c *cluster) ready(h *host) bool {
