system/rollout: long runs leave the last servers of their software version early

When all servers of a version leave, the outputs that cannot be completed there are lost in any case. Runs that are not expected to be complete within the time for which a leaving server still serves (bounds.drainMs) now begin anew at another version as soon as a slot is free, and not when their server is gone.

--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -286,6 +286,7 @@
 	tables := table.New(table.Self{Host: h.settings.Host, Zone: h.settings.Zone})
 	tables.Rollout.Self, tables.Rollout.Zone, tables.Rollout.OrderHandoverDelay = h.self, h.settings.Zone, h.settings.Bounds.OrderHandoverDelay
 	tables.Rollout.StoreReadsPerSecond, tables.Rollout.ResultRetention = h.settings.StoreReads, h.settings.Bounds.ResultRetention
+	tables.Rollout.BackendDrainPeriod = h.settings.Bounds.BackendDrainPeriod
 	tables.Rollout.Presence.Address = h.peerAddress()
 	loop := control.NewLoop(control.Options{
 		Tables: tables, Systems: rollout.Systems(), Inbox: h.inbox, Executor: h.dispatcher,
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -24,6 +24,7 @@
 	OrderHandoverDelay  time.Duration
 	StoreReadsPerSecond float64
 	ResultRetention     time.Duration
+	BackendDrainPeriod  time.Duration
 }
 
 // LotDeleted is the outcome of the deletion of an old lot.
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -25,6 +25,7 @@
 type Bounds struct {
 	GracePeriod        time.Duration // from the signal of a graceful shutdown until the process is killed
 	OrderHandoverDelay time.Duration // minimum time between orders of two different holders of the order lease
+	BackendDrainPeriod time.Duration // time for which a backend server that leaves still serves
 	ResultRetention    time.Duration // time after a submission during which its results can be read
 }
 
--- a/system/rollout/moves.go
+++ b/system/rollout/moves.go
@@ -30,14 +30,20 @@
 	done     float64       // estimated number of events so far
 	events   float64       // expected number of further events
 	interval time.Duration // event interval where the item runs now
+	// cutIn is the time until the server is gone, if no other server has its software version
+	// and the run is not expected to be complete by then, else 0.
+	cutIn time.Duration
 }
 
 // gain returns the time by which the run completes sooner if it takes a slot of another
 // server, less the time that the most demanding waiting item loses, which takes over the slower
 // slot. A server of another software version generates all events again.
 func (m *move) gain(to freeServer, waiting float64) time.Duration {
+	if m.cutIn > 0 {
+		return m.cutIn - moveCost // the output is lost in any case
+	}
 	gain := (m.events - waiting) * float64(m.interval-to.interval)
-	if m.item.RunSoftware.Relation(to.server.Software) != registry.SoftwareSame {
+	if !canResumeAt(m.item.RunSoftware, to.server) {
 		gain -= m.done * float64(to.interval)
 	}
 	return time.Duration(gain) - moveCost
@@ -89,10 +95,12 @@
 		if _, ok := free[pool]; !ok {
 			free[pool] = freeServers(now, r, pool)
 		}
-		if interval := eventInterval(r, s); len(free[pool]) > 0 && free[pool][0].interval < interval {
-			done := eventsDone(now, item, interval)
-			events := remainingEvents(r.Models.Find(l.Head.Model), item.Spec, done)
-			moves[pool] = append(moves[pool], move{key: key, item: item, done: done, events: events, interval: interval})
+		if len(free[pool]) == 0 {
+			continue
+		}
+		m := newMove(now, r, key, item, s, l)
+		if m.cutIn > 0 || free[pool][0].interval < m.interval {
+			moves[pool] = append(moves[pool], m)
 		}
 	}
 	for pool, list := range moves {
@@ -100,6 +108,16 @@
 	}
 }
 
+func newMove(now time.Duration, r *table.Rollout, key string, item *table.Item, s *table.Server, l *table.Lot) move {
+	m := move{key: key, item: item, interval: eventInterval(r, s)}
+	m.done = eventsDone(now, item, m.interval)
+	m.events = remainingEvents(r.Models.Find(l.Head.Model), item.Spec, m.done)
+	if left := s.LeavingSince + r.BackendDrainPeriod - now; s.Leaving && isLastOfSoftware(r, s) && time.Duration(m.events)*m.interval > left {
+		m.cutIn = max(0, left)
+	}
+	return m
+}
+
 // startMoves stops the runs that gain most, at most one for each free slot.
 func startMoves(list []move, free []freeServer, waiting float64, out *command.Outbox) {
 	gains := make(map[string]time.Duration, len(list))
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -56,6 +56,7 @@
 			logFeed(e, out)
 		case event.SettingsRead:
 			t.Rollout.OrderHandoverDelay, t.Rollout.StoreReadsPerSecond, t.Rollout.ResultRetention = e.OrderHandoverDelay, e.StoreReadsPerSecond, e.ResultRetention
+			t.Rollout.BackendDrainPeriod = e.BackendDrainPeriod
 		case event.RowUnreadable:
 			out.Add(command.Count{Counter: "row_unreadable", Tags: map[string]string{"table": e.Table}, Delta: 1})
 			out.Add(command.LogChange{Message: "store row cannot be decoded", Fields: []command.Field{
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -82,10 +82,14 @@
 	}
 	if c.Server.Leaving != s.Leaving || s.MissingSince != 0 {
 		r.PlanChanged = true
-		if c.Server.Leaving {
+		if c.Server.Leaving && !s.Leaving {
+			s.LeavingSince = now
 			logServer("backend server is leaving", c.Server, out)
 		}
 	}
+	if !c.Server.Leaving {
+		s.LeavingSince = 0
+	}
 	changed := s.Software != c.Server.Software
 	s.Server, s.RowVersion, s.MissingSince = *c.Server, c.RowVersion, 0
 	if changed {
--- a/system/rollout/software.go
+++ b/system/rollout/software.go
@@ -16,7 +16,22 @@
 // canContinue reports whether a server can continue the output of an item: there is none, or
 // the server has the software version that began it.
 func canContinue(item *table.Item, s *table.Server) bool {
-	return len(item.Events) == 0 || item.Software.Relation(s.Software) == registry.SoftwareSame
+	return len(item.Events) == 0 || canResumeAt(item.Software, s)
+}
+
+// canResumeAt reports whether a server can resume what a software version began.
+func canResumeAt(began registry.Software, s *table.Server) bool {
+	return began.Relation(s.Software) == registry.SoftwareSame
+}
+
+// isLastOfSoftware reports whether all servers of a server's software version leave.
+func isLastOfSoftware(r *table.Rollout, s *table.Server) bool {
+	for _, other := range r.Servers.All() {
+		if other.Service == s.Service && !other.Leaving && canResumeAt(s.Software, other) {
+			return false
+		}
+	}
+	return true
 }
 
 // discardOutput makes an item begin anew.
--- a/system/rollout/software_test.go
+++ b/system/rollout/software_test.go
@@ -141,3 +141,32 @@
 	require.Len(t, next, 1)
 	require.Zero(t, next[0].AfterEvent)
 }
+
+// TestLongRunLeavesLastServersOfItsSoftware guards against a run that goes on at a server which
+// will be gone before it is complete, although no other server can continue its output.
+func TestLongRunLeavesLastServersOfItsSoftware(t *testing.T) {
+	for _, otherStays := range []bool{false, true} {
+		w := newWorld(t)
+		w.tables.Rollout.BackendDrainPeriod = 2 * time.Second
+		w.step(w.server("old", software("v1")))
+		w.learnLengths()
+		w.measure("old", fastInterval)
+		s := submission(2)
+		s.Items[0].EstimatedTokens, s.Items[1].EstimatedTokens = 2000, 300 // 7.6 s and 1.1 s
+		w.accept(s)
+		in := []event.Event{w.server("new", software("v2")), w.server("old", func(s *registry.Server) { s.Software, s.Leaving = "v1", true })}
+		if otherStays {
+			in = append(in, w.server("old-2", software("v1")))
+		}
+		stops := commandsOf[command.StopRun](append(w.step(in...), w.advance(200*time.Millisecond)...))
+		if otherStays {
+			require.Empty(t, stops, "the output can be continued")
+			continue
+		}
+		require.Len(t, stops, 1)
+		next := commandsOf[command.StartRun](w.step(w.stopped(stops[0])))
+		require.Len(t, next, 1)
+		require.Equal(t, "i0", next[0].Spec.ID)
+		require.Equal(t, "new", next[0].Target.ID)
+	}
+}
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -23,13 +23,15 @@
 	// ResultRetention is the time after the submission of a lot for which its results are
 	// promised.
 	ResultRetention time.Duration
-	Deleting        bool          // the deletion of an old lot is under way
-	NextDelete      time.Duration // earliest time of the next deletion
-	Feeds           Table[Feed]   // keyed by table name of the store
-	Desired         *desired.State
-	Servers         Table[Server] // keyed by server id
-	Models          Table[Model]  // keyed by model name
-	Lots            Table[Lot]    // keyed by lot id
+	// BackendDrainPeriod is the time for which a backend server that leaves still serves.
+	BackendDrainPeriod time.Duration
+	Deleting           bool          // the deletion of an old lot is under way
+	NextDelete         time.Duration // earliest time of the next deletion
+	Feeds              Table[Feed]   // keyed by table name of the store
+	Desired            *desired.State
+	Servers            Table[Server] // keyed by server id
+	Models             Table[Model]  // keyed by model name
+	Lots               Table[Lot]    // keyed by lot id
 	// HeadsVersion is the version of the store up to which all heads are known. It may
 	// be 0; HeadsKnown is set once all heads have been read.
 	HeadsVersion    uint64
@@ -164,6 +166,7 @@
 	registry.Server
 	RowVersion   uint64
 	MissingSince time.Duration // when the record was found missing, 0 if it exists
+	LeavingSince time.Duration // when the record first said that the server leaves, 0 if it does not
 
 	Load           *forward.Load `json:"-"` // shared with request goroutines
 	Running        int           // number of items that this host runs on the server
