system/rollout, status: histories are checked once a second; versions in the host view

The comparison of histories with the servers ran on every tick, and with it a pass over the streams that the host forwarded. It runs when the plan changes and once a second. A history lists 50 versions at most. A stream of a route that is not resumable cannot be taken up: refused at once. The host view shows the software of each server and the versions of which streams may be open.

--- a/cmd/lavenderctl/host.go
+++ b/cmd/lavenderctl/host.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -57,8 +59,11 @@
 		p.line("feed %s: down %t for %d ms", f.Table, f.Down, f.AgeMS)
 	}
 	for _, s := range v.Servers {
-		p.line("server %s of %s in %s: leaving %t, missing %t, suspect %t, request limit %g/s, items %d, event interval %.1f ms, preferred model %q, versions %v",
-			s.ID, s.Service, s.Zone, s.Leaving, s.Missing, s.Suspect, s.RequestLimit, s.Running, s.EventIntervalMS, s.PreferredModel, s.Versions)
+		p.line("server %s of %s in %s: leaving %t, missing %t, suspect %t, request limit %g/s, items %d, event interval %.1f ms, preferred model %q, versions %v, software %q",
+			s.ID, s.Service, s.Zone, s.Leaving, s.Missing, s.Suspect, s.RequestLimit, s.Running, s.EventIntervalMS, s.PreferredModel, s.Versions, s.Software)
+	}
+	for _, service := range slices.Sorted(maps.Keys(v.SoftwareHistories)) {
+		p.line("streams of %s may be open at software versions %s", service, v.SoftwareHistories[service])
 	}
 	for _, content := range v.Quarantined {
 		p.line("requests with content %s are sent to no server", content)
--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -133,6 +133,30 @@
 	}
 }
 
+// TestStreamThatCannotBeResumed guards against a second run of a stream that may run only once.
+func TestStreamThatCannotBeResumed(t *testing.T) {
+	s := &versionedStreams{}
+	f, known := newVersioned(s, "v1")
+	known[forward.StreamID{Service: "s", Attempt: "q"}] = "v1"
+	f.Plans.Load().Desired.Routes[0].Resumable = false
+	err := f.ForwardStream(context.Background(), takenUp(2), &written{})
+	require.Equal(t, verdict.ReasonBadRequest, verdict.ReasonOf(err))
+	require.Empty(t, s.servers)
+}
+
+// TestNewVersionIsHeldBack guards against a stream that begins at a server whose version other
+// hosts may not know, although another server is free, and against one that is refused because
+// there is no other.
+func TestNewVersionIsHeldBack(t *testing.T) {
+	s := &versionedStreams{streams: streams{breakAt: []int{0, 0}}}
+	f, _ := newVersioned(s, "v2", "v1")
+	f.Plans.Load().Services["s"][0].HoldsStreams = true
+	require.NoError(t, f.ForwardStream(context.Background(), request(), &written{}))
+	f.Plans.Load().Services["s"] = f.Plans.Load().Services["s"][:1]
+	require.NoError(t, f.ForwardStream(context.Background(), request(), &written{}))
+	require.Equal(t, []string{"s2", "s1"}, s.servers)
+}
+
 // TestSilentStreamIsCutOnlyForAnotherServer guards against a slow stream that is cut although
 // the only other server has another software version.
 func TestSilentStreamIsCutOnlyForAnotherServer(t *testing.T) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -87,6 +87,9 @@
 	if s.r.ResumeAfter == 0 {
 		return nil
 	}
+	if !s.route.Resumable {
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "streams of route %q cannot be resumed", s.route.Name)
+	}
 	s.begun = true
 	s.software, err = s.f.findOrigin(ctx, s.id())
 	return err
--- a/status/host.go
+++ b/status/host.go
@@ -16,6 +16,8 @@
 	Lots           []LotView      `json:"lots"`
 	Peers          []string       `json:"peers"`
 	Quarantined    []string       `json:"quarantined,omitempty"` // contents of requests that crash servers
+	// SoftwareHistories lists the software versions of which streams may be open, by service.
+	SoftwareHistories map[string]string `json:"software_histories,omitempty"`
 }
 
 // FeedView is the state of the feed of one table of the store.
@@ -47,6 +49,7 @@
 	EventIntervalMS float64        `json:"gap_ms"`                  // smoothed time between two events, in milliseconds
 	RequestLimit    float64        `json:"request_limit,omitempty"` // requests per second that it takes from all hosts, 0 for no limit
 	PreferredModel  string         `json:"home,omitempty"`
+	Software        string         `json:"software,omitempty"` // version of its software
 	Versions        map[string]int `json:"versions,omitempty"`
 }
 
--- a/system/rollout/host_view.go
+++ b/system/rollout/host_view.go
@@ -22,7 +22,7 @@
 
 func hostView(now time.Duration, r *table.Rollout) status.HostView {
 	v := status.HostView{
-		Host: r.Self.Host, BootID: r.Self.BootID, Draining: r.Draining, Models: make(map[string]int), Peers: slices.Sorted(maps.Values(peerAddresses(r))),
+		Host: r.Self.Host, BootID: r.Self.BootID, Draining: r.Draining, Models: make(map[string]int), SoftwareHistories: make(map[string]string), Peers: slices.Sorted(maps.Values(peerAddresses(r))),
 		OrderLease: status.OrderLeaseView{
 			Holder: r.OrderLease.Holder.Host, Held: r.OrderLease.Held, Fence: r.OrderLease.Fence,
 			SilentMS: status.Millis(now - r.OrderLease.VersionSeenAt), RowVersion: r.OrderLease.Version,
@@ -41,6 +41,9 @@
 	for id, s := range r.Servers.All() {
 		v.Servers = append(v.Servers, serverView(id, s))
 	}
+	for service, h := range r.SoftwareHistories.All() {
+		v.SoftwareHistories[service] = joinVersions(h.Versions)
+	}
 	for id, l := range r.Lots.All() {
 		v.Lots = append(v.Lots, status.LotView{
 			ID: id, Model: l.Head.Model, Owner: l.Head.Owner.Host, Stage: string(l.Stage), Listed: l.Head.Listed,
@@ -54,6 +57,7 @@
 	v := status.ServerView{
 		ID: id, Service: s.Service, Zone: s.Zone, Leaving: s.Leaving, Missing: s.MissingSince != 0,
 		Suspect: s.SuspectUntil != 0, Running: s.Running, EventIntervalMS: float64(s.Pace.Recent.Microseconds()) / 1000, PreferredModel: s.PreferredModel, RequestLimit: s.RequestLimit,
+		Software: string(s.Software),
 		Versions: make(map[string]int, len(s.Models)),
 	}
 	for model, version := range s.Models {
--- a/system/rollout/origins.go
+++ b/system/rollout/origins.go
@@ -20,6 +20,8 @@
 	// newVersionDelay is the time for which no stream begins at servers of a version that this
 	// host has just found recorded. Hosts that answer from the histories know it by then.
 	newVersionDelay = maxHistoryAge + 100*time.Millisecond
+	// maxVersions bounds the versions in a history, so that it fits in one row.
+	maxVersions = 50
 	// historyCheckInterval is the maximum time between two checks of the histories.
 	historyCheckInterval = time.Second
 	// historyRetryDelay is the wait after a write of a history before the next one.
@@ -67,11 +69,9 @@
 			r.StreamQueries.Delete(e.RequestID)
 		}
 	}
-	if r.Desired == nil {
-		return
+	if r.Desired != nil {
+		updateHistories(now, r, out)
 	}
-	updateHistories(now, r, out)
-	expireStreams(now, r)
 	writeStreamRecord(now, r, out)
 	readStreamOrigins(now, r, out)
 }
@@ -169,9 +169,11 @@
 	if len(services) == 0 {
 		return
 	}
-	if next := r.HistoriesCheckedAt + historyCheckInterval; r.PlanChanged || r.HistoriesCheckedAt == 0 || now >= next {
+	check := r.PlanChanged || now >= r.HistoriesCheckedAt+historyCheckInterval
+	if check {
 		r.HistoriesCheckedAt = now
 		recordServed(now, r, services)
+		expireStreams(now, r, ttl)
 	}
 	for _, service := range services {
 		h := history(r, service)
@@ -181,7 +183,9 @@
 		if h.HeldUntil != 0 {
 			out.WakeAt(h.HeldUntil)
 		}
-		writeHistory(now, r, service, h, ttl, out)
+		if check || h.ChangeSince != 0 {
+			writeHistory(now, r, service, h, ttl, out)
+		}
 	}
 }
 
@@ -210,7 +214,7 @@
 		}
 	}
 	slices.Sort(wanted)
-	return wanted
+	return wanted[:min(len(wanted), maxVersions)]
 }
 
 // writeHistory writes the history of a service if it is to be changed. The hosts do so in turn.
@@ -253,8 +257,7 @@
 }
 
 // expireStreams deletes the streams that can no longer be taken up.
-func expireStreams(now time.Duration, r *table.Rollout) {
-	_, ttl := resumableServices(r.Desired)
+func expireStreams(now time.Duration, r *table.Rollout, ttl time.Duration) {
 	for key, s := range r.StreamOrigins.All() {
 		if now-s.SeenAt > ttl {
 			r.StreamOrigins.Delete(key)
--- a/system/rollout/origins_test.go
+++ b/system/rollout/origins_test.go
@@ -158,6 +158,7 @@
 // it while its streams may still be taken up.
 func TestVersionLeavesTheHistory(t *testing.T) {
 	w := newStreamWorld(t, "v1", "v2")
+	w.advance(missingGracePeriod) // records that are missing after that are gone
 	w.step(w.removed("s0"))
 	_, ttl := resumableServices(w.tables.Rollout.Desired)
 	require.Empty(t, commandsOf[command.WriteSoftwareHistory](w.advance(ttl-2*historyCheckInterval)))
