--- a/origin/origin.go
+++ b/origin/origin.go
@@ -9,7 +9,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"errors"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -68,21 +67,24 @@
 
 // parseRecord decodes a record. A record that is not valid is empty.
 func parseRecord(data []byte) Record {
+	r := make(Record)
+	forEachStream(data, func(s Stream, v registry.Software) { r[s] = v })
+	return r
+}
+
+// forEachStream calls do for each stream of an encoded record.
+func forEachStream(data []byte, do func(Stream, registry.Software)) {
 	var w wireRecord
 	if json.Unmarshal(data, &w) != nil {
-		return nil
+		return
 	}
-	r := make(Record)
 	for service, versions := range w {
 		for v, keys := range versions {
-			for key := range slices.Chunk(keys, keyBytes) {
-				if len(key) == keyBytes {
-					r[Stream{Service: service, Key: binary.BigEndian.Uint64(key)}] = v
-				}
+			for ; len(keys) >= keyBytes; keys = keys[keyBytes:] {
+				do(Stream{Service: service, Key: binary.BigEndian.Uint64(keys)}, v)
 			}
 		}
 	}
-	return r
 }
 
 // Stored is a record at one version of its row. Version is 0 if there is none.
@@ -124,14 +126,17 @@
 	if err != nil {
 		return nil, err
 	}
+	wanted := make(map[Stream]bool, len(streams))
+	for _, stream := range streams {
+		wanted[stream] = true
+	}
 	found := make(map[Stream]registry.Software)
 	for _, row := range rows.Rows {
-		record := parseRecord(row.Value)
-		for _, stream := range streams {
-			if v, ok := record[stream]; ok {
-				found[stream] = v
+		forEachStream(row.Value, func(s Stream, v registry.Software) {
+			if wanted[s] {
+				found[s] = v
 			}
-		}
+		})
 	}
 	return found, nil
 }
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -91,3 +91,31 @@
 		_, _ = origin.ParseHistory(store.Row{Key: store.Key{Table: lot.TableCoordination, Name: "software/s"}, Value: data})
 	})
 }
+
+// BenchmarkRecord measures the size of a record and the time to write and to search it.
+func BenchmarkRecord(b *testing.B) {
+	ctx, s := context.Background(), pamoja.NewStore()
+	const streams = 1000
+	r := make(origin.Record)
+	for i := range streams {
+		r[origin.StreamOf("engines", fmt.Sprint(i))] = registry.Software(fmt.Sprintf("v%d", i%2))
+	}
+	var version uint64
+	b.Run("write", func(b *testing.B) {
+		for b.Loop() {
+			stored, err := origin.WriteRecord(ctx, s, "h", r, version)
+			require.NoError(b, err)
+			version = stored.Version
+		}
+		rows, err := s.Read(ctx, "stream_origins", "", "", 0)
+		require.NoError(b, err)
+		b.ReportMetric(float64(len(rows.Rows[0].Value))/streams, "B/stream")
+	})
+	b.Run("find", func(b *testing.B) {
+		wanted := []origin.Stream{origin.StreamOf("engines", "1"), origin.StreamOf("engines", "none")}
+		for b.Loop() {
+			_, err := origin.Find(ctx, s, wanted)
+			require.NoError(b, err)
+		}
+	})
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -193,6 +193,10 @@
 	for _, cl := range callers {
 		work.Go(func() { cl.run(t, end) })
 	}
+	streams := []*streamCaller{{cluster: c, name: "s1"}, {cluster: c, name: "s2"}}
+	for _, s := range streams {
+		work.Go(func() { s.run(t, end) })
+	}
 	names := c.injectFaults(end)
 	work.Wait()
 	listed := 0
@@ -202,8 +206,13 @@
 	for _, v := range c.ledger.violations {
 		t.Error(v)
 	}
-	t.Logf("seed %d: %d results read; calls served by caller: %d and %d, failed: %d and %d; faults: %q",
-		seed, listed, callers[0].served, callers[1].served, callers[0].failed, callers[1].failed, names)
+	for _, s := range streams {
+		if s.joined > 0 {
+			t.Errorf("%d streams of %s are joined from two software versions", s.joined, s.name)
+		}
+	}
+	t.Logf("seed %d: %d results read; calls served by caller: %d and %d, failed: %d and %d; streams begun: %d and %d; faults: %q",
+		seed, listed, callers[0].served, callers[1].served, callers[0].failed, callers[1].failed, streams[0].begun, streams[1].begun, names)
 	if t.Failed() {
 		c.printLogs()
 		keepLogs(t, c.dir, seed)
--- a/system/rollout/capacity_bench_test.go
+++ b/system/rollout/capacity_bench_test.go
@@ -88,3 +88,22 @@
 		grantPermit(0, r, request)
 	}
 }
+
+// BenchmarkStreamBegan measures a tick in which one stream begins at a host that has forwarded
+// others, of a service with one software version and with two.
+func BenchmarkStreamBegan(b *testing.B) {
+	for _, versions := range [][]registry.Software{{"v1"}, {"v1", "v2"}} {
+		b.Run(fmt.Sprintf("versions-%d", len(versions)), func(b *testing.B) {
+			w := newStreamWorld(&testing.T{}, versions...)
+			for i := range 800 {
+				w.step(event.StreamBegan{Stream: streamOf(strconv.Itoa(i)), Software: "v1"})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				w.now += time.Microsecond
+				var out command.Outbox
+				StreamOrigins(w.now, w.tables, []event.Event{event.StreamBegan{Stream: streamOf("0"), Software: "v1"}}, &out)
+			}
+		})
+	}
+}
--- a/system/rollout/origins.go
+++ b/system/rollout/origins.go
@@ -35,8 +35,10 @@
 	// gives up soon after maxRecordWait.
 	recordDelay   = 150 * time.Millisecond
 	maxRecordWait = 600 * time.Millisecond
-	// recordReadInterval is the time between two reads of the records of all hosts.
-	recordReadInterval = 60 * time.Millisecond
+	// minRecordReadInterval is the minimum time between two reads of the records of all hosts,
+	// and recordReadsPerSecond the rate of such reads by all hosts together.
+	minRecordReadInterval = 60 * time.Millisecond
+	recordReadsPerSecond  = 250
 	// minStreamTTL and maxStreamTTL bound the time after its first event for which a stream may
 	// be taken up; streamTTLTimeouts is that time as a multiple of the timeout of its route.
 	minStreamTTL      = 10 * time.Second
@@ -267,7 +269,13 @@
 
 // recordInterval returns the time between two writes of the record of a host.
 func recordInterval(r *table.Rollout) time.Duration {
-	return max(minRecordInterval, time.Duration(r.Peers.Len())*time.Second/recordWritesPerSecond)
+	return max(minRecordInterval, perSecond(r, recordWritesPerSecond))
+}
+
+// perSecond returns the interval between two calls of a host at which all hosts together make a
+// number of calls per second.
+func perSecond(r *table.Rollout, calls int) time.Duration {
+	return time.Duration(r.Peers.Len()) * time.Second / time.Duration(calls)
 }
 
 // writeStreamRecord records the streams that this host forwarded, of services with several
@@ -349,7 +357,7 @@
 		out.WakeAt(rec.NextRead)
 		return
 	}
-	rec.Reading, rec.NextRead = true, now+recordReadInterval
+	rec.Reading, rec.NextRead = true, now+max(minRecordReadInterval, perSecond(r, recordReadsPerSecond))
 	c := command.ReadStreamOrigins{IssuedAt: now}
 	for _, q := range r.StreamQueries.All() {
 		if !slices.Contains(c.Streams, q.Stream) {
--- a/system/rollout/pools.go
+++ b/system/rollout/pools.go
@@ -63,8 +63,11 @@
 	if !ok {
 		servers = eligibleServers(r, key)
 	}
+	known := len(servers)
 	servers = slices.DeleteFunc(servers, func(s *table.Server) bool { return s.Reserved == 0 && serverRoom(now, s) <= 0 })
-	p[key] = servers
+	if !ok || len(servers) < known {
+		p[key] = servers
+	}
 	var best *table.Server
 	var bestTime time.Duration
 	for _, s := range servers {
