system/rollout: runs without an event count as part of the wait for a software version

An item whose output could go on only at a server with a used up request limit asked for a permit again and again: each refused run began its wait anew, so other versions with room were never considered. The wait now lasts from the last event, and after it a version whose newest run brought no event is left. TestOutputDoesNotWaitForALimitForGood fails without the change (never begun anew). origin: one function writes conditional rows.

--- a/origin/origin.go
+++ b/origin/origin.go
@@ -105,17 +105,28 @@
 		return Stored{}, verdict.Wrap(err, verdict.NotRun, verdict.ReasonInternal, "encode stream record of host %s", host)
 	}
 	key := recordKey(host)
-	v, err := s.Commit(ctx, store.Commit{
-		Conditions: []store.Condition{{Key: key, Version: version}}, Put: []store.Row{{Key: key, Value: value}},
+	v, current, err := put(ctx, s, store.Row{Key: key, Value: value}, version)
+	switch {
+	case current != nil:
+		return Stored{Record: parseRecord(current.Value), Version: current.Version}, err
+	case err != nil:
+		return Stored{}, err
+	default:
+		return Stored{Record: r, Version: v}, nil
+	}
+}
+
+// put writes a row that has the given version. If it has another one, the error has the reason
+// conflict, and current is the row, nil if there is none.
+func put(ctx context.Context, s store.Client, row store.Row, version uint64) (v uint64, current *store.Row, err error) {
+	v, err = s.Commit(ctx, store.Commit{
+		Conditions: []store.Condition{{Key: row.Key, Version: version}}, Put: []store.Row{row},
 	})
 	var conflict *store.Conflict
 	if errors.As(err, &conflict) {
-		if row := conflict.Find(key); row != nil {
-			stored = Stored{Record: parseRecord(row.Value), Version: row.Version}
-		}
-		return stored, verdict.Wrap(err, verdict.NotRun, verdict.ReasonConflict, "stream record of host %s", host)
+		return 0, conflict.Find(row.Key), verdict.Wrap(err, verdict.NotRun, verdict.ReasonConflict, "row %s of table %s", row.Name, row.Table)
 	}
-	return Stored{Record: r, Version: v}, err
+	return v, nil, err
 }
 
 // Find returns the versions that began the given streams, as far as a host has recorded them.
@@ -192,14 +203,7 @@
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonInternal, "encode software versions of service %s", service)
 	}
-	key := historyKey(service)
-	_, err = s.Commit(ctx, store.Commit{
-		Conditions: []store.Condition{{Key: key, Version: version}}, Put: []store.Row{{Key: key, Value: value}},
-	})
-	var conflict *store.Conflict
-	if errors.As(err, &conflict) {
-		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonConflict, "software versions of service %s", service)
-	}
+	_, _, err = put(ctx, s, store.Row{Key: historyKey(service), Value: value}, version)
 	return err
 }
 
--- a/system/rollout/pools.go
+++ b/system/rollout/pools.go
@@ -36,16 +36,22 @@
 	if reserved := r.Servers.Find(w.item.MoveTo); reserved != nil && now >= reserved.BusyUntil && slices.Contains(eligibleServers(r, w.pool), reserved) {
 		return reserved
 	}
-	best := p.fastest(now, r, w, w.pool)
+	best := p.fastest(now, r, w, w.pool, "")
 	if len(w.item.Events) == 0 || w.item.Software == "" {
 		return best
 	}
+	overdue := now >= restartDue(r, w)
+	if overdue && w.item.RunAfter == len(w.item.Events) { // the newest run at the version brought no event
+		if other := p.fastest(now, r, w, w.pool, w.item.Software); other != nil {
+			return other
+		}
+	}
 	same := w.pool
 	same.software = w.item.Software
-	if s := p.fastest(now, r, w, same); s != nil && (best == nil || completionTime(r, w, s) < completionTime(r, w, best)+minMoveGain) {
+	if s := p.fastest(now, r, w, same, ""); s != nil && (best == nil || completionTime(r, w, s) < completionTime(r, w, best)+minMoveGain) {
 		return s
 	}
-	if best != nil && !canContinue(w.item, best) && now < restartDue(r, w) && len(eligibleServers(r, same)) > 0 {
+	if best != nil && !canContinue(w.item, best) && !overdue && len(eligibleServers(r, same)) > 0 {
 		return nil
 	}
 	return best
@@ -57,8 +63,9 @@
 	return w.item.WaitingSince + time.Duration(len(w.item.Events))*medianInterval(r, w.pool.service)
 }
 
-// fastest returns the server with room on which an item is expected to complete first.
-func (p pools) fastest(now time.Duration, r *table.Rollout, w waitingItem, key poolKey) *table.Server {
+// fastest returns the server with room on which an item is expected to complete first, leaving
+// out those of a software version.
+func (p pools) fastest(now time.Duration, r *table.Rollout, w waitingItem, key poolKey, except registry.Software) *table.Server {
 	servers, ok := p[key]
 	if !ok {
 		servers = eligibleServers(r, key)
@@ -71,8 +78,8 @@
 	var best *table.Server
 	var bestTime time.Duration
 	for _, s := range servers {
-		if serverRoom(now, s) <= 0 {
-			continue // its free slots are reserved
+		if serverRoom(now, s) <= 0 || (except != "" && s.Software == except) {
+			continue // its free slots are reserved, or it is left out
 		}
 		if t := completionTime(r, w, s); best == nil || t < bestTime {
 			best, bestTime = s, t
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -89,8 +89,11 @@
 		return // the lot ended or went to another owner
 	}
 	releaseSlot(t, item)
-	item.Stage, item.WaitingSince = table.ItemWaiting, now
+	item.Stage = table.ItemWaiting
 	addEvents(item, e.Events, e.Versions)
+	if len(item.Events) > item.RunAfter {
+		item.WaitingSince = now // runs without an event are part of the wait
+	}
 	if e.Failure == nil || e.Failure.Reason != verdict.ReasonServerLimit {
 		logRun(item, e, out)
 	}
--- a/system/rollout/software_test.go
+++ b/system/rollout/software_test.go
@@ -170,3 +170,31 @@
 		require.Equal(t, "new", next[0].Target.ID)
 	}
 }
+
+// TestOutputDoesNotWaitForALimitForGood guards against an item that asks a server of its version
+// again and again for a place that its request limit does not allow, while others have room.
+func TestOutputDoesNotWaitForALimitForGood(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("old", software("v1")))
+	run := commandsOf[command.StartRun](w.accept(submission(1)))[0]
+	w.step(w.server("new", software("v2")))
+	events := []string{"a", "b", "c", "d", "e"}
+	commands := w.step(brokenRun(run, events...))
+	w.tables.Rollout.Items.Find(run.Key).AvoidServer = ""
+	var last command.StartRun
+	for end := w.now + time.Second; w.now < end && last.Target == nil; {
+		next := commandsOf[command.StartRun](commands)
+		commands = w.step()
+		for _, c := range next {
+			if c.Target.ID == "new" {
+				last = c
+				break
+			}
+			commands = append(commands, w.step(event.RunEnded{Key: c.Key, Run: c.Run, Server: c.Target.ID, Model: c.Model, Failure: &event.Failure{
+				Verdict: verdict.NotRun, Reason: verdict.ReasonServerLimit, RetryAfter: 50 * time.Millisecond,
+			}})...)
+		}
+	}
+	require.NotNil(t, last.Target, "begun anew at the other server")
+	require.Zero(t, last.AfterEvent)
+}
