--- a/event/origin.go
+++ b/event/origin.go
@@ -8,7 +8,7 @@
 )
 
 // StreamBegan reports that this host has got the first event of a stream, or of the rest of a
-// stream that its caller took up. Software is the version that began the stream.
+// stream that its caller resumed. Software is the version that began the stream.
 type StreamBegan struct {
 	Stream   origin.Stream
 	Software registry.Software
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -39,7 +39,7 @@
 	// lost. Nil means that it is not known.
 	ServerEnded func(ctx context.Context, to *Target) bool
 	Quarantine  Quarantine
-	Origins     Origins // nil if streams are never taken up
+	Origins     Origins // nil if streams are never resumed by callers
 	Report      func(Outcome)
 	Count       func(name string, reason verdict.Reason)
 	Log         *zap.Logger
--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -51,7 +51,7 @@
 	return f, known
 }
 
-func takenUp(after int) *forward.Request {
+func resumed(after int) *forward.Request {
 	r := request()
 	r.ID, r.Resumes, r.ResumeAfter = "q-2", "q", after
 	return r
@@ -102,22 +102,22 @@
 	return w.written.Event(e)
 }
 
-// TestTakenUpStream guards against a stream that a caller takes up and that is begun anew, is
+// TestCallerResumesStream guards against a stream that a caller resumes and that is begun anew, is
 // continued by another software version, or is refused although its version is known.
-func TestTakenUpStream(t *testing.T) {
+func TestCallerResumesStream(t *testing.T) {
 	s := &versionedStreams{streams: streams{breakAt: []int{0}}}
 	f, known := newVersioned(s, "v1", "v2", "v1")
 	known[forward.StreamID{Service: "s", Attempt: "q"}] = "v2"
 	w := &written{}
-	require.NoError(t, f.ForwardStream(context.Background(), takenUp(2), w))
+	require.NoError(t, f.ForwardStream(context.Background(), resumed(2), w))
 	require.Equal(t, "345", w.events)
 	require.Equal(t, []string{"s2"}, s.servers)
 	require.Equal(t, []int{2}, s.opened)
 }
 
-// TestTakenUpStreamIsRefused guards against a guess where the version of a stream is not known
+// TestResumedStreamIsRefused guards against a guess where the version of a stream is not known
 // or has no server, and against a refusal that is held back.
-func TestTakenUpStreamIsRefused(t *testing.T) {
+func TestResumedStreamIsRefused(t *testing.T) {
 	for reason, began := range map[verdict.Reason]registry.Software{verdict.ReasonSoftwareUnknown: "", verdict.ReasonSoftwareGone: "v0"} {
 		s := &versionedStreams{}
 		f, known := newVersioned(s, "v1", "v2")
@@ -125,7 +125,7 @@
 			known[forward.StreamID{Service: "s", Attempt: "q"}] = began
 		}
 		start := time.Now()
-		err := f.ForwardStream(context.Background(), takenUp(2), &written{})
+		err := f.ForwardStream(context.Background(), resumed(2), &written{})
 		require.Equal(t, reason, verdict.ReasonOf(err))
 		require.Equal(t, verdict.NotRun, verdict.Of(err))
 		require.Empty(t, s.servers)
@@ -139,7 +139,7 @@
 	f, known := newVersioned(s, "v1")
 	known[forward.StreamID{Service: "s", Attempt: "q"}] = "v1"
 	f.Plans.Load().Desired.Routes[0].Resumable = false
-	err := f.ForwardStream(context.Background(), takenUp(2), &written{})
+	err := f.ForwardStream(context.Background(), resumed(2), &written{})
 	require.Equal(t, verdict.ReasonBadRequest, verdict.ReasonOf(err))
 	require.Empty(t, s.servers)
 }
@@ -150,7 +150,7 @@
 func TestNewVersionIsHeldBack(t *testing.T) {
 	s := &versionedStreams{streams: streams{breakAt: []int{0, 0}}}
 	f, _ := newVersioned(s, "v2", "v1")
-	f.Plans.Load().Services["s"][0].HoldsStreams = true
+	f.Plans.Load().Services["s"][0].AvoidNewStreams = true
 	require.NoError(t, f.ForwardStream(context.Background(), request(), &written{}))
 	f.Plans.Load().Services["s"] = f.Plans.Load().Services["s"][:1]
 	require.NoError(t, f.ForwardStream(context.Background(), request(), &written{}))
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -62,7 +62,7 @@
 	lastServer  *Target  // server of the last attempt that was sent
 	headerSent  bool
 	parts       []streamPart
-	begun       bool              // a server has sent the first event, here or before the caller took the stream up
+	begun       bool              // a server has sent the first event, here or before the caller resumed the stream
 	software    registry.Software // version of the server that sent the first event
 }
 
@@ -82,7 +82,7 @@
 	return StreamID{Service: s.route.Service(attempt), Attempt: attempt}
 }
 
-// findOrigin determines the software version that began a stream that the caller takes up.
+// findOrigin determines the software version that began a stream that the caller resumes.
 func (s *streamCall) findOrigin(ctx context.Context) (err error) {
 	if s.r.ResumeAfter == 0 {
 		return nil
@@ -185,12 +185,12 @@
 	return s.copyEvents(ctx, stream, target)
 }
 
-// choose returns the server for the next attempt. A stream that the caller may take up begins at
-// a server that holds streams only if there is no other.
+// choose returns the server for the next attempt. A stream that the caller may resume begins at
+// a server with AvoidNewStreams only if there is no other.
 func (s *streamCall) choose(plan *Plan) choice {
 	ch := chooser{now: time.Now(), tried: s.tried, random: s.f.Rand, usable: s.usable}
 	if !s.begun && s.route.Resumable {
-		ch.usable = func(t *Target) bool { return !t.HoldsStreams }
+		ch.usable = func(t *Target) bool { return !t.AvoidNewStreams }
 		if best := ch.choose(plan, s.id().Service); best.target != nil || best.wait > 0 {
 			return best
 		}
@@ -258,7 +258,7 @@
 }
 
 // recordOrigin records the software version that began the stream before its first event is
-// forwarded. Streams that cannot be taken up have no use for it.
+// forwarded. Streams that cannot be resumed have no use for it.
 func (s *streamCall) recordOrigin(v registry.Software) {
 	if !s.begun {
 		s.begun, s.software = true, v
--- a/forward/types.go
+++ b/forward/types.go
@@ -29,7 +29,7 @@
 	Deadline time.Time // zero if the caller set none
 	Caller   string    // identity of the caller, empty if the deployment does not tell callers apart
 	// Resumes is the id of the attempt that brought the first event of the stream that the
-	// caller takes up again, and ResumeAfter the id of the last event that it received. They
+	// caller resumes, and ResumeAfter the id of the last event that it received. They
 	// are empty and 0 for a new stream.
 	Resumes     string
 	ResumeAfter int
@@ -90,11 +90,11 @@
 	Slots   int
 	// Software is the version of the server's software.
 	Software registry.Software
-	// HoldsStreams is set if a stream that its caller may take up begins at the server only if
+	// AvoidNewStreams is set if a stream that its caller may resume begins at the server only if
 	// no other server will do, because other hosts may not know its software version yet.
-	HoldsStreams bool
-	Suspect      bool // recently failed or did not respond; used only if no other server is left
-	Load         *Load
+	AvoidNewStreams bool
+	Suspect         bool // recently failed or did not respond; used only if no other server is left
+	Load            *Load
 }
 
 // Load holds the load counters of one backend server. Successive plans share them, and
--- a/soak/versions_test.go
+++ b/soak/versions_test.go
@@ -20,23 +20,23 @@
 	versionsTextEvents = 48 // about 1.2 s a stream
 	versionsDuration   = 14 * time.Second
 	streamCallers      = 16
-	// maxTakeUps is the number of times that a caller takes up a stream that broke off, and
-	// takeUpPause the time between two of them.
-	maxTakeUps  = 8
-	takeUpPause = 150 * time.Millisecond
+	// maxResumptions is the number of times that a caller resumes a stream that broke off, and
+	// resumePause the time between two of them.
+	maxResumptions = 8
+	resumePause    = 150 * time.Millisecond
 	// maxCallerPause bounds the time between two streams of a caller.
 	maxCallerPause = 400 * time.Millisecond
-	// minTakeUps is the number of taken up streams from which their share counts.
-	minTakeUps = 12
+	// minResumed is the number of resumed streams from which their share counts.
+	minResumed = 12
 )
 
-// streamCaller reads streams one after the other and takes up those that break off.
+// streamCaller reads streams one after the other and resumes those that break off.
 type streamCaller struct {
 	cluster *cluster
 	name    string
 
 	begun, joined          int
-	takeUps, takeUpsServed int // streams taken up while two servers of their version serve
+	resumed, resumedServed int // streams resumed while two servers of their version serve
 }
 
 // run reads streams until end.
@@ -46,24 +46,24 @@
 		id := fmt.Sprintf("%s-stream-%d", s.name, n)
 		events, whole := s.read(n, id, "", 0)
 		if len(events) == 0 {
-			time.Sleep(takeUpPause)
+			time.Sleep(resumePause)
 			continue
 		}
 		s.begun++
-		takenUp, wentOn := false, false
-		for try := 1; try <= maxTakeUps && !whole; try++ {
-			time.Sleep(takeUpPause)
-			takenUp = takenUp || s.cluster.serving(softwareOf(events[0])) >= 2
+		counted, wentOn := false, false
+		for try := 1; try <= maxResumptions && !whole; try++ {
+			time.Sleep(resumePause)
+			counted = counted || s.cluster.serving(softwareOf(events[0])) >= 2
 			var more []string
 			more, whole = s.read(n+try, fmt.Sprintf("%s-%d", id, try), id, len(events))
 			wentOn = wentOn || len(more) > 0 || whole
 			events = append(events, more...)
 		}
-		if takenUp {
-			s.takeUps++
+		if counted {
+			s.resumed++
 		}
-		if takenUp && wentOn {
-			s.takeUpsServed++
+		if counted && wentOn {
+			s.resumedServed++
 		}
 		if versions := softwareVersions(events); len(versions) > 1 {
 			s.joined++
@@ -76,7 +76,7 @@
 }
 
 // read opens a stream at a host and returns the data of its events, and whether the stream
-// came to its end. If after is not 0, it takes up the stream that the attempt begun began.
+// came to its end. If after is not 0, it resumes the stream that the attempt begun began.
 func (s *streamCaller) read(index int, id, begun string, after int) (events []string, whole bool) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+s.cluster.hosts[index%hosts].frontAddress+"/streams/x", strings.NewReader("x"))
 	if err != nil {
@@ -200,13 +200,13 @@
 	for _, s := range callers {
 		sum.begun += s.begun
 		sum.joined += s.joined
-		sum.takeUps += s.takeUps
-		sum.takeUpsServed += s.takeUpsServed
+		sum.resumed += s.resumed
+		sum.resumedServed += s.resumedServed
 	}
-	t.Logf("%d results, %d streams, %d joined; %d of %d taken up streams went on", listed, sum.begun, sum.joined, sum.takeUpsServed, sum.takeUps)
+	t.Logf("%d results, %d streams, %d joined; %d of %d resumed streams went on", listed, sum.begun, sum.joined, sum.resumedServed, sum.resumed)
 	require.Zero(t, sum.joined, "streams joined from two software versions")
-	require.GreaterOrEqual(t, sum.takeUps, minTakeUps)
-	require.GreaterOrEqual(t, 2*sum.takeUpsServed, sum.takeUps, "half of the taken up streams whose version has two servers")
+	require.GreaterOrEqual(t, sum.resumed, minResumed)
+	require.GreaterOrEqual(t, 2*sum.resumedServed, sum.resumed, "half of the resumed streams whose version has two servers")
 	if t.Failed() {
 		c.printLogs()
 	}
--- a/system/rollout/origins.go
+++ b/system/rollout/origins.go
@@ -31,7 +31,7 @@
 	minRecordInterval     = 100 * time.Millisecond
 	recordWritesPerSecond = 100
 	// recordDelay is the time after which a stream that another host forwarded is expected to
-	// be recorded, on top of the interval between two writes. A caller that takes a stream up
+	// be recorded, on top of the interval between two writes. A caller that resumes a stream
 	// gives up soon after maxRecordWait.
 	recordDelay   = 150 * time.Millisecond
 	maxRecordWait = 600 * time.Millisecond
@@ -40,14 +40,14 @@
 	minRecordReadInterval = 60 * time.Millisecond
 	recordReadsPerSecond  = 250
 	// minStreamTTL and maxStreamTTL bound the time after its first event for which a stream may
-	// be taken up; streamTTLTimeouts is that time as a multiple of the timeout of its route.
+	// be resumed by its caller; streamTTLTimeouts is that time as a multiple of the timeout of its route.
 	minStreamTTL      = 10 * time.Second
 	maxStreamTTL      = 60 * time.Second
 	streamTTLTimeouts = 2
 )
 
 // StreamOrigins keeps track of the software versions that began streams, so that a caller can
-// take up a stream at any host. While a service has one version, the history of its versions
+// resume a stream at any host. While a service has one version, the history of its versions
 // suffices. While it has several, each host also records the streams that it forwards.
 func StreamOrigins(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
 	r := &t.Rollout
@@ -78,7 +78,7 @@
 	readStreamOrigins(now, r, out)
 }
 
-// resumableServices returns the services that have routes whose streams may be taken up, and
+// resumableServices returns the services that have routes whose streams may be resumed, and
 // the time after its first event for which such a stream may be.
 func resumableServices(d *desired.State) (services []string, ttl time.Duration) {
 	for _, route := range d.Routes {
@@ -96,7 +96,7 @@
 }
 
 // recordStream keeps the version that began a stream. Beyond origin.MaxStreams, streams are not
-// kept; a caller that takes one of them up is refused while its service has several versions.
+// kept; a caller that resumes one of them is refused while its service has several versions.
 func recordStream(now time.Duration, r *table.Rollout, s origin.Stream, v registry.Software, out *command.Outbox) {
 	key := table.StreamKey(s)
 	if r.StreamOrigins.Find(key) == nil && r.StreamOrigins.Len() >= origin.MaxStreams {
@@ -130,7 +130,7 @@
 	if len(row.Versions) > 1 && len(h.Versions) <= 1 {
 		r.StreamRecord.Changed = true
 	}
-	h.Versions, h.RowVersion, h.HeldUntil = row.Versions, row.Version, now+newVersionDelay
+	h.Versions, h.RowVersion, h.AvoidedUntil = row.Versions, row.Version, now+newVersionDelay
 	r.PlanChanged = true
 	out.Add(command.LogChange{Message: "software versions of service recorded", Fields: []command.Field{
 		field("service", row.Service), field("versions", joinVersions(row.Versions)),
@@ -153,9 +153,9 @@
 	return strings.Join(texts, ",")
 }
 
-// holdsBack reports whether a stream that its caller may take up begins at a server only if no
+// avoidNewStreams reports whether a stream that its caller may resume begins at a server only if no
 // other will do: hosts that answer from the histories might not know its version yet.
-func holdsBack(now time.Duration, r *table.Rollout, s *table.Server) bool {
+func avoidNewStreams(now time.Duration, r *table.Rollout, s *table.Server) bool {
 	h := r.SoftwareHistories.Find(s.Service)
 	if h == nil {
 		return false
@@ -179,11 +179,11 @@
 	}
 	for _, service := range services {
 		h := history(r, service)
-		if h.HeldUntil != 0 && now >= h.HeldUntil {
-			h.HeldUntil, r.PlanChanged = 0, true
+		if h.AvoidedUntil != 0 && now >= h.AvoidedUntil {
+			h.AvoidedUntil, r.PlanChanged = 0, true
 		}
-		if h.HeldUntil != 0 {
-			out.WakeAt(h.HeldUntil)
+		if h.AvoidedUntil != 0 {
+			out.WakeAt(h.AvoidedUntil)
 		}
 		if check || h.ChangeSince != 0 {
 			writeHistory(now, r, service, h, ttl, out)
@@ -258,7 +258,7 @@
 	}
 }
 
-// expireStreams deletes the streams that can no longer be taken up.
+// expireStreams deletes the streams that can no longer be resumed.
 func expireStreams(now time.Duration, r *table.Rollout, ttl time.Duration) {
 	for key, s := range r.StreamOrigins.All() {
 		if now-s.SeenAt > ttl {
@@ -304,7 +304,7 @@
 }
 
 // streamRecordWritten applies the outcome of a write. The row of an earlier process of this host
-// holds streams that its callers may still take up: they are recorded again.
+// holds streams that its callers may still resume: they are recorded again.
 func streamRecordWritten(now time.Duration, r *table.Rollout, e event.StreamRecordWritten, out *command.Outbox) {
 	rec := &r.StreamRecord
 	rec.Writing = false
--- a/system/rollout/origins_test.go
+++ b/system/rollout/origins_test.go
@@ -44,17 +44,17 @@
 
 func streamOf(attempt string) origin.Stream { return origin.StreamOf("engines", attempt) }
 
-// takeUp runs a tick in which a caller takes up a stream, whose attempt is also the request id.
-func (w *world) takeUp(attempt string) []command.Command {
+// resume runs a tick in which a caller resumes a stream, whose attempt is also the request id.
+func (w *world) resume(attempt string) []command.Command {
 	return w.step(event.StreamOriginRequested{RequestID: attempt, Stream: streamOf(attempt)})
 }
 
 // TestOneVersionNeedsNoRecord guards against a store call for each stream, and for each stream
-// that is taken up, while a service has a single version.
+// that is resumed, while a service has a single version.
 func TestOneVersionNeedsNoRecord(t *testing.T) {
 	w := newStreamWorld(t, "v1")
 	commands := w.step(event.StreamBegan{Stream: streamOf("a"), Software: "v1"})
-	commands = append(commands, w.takeUp("b")...)
+	commands = append(commands, w.resume("b")...)
 	commands = append(commands, w.advance(3*time.Second)...)
 	require.Empty(t, commandsOf[command.WriteStreamRecord](commands))
 	require.Empty(t, commandsOf[command.ReadStreamOrigins](commands))
@@ -84,16 +84,16 @@
 	writes := commandsOf[command.WriteSoftwareHistory](append(commands, w.advance(time.Second)...))
 	require.NotEmpty(t, writes)
 	require.Equal(t, []registry.Software{"v1", "v2"}, writes[0].Versions)
-	require.True(t, w.holdsStreams("new"), "not recorded")
+	require.True(t, w.avoidsNewStreams("new"), "not recorded")
 
 	commands = w.step(w.historyRow("v1", "v2"))
-	require.True(t, w.holdsStreams("new"), "other hosts may not have read it")
-	require.False(t, w.holdsStreams("s0"))
+	require.True(t, w.avoidsNewStreams("new"), "other hosts may not have read it")
+	require.False(t, w.avoidsNewStreams("s0"))
 	records := commandsOf[command.WriteStreamRecord](append(commands, w.advance(50*time.Millisecond)...))
 	require.Len(t, records, 1)
 	require.Equal(t, origin.Record{streamOf("old"): "v1"}, records[0].Record)
 	w.advance(newVersionDelay)
-	require.False(t, w.holdsStreams("new"))
+	require.False(t, w.avoidsNewStreams("new"))
 
 	w.step(event.StreamRecordWritten{Stored: origin.Stored{Version: w.version()}})
 	records = commandsOf[command.WriteStreamRecord](w.step(event.StreamBegan{Stream: streamOf("fresh"), Software: "v2"}))
@@ -101,18 +101,18 @@
 	require.Equal(t, origin.Record{streamOf("old"): "v1", streamOf("fresh"): "v2"}, records[0].Record)
 }
 
-// holdsStreams reports whether new streams avoid a server in the published plan.
-func (w *world) holdsStreams(server string) bool {
+// avoidsNewStreams reports whether new streams avoid a server in the published plan.
+func (w *world) avoidsNewStreams(server string) bool {
 	plan := routingPlan(w.now, &w.tables.Rollout)
 	i := slices.IndexFunc(plan.Services["engines"], func(t *forward.Target) bool { return t.ID == server })
-	return plan.Services["engines"][i].HoldsStreams
+	return plan.Services["engines"][i].AvoidNewStreams
 }
 
-// TestTakenUpStreamIsLookedUp guards against a stream that is refused although a host recorded
+// TestResumedStreamIsLookedUp guards against a stream that is refused although a host recorded
 // it, that is guessed although none did, or for which its caller waits in vain.
-func TestTakenUpStreamIsLookedUp(t *testing.T) {
+func TestResumedStreamIsLookedUp(t *testing.T) {
 	w := newStreamWorld(t, "v1", "v2")
-	commands := append(w.takeUp("recorded"), w.takeUp("unknown")...)
+	commands := append(w.resume("recorded"), w.resume("unknown")...)
 	reads := commandsOf[command.ReadStreamOrigins](commands)
 	require.Len(t, reads, 1)
 	read := event.StreamOriginsRead{
@@ -151,11 +151,11 @@
 	require.Len(t, second, 1)
 	require.EqualValues(t, 77, second[0].Version)
 	require.Equal(t, origin.Record{streamOf("before"): "v1", streamOf("new"): "v2"}, second[0].Record)
-	require.Equal(t, []command.AnswerStreamOrigin{{RequestID: "before", Software: "v1"}}, commandsOf[command.AnswerStreamOrigin](w.takeUp("before")))
+	require.Equal(t, []command.AnswerStreamOrigin{{RequestID: "before", Software: "v1"}}, commandsOf[command.AnswerStreamOrigin](w.resume("before")))
 }
 
 // TestVersionLeavesTheHistory guards against a history that lists a version for good, or drops
-// it while its streams may still be taken up.
+// it while its streams may still be resumed.
 func TestVersionLeavesTheHistory(t *testing.T) {
 	w := newStreamWorld(t, "v1", "v2")
 	w.advance(missingGracePeriod) // records that are missing after that are gone
@@ -175,5 +175,5 @@
 	w.step(w.server("s0", software("v1")), w.server("s1", software("v2")))
 	commands := w.advance(2 * time.Second)
 	require.Empty(t, commandsOf[command.WriteSoftwareHistory](commands))
-	require.False(t, w.holdsStreams("s1"))
+	require.False(t, w.avoidsNewStreams("s1"))
 }
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -112,7 +112,7 @@
 	SeenAt   time.Duration // when this host last forwarded a first event of the stream
 }
 
-// StreamQuery is a request of a caller that takes a stream up and waits for the software
+// StreamQuery is a request of a caller that resumes a stream and waits for the software
 // version that began it.
 type StreamQuery struct {
 	Stream  origin.Stream
@@ -132,14 +132,14 @@
 
 // SoftwareHistory holds the software versions of a service of which streams may be open.
 type SoftwareHistory struct {
-	Versions    []registry.Software // as recorded in the store
-	RowVersion  uint64
-	Since       map[registry.Software]time.Duration // when this process read a version of Versions first
-	ServedAt    map[registry.Software]time.Duration // when a server had a version last
-	HeldUntil   time.Duration                       // until then a version of Versions is held back
-	ChangeSince time.Duration                       // since when Versions is to be changed, 0 if it is not
-	Writing     bool                                // a write of the row is under way
-	NextWrite   time.Duration                       // earliest time of the next write
+	Versions     []registry.Software // as recorded in the store
+	RowVersion   uint64
+	Since        map[registry.Software]time.Duration // when this process read a version of Versions first
+	ServedAt     map[registry.Software]time.Duration // when a server had a version last
+	AvoidedUntil time.Duration                       // until then new streams avoid a version of Versions
+	ChangeSince  time.Duration                       // since when Versions is to be changed, 0 if it is not
+	Writing      bool                                // a write of the row is under way
+	NextWrite    time.Duration                       // earliest time of the next write
 }
 
 // Presence is the state of writing the presence row of this host.
