system/rollout: the control loop does not spin while a history is written

A service gets a second software version: from the write of its history until the outcome (usually some ms, up to 1 s if the store is silent) each tick asked for the next one at a time that had passed, so the control loop ran without a pause. Found by reading. The outcome triggers a tick, so none is requested. TestPendingHistoryWriteDoesNotSpin failed before (wake-up at 2.04 s at 2.14 s).

--- a/system/rollout/origins_test.go
+++ b/system/rollout/origins_test.go
@@ -177,3 +177,17 @@
 	require.Empty(t, commandsOf[command.WriteSoftwareHistory](commands))
 	require.False(t, w.avoidsNewStreams("s1"))
 }
+
+// TestPendingHistoryWriteDoesNotSpin guards against a control loop that ticks without a pause
+// while the write of a history is under way.
+func TestPendingHistoryWriteDoesNotSpin(t *testing.T) {
+	w := newStreamWorld(t, "v1")
+	w.step(w.server("new", software("v2")))
+	w.advance(100 * time.Millisecond)
+	require.True(t, w.tables.Rollout.SoftwareHistories.Find("engines").Writing)
+	var out command.Outbox
+	StreamOrigins(w.now, w.tables, nil, &out)
+	if at, ok := out.Deadline(); ok {
+		require.Greater(t, at, w.now)
+	}
+}
--- a/system/rollout/software_history.go
+++ b/system/rollout/software_history.go
@@ -170,8 +170,11 @@
 	if h.ChangeSince == 0 {
 		h.ChangeSince = now
 	}
+	if h.Writing {
+		return // its outcome triggers a tick
+	}
 	due := max(h.NextWrite, h.ChangeSince+staggerDelay(r, service, handoverStaggerStep))
-	if h.Writing || now < due {
+	if now < due {
 		out.WakeAt(due)
 		return
 	}
