review: case 3, the items of an ended lot run again

Cause: a late creation leaves a second head of a lot, which becomes the only one when the lot is removed.

--- a/review/rig/cluster.go
+++ b/review/rig/cluster.go
@@ -61,6 +61,11 @@
 var running []*cluster
 
 func newCluster(record *recorder, hosts int, fenced bool) *cluster {
+	return newClusterWith(record, hosts, fenced, 120)
+}
+
+// newClusterWith returns a cluster with a time in seconds for which results are promised.
+func newClusterWith(record *recorder, hosts int, fenced bool, statusS int) *cluster {
 	dir, err := os.MkdirTemp("", "lavender-case")
 	if err != nil {
 		cannotRun("%v", err)
@@ -113,7 +118,7 @@
 bounds.passMs=120
 bounds.retryAfterS=0
 bounds.finishS=10
-bounds.statusS=120
+bounds.statusS=%d
 bounds.cancelMs=3000
 bounds.settleMs=1000
 bounds.quotaOverrun=0.1
@@ -132,7 +137,7 @@
 platform.blobBytes=8388608
 platform.blobMs=25.0
 platform.blobMbPerS=80.0
-`, h.name, h.ip, h.front(), h.ip, fenced, storeAddress)
+`, h.name, h.ip, h.front(), h.ip, statusS, fenced, storeAddress)
 		if err := os.WriteFile(filepath.Join(dir, h.name+".conf"), []byte(settings), 0o600); err != nil {
 			cannotRun("%v", err)
 		}
--- a/review/rig/large_commit.go
+++ b/review/rig/large_commit.go
@@ -17,6 +17,7 @@
 	events int
 	text   string
 	n      chan struct{}
+	onRun  func(server, attempt string)
 }
 
 func (s *streamer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -34,6 +35,9 @@
 		return
 	}
 	defer func() { <-s.n }()
+	if s.onRun != nil {
+		s.onRun(s.id, r.Header.Get("Attempt-Id"))
+	}
 	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 	w.Header().Set("Response-Stamp", "s."+r.Header.Get("Attempt-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -18,9 +18,10 @@
 var quickClient = &http.Client{Timeout: 2 * time.Second}
 
 var cases = map[string]func(*recorder, bool) (broken []string){
-	"extra-answer": extraAnswer,
-	"two-holders":  twoHolders,
-	"large-commit": largeCommit,
+	"extra-answer":  extraAnswer,
+	"two-holders":   twoHolders,
+	"late-creation": lateCreation,
+	"large-commit":  largeCommit,
 }
 
 func main() {
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -21,6 +21,10 @@
 	changed chan struct{}
 	blobs   map[string][]byte
 	start   time.Time
+	// late, if set, reports whether a write gets no answer and is done after lateDelay, if its
+	// condition still holds.
+	late    func(writes []row) bool
+	writes  int // write calls so far
 	refused int // calls refused because they exceed the limits of the page
 }
 
@@ -43,6 +47,7 @@
 	// A transaction is done in the middle of the time until its answer, 4 ms.
 	transactionTime = 2 * time.Millisecond
 	answerTime      = 2 * time.Millisecond
+	lateDelay       = 3 * time.Second
 	maxEntries      = 100
 	maxCallBytes    = 1 << 20
 )
@@ -86,11 +91,20 @@
 	}
 	time.Sleep(transactionTime)
 	s.mu.Lock()
-	held := true
-	for _, e := range in.Expected {
-		held = held && s.rows[e.id()].Version == e.Version
+	s.writes++
+	if s.late != nil && s.late(in.Writes) { // the channel delivers nothing further
+		s.mu.Unlock()
+		time.AfterFunc(lateDelay, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.holds(in.Expected) {
+				s.apply(in.Writes, in.Remove)
+			}
+		})
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
 	}
-	if !held {
+	if !s.holds(in.Expected) {
 		var current []row
 		for _, e := range in.Expected {
 			if c, ok := s.rows[e.id()]; ok {
@@ -111,6 +125,16 @@
 	reply(w, http.StatusOK, map[string]any{"rowVersion": version, "nowMs": s.now()})
 }
 
+// holds reports whether all rows have the versions that a call expects.
+func (s *store) holds(expected []row) bool {
+	for _, e := range expected {
+		if s.rows[e.id()].Version != e.Version {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *store) apply(writes, remove []row) {
 	s.version++
 	for _, p := range writes {
