lot, system/rollout: a lot is deleted with the heads of late creations

Seen: a lot was accepted, run, read and ended.

Cause: an attempt to create the lot whose response was lost was applied 3 s later and left a head in another candidate partition. The head that was created first is authoritative only as long as it exists. Delete deleted it alone, so the late head was then the only one: an open lot without an owner.

Related paths: the deletion of a superseded head reached all hosts as the deletion of the lot, because a deleted row did not name its partition; a deletion that failed was tried again before all others; a deleted lot could stay in memory if the history was dropped; a deletion by a host that knows only a later head is refused.

--- a/event/rollout.go
+++ b/event/rollout.go
@@ -27,9 +27,11 @@
 	BackendDrainPeriod  time.Duration
 }
 
-// LotDeleted is the outcome of the deletion of an old lot.
+// LotDeleted is the outcome of the deletion of an old lot. Version is the version that its
+// head had.
 type LotDeleted struct {
 	ID      string
+	Version uint64
 	Failure *Failure
 }
 
@@ -57,8 +59,8 @@
 	Full    bool
 }
 
-// HeadRow is the head of a lot as read from the store. Only ID and Version are set in a
-// deleted row.
+// HeadRow is the head of a lot as read from the store. The head of a deleted row has only a
+// CandidateIndex.
 type HeadRow struct {
 	ID      string
 	Head    lot.Head
--- a/executor/feed_test.go
+++ b/executor/feed_test.go
@@ -80,6 +80,25 @@
 	require.Len(t, full.Heads, 2)
 }
 
+// TestDeletedHeadNamesItsPartition guards against a deleted head of a later creation that is
+// taken for the deletion of the lot.
+func TestDeletedHeadNamesItsPartition(t *testing.T) {
+	rows := pamoja.NewStore()
+	events := runFeed(t, rows)
+	require.True(t, next[event.HeadsRead](t, events).Full)
+	for candidate := range 3 {
+		h := lot.HeadRow(lot.Head{ID: "l", CandidateIndex: candidate, WriteID: "w"})
+		_, err := rows.Commit(context.Background(), store.Commit{Put: []store.Row{h}})
+		require.NoError(t, err)
+		require.False(t, next[event.HeadsRead](t, events).Heads[0].Deleted)
+		_, err = rows.Commit(context.Background(), store.Commit{Delete: []store.Key{h.Key}})
+		require.NoError(t, err)
+		deleted := next[event.HeadsRead](t, events).Heads[0]
+		require.True(t, deleted.Deleted)
+		require.Equal(t, candidate, deleted.Head.CandidateIndex)
+	}
+}
+
 // putHeadAndClearFault writes a head and drops the history while reads are still refused,
 // then clears the fault. The feed cannot read between the write and the loss of history.
 func putHeadAndClearFault(t *testing.T, rows *pamoja.Store, id string) {
--- a/executor/store.go
+++ b/executor/store.go
@@ -90,7 +90,7 @@
 	ctx, cancel := context.WithTimeout(ctx, deleteTimeout)
 	defer cancel()
 	err := repo.Delete(ctx, lot.StoredHead{Head: c.Head, Version: c.Version})
-	return event.LotDeleted{ID: c.Head.ID, Failure: event.FailureOf(err)}
+	return event.LotDeleted{ID: c.Head.ID, Version: c.Version, Failure: event.FailureOf(err)}
 }
 
 // WriteOrderLease executes command.WriteOrderLease.
@@ -139,6 +139,9 @@
 		}
 		h, ok := lot.ParseHead(r)
 		appendUnreadable(ok, r, &events)
+		if r.Deleted {
+			h.CandidateIndex, _ = lot.CandidateIndex(r.Key)
+		}
 		if ok || r.Deleted {
 			heads.Heads = append(heads.Heads, event.HeadRow{ID: id, Head: h, Version: r.Version, Deleted: r.Deleted})
 		}
--- a/lot/repository.go
+++ b/lot/repository.go
@@ -200,7 +200,7 @@
 	var first *StoredHead
 	for candidate := range headCandidates {
 		row := c.Find(HeadKey(h.ID, candidate))
-		if row == nil || row.Version == 0 || row.Deleted {
+		if !exists(row) {
 			continue
 		}
 		current, ok := ParseHead(*row)
--- a/lot/rows.go
+++ b/lot/rows.go
@@ -81,6 +81,19 @@
 	return name[len(headPrefix):]
 }
 
+// CandidateIndex returns the index of the candidate partition in which a head with the given
+// key is stored. ok is false if the key is not that of a head in one of its candidate
+// partitions.
+func CandidateIndex(k store.Key) (candidate int, ok bool) {
+	id := HeadID(k.Name)
+	for candidate := range headCandidates {
+		if id != "" && HeadKey(id, candidate) == k {
+			return candidate, true
+		}
+	}
+	return 0, false
+}
+
 // bodyRows splits an encoded submission into rows.
 func bodyRows(part string, data []byte) []store.Row { return chunkRows(tableBodies, part, "", data) }
 
--- a/system/rollout/lots.go
+++ b/system/rollout/lots.go
@@ -188,7 +188,8 @@
 func applyHead(now time.Duration, t *table.Tables, h *event.HeadRow, out *command.Outbox) {
 	r := &t.Rollout
 	if h.Deleted {
-		if l := r.Lots.Find(h.ID); l != nil && h.Version > l.Version {
+		// The deletion of a head that another one supersedes does not delete the lot.
+		if l := r.Lots.Find(h.ID); l != nil && h.Version > l.Version && h.Head.CandidateIndex == l.Head.CandidateIndex {
 			dropLot(t, l, out)
 			r.Lots.Delete(h.ID)
 			r.LotsChanged = true
--- a/system/rollout/retention.go
+++ b/system/rollout/retention.go
@@ -19,6 +19,8 @@
 	// deleteInterval is the minimum time between two deletions. It is far shorter than the
 	// time between two submissions, so that deletions keep up with them.
 	deleteInterval = 200 * time.Millisecond
+	// deleteRetryDelay is the wait before a lot that could not be deleted is tried again.
+	deleteRetryDelay = 5 * time.Second
 )
 
 // Retention removes old lots from the store. Only the holder of the order lease does so,
@@ -30,6 +32,7 @@
 	for _, e := range in {
 		if d, ok := e.(event.LotDeleted); ok {
 			r.Deleting, r.NextDelete = false, now+deleteInterval
+			applyDeletion(now, r, d)
 			logDeleted(d, out)
 		}
 	}
@@ -44,6 +47,10 @@
 		if l.Stage != table.LotNotOwned || l.Head.Open() || !headConfirmed(r, l) || now-l.VersionSeenAt < keep {
 			continue
 		}
+		if now < l.RetryAt {
+			out.WakeAt(l.RetryAt)
+			continue
+		}
 		if now < r.NextDelete {
 			out.WakeAt(r.NextDelete)
 			return
@@ -54,6 +61,21 @@
 	}
 }
 
+// applyDeletion forgets a lot that was deleted. A lot that could not be deleted is tried
+// again later, so that one whose partition is unavailable does not delay the others.
+func applyDeletion(now time.Duration, r *table.Rollout, d event.LotDeleted) {
+	l := r.Lots.Find(d.ID)
+	switch {
+	case l == nil || l.Version != d.Version:
+		return // changed during the deletion
+	case d.Failure != nil:
+		l.RetryAt = now + deleteRetryDelay
+	default:
+		r.Lots.Delete(d.ID)
+		r.LotsChanged = true
+	}
+}
+
 func logDeleted(d event.LotDeleted, out *command.Outbox) {
 	if d.Failure == nil {
 		out.Add(command.LogChange{Message: "old lot deleted", Fields: []command.Field{field("lot", d.ID)}})
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -246,7 +246,7 @@
 	Write          *LotWrite       // the write that is prepared or in flight, nil if there is none
 	LastWriteAt    time.Duration   // when the last write began
 	LastProgressAt time.Duration   // when the last write with progress of items began
-	RetryAt        time.Duration   // earliest time of the next adoption or write after a failure
+	RetryAt        time.Duration   // earliest time of the next adoption, write or deletion after a failure
 	Releasing      bool            // the runs have been stopped for a planned handover
 }
 
