memory: one budget for the bytes that all requests of a host hold

Seen (report of another operator, shown here by a test): a server sends answers without end. Each stays within its bound of 8 MiB, all together do not: a host with 60 callers there and 20 callers with bodies of 6 MB had a peak of 650 MB after 8 s; the smallest hosts in use have 184 MB. The process ends, and the requests of all callers with it.

Cause: every bound was per request. Also for request bodies, submissions, events, outputs of items, reports and calls relayed for other hosts.

Change: package memory. Requests reserve what they hold beyond 64 KiB from a budget of 35% of limits.memoryMb before they allocate it; one server has at most a quarter. A body without room is refused as not run, at once, with a time to come back.

--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -25,6 +25,7 @@
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/frontend"
 	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/memory"
 	"github.com/lavenderstand/lavenderstand/orderlease"
 	"github.com/lavenderstand/lavenderstand/peer"
 	"github.com/lavenderstand/lavenderstand/permit"
@@ -88,6 +89,7 @@
 	storeHTTP        *http.Client
 	backends         *platform.BackendClient
 	permits          *permit.Client
+	memory           *memory.Budget // of all requests
 	reporter         *quarantine.Reporter
 	repository       *lot.Repository
 	service          *frontend.Service
@@ -130,6 +132,7 @@
 	h.metrics = telemetry.NewMetrics(map[string]string{"host": d.Host}, func(err error) {
 		h.log.Warn("metric could not be registered", zap.Error(err))
 	})
+	h.memory = limitMemory(d.MemoryMB)
 	h.buildClients()
 	h.registerExecutors()
 	return h
@@ -164,7 +167,7 @@
 		OnFailure: func(host string, err error) { h.count("suspect_report_failed", verdict.ReasonOf(err)) },
 	}
 	forwarder := &forward.Forwarder{
-		Plans: new(forward.AtomicPlan), Sender: h.backends, Permits: h.permits, ServerEnded: h.backends.Ended, Log: h.log, Rand: rand.Float64, Count: h.count,
+		Plans: new(forward.AtomicPlan), Sender: h.backends, Permits: h.permits, Memory: h.memory, ServerEnded: h.backends.Ended, Log: h.log, Rand: rand.Float64, Count: h.count,
 		Origins: localOrigins{h},
 		Report:  func(o forward.Outcome) { h.inbox.Post(event.ServerOutcome{Outcome: o}) },
 	}
@@ -244,7 +247,7 @@
 	h.registerOriginExecutors()
 	control.HandleNow(h.dispatcher, func(c command.AnswerPermit) { h.waiters.Answer(c.RequestID, c) })
 	control.HandleNow(h.dispatcher, func(c command.AnswerHostView) { h.waiters.Answer(c.RequestID, c) })
-	runs := &executor.Runs{Ctx: h.ctx, Sender: h.backends, Permits: h.permits, Deliver: h.inbox.Deliver, SetUrgency: platform.SetUrgency}
+	runs := &executor.Runs{Ctx: h.ctx, Sender: h.backends, Permits: h.permits, Memory: h.memory, Deliver: h.inbox.Deliver, SetUrgency: platform.SetUrgency}
 	control.HandleNow(h.dispatcher, runs.Start)
 	control.HandleNow(h.dispatcher, runs.Stop)
 	control.Handle(h.dispatcher, maxConcurrentScores, func(ctx context.Context, c command.ScoreItem) event.Event {
--- a/cmd/lavender-host/serve.go
+++ b/cmd/lavender-host/serve.go
@@ -104,7 +104,7 @@
 		return err
 	}
 	server := grpc.NewServer(grpc.UnaryInterceptor(peer.RecoverInterceptor(h.log)))
-	peerpb.RegisterStoreServer(server, &peer.StoreServer{Store: h.repository.Cache.CachingClient(h.directStore)})
+	peerpb.RegisterStoreServer(server, &peer.StoreServer{Store: h.repository.Cache.CachingClient(h.directStore), Memory: h.memory})
 	peerpb.RegisterPermitsServer(server, &peer.PermitServer{Granter: localPermits{h}})
 	peerpb.RegisterQuarantineServer(server, &peer.QuarantineServer{Receiver: localReceiver{h}})
 	g.Add(func() error { return server.Serve(l) }, func(error) { server.Stop() })
--- a/executor/run.go
+++ b/executor/run.go
@@ -14,6 +14,7 @@
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/memory"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -38,6 +39,7 @@
 	Ctx     context.Context // ends all runs
 	Sender  forward.Sender
 	Permits forward.Permits
+	Memory  *memory.Budget // bounds the bytes that all runs and requests hold together
 	Deliver func(context.Context, event.Event) error
 	// SetUrgency sets the header that carries the priority of a run.
 	SetUrgency func(h http.Header, urgency int)
@@ -92,6 +94,7 @@
 	outcome    event.RunEnded          // holds the events that have not been reported yet
 	eventCount int                     // number of events received
 	bytes      int                     // size of these events
+	account    *memory.Account         // holds these events
 	intervals  []time.Duration         // newest times between two events, at most intervalWindow
 	lastAt     time.Time               // arrival of the last event
 	reportedAt time.Time               // start of the run or last progress report
@@ -103,6 +106,9 @@
 		cmd: c, outcome: event.RunEnded{Key: c.Key, Run: c.Run, Server: c.Target.ID, Model: c.Model}, reportedAt: time.Now(),
 		deliver: func(e event.Event) error { return r.Deliver(ctx, e) },
 	}
+	scope := r.Memory.Scope()
+	defer scope.Close()
+	u.account = scope.Open(&c.Target.Load.Held)
 	stopped := func() bool { return errors.Is(context.Cause(ctx), errStopped) }
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -120,7 +126,7 @@
 	end, _ := ctx.Deadline()
 	c.Target.Load.InFlight.Add(1)
 	defer c.Target.Load.InFlight.Add(-1)
-	stream, err := r.open(ctx, c.Target, r.newRequest(c), c.AfterEvent, time.Until(end))
+	stream, err := r.open(ctx, c.Target, r.newRequest(c, scope), c.AfterEvent, time.Until(end))
 	if err == nil {
 		defer stream.Close()
 		u.outcome.Version = stream.Version()
@@ -146,7 +152,7 @@
 }
 
 // newRequest returns the request of an item, with the priority of the run in its header.
-func (r *Runs) newRequest(c command.StartRun) *forward.Request {
+func (r *Runs) newRequest(c command.StartRun, scope *memory.Scope) *forward.Request {
 	h := make(http.Header, len(c.Spec.Headers)+2)
 	for name, value := range c.Spec.Headers {
 		h.Set(name, value)
@@ -154,7 +160,7 @@
 	r.SetUrgency(h, c.Priority)
 	return &forward.Request{
 		ID: c.Spec.ID, Method: http.MethodPost, Host: c.Host, Path: c.Spec.Path, Target: c.Spec.Path,
-		Header: h, Body: c.Spec.Body,
+		Header: h, Body: c.Spec.Body, Memory: scope,
 	}
 }
 
@@ -203,6 +209,9 @@
 	if u.bytes += len(e.Data); u.bytes > maxOutputBytes {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "output exceeds %d bytes", maxOutputBytes)
 	}
+	if err := u.account.Resize(int64(u.bytes)); err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonOf(err), "output of %d bytes", u.bytes)
+	}
 	u.outcome.Events = append(u.outcome.Events, e.Data)
 	u.outcome.Versions = lot.AddVersion(u.outcome.Versions, e.Version)
 	u.reportProgress()
@@ -243,9 +252,11 @@
 // Score sends the scoring request of an item. The score is the stamp of the response.
 func Score(ctx context.Context, f *forward.Forwarder, c command.ScoreItem) event.Event {
 	ended := event.ScoreEnded{Key: c.Key}
+	scope := f.MemoryScope()
+	defer scope.Close()
 	answer, err := f.Forward(ctx, &forward.Request{
 		ID: c.Scorer.ID, Method: http.MethodPost, Host: c.Scorer.Host, Path: c.Scorer.Path,
-		Target: c.Scorer.Path, Body: c.Scorer.Body, Background: true,
+		Target: c.Scorer.Path, Body: c.Scorer.Body, Background: true, Memory: scope,
 	})
 	if err != nil {
 		ended.Failure = event.FailureOf(err)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lavenderstand/lavenderstand/desired"
+	"github.com/lavenderstand/lavenderstand/memory"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -35,6 +36,8 @@
 	Sender Sender
 	// Permits grants permits for servers that name a request limit.
 	Permits Permits
+	// Memory bounds the bytes that all requests hold together. Nil means no bound.
+	Memory *memory.Budget
 	// ServerEnded reports whether a server has ended, after the connection with a request was
 	// lost. Nil means that it is not known.
 	ServerEnded func(ctx context.Context, to *Target) bool
@@ -60,6 +63,10 @@
 	return plan, route, nil
 }
 
+// MemoryScope returns the scope in which a request reserves the bytes that it holds. The
+// caller closes it when the answer has been written.
+func (f *Forwarder) MemoryScope() *memory.Scope { return f.Memory.Scope() }
+
 // Forward sends a request and returns the response of one server, or an error whose verdict
 // says whether the request may have run.
 func (f *Forwarder) Forward(ctx context.Context, r *Request) (*Answer, error) {
@@ -393,12 +400,23 @@
 	}
 	c.f.Report(Outcome{
 		Request: c.r.ID, Server: res.target.ID, Answered: res.err == nil, Took: res.took,
-		Failed:  failed && reason != verdict.ReasonBackendRefused && reason != verdict.ReasonCanceled && reason != verdict.ReasonServerLimit,
+		Failed:  failed && !blameless(reason),
 		Refused: reason == verdict.ReasonBackendRefused, Leaving: reason == verdict.ReasonBackendLeaving,
 		Limit: res.target.Load.Limit(), Ended: res.ended, EndedServers: len(c.ended), Content: c.r.content(),
 	})
 }
 
+// blameless reports whether the failure of an attempt for a reason says nothing about the
+// health of the server.
+func blameless(reason verdict.Reason) bool {
+	switch reason {
+	case verdict.ReasonBackendRefused, verdict.ReasonCanceled, verdict.ReasonServerLimit, verdict.ReasonMemory:
+		return true
+	default:
+		return false
+	}
+}
+
 // log writes one log line for the request, with its route, attempts and outcome.
 func (c *call) log(answer *Answer, err error) {
 	fields := []zap.Field{
--- a/forward/types.go
+++ b/forward/types.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/desired"
+	"github.com/lavenderstand/lavenderstand/memory"
 	"github.com/lavenderstand/lavenderstand/registry"
 )
 
@@ -36,6 +37,8 @@
 	// Background is set for requests that no caller waits for. They do not take places in
 	// the queues of servers.
 	Background bool
+	// Memory holds the bytes that are kept for the request. Nil means no bound.
+	Memory *memory.Scope
 }
 
 // Answer is the complete response of a backend server.
@@ -105,6 +108,7 @@
 	reportedAt atomic.Int64  // time of the last report, Unix nanoseconds
 	response   atomic.Int64  // smoothed response time, nanoseconds
 	measuredAt atomic.Int64  // time of the last measurement of response, Unix nanoseconds
+	Held       memory.Holder // bytes of answers and streams of the server that this process holds
 	suspects   atomic.Int32  // requests in flight under which another server ended
 	fullUntil  atomic.Int64  // time until which the server is sent nothing after a refusal, Unix nanoseconds
 	limit      atomic.Uint64 // requests per second that the server takes from all hosts, bits of a float64, 0 if it named no limit
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -67,6 +67,13 @@
 	return route, err
 }
 
+// LogRefusal records that a request was refused while its body was read.
+func (s *Service) LogRefusal(requestID string, err error) {
+	s.Count("refused", verdict.ReasonOf(err))
+	s.Log.Info("request refused", zap.String("request", requestID), zap.Stringer("verdict", verdict.Of(err)),
+		zap.String("reason", string(verdict.ReasonOf(err))), zap.String("error", verdict.Message(err)))
+}
+
 // Limits returns the limits of the desired state. They are zero until the first desired
 // state is known.
 func (s *Service) Limits() desired.Limits {
--- a/peer/store.go
+++ b/peer/store.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/lavenderstand/lavenderstand/memory"
 	"github.com/lavenderstand/lavenderstand/peer/peerpb"
 	"github.com/lavenderstand/lavenderstand/store"
 	"github.com/lavenderstand/lavenderstand/verdict"
@@ -16,11 +17,31 @@
 // StoreServer relays calls to the store for hosts that the store does not serve.
 type StoreServer struct {
 	peerpb.UnimplementedStoreServer
-	Store store.Client
+	Store  store.Client
+	Memory *memory.Budget // bounds the bytes that relayed calls hold together with other requests
+}
+
+// relayedCallBytes is the memory of a relayed call: the rows as read from one side and as
+// encoded for the other.
+const relayedCallBytes = 2 << 20
+
+// reserve reserves the memory of a call, until its scope is closed.
+func (s *StoreServer) reserve() (*memory.Scope, error) {
+	scope := s.Memory.Scope()
+	if err := scope.Open(nil).Resize(relayedCallBytes); err != nil {
+		scope.Close()
+		return nil, storeStatus(err)
+	}
+	return scope, nil
 }
 
 // Commit implements peerpb.StoreServer.
 func (s *StoreServer) Commit(ctx context.Context, r *peerpb.StoreCommitRequest) (*peerpb.StoreCommitResponse, error) {
+	scope, err := s.reserve()
+	if err != nil {
+		return nil, err
+	}
+	defer scope.Close()
 	c := store.Commit{Put: storeRowsFromProto(r.Put)}
 	for _, e := range storeRowsFromProto(r.Expect) {
 		c.Conditions = append(c.Conditions, store.Condition{Key: e.Key, Version: e.Version})
@@ -41,6 +62,11 @@
 
 // Read implements peerpb.StoreServer.
 func (s *StoreServer) Read(ctx context.Context, r *peerpb.StoreReadRequest) (*peerpb.StoreRange, error) {
+	scope, err := s.reserve()
+	if err != nil {
+		return nil, err
+	}
+	defer scope.Close()
 	return storeRangeToProto(s.Store.Read(ctx, r.Table, r.Part, r.From, int(r.Limit)))
 }
 
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -16,6 +16,7 @@
 	PeerPorts  [2]int // first and last of the ports for calls between hosts
 	Store      string // address of the store
 	MilliCores int    // processor share in thousandths of a core
+	MemoryMB   int    // memory limit of the process in MB; 0 if unknown
 	FirstStart bool
 	StoreReads float64 // reads per second that the store serves to all hosts together; 0 if unknown
 	Bounds     Bounds
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -75,6 +75,7 @@
 	requestLimit float64                // that each backend server names, 0 for none
 	arrivals     map[string][]time.Time // of requests, by backend server
 	stateVersion uint64
+	moreSettings string // further lines of the settings files of all hosts
 }
 
 // host is a lavender-host process and the proxy between it and the store.
@@ -88,14 +89,15 @@
 	stopped            bool
 }
 
-func newCluster(t *testing.T, seed uint64) *cluster { return newClusterOf(t, seed, eventsPerItem) }
+func newCluster(t *testing.T, seed uint64) *cluster { return newClusterOf(t, seed, eventsPerItem, "") }
 
-// newClusterOf returns a cluster whose texts have a number of events.
-func newClusterOf(t *testing.T, seed uint64, textEvents int) *cluster {
+// newClusterOf returns a cluster whose texts have a number of events and whose hosts have
+// further lines in their settings.
+func newClusterOf(t *testing.T, seed uint64, textEvents int, moreSettings string) *cluster {
 	c := &cluster{
 		t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(seed, 1)), store: pamoja.NewStore(),
 		versions: make(map[string]int), faulty: make(map[string]bool), unregistered: make(map[string]bool), draining: make(map[string]bool),
-		software: make(map[string]string), servers: make(map[string]*httptest.Server), textEvents: textEvents, arrivals: make(map[string][]time.Time),
+		software: make(map[string]string), servers: make(map[string]*httptest.Server), textEvents: textEvents, moreSettings: moreSettings, arrivals: make(map[string][]time.Time),
 		ledger: ledger{runs: make(map[string][]pamoja.Run)},
 	}
 	e := echo.New()
@@ -242,10 +244,11 @@
 		"routes": []map[string]any{
 			route("lots", "/lots/", "rollout", "engines"), route("scores", "/scores/", "safe", "app"),
 			route("calls", "/calls/", "safe", "app"), route("once", "/once/", "unsafe", "app"),
+			route("endless", "/endless/", "safe", "endless"), route("endless-streams", "/endless-streams/", "streaming", "endless"),
 			streams,
 		},
 		"services": []map[string]any{
-			{"name": "engines", "engine": map[string]any{"models": []map[string]any{{"name": "m"}}}}, {"name": "app"},
+			{"name": "engines", "engine": map[string]any{"models": []map[string]any{{"name": "m"}}}}, {"name": "app"}, {"name": "endless"},
 		},
 	}))
 }
@@ -276,7 +279,7 @@
 	text := fmt.Sprintf("node=%s\nzone=z\nipAddress=%s\nlisten.front=%s\nlisten.ready=%s:8141\ninternalPorts=7380,7395\nplatform.address=%s\n",
 		h.name, ip, h.frontAddress, ip, h.proxy.address())
 	h.settings = filepath.Join(c.dir, h.name+".conf")
-	require.NoError(c.t, os.WriteFile(h.settings, []byte(text), 0o600))
+	require.NoError(c.t, os.WriteFile(h.settings, []byte(text+c.moreSettings), 0o600))
 	c.start(h)
 	c.t.Cleanup(func() {
 		_ = h.cmd.Process.Kill()
--- a/soak/versions_test.go
+++ b/soak/versions_test.go
@@ -159,7 +159,7 @@
 // are continued at a server of another software version than the one that began them, also
 // after all hosts have lost what they knew, and against hosts that refuse to continue them.
 func TestStreamsJoinedFromTwoSoftwareVersions(t *testing.T) {
-	c := newClusterOf(t, 1, versionsTextEvents)
+	c := newClusterOf(t, 1, versionsTextEvents, "")
 	for _, h := range c.hosts {
 		require.Eventually(t, func() bool { return c.ready(h) }, 10*time.Second, 50*time.Millisecond, h.name)
 	}
