forward, lavender-host: late requests of a planned stop are refused or answered

Seen (report of another operator, shown here by a test): requests that arrive 3 to 7 s after SIGTERM are passed on to a server and cut at the end of the grace period without an answer, non-idempotent ones among them.

Cause: the host serves on while lots wait to be handed over, up to 5.2 s after SIGTERM, with kept connections, and no request's deadline was compared with the time left. Evidence: in calm the hand-over ends at 3 s and nothing is cut; with a store that refuses calls, requests sent 4.0 to 5.0 s after SIGTERM are cut at 7.31 s.

Change: from 3 s on, a request is accepted only if its deadline passes before the end; one that was accepted earlier has its answer by then. Answers ask to close the connection from SIGTERM on. Control and the feeds end after the servers, since requests in flight need a current plan and permits, and relayed calls of other hosts are completed.

--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -107,14 +107,16 @@
 	defer h.close()
 	h.log.Info("started", zap.String("store", d.Store), zap.String("front", d.Front), zap.Bool("first_start", d.FirstStart))
 	var g run.Group
-	h.addControl(&g)
-	h.addFeeds(&g)
+	// Actors are interrupted in this order: control and feeds go on while requests in flight
+	// are completed, because these need a current plan and permits.
 	if err := h.addServers(&g); err != nil {
 		return err
 	}
 	if err := h.addPeers(&g); err != nil {
 		return err
 	}
+	h.addFeeds(&g)
+	h.addControl(&g)
 	h.addSignals(&g, path)
 	err = g.Run()
 	h.log.Info("stopped", zap.Uint64("log_lines_dropped", h.logOutput.Dropped()))
--- a/cmd/lavender-host/serve.go
+++ b/cmd/lavender-host/serve.go
@@ -45,7 +45,7 @@
 func (h *host) addServers(g *run.Group) error {
 	errorLog := log.New(zap.NewStdLog(h.log).Writer(), "", 0)
 	timeouts := &frontend.ConnTimeouts{Limits: h.service.Limits}
-	frontServer := &http.Server{Handler: platform.NewHandler(h.service), ConnState: timeouts.ConnState, ErrorLog: errorLog} //nolint:gosec // timeouts bounds the time for the header
+	frontServer := &http.Server{Handler: h.closeWhileStopping(platform.NewHandler(h.service)), ConnState: timeouts.ConnState, ErrorLog: errorLog} //nolint:gosec // timeouts bounds the time for the header
 	checks := http.NewServeMux()
 	checks.HandleFunc(platform.ReadinessPath, h.handleReadiness)
 	checkServer := &http.Server{Handler: checks, ReadHeaderTimeout: adminHeaderTimeout, IdleTimeout: adminIdleTimeout, ErrorLog: errorLog}
@@ -71,6 +71,18 @@
 	return nil
 }
 
+// closeWhileStopping asks callers to use their connections no further once a graceful
+// shutdown has begun. Connections that are idle at its end could otherwise be closed in the
+// moment in which a request arrives.
+func (h *host) closeWhileStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.service.Stopping() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // operatorHandler serves the metrics and the host view, which shows the host's own state.
 func (h *host) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -107,10 +119,26 @@
 	peerpb.RegisterStoreServer(server, &peer.StoreServer{Store: h.repository.Cache.CachingClient(h.directStore), Memory: h.memory})
 	peerpb.RegisterPermitsServer(server, &peer.PermitServer{Granter: localPermits{h}})
 	peerpb.RegisterQuarantineServer(server, &peer.QuarantineServer{Receiver: localReceiver{h}})
-	g.Add(func() error { return server.Serve(l) }, func(error) { server.Stop() })
+	g.Add(func() error { return server.Serve(l) }, func(error) { h.stopPeers(server) })
 	return nil
 }
 
+// stopPeers completes the calls of other hosts that are in flight, at most until the end of
+// the grace period.
+func (h *host) stopPeers(server *grpc.Server) {
+	cut := time.AfterFunc(time.Until(h.stopLimit()), server.Stop)
+	defer cut.Stop()
+	server.GracefulStop()
+}
+
+// stopLimit returns the time by which a shutdown must have completed what is in flight.
+func (h *host) stopLimit() time.Time {
+	if planned := h.stopBy.Load(); planned != nil {
+		return *planned
+	}
+	return time.Now().Add(h.currentSettings().Bounds.GracePeriod - stopMargin)
+}
+
 // localPermits grants the permits of this host.
 type localPermits struct{ host *host }
 
@@ -142,11 +170,7 @@
 // shutdown closes idle connections and waits for requests in flight, at most until the end
 // of the grace period.
 func (h *host) shutdown(s *http.Server) {
-	limit := time.Now().Add(h.currentSettings().Bounds.GracePeriod - stopMargin)
-	if planned := h.stopBy.Load(); planned != nil {
-		limit = *planned
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	ctx, cancel := context.WithDeadline(context.Background(), h.stopLimit())
 	defer cancel()
 	if err := s.Shutdown(ctx); err != nil {
 		h.log.Warn("requests cut off at the end of the grace period", zap.Error(err))
@@ -165,9 +189,10 @@
 // servers down, which complete the requests in flight.
 func (h *host) stop() error {
 	h.log.Info("stopping")
-	stopBy := time.Now().Add(h.currentSettings().Bounds.GracePeriod - stopMargin)
+	now := time.Now()
+	stopBy := now.Add(h.currentSettings().Bounds.GracePeriod - stopMargin)
 	h.stopBy.Store(&stopBy)
-	h.service.Drain()
+	h.service.BeginStop(now.Add(balancerDrainDelay), stopBy)
 	if err := h.inbox.Deliver(h.ctx, event.DrainRequested{}); err != nil {
 		return err
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,6 +48,8 @@
 	Count       func(name string, reason verdict.Reason)
 	Log         *zap.Logger
 	Rand        func() float64 // returns uniform random numbers in [0, 1), used to break ties
+
+	stopping atomic.Pointer[stopTimes] // nil unless a graceful shutdown has begun
 }
 
 // Route returns the current plan and the route of a request. The error has the verdict not
@@ -74,7 +77,12 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithDeadline(ctx, requestDeadline(r, route))
+	end := requestDeadline(r, route)
+	if err := f.CheckStop(end); err != nil && !r.Background {
+		f.Count("refused", verdict.ReasonOf(err))
+		return nil, err
+	}
+	ctx, cancel := context.WithDeadline(ctx, f.beforeStop(end))
 	defer cancel()
 	c := &call{
 		f: f, r: r, route: route, service: route.Service(r.ID), idempotent: route.Kind == desired.KindIdempotent,
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -40,7 +40,12 @@
 		f.Count("refused", verdict.ReasonOf(err))
 		return err
 	}
-	ctx, cancel := context.WithDeadline(ctx, requestDeadline(r, route))
+	end := requestDeadline(r, route)
+	if err := f.CheckStop(end); err != nil {
+		f.Count("refused", verdict.ReasonOf(err))
+		return err
+	}
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	s := &streamCall{f: f, r: r, route: route, w: w, tried: make(map[string]int), lastEventID: r.ResumeAfter}
 	if err = s.findOrigin(ctx); err == nil {
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -45,17 +45,13 @@
 	PeerReader func(address string) lot.Reader // reads results from the cache of another host
 	Log        *zap.Logger
 
-	draining atomic.Bool
-	writes   atomic.Uint64
+	writes atomic.Uint64
 }
 
-// Drain makes the host refuse new submissions. It still serves requests.
-func (s *Service) Drain() { s.draining.Store(true) }
-
 // Ready reports whether the host has received a desired state and is not draining.
 func (s *Service) Ready() bool {
 	plan := s.Plans.Load()
-	return !s.draining.Load() && plan != nil && plan.Desired != nil
+	return !s.Stopping() && plan != nil && plan.Desired != nil
 }
 
 // Route returns the route of a request.
@@ -87,7 +83,7 @@
 // nil if the lot is already stored, so a submission may be repeated. An error with the
 // verdict not run guarantees that no item of the submission runs.
 func (s *Service) Accept(ctx context.Context, sub *lot.Submission) error {
-	if s.draining.Load() {
+	if s.Stopping() {
 		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "this host is draining and accepts no submissions")
 	}
 	if known, ok, _ := s.Lots.lot(sub.ID); ok {
@@ -154,6 +150,9 @@
 // Results returns a page of the results of a lot, starting at position after. If there are
 // none yet, it waits for them for up to wait.
 func (s *Service) Results(ctx context.Context, id string, after int, wait time.Duration) (lot.Page, error) {
+	if err := s.CheckStop(time.Now().Add(wait + 2*readTimeout)); err != nil {
+		return lot.Page{}, s.readFailure(id, err)
+	}
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
@@ -250,11 +249,17 @@
 		return err
 	}
 	s.Log.Info("lot could not be read", zap.String("lot", id), zap.String("reason", string(reason)), zap.String("error", verdict.Message(err)))
-	return verdict.Wrap(err, verdict.NotRun, verdict.ReasonStoreUnavailable, "read of lot %s", id)
+	if reason != verdict.ReasonDraining {
+		reason = verdict.ReasonStoreUnavailable
+	}
+	return verdict.Wrap(err, verdict.NotRun, reason, "read of lot %s", id)
 }
 
 // ItemBody returns the request body of an item.
 func (s *Service) ItemBody(ctx context.Context, id, item string) ([]byte, error) {
+	if err := s.CheckStop(time.Now().Add(readTimeout)); err != nil {
+		return nil, s.readFailure(id, err)
+	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	stored, _, err := s.head(ctx, id)
@@ -275,6 +280,10 @@
 
 // End ends a lot: its remaining items no longer run. It is idempotent.
 func (s *Service) End(ctx context.Context, id string) error {
+	if err := s.CheckStop(time.Now().Add(acceptTimeout)); err != nil {
+		s.Count("refused", verdict.ReasonOf(err))
+		return err
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
 	defer cancel()
 	known, _, _ := s.Lots.lot(id)
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -237,6 +237,11 @@
 			"targetLatencyMs": 200, "attempts": 3, "runAimMs": 7500, "maxAgeS": 60,
 		}
 	}
+	slow := func(name, prefix, kind string) map[string]any {
+		r := route(name, prefix, kind, "slow")
+		r["timeoutMs"] = 6000
+		return r
+	}
 	streams := route("streams", "/streams/", "streaming", "engines")
 	streams["resumable"] = true
 	c.store.Set("op", "config", encode(map[string]any{
@@ -245,10 +250,11 @@
 			route("lots", "/lots/", "rollout", "engines"), route("scores", "/scores/", "safe", "app"),
 			route("calls", "/calls/", "safe", "app"), route("once", "/once/", "unsafe", "app"),
 			route("endless", "/endless/", "safe", "endless"), route("endless-streams", "/endless-streams/", "streaming", "endless"),
+			slow("slow", "/slow/", "safe"), slow("slow-once", "/slow-once/", "unsafe"),
 			streams,
 		},
 		"services": []map[string]any{
-			{"name": "engines", "engine": map[string]any{"models": []map[string]any{{"name": "m"}}}}, {"name": "app"}, {"name": "endless"},
+			{"name": "engines", "engine": map[string]any{"models": []map[string]any{{"name": "m"}}}}, {"name": "app"}, {"name": "endless"}, {"name": "slow"},
 		},
 	}))
 }
