executor: the age of a feed counts from the start of a full read

Cause: Feed.Age counted from the call that read the last partition, while the first, which holds the histories of software versions, may have been read seconds before: a refusal by the rate limit keeps the partitions read so far. The age also followed the wall clock.

Change: the age counts from the start of the full read, on the boot time clock. A feed that was never read has an unlimited age.

TestAgeCountsFromFirstPartition, with the age counted from the last partition: "164.488us is not greater than or equal to 300ms".

--- a/cmd/lavender-host/decode.go
+++ b/cmd/lavender-host/decode.go
@@ -21,7 +21,7 @@
 		MinInterval: func() time.Duration {
 			return readbudget.MinInterval(h.currentSettings().StoreReads, h.store.HostCount(), share)
 		},
-		Deliver: h.inbox.Deliver, OnReadFailure: h.storeHTTP.CloseIdleConnections,
+		Now: h.clock.Now, Deliver: h.inbox.Deliver, OnReadFailure: h.storeHTTP.CloseIdleConnections,
 	}
 }
 
--- a/executor/feed.go
+++ b/executor/feed.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -50,7 +51,10 @@
 	// It is short, because a connection that stopped responding is noticed only by the
 	// timeout of a read.
 	LongPollWait time.Duration
-	Deliver      func(context.Context, event.Event) error
+	// Now returns the time of a clock that counts suspended time and is never set. It is
+	// positive.
+	Now     func() time.Duration
+	Deliver func(context.Context, event.Event) error
 	// OnReadFailure is called after each failed read, except those that the store refused
 	// because of its rate limit.
 	OnReadFailure func()
@@ -60,7 +64,7 @@
 	partial fullRead     // full read that has not reached its end
 	down    bool         // the feed is reported as lost
 	started bool         // a read has succeeded
-	freshAt atomic.Int64 // time just before the last successful read was sent, Unix nanoseconds
+	freshAt atomic.Int64 // time of Now just before the last successful read was sent, 0 if there was none
 }
 
 // fullRead is the state of a full read of a table.
@@ -68,17 +72,24 @@
 	rows      []store.Row
 	version   uint64 // store version when the first partition was read
 	partsRead int    // number of partitions that have been read
+	startedAt time.Duration
 }
 
 // Age returns the time since the table was last known to be current.
-func (f *Feed) Age() time.Duration { return time.Since(time.Unix(0, f.freshAt.Load())) }
+func (f *Feed) Age() time.Duration {
+	freshAt := time.Duration(f.freshAt.Load())
+	if freshAt == 0 {
+		return math.MaxInt64
+	}
+	return f.Now() - freshAt
+}
 
 // Run follows the table until ctx ends.
 func (f *Feed) Run(ctx context.Context) error {
 	retryInterval := minFeedRetryInterval
 	for ctx.Err() == nil {
-		sent, parts := time.Now(), f.partial.partsRead
-		rows, full, err := f.read(ctx)
+		sent, parts := f.Now(), f.partial.partsRead
+		rows, full, currentAt, err := f.read(ctx)
 		if err != nil {
 			f.handleReadFailure(ctx, err)
 			if f.partial.partsRead > parts {
@@ -93,7 +104,7 @@
 		for _, e := range f.decode(rows, full) {
 			_ = f.Deliver(ctx, e) // fails only when the process ends
 		}
-		f.freshAt.Store(sent.UnixNano())
+		f.freshAt.Store(int64(currentAt))
 		f.waitForNextRead(ctx, sent, len(rows) > 0)
 	}
 	return nil
@@ -128,13 +139,13 @@
 }
 
 // waitForNextRead waits until the next read is due.
-func (f *Feed) waitForNextRead(ctx context.Context, sent time.Time, changed bool) {
+func (f *Feed) waitForNextRead(ctx context.Context, sent time.Duration, changed bool) {
 	var delay time.Duration
 	if changed {
 		delay = f.CoalesceDelay
 	}
 	if f.MinInterval != nil {
-		delay = max(delay, jitter(f.MinInterval())-time.Since(sent))
+		delay = max(delay, jitter(f.MinInterval())-(f.Now()-sent))
 	}
 	if delay > 0 {
 		sleep(ctx, delay)
@@ -147,26 +158,28 @@
 }
 
 // read returns the changes since the last read, or the whole table if it has not been read
-// in full yet or the store no longer has the history.
-func (f *Feed) read(ctx context.Context) (rows []store.Row, full bool, err error) {
+// in full yet or the store no longer has the history. The rows were current at currentAt or
+// later.
+func (f *Feed) read(ctx context.Context) (rows []store.Row, full bool, currentAt time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, f.LongPollWait+feedReadMargin)
 	defer cancel()
 	if f.synced {
+		sent := f.Now()
 		r, err := f.Store.Changes(ctx, f.Table, f.version, f.LongPollWait)
 		if !errors.Is(err, store.ErrHistoryGone) {
 			if err == nil {
 				f.version = max(f.version, r.Version)
 			}
-			return r.Rows, false, err
+			return r.Rows, false, sent, err
 		}
 		f.synced = false
 	}
 	if err := f.readParts(ctx); err != nil {
-		return nil, true, err
+		return nil, true, 0, err
 	}
-	rows, f.version, f.synced = f.partial.rows, f.partial.version, true
+	rows, f.version, f.synced, currentAt = f.partial.rows, f.partial.version, true, f.partial.startedAt
 	f.partial = fullRead{}
-	return rows, true, nil
+	return rows, true, currentAt, nil
 }
 
 // readParts reads all partitions of the table. Changes made after the first partition was
@@ -175,6 +188,9 @@
 // read when many hosts start at the same time.
 func (f *Feed) readParts(ctx context.Context) error {
 	p := &f.partial
+	if p.partsRead == 0 {
+		p.startedAt = f.Now()
+	}
 	for p.partsRead < len(f.Parts) {
 		r, err := f.Store.Read(ctx, f.Table, f.Parts[p.partsRead], "", 0)
 		if err != nil {
--- a/executor/feed_test.go
+++ b/executor/feed_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/lavenderstand/lavenderstand/clock"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/executor"
 	"github.com/lavenderstand/lavenderstand/lot"
@@ -25,7 +26,7 @@
 	events := make(chan event.Event, 100)
 	f := &executor.Feed{
 		Name: "coordination", Table: lot.TableCoordination, Parts: lot.CoordinationParts(), Store: rows, LongPollWait: 50 * time.Millisecond,
-		Decode: decode, OnReadFailure: func() {},
+		Now: clock.NewBoottime().Now, Decode: decode, OnReadFailure: func() {},
 		Deliver: func(_ context.Context, e event.Event) error { events <- e; return nil },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -127,7 +128,7 @@
 	events := make(chan event.Event, 100)
 	f := &executor.Feed{
 		Name: "coordination", Table: lot.TableCoordination, Parts: lot.CoordinationParts(), Store: limited, LongPollWait: 20 * time.Millisecond,
-		Decode: executor.DecodeCoordination, OnReadFailure: func() { t.Error("a refusal by the rate limit was reported as a read failure") },
+		Now: clock.NewBoottime().Now, Decode: executor.DecodeCoordination, OnReadFailure: func() { t.Error("a refusal by the rate limit was reported as a read failure") },
 		Deliver: func(_ context.Context, e event.Event) error { events <- e; return nil },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -152,3 +153,47 @@
 	}
 	return l.Store.Read(ctx, table, part, from, limit)
 }
+
+// TestAgeCountsFromFirstPartition guards against a host that takes rows for current that it
+// read before it was cut off. It read one partition, was turned away for seconds and then
+// read the others: it believed that a service still had a single software version.
+func TestAgeCountsFromFirstPartition(t *testing.T) {
+	const cut = 300 * time.Millisecond
+	rows := pamoja.NewStore()
+	putHead(t, rows, "a")
+	var reads int
+	var cutUntil time.Time
+	s := &interruptedStore{rateLimitedStore{Store: rows, refuse: func() bool {
+		if reads++; reads == 2 {
+			cutUntil = time.Now().Add(cut)
+		}
+		return time.Now().Before(cutUntil)
+	}}}
+	full := make(chan struct{})
+	f := &executor.Feed{
+		Name: "coordination", Table: lot.TableCoordination, Parts: lot.CoordinationParts(), Store: s, LongPollWait: 20 * time.Millisecond,
+		Now: clock.NewBoottime().Now, Decode: executor.DecodeCoordination, OnReadFailure: func() {},
+		Deliver: func(_ context.Context, e event.Event) error {
+			if _, ok := e.(event.HeadsRead); ok {
+				close(full)
+			}
+			return nil
+		},
+	}
+	require.Greater(t, f.Age(), time.Hour, "not read yet")
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = f.Run(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	<-full
+	require.Eventually(t, func() bool { return f.Age() < time.Hour }, 5*time.Second, time.Millisecond)
+	require.GreaterOrEqual(t, f.Age(), cut)
+}
+
+// interruptedStore is a rateLimitedStore whose changes do not arrive.
+type interruptedStore struct{ rateLimitedStore }
+
+func (s *interruptedStore) Changes(ctx context.Context, _ string, _ uint64, _ time.Duration) (store.Range, error) {
+	<-ctx.Done()
+	return store.Range{}, ctx.Err()
+}
