system/rollout, forward: streams wait for a version that other hosts may not know

Could be seen by callers: servers of a new software version join while those of the earlier one leave; a stream that begins at the new one, breaks and is resumed at a host whose last read is less than 0.9 s old goes on at the earlier version (ORDER). Found by reading; not seen with real processes.

Cause: new streams avoid a version until other hosts must know it, unless all servers have it. The exception was without a limit.

Change: they wait until the version has been recorded for a second, at most 3 s if it cannot be recorded.

--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -157,6 +157,26 @@
 	require.Equal(t, []string{"s2", "s1"}, s.servers)
 }
 
+// TestNewVersionWaitsUntilHostsKnowIt guards against a stream that begins at a version that
+// other hosts do not know yet, because no server of an earlier one is left. A host that takes
+// it up within a second would have continued it at the earlier version.
+func TestNewVersionWaitsUntilHostsKnowIt(t *testing.T) {
+	const hold = 100 * time.Millisecond
+	s := &versionedStreams{streams: streams{breakAt: []int{0}}}
+	f, _ := newVersioned(s, "v2")
+	held := *f.Plans.Load()
+	target := *held.Services["s"][0]
+	target.AvoidNewStreams, target.HoldNewStreams = true, true
+	released := f.Plans.Load()
+	held.Services = map[string][]*forward.Target{"s": {&target}}
+	f.Plans.Publish(&held)
+	start := time.Now()
+	time.AfterFunc(hold, func() { f.Plans.Publish(released) })
+	require.NoError(t, f.ForwardStream(context.Background(), request(), &written{}))
+	require.GreaterOrEqual(t, time.Since(start), hold)
+	require.Len(t, s.servers, 1)
+}
+
 // TestSilentStreamIsCutOnlyForAnotherServer guards against a slow stream that is cut although
 // the only other server has another software version.
 func TestSilentStreamIsCutOnlyForAnotherServer(t *testing.T) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -155,7 +155,7 @@
 	best := s.choose(s.f.Plans.Load())
 	target := best.target
 	if target == nil && best.wait > 0 {
-		return verdict.New(verdict.NotRun, verdict.ReasonOverload, "all servers of the service are full")
+		return verdict.New(verdict.NotRun, verdict.ReasonOverload, "all servers of the service are full, or their software version is not known to all hosts yet")
 	}
 	if target == nil && s.begun {
 		return verdict.New(verdict.NotRun, verdict.ReasonSoftwareGone, "no server has the software version %q that began the stream", s.software)
@@ -191,17 +191,24 @@
 }
 
 // choose returns the server for the next attempt. A stream that the caller may resume begins at
-// a server with AvoidNewStreams only if there is no other.
+// a server with AvoidNewStreams only if there is no other, and waits if all have
+// HoldNewStreams.
 func (s *streamCall) choose(plan *Plan) choice {
 	ch := chooser{now: time.Now(), tried: s.tried, random: s.f.Rand, usable: s.usable}
-	if !s.begun && s.route.Resumable {
-		ch.usable = func(t *Target) bool { return !t.AvoidNewStreams }
-		if best := ch.choose(plan, s.id().Service); best.target != nil || best.wait > 0 {
-			return best
-		}
-		ch.usable = nil
+	service := s.id().Service
+	if s.begun || !s.route.Resumable {
+		return ch.choose(plan, service)
+	}
+	ch.usable = func(t *Target) bool { return !t.AvoidNewStreams }
+	if best := ch.choose(plan, service); best.target != nil || best.wait > 0 {
+		return best
+	}
+	ch.usable = func(t *Target) bool { return !t.HoldNewStreams }
+	best := ch.choose(plan, service)
+	if best.target == nil && best.wait == 0 && len(plan.Services[service]) > 0 {
+		best.wait = streamRetryDelay
 	}
-	return ch.choose(plan, s.id().Service)
+	return best
 }
 
 // usable reports whether a server can continue the stream. Any server can begin one.
--- a/forward/types.go
+++ b/forward/types.go
@@ -96,8 +96,11 @@
 	// AvoidNewStreams is set if a stream that its caller may resume begins at the server only if
 	// no other server will do, because other hosts may not know its software version yet.
 	AvoidNewStreams bool
-	Suspect         bool // recently failed or did not respond; used only if no other server is left
-	Load            *Load
+	// HoldNewStreams is set if such a stream does not begin at the server yet, also if there is
+	// no other.
+	HoldNewStreams bool
+	Suspect        bool // recently failed or did not respond; used only if no other server is left
+	Load           *Load
 }
 
 // Load holds the load counters of one backend server. Successive plans share them, and
--- a/soak/planned_stop_test.go
+++ b/soak/planned_stop_test.go
@@ -129,6 +129,7 @@
 	resp, err := http.ReadResponse(reader, nil)
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
 	}
 	o.ended = time.Now()
 	if err == nil {
--- a/system/rollout/origins_test.go
+++ b/system/rollout/origins_test.go
@@ -103,9 +103,42 @@
 
 // avoidsNewStreams reports whether new streams avoid a server in the published plan.
 func (w *world) avoidsNewStreams(server string) bool {
+	return w.target(server).AvoidNewStreams
+}
+
+// target returns a server in the routing plan.
+func (w *world) target(server string) *forward.Target {
 	plan := routingPlan(w.now, &w.tables.Rollout)
 	i := slices.IndexFunc(plan.Services["engines"], func(t *forward.Target) bool { return t.ID == server })
-	return plan.Services["engines"][i].AvoidNewStreams
+	return plan.Services["engines"][i]
+}
+
+// TestUnknownVersionHoldsStreams guards against streams that begin at a version before other
+// hosts know it because the servers of the earlier one are gone, and against streams that never
+// begin because the version cannot be recorded.
+func TestUnknownVersionHoldsStreams(t *testing.T) {
+	w := newStreamWorld(t, "v1")
+	w.step(w.server("new", software("v2")), w.removed("s0"))
+	require.True(t, w.holdsNewStreams("new"))
+	w.step(w.historyRow("v1", "v2"))
+	require.True(t, w.holdsNewStreams("new"), "other hosts may not have read it")
+	w.advance(newVersionDelay)
+	require.False(t, w.holdsNewStreams("new"))
+
+	w = newStreamWorld(t, "v1")
+	w.step(w.server("new", software("v2")), w.removed("s0"))
+	commands := w.advance(maxHold + historyCheckInterval)
+	require.False(t, w.holdsNewStreams("new"), "it could not be recorded")
+	plans := commandsOf[command.PublishRouting](commands)
+	require.False(t, plans[len(plans)-1].Plan.Services["engines"][0].HoldNewStreams, "the plan is published again")
+
+	w = newStreamWorld(t)
+	w.step(w.server("first", software("v1")))
+	require.False(t, w.holdsNewStreams("first"), "there is no version that hosts could take it for")
+}
+
+func (w *world) holdsNewStreams(server string) bool {
+	return w.target(server).HoldNewStreams
 }
 
 // TestResumedStreamIsLookedUp guards against a stream that is refused although a host recorded
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -263,7 +263,7 @@
 	for _, s := range r.Servers.All() {
 		if !s.Leaving {
 			to := target(s)
-			to.AvoidNewStreams = avoidNewStreams(now, r, s)
+			to.AvoidNewStreams, to.HoldNewStreams = avoidNewStreams(now, r, s), holdNewStreams(now, r, s)
 			p.Services[s.Service] = append(p.Services[s.Service], to)
 		}
 	}
--- a/system/rollout/software_history.go
+++ b/system/rollout/software_history.go
@@ -19,6 +19,10 @@
 	// newVersionDelay is the time for which no stream begins at servers of a version that this
 	// host has just found recorded. Hosts that answer from the histories know it by then.
 	newVersionDelay = maxHistoryAge + 100*time.Millisecond
+	// maxHold bounds the time for which no stream begins at servers of a version that could not
+	// be recorded, if the service has no others. The store is then unavailable to all hosts, and
+	// none answers from the histories.
+	maxHold = 3 * time.Second
 	// maxVersions bounds the versions in a history, so that it fits in one row.
 	maxVersions = 50
 	// historyCheckInterval is the maximum time between two checks of the histories.
@@ -80,7 +84,7 @@
 func history(r *table.Rollout, service string) *table.SoftwareHistory {
 	h, created := r.SoftwareHistories.Upsert(service)
 	if created {
-		h.Since, h.ServedAt = make(map[registry.Software]time.Duration), make(map[registry.Software]time.Duration)
+		h.Since, h.ServedAt, h.KnownSince = make(map[registry.Software]time.Duration), make(map[registry.Software]time.Duration), make(map[registry.Software]time.Duration)
 	}
 	return h
 }
@@ -104,6 +108,27 @@
 	return !recorded || !slices.Contains(h.Versions, s.Software) || (len(h.Versions) > 1 && now < since+newVersionDelay)
 }
 
+// holdNewStreams reports whether no stream that its caller may resume begins at a server, also
+// if there is no other: other hosts know an earlier version only and would continue the stream
+// there.
+func holdNewStreams(now time.Duration, r *table.Rollout, s *table.Server) bool {
+	h := r.SoftwareHistories.Find(s.Service)
+	if h == nil || len(h.Versions) == 0 || !avoidNewStreams(now, r, s) {
+		return false
+	}
+	return slices.Contains(h.Versions, s.Software) || now < h.KnownSince[s.Software]+maxHold
+}
+
+// holdEnded reports whether the hold of a version ended between two times.
+func holdEnded(h *table.SoftwareHistory, from, to time.Duration) bool {
+	for _, since := range h.KnownSince {
+		if end := since + maxHold; from < end && end <= to {
+			return true
+		}
+	}
+	return false
+}
+
 // updateHistories compares the histories with the versions of the servers and writes those that
 // are to be changed.
 func updateHistories(now time.Duration, r *table.Rollout, out *command.Outbox) {
@@ -113,8 +138,11 @@
 	}
 	check := r.PlanChanged || now >= r.HistoriesCheckedAt+historyCheckInterval
 	if check {
+		recordServed(now, r, services, ttl)
+		for _, service := range services {
+			r.PlanChanged = r.PlanChanged || holdEnded(history(r, service), r.HistoriesCheckedAt, now)
+		}
 		r.HistoriesCheckedAt = now
-		recordServed(now, r, services)
 		expireStreams(now, r, ttl)
 	}
 	for _, service := range services {
@@ -131,12 +159,18 @@
 	}
 }
 
-// recordServed records which versions the servers of services have.
-func recordServed(now time.Duration, r *table.Rollout, services []string) {
+// recordServed records which versions the servers of services have. A version that comes back
+// after ttl counts as new.
+func recordServed(now time.Duration, r *table.Rollout, services []string, ttl time.Duration) {
 	for _, s := range r.Servers.All() {
-		if s.Software != "" && slices.Contains(services, s.Service) {
-			history(r, s.Service).ServedAt[s.Software] = now
+		if s.Software == "" || !slices.Contains(services, s.Service) {
+			continue
+		}
+		h := history(r, s.Service)
+		if last, known := h.ServedAt[s.Software]; !known || now-last > ttl {
+			h.KnownSince[s.Software] = now
 		}
+		h.ServedAt[s.Software] = now
 	}
 }
 
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -136,6 +136,7 @@
 	RowVersion   uint64
 	Since        map[registry.Software]time.Duration // when this process read a version of Versions first
 	ServedAt     map[registry.Software]time.Duration // when a server had a version last
+	KnownSince   map[registry.Software]time.Duration // when this process found a server with a version first
 	AvoidedUntil time.Duration                       // until then new streams avoid a version of Versions
 	ChangeSince  time.Duration                       // since when Versions is to be changed, 0 if it is not
 	Writing      bool                                // a write of the row is under way
