lot, system/rollout: commits are bounded by the bytes of the encoded call

Seen: a lot whose texts hold much markup is accepted and run, and none of its results is ever listed. The trainer reads an empty list until its deadline; on call sees lot_write_failed{store_unavailable} while the store serves all else.

Cause: a commit was bounded by the bytes of its texts, the store bounds the call. JSON writes <, > and & as six bytes, base64 adds a third. The store's 400 counted as "may have run", and such a write is sent again unchanged.

Change: results and progress are bounded by rows and encoded bytes, without escape sequences for HTML. A call refused as too large is not run and never sent again unchanged: without progress, then with half of its results, then a single result is listed as terminated. The same bounds for the hand-over (its further results were dropped and generated again), records of streams, limited engines in the row of a host, pages for trainers and outputs of items.

--- a/executor/run.go
+++ b/executor/run.go
@@ -26,9 +26,9 @@
 	minIntervals = 3
 	// slowReportInterval is the minimum time between two progress reports of a slow run.
 	slowReportInterval = 250 * time.Millisecond
-	// maxOutputBytes bounds the output of a run, which is held in memory and stored in one row
-	// or object.
-	maxOutputBytes = 4 << 20
+	// maxOutputBytes bounds the output of a run, which is held in memory and stored in one
+	// commit. Callers read at most 1 MB at a time.
+	maxOutputBytes = 1 << 20
 	// progressInterval is the minimum time between two progress reports of a run. Reported
 	// events survive a failure of the host. Most items end before the first report.
 	progressInterval = time.Second
@@ -207,7 +207,7 @@
 	}
 	u.recordArrival(time.Now())
 	if u.bytes += len(e.Data); u.bytes > maxOutputBytes {
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "output exceeds %d bytes", maxOutputBytes)
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonOutputTooLarge, "output exceeds %d bytes", maxOutputBytes)
 	}
 	if err := u.account.Resize(int64(u.bytes)); err != nil {
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonOf(err), "output of %d bytes", u.bytes)
--- a/lot/read.go
+++ b/lot/read.go
@@ -11,8 +11,8 @@
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
-// maxPageRows bounds the number of rows in one page of results.
-const maxPageRows = 400
+// maxPageRows bounds the number of rows in one page of results, which is held in memory.
+const maxPageRows = 128
 
 // Head reads the authoritative head of a lot. The error has the reason unknown_lot if no
 // candidate partition holds a head. If one of them cannot be read, Head fails, because that
--- a/lot/repository.go
+++ b/lot/repository.go
@@ -160,6 +160,10 @@
 		case errors.As(commitErr, &conflict):
 			return repo.resolveConflict(conflict, h)
 		}
+		if verdict.ReasonOf(commitErr) == verdict.ReasonStoreRejected && attempt > 0 {
+			// Earlier attempts held at least as much and were rejected as well.
+			return StoredHead{}, nil, commitErr
+		}
 		err = commitErr
 		parts = append(parts, dataParts(c))
 		mayHaveRun = mayHaveRun || verdict.Of(commitErr) != verdict.NotRun
--- a/lot/rows.go
+++ b/lot/rows.go
@@ -1,6 +1,7 @@
 package lot
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"strconv"
@@ -195,12 +196,15 @@
 	return data
 }
 
-// mustMarshal encodes a record as JSON. It panics on an error, which the types of the
-// records rule out.
+// mustMarshal encodes a record as JSON, without escape sequences for HTML, which would take
+// six bytes for each <, > and &. It panics on an error, which the types of the records rule
+// out.
 func mustMarshal(v any) []byte {
-	data, err := json.Marshal(v)
-	if err != nil {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(v); err != nil {
 		panic(fmt.Sprintf("encode lot record: %v", err))
 	}
-	return data
+	return bytes.TrimSuffix(b.Bytes(), []byte("\n"))
 }
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -29,6 +29,10 @@
 	// callTimeout bounds one read or write.
 	callTimeout = time.Second
 	keyBytes    = 8
+	// streamBytes bounds the encoded size of the key of a stream, groupBytes that of the
+	// punctuation of a service or version.
+	streamBytes = 11
+	groupBytes  = 8
 )
 
 // Stream identifies a stream in a record by a hash of the id of the attempt that brought its
@@ -65,6 +69,31 @@
 	return json.Marshal(w)
 }
 
+// maxRecordBytes bounds the encoded size of a record. The store allows 64 KiB for a row.
+const maxRecordBytes = 60_000
+
+// Fit removes streams until the record fits into one row and returns their number.
+func (r Record) Fit() (removed int) {
+	bytes := 0
+	groups := make(map[string]map[registry.Software]bool) // versions by service
+	for s, v := range r {
+		group := s.Service
+		if groups[group] == nil {
+			groups[group] = make(map[registry.Software]bool)
+			bytes += lot.EncodedLength(s.Service) + groupBytes
+		}
+		if !groups[group][v] {
+			groups[group][v] = true
+			bytes += lot.EncodedLength(string(v)) + groupBytes
+		}
+		if bytes += streamBytes; bytes > maxRecordBytes {
+			delete(r, s)
+			removed++
+		}
+	}
+	return removed
+}
+
 // parseRecord decodes a record. A record that is not valid is empty.
 func parseRecord(data []byte) Record {
 	r := make(Record)
--- a/peer/store.go
+++ b/peer/store.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -25,6 +26,10 @@
 // encoded for the other.
 const relayedCallBytes = 2 << 20
 
+// maxRangeBytes bounds the rows that a host receives from another one. A page of results is
+// the largest range.
+const maxRangeBytes = 9 << 20
+
 // reserve reserves the memory of a call, until its scope is closed.
 func (s *StoreServer) reserve() (*memory.Scope, error) {
 	scope := s.Memory.Scope()
@@ -87,7 +92,10 @@
 
 func storeStatus(err error) error {
 	code := codes.Unknown
-	if verdict.Of(err) == verdict.NotRun {
+	switch {
+	case verdict.ReasonOf(err) == verdict.ReasonStoreRejected:
+		code = codes.InvalidArgument
+	case verdict.Of(err) == verdict.NotRun:
 		code = codes.Aborted
 	}
 	return status.Error(code, verdict.Message(err))
@@ -128,7 +136,7 @@
 	if err != nil {
 		return store.Range{}, err
 	}
-	r, err := client.Read(ctx, &peerpb.StoreReadRequest{Table: table, Part: part, From: from, Limit: int32(limit)})
+	r, err := client.Read(ctx, &peerpb.StoreReadRequest{Table: table, Part: part, From: from, Limit: int32(limit)}, grpc.MaxCallRecvMsgSize(maxRangeBytes))
 	return storeRangeFromProto(r, err)
 }
 
@@ -160,14 +168,18 @@
 	return store.Range{Rows: storeRowsFromProto(r.Rows), Version: r.Version}, nil
 }
 
-// storeError returns the error for a failed call. Only the code Aborted indicates
-// that the call had no effect. After a broken connection the outcome is unknown.
+// storeError returns the error for a failed call. Only the codes Aborted and
+// InvalidArgument indicate that the call had no effect; the store will never accept a call
+// with the latter. After a broken connection the outcome is unknown.
 func storeError(err error) error {
-	v := verdict.MayHaveRun
-	if status.Code(err) == codes.Aborted {
+	v, reason := verdict.MayHaveRun, verdict.ReasonStoreUnavailable
+	switch status.Code(err) {
+	case codes.Aborted:
 		v = verdict.NotRun
+	case codes.InvalidArgument:
+		v, reason = verdict.NotRun, verdict.ReasonStoreRejected
 	}
-	return verdict.Wrap(err, v, verdict.ReasonStoreUnavailable, "call to the store through another host failed")
+	return verdict.Wrap(err, v, reason, "call to the store through another host failed")
 }
 
 func storeRowToProto(r store.Row) *peerpb.StoreRow {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -205,7 +205,7 @@
 func storeAnswered(err error) bool {
 	var conflict *store.Conflict
 	return err == nil || errors.As(err, &conflict) || errors.Is(err, store.ErrHistoryGone) ||
-		verdict.ReasonOf(err) == verdict.ReasonBadAnswer
+		verdict.ReasonOf(err) == verdict.ReasonBadAnswer || verdict.ReasonOf(err) == verdict.ReasonStoreRejected
 }
 
 // candidatePeers returns the addresses of the hosts to try: the one that responded last, if
--- a/system/rollout/assignment.go
+++ b/system/rollout/assignment.go
@@ -91,8 +91,11 @@
 // named a request limit. An engine that gets no requests names none.
 const limitMemory = 30 * time.Second
 
+// maxPublishedEngineBytes bounds the ids of limited engines in the presence row of a host.
+const maxPublishedEngineBytes = 40_000
+
 // ownLimitedEngines returns the ids of the engines of which this host knows that they name a
-// request limit, sorted.
+// request limit, sorted, as far as they fit into its presence row.
 func ownLimitedEngines(now time.Duration, r *table.Rollout) []string {
 	var ids []string
 	for id, s := range r.Servers.All() {
@@ -101,6 +104,12 @@
 		}
 	}
 	slices.Sort(ids)
+	bytes := 0
+	for i, id := range ids {
+		if bytes += lot.EncodedLength(id) + 1; bytes > maxPublishedEngineBytes {
+			return ids[:i]
+		}
+	}
 	return ids
 }
 
--- a/system/rollout/drain.go
+++ b/system/rollout/drain.go
@@ -66,16 +66,18 @@
 	return false
 }
 
-// beginHandover prepares the write that removes this process as owner of the lot. A
-// lot that is no longer open after the write keeps its owner.
+// beginHandover prepares the write that removes this process as owner of the lot, or one
+// of the writes before it if the results do not fit into one. A lot that is no longer open
+// after the write keeps its owner.
 func beginHandover(now time.Duration, r *table.Rollout, l *table.Lot) {
-	n := countFitting(l.Pending)
+	n := countFitting(l)
+	last := n == len(l.Pending)
 	h := l.Head
-	h.Owner, h.Listed, h.WriteID = lot.Process{}, h.Listed+n, newWriteID(r)
-	if !h.Open() {
-		h.Owner = r.Self
+	h.Listed, h.WriteID = h.Listed+n, newWriteID(r)
+	if last && h.Open() {
+		h.Owner = lot.Process{}
 	}
-	l.Write = &table.LotWrite{Head: h, Results: l.Pending[:n:n], Release: true}
+	l.Write = &table.LotWrite{Head: h, Results: l.Pending[:n:n], Release: last}
 	l.Pending = l.Pending[n:]
 	l.RetryAt = now
 }
--- a/system/rollout/origins.go
+++ b/system/rollout/origins.go
@@ -112,6 +112,9 @@
 			streams[s.Stream] = s.Software
 		}
 	}
+	if dropped := streams.Fit(); dropped > 0 {
+		out.Add(command.Count{Counter: "stream_origin_dropped", Delta: int64(dropped)})
+	}
 	rec.Changed = false
 	if len(streams) == 0 {
 		return
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -167,8 +167,10 @@
 		item.UnprocessableAnswers++
 	case verdict.ReasonStalled:
 		item.Stalls++
+	case verdict.ReasonOutputTooLarge: // several servers must agree, one may be faulty
+		item.OversizedOutputs++
 	}
-	if item.UnprocessableAnswers > 0 || item.Failures >= maxItemAttempts(t, item) {
+	if item.UnprocessableAnswers > 0 || max(item.Failures, item.OversizedOutputs) >= maxItemAttempts(t, item) {
 		finishItem(now, t, item, lot.Result{Item: item.Spec.ID, State: lot.StateTerminated}, out)
 	}
 }
@@ -253,7 +255,7 @@
 	if res.State == lot.StateTerminated {
 		out.Add(command.LogChange{Message: "item terminated", Fields: []command.Field{
 			field("lot", item.Lot), field("item", item.Spec.ID), field("failures", itoa(item.Failures)),
-			field("unprocessed", itoa(item.UnprocessableAnswers)), field("score_failures", itoa(item.ScoreFailures)),
+			field("unprocessed", itoa(item.UnprocessableAnswers)), field("oversized", itoa(item.OversizedOutputs)), field("score_failures", itoa(item.ScoreFailures)),
 		}})
 	}
 	cancelReservation(&t.Rollout, item)
@@ -261,6 +263,9 @@
 	if l == nil || l.Stage != table.LotOwned || l.Listed[res.Item] {
 		return
 	}
+	if !res.Size().Fits() {
+		terminateResult(l, &res, out)
+	}
 	l.Listed[res.Item] = true
 	if len(l.Pending) == 0 {
 		l.PendingSince = now
--- a/system/rollout/writes.go
+++ b/system/rollout/writes.go
@@ -8,21 +8,19 @@
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/lot"
 	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
 const (
 	// resultGatherWindow is the time for which results are collected into one commit,
 	// counted from the first.
 	resultGatherWindow = 25 * time.Millisecond
-	// maxWriteResults and maxWriteBytes bound the results of a commit and the bytes of
-	// their texts. They keep the commit within the store's limits of 100 rows and 1 MB;
-	// encoded values are a third larger than the texts.
+	// maxWriteResults bounds the results of a commit. Their size is bounded as well, see
+	// lot.Size.
 	maxWriteResults = 60
-	maxWriteBytes   = 400_000
-	// maxProgressItems and maxProgressBytes bound the unfinished items of a commit and the
-	// bytes of their events, which are stored together with the results.
+	// maxProgressItems bounds the unfinished items of a commit whose events are stored
+	// together with the results, as far as these leave room.
 	maxProgressItems = 30
-	maxProgressBytes = 200_000
 	// progressInterval is the minimum time between two writes with the events of
 	// unfinished items. A new owner continues an item after the stored events.
 	progressInterval = time.Second
@@ -61,29 +59,41 @@
 		out.WakeAt(due)
 		return
 	}
-	n := countFitting(l.Pending)
+	n := countFitting(l)
 	h := l.Head
 	h.Listed += n
 	h.WriteID = newWriteID(&t.Rollout)
 	l.Write = &table.LotWrite{Head: h, Results: l.Pending[:n:n]}
 	if now-l.LastProgressAt >= progressInterval {
 		l.LastProgressAt = now
-		addProgress(l.Write, unstoredProgress(t, l))
+		addProgress(l.Write, unstoredProgress(t, l, sizeOf(l.Write.Results)))
 	}
 	l.Pending = l.Pending[n:]
 	l.RetryAt = now
 }
 
-// countFitting returns the number of results that fit into one commit.
-func countFitting(results []lot.Result) int {
-	bytes := 0
-	for i := range results {
-		bytes += len(results[i].Text)
-		if i == maxWriteResults || (i > 0 && bytes > maxWriteBytes) {
+// countFitting returns the number of pending results of a lot that fit into one commit.
+func countFitting(l *table.Lot) int {
+	most := min(maxWriteResults, len(l.Pending))
+	if l.MaxWriteResults > 0 {
+		most = min(most, l.MaxWriteResults)
+	}
+	var size lot.Size
+	for i := range most {
+		if size = size.Plus(l.Pending[i].Size()); !size.Fits() && i > 0 {
 			return i
 		}
 	}
-	return len(results)
+	return most
+}
+
+// sizeOf returns the space that results take in a commit.
+func sizeOf(results []lot.Result) lot.Size {
+	var size lot.Size
+	for i := range results {
+		size = size.Plus(results[i].Size())
+	}
+	return size
 }
 
 // sendWrite sends the prepared write of a lot.
@@ -94,7 +104,7 @@
 	}
 	l.Write.InFlight, l.LastWriteAt = true, now
 	if l.Write.Release {
-		addProgress(l.Write, unstoredProgress(t, l))
+		addProgress(l.Write, unstoredProgress(t, l, sizeOf(l.Write.Results)))
 	}
 	out.Add(command.WriteLot{Head: l.Write.Head, Version: l.Version, Results: l.Write.Results, Progress: l.Write.Progress})
 }
@@ -120,12 +130,37 @@
 	case e.Failure != nil:
 		w.InFlight, l.RetryAt = false, now+writeRetryDelay
 		out.Add(command.Count{Counter: "lot_write_failed", Tags: map[string]string{"reason": string(e.Failure.Reason)}, Delta: 1})
+		if e.Failure.Reason == verdict.ReasonStoreRejected && e.Failure.Verdict == verdict.NotRun {
+			splitWrite(l, e.Failure, out)
+		}
 	default:
 		l.Write = nil
 		applyCommit(now, t, l, w, e, out)
 	}
 }
 
+// splitWrite discards a write that the store will never accept. The next one has half of its
+// results; a single result is replaced by one without its text, so that it does not hold up
+// the others.
+func splitWrite(l *table.Lot, failure *event.Failure, out *command.Outbox) {
+	w := l.Write
+	n := len(w.Results)
+	logLot("write of lot rejected", l, out, field("results", itoa(n)), field("progress", itoa(len(w.Progress))), field("error", failure.Message))
+	if n == 1 {
+		terminateResult(l, &w.Results[0], out)
+	}
+	l.Write = nil
+	l.Pending = append(w.Results[:n:n], l.Pending...)
+	l.MaxWriteResults = max(1, n/2)
+}
+
+// terminateResult replaces a result that cannot be stored.
+func terminateResult(l *table.Lot, r *lot.Result, out *command.Outbox) {
+	out.Add(command.Count{Counter: "results_too_large", Delta: 1})
+	logLot("result of item cannot be stored", l, out, field("item", r.Item), field("bytes", itoa(r.Size().Bytes)))
+	*r = lot.Result{Item: r.Item, State: lot.StateTerminated}
+}
+
 // applyConflict applies the head of another write that was committed first.
 func applyConflict(now time.Duration, t *table.Tables, l *table.Lot, current *event.HeadRow, out *command.Outbox) {
 	if current.Deleted {
@@ -141,7 +176,7 @@
 func applyCommit(now time.Duration, t *table.Tables, l *table.Lot, w *table.LotWrite, e event.LotWritten, out *command.Outbox) {
 	r := &t.Rollout
 	r.LotsChanged = r.LotsChanged || len(w.Results) > 0
-	l.Head, l.Version, l.VersionSeenAt = e.Head, e.Version, now
+	l.Head, l.Version, l.VersionSeenAt, l.MaxWriteResults = e.Head, e.Version, now, 0
 	for _, p := range w.Progress {
 		if item := r.Items.Find(table.ItemKey(e.ID, p.Item)); item != nil {
 			item.StoredEvents = len(p.Events)
@@ -162,24 +197,21 @@
 }
 
 // unstoredProgress returns the progress of the unfinished items of a lot that have events
-// not stored yet, as far as it fits into one commit.
-func unstoredProgress(t *table.Tables, l *table.Lot) []lot.Progress {
+// not stored yet, as far as it fits into one commit beside what takes the given space.
+func unstoredProgress(t *table.Tables, l *table.Lot, size lot.Size) []lot.Progress {
 	var all []lot.Progress
-	bytes := 0
 	for _, key := range itemKeys(l) {
 		item := t.Rollout.Items.Find(key)
 		if item == nil || len(item.Events) == item.StoredEvents {
 			continue
 		}
-		for _, e := range item.Events {
-			bytes += len(e)
+		p := lot.Progress{
+			Item: item.Spec.ID, Events: item.Events, Versions: item.Versions, Software: item.Software, Complete: item.Stage == table.ItemScoring,
 		}
-		if len(all) == maxProgressItems || bytes > maxProgressBytes {
+		if size = size.Plus(p.Size()); len(all) == maxProgressItems || !size.Fits() {
 			break
 		}
-		all = append(all, lot.Progress{
-			Item: item.Spec.ID, Events: item.Events, Versions: item.Versions, Software: item.Software, Complete: item.Stage == table.ItemScoring,
-		})
+		all = append(all, p)
 	}
 	return all
 }
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -247,8 +247,10 @@
 	Write          *LotWrite       // the write that is prepared or in flight, nil if there is none
 	LastWriteAt    time.Duration   // when the last write began
 	LastProgressAt time.Duration   // when the last write with progress of items began
-	RetryAt        time.Duration   // earliest time of the next adoption, write or deletion after a failure
-	Releasing      bool            // the runs have been stopped for a planned handover
+	// MaxWriteResults bounds the results of the next write, 0 if the store rejected none.
+	MaxWriteResults int
+	RetryAt         time.Duration // earliest time of the next adoption, write or deletion after a failure
+	Releasing       bool          // the runs have been stopped for a planned handover
 }
 
 // LotWrite is a commit of a lot. It is sent again unchanged until its outcome is known.
@@ -297,6 +299,7 @@
 	Stalls               int // number of runs that sent no event in time
 	Failures             int // number of answers that reported a failure of the run
 	UnprocessableAnswers int // number of answers that reported that the item can never be processed
+	OversizedOutputs     int // number of runs whose output exceeded what can be stored
 	ScoreRuns            int // number of scoring requests sent
 	ScoreFailures        int // number of answers of the scorer that reported a failure
 }
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -57,6 +57,8 @@
 	ReasonServerLimit       Reason = "server_limit"
 	ReasonSoftwareGone      Reason = "software_gone"    // no server has the software version that began a stream
 	ReasonSoftwareUnknown   Reason = "software_unknown" // it is not known which software version began a stream
+	ReasonStoreRejected     Reason = "store_rejected"   // the store will never accept the call
+	ReasonOutputTooLarge    Reason = "output_too_large" // the output of an item cannot be stored
 	ReasonMemory            Reason = "memory"           // the requests in flight use the memory of the host
 	ReasonAnswerTooLarge    Reason = "answer_too_large" // one answer, or those of one server together
 	ReasonFirstAttempt      Reason = "first_attempt"
