system/rollout: a holder of the order lease waits for its true predecessor

Cause: the wait was worked out from the row that the acquisition replaced. If the feed shows the own write before its answer, if the answer is lost, or if the host starts again just after, that row is its own, and no wait follows.

Change: the newest row of another process is kept apart from the row that is replaced. A row says whether its holder still waits, and a release how long no order has been sent, so the next holder waits for the rest of the time only.

--- a/command/rollout.go
+++ b/command/rollout.go
@@ -134,6 +134,8 @@
 	Version uint64
 	Acquire bool
 	Release bool
+	Settled bool          // see orderlease.Record
+	Quiet   time.Duration // of a release, see orderlease.Record
 }
 
 // Name implements Command.
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -76,9 +76,11 @@
 	Full    bool
 }
 
-// OrderLeaseRead holds the order lease as read from the store.
+// OrderLeaseRead holds the order lease as read from the store; see orderlease.Record.
 type OrderLeaseRead struct {
 	Holder  lot.Process
+	Settled bool
+	Quiet   time.Duration
 	Version uint64
 }
 
--- a/executor/store.go
+++ b/executor/store.go
@@ -95,7 +95,11 @@
 
 // WriteOrderLease executes command.WriteOrderLease.
 func WriteOrderLease(ctx context.Context, w *orderlease.Writer, c command.WriteOrderLease) event.Event {
-	result, err := w.Write(ctx, c.Version, c.Release)
+	rec := orderlease.Record{Holder: w.Self, Settled: c.Settled}
+	if c.Release {
+		rec = orderlease.Record{Quiet: c.Quiet}
+	}
+	result, err := w.Write(ctx, c.Version, rec)
 	return event.OrderLeaseWritten{
 		SentAt: result.SentAt, Version: result.Version, Acquired: c.Acquire, Released: c.Release, Failure: event.FailureOf(err),
 	}
@@ -110,8 +114,8 @@
 	var events []event.Event
 	for _, r := range rows {
 		if r.Key == orderlease.Key {
-			holder, ok := orderlease.Parse(r) // the holder is empty if the row is not valid
-			events = append(events, event.OrderLeaseRead{Holder: holder, Version: r.Version})
+			rec, ok := orderlease.Parse(r) // the holder is empty if the row is not valid
+			events = append(events, event.OrderLeaseRead{Holder: rec.Holder, Settled: rec.Settled, Quiet: rec.Quiet, Version: r.Version})
 			appendUnreadable(ok, r, &events)
 			continue
 		}
--- a/orderlease/orderlease.go
+++ b/orderlease/orderlease.go
@@ -21,18 +21,22 @@
 // writeTimeout bounds one write. It allows for a direct call and one through another host.
 const writeTimeout = 900 * time.Millisecond
 
-type record struct {
-	Holder  lot.Process `json:"holder"`
-	WriteID uint64      `json:"write"` // unique to each write of a holder
+// Record is the content of the row.
+type Record struct {
+	Holder lot.Process `json:"holder"` // empty after a release
+	// Settled is set once the holder no longer waits for orders of the holder before it.
+	Settled bool `json:"settled,omitempty"`
+	// Quiet is the time before the write of a release in which no holder sent an order.
+	Quiet   time.Duration `json:"quiet,omitempty"`
+	WriteID uint64        `json:"write"` // unique to each write of a holder
 }
 
 // Parse decodes the row of the lease. ok is false if the row is deleted or not valid.
-func Parse(r store.Row) (holder lot.Process, ok bool) {
-	var rec record
+func Parse(r store.Row) (rec Record, ok bool) {
 	if r.Deleted || json.Unmarshal(r.Value, &rec) != nil {
-		return lot.Process{}, false
+		return Record{}, false
 	}
-	return rec.Holder, true
+	return rec, true
 }
 
 // Writer writes the lease for one process. It is not safe for concurrent use.
@@ -51,14 +55,14 @@
 }
 
 // Write acquires, renews or releases the lease. version is the expected version of its
-// row. If an earlier write of this process took effect but its response was lost, Write
+// row. rec is the content of the row without its WriteID. If an earlier write of this process took effect but its response was lost, Write
 // continues from the version of that write. In every other case in which the row does not
 // have the expected version, the error has the reason conflict.
-func (w *Writer) Write(ctx context.Context, version uint64, release bool) (Result, error) {
-	result, current, err := w.tryWrite(ctx, version, release)
+func (w *Writer) Write(ctx context.Context, version uint64, rec Record) (Result, error) {
+	result, current, err := w.tryWrite(ctx, version, rec)
 	if err == nil && current != nil {
-		if holder, ok := Parse(*current); ok && holder == w.Self {
-			result, current, err = w.tryWrite(ctx, current.Version, release)
+		if stored, ok := Parse(*current); ok && stored.Holder == w.Self {
+			result, current, err = w.tryWrite(ctx, current.Version, rec)
 		}
 	}
 	if err == nil && current != nil {
@@ -69,14 +73,11 @@
 
 // tryWrite writes the lease once. If the row does not have the given version, it returns
 // the current row.
-func (w *Writer) tryWrite(ctx context.Context, version uint64, release bool) (Result, *store.Row, error) {
+func (w *Writer) tryWrite(ctx context.Context, version uint64, rec Record) (Result, *store.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	w.writes++
-	rec := record{Holder: w.Self, WriteID: w.writes}
-	if release {
-		rec.Holder = lot.Process{}
-	}
+	rec.WriteID = w.writes
 	value, err := json.Marshal(rec)
 	if err != nil {
 		return Result{}, nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonInternal, "encode order lease")
--- a/system/rollout/order_lease.go
+++ b/system/rollout/order_lease.go
@@ -51,7 +51,7 @@
 	}
 	switch {
 	case r.OrderLease.Held && r.Draining:
-		releaseOrderLease(r, out)
+		releaseOrderLease(now, r, out)
 	case r.OrderLease.Held:
 		renewOrderLease(now, r, out)
 	case !r.Draining && !feed.Down:
@@ -65,6 +65,9 @@
 		return
 	}
 	lease.Holder, lease.Version, lease.VersionSeenAt = e.Holder, e.Version, now
+	if e.Holder != r.Self {
+		lease.Predecessor = table.Predecessor{Known: true, Holder: e.Holder, Settled: e.Settled, Quiet: e.Quiet, SeenAt: now}
+	}
 	if lease.Held && e.Holder != r.Self {
 		lease.Held = false
 		logOrderLease("order lease lost", lease, out)
@@ -82,8 +85,6 @@
 		}
 		return
 	}
-	silentFor := now - lease.VersionSeenAt
-	previous := lease.Holder
 	lease.Version, lease.VersionSeenAt = e.Version, now
 	if e.Released {
 		lease.Held, lease.Holder = false, lot.Process{}
@@ -93,38 +94,35 @@
 	lease.ValidUntil, lease.Holder = e.SentAt+orderLeaseValidity, r.Self
 	if e.Acquired && !lease.Held {
 		lease.Held, lease.Fence = true, e.Version
-		lease.OrdersFrom = ordersFrom(now, r, previous, silentFor)
+		lease.LastOrderAt = lastForeignOrder(r, &lease.Predecessor)
+		lease.OrdersFrom = lease.LastOrderAt + r.OrderHandoverDelay + maxOrderInFlight
 		logOrderLease("order lease acquired", lease, out)
 	}
 }
 
-// ordersFrom returns the earliest time at which a new holder may send its first
-// order. The last possible order of the previous holder must then be at least
-// OrderHandoverDelay old. Orders sent by this host before a restart count as its own.
-// silentFor is the time for which the lease row did not change before this process
-// acquired the lease.
-func ordersFrom(now time.Duration, r *table.Rollout, previous lot.Process, silentFor time.Duration) time.Duration {
+// lastForeignOrder returns the latest time at which another host may have sent an order,
+// before this process acquired the lease. It is long ago if no other host can have.
+func lastForeignOrder(r *table.Rollout, p *table.Predecessor) time.Duration {
 	switch {
-	case previous.Host == r.Self.Host:
-		return now
-	case previous == lot.Process{} && silentFor >= now: // no holder since this process started
-		return now
-	case previous == lot.Process{}:
-		return now - silentFor + r.OrderHandoverDelay + maxOrderInFlight
-	default:
-		return now - silentFor + orderLeaseValidity + r.OrderHandoverDelay + maxOrderInFlight
+	case !p.Known, p.Holder.Host == r.Self.Host && p.Settled:
+		return -r.OrderHandoverDelay - maxOrderInFlight
+	case p.Holder == lot.Process{}:
+		return p.SeenAt - p.Quiet
+	default: // also an earlier process of this host that was still waiting
+		return p.SeenAt + orderLeaseValidity
 	}
 }
 
-// releaseOrderLease releases the lease once no order is pending.
-func releaseOrderLease(r *table.Rollout, out *command.Outbox) {
+// releaseOrderLease releases the lease once no order is pending. The row tells how long ago
+// the last order was sent, so that the next holder waits no longer than necessary.
+func releaseOrderLease(now time.Duration, r *table.Rollout, out *command.Outbox) {
 	for _, s := range r.Servers.All() {
 		if s.Order.Pending {
 			return
 		}
 	}
 	r.OrderLease.Writing = true
-	out.Add(command.WriteOrderLease{Version: r.OrderLease.Version, Release: true})
+	out.Add(command.WriteOrderLease{Version: r.OrderLease.Version, Release: true, Quiet: max(0, now-r.OrderLease.LastOrderAt)})
 }
 
 func renewOrderLease(now time.Duration, r *table.Rollout, out *command.Outbox) {
@@ -133,7 +131,7 @@
 		return
 	}
 	r.OrderLease.Writing = true
-	out.Add(command.WriteOrderLease{Version: r.OrderLease.Version})
+	out.Add(command.WriteOrderLease{Version: r.OrderLease.Version, Settled: now >= r.OrderLease.OrdersFrom})
 }
 
 // acquireOrderLease requests the lease if it has no holder, if its holder stopped renewing
@@ -160,5 +158,6 @@
 	out.Add(command.LogChange{Message: message, Fields: []command.Field{
 		field("holder", lease.Holder.Host), field("row_version", strconv.FormatUint(lease.Version, 10)),
 		field("fence", strconv.FormatUint(lease.Fence, 10)),
+		field("predecessor", lease.Predecessor.Holder.Host), field("orders_from_ms", millis(lease.OrdersFrom)), field("quiet_ms", millis(lease.Predecessor.Quiet)),
 	}})
 }
--- a/system/rollout/weights.go
+++ b/system/rollout/weights.go
@@ -97,6 +97,7 @@
 		loading++
 		byModel[model].loading++
 		s.Order = table.Order{Model: model, Version: named, SentAt: now, Pending: true}
+		r.OrderLease.LastOrderAt = now
 		out.Add(command.SendOrder{
 			Target: target(s), Model: model, Version: named, Fence: r.OrderLease.Fence,
 			ValidUntil: r.OrderLease.ValidUntil,
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -308,17 +308,29 @@
 // submitted again in a later lot.
 func ItemKey(lot, item string) string { return lot + "/" + item }
 
+// Predecessor is the newest holder of the order lease other than this process, as the store
+// showed it. A row that this process wrote itself does not change it.
+type Predecessor struct {
+	Known   bool        // a row of another process was read
+	Holder  lot.Process // empty after a release
+	Settled bool
+	Quiet   time.Duration
+	SeenAt  time.Duration // when this process read its newest row
+}
+
 // OrderLease is the lease under which one process gives orders to engines.
 type OrderLease struct {
 	Holder        lot.Process
 	Version       uint64        // of the lease row, 0 if there is none
 	VersionSeenAt time.Duration // when this process saw Version change last
-	Held          bool          // this process holds the lease
-	Fence         uint64        // fencing token: version of the row when this process took the lease
+	Predecessor   Predecessor
+	Held          bool   // this process holds the lease
+	Fence         uint64 // fencing token: version of the row when this process took the lease
 	// ValidUntil is the time until which this process may give orders. It is counted
 	// from before the last successful write of the row was sent.
-	ValidUntil time.Duration
-	OrdersFrom time.Duration // earliest time of an order; orders of the previous holder may be in flight before
-	Writing    bool          // a write of the row is under way
-	NextWrite  time.Duration // earliest time of the next write
+	ValidUntil  time.Duration
+	OrdersFrom  time.Duration // earliest time of an order; orders of the previous holder may be in flight before
+	LastOrderAt time.Duration // newest order of any holder that this process knows of or must allow for, while it holds the lease
+	Writing     bool          // a write of the row is under way
+	NextWrite   time.Duration // earliest time of the next write
 }
