transport, platform: no connection carries two requests with one id

A full server refuses it, the host sends it there again on the same connection, and a late copy of the refusal is believed.

Cause: a refusal was believed if it had the attempt id, which is the same each time the request is sent. On a kept connection it does not tell which sending a response belongs to. Likewise after a failure, for runs of items and scoring requests.

Change: a connection that has carried a request with the same id is closed before a byte is written, and the request goes out on another within the same attempt. Orders, whose answers have no id, have a connection of their own each.

--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -145,13 +145,19 @@
 	keepAlive := net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}
 	h.storeHTTP = transport.NewClientWith(transport.Options{DialTimeout: storeDialTimeout, IdleTimeout: storeIdleTimeout, KeepAlive: keepAlive, ResetOnClose: true})
 	h.directStore = platform.NewStoreClient(h.settings.Store, h.storeHTTP)
+	h.directStore.OnRefused = func(reason verdict.Reason) { h.count("store_calls_refused", reason) }
 	h.dialer = peer.NewDialer("") // the platform provides no secret for calls between hosts
 	h.store = &relay.Client{
 		Client: h.directStore, Probe: h.probeStore, OnDirectChange: h.logDirectChange,
 		Dial: func(address string) relay.PeerStore { return &peer.StoreClient{Dialer: h.dialer, Address: address} },
 	}
-	backendHTTP := transport.NewClientWith(transport.Options{DialTimeout: backendDialTimeout, IdleTimeout: backendIdleTimeout, KeepAlive: keepAlive, ResetOnClose: true})
-	h.backends = platform.NewBackendClient(backendHTTP)
+	backendOptions := transport.Options{DialTimeout: backendDialTimeout, IdleTimeout: backendIdleTimeout, KeepAlive: keepAlive, ResetOnClose: true}
+	orderOptions := backendOptions
+	orderOptions.SingleUse = true
+	h.backends = &platform.BackendClient{
+		HTTP: transport.NewClientWith(backendOptions), Orders: transport.NewClientWith(orderOptions),
+		OnResend: func() { h.metrics.Scope.Counter("requests_resent_total").Inc(1) },
+	}
 	h.repository = &lot.Repository{Store: h.store, Cache: new(lot.ResultCache)}
 	h.permits = &permit.Client{
 		Self: h.settings.Host, Local: localPermits{h},
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -3,19 +3,47 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"sync"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // errWritesBlocked is returned by writes to a connection whose request was reported as
 // not sent.
 var errWritesBlocked = errors.New("writes to connection are blocked: it was closed, or a request was reported as not sent")
 
-// countingConn counts its writes and can block further ones.
+// maxCarried bounds the number of requests that a connection remembers. A late copy of a
+// response arrives before that many further requests.
+const maxCarried = 128
+
+// countingConn counts its writes and can block further ones. It remembers the requests that
+// it carried.
 type countingConn struct {
 	net.Conn
 	mu            sync.Mutex
 	writes        uint64
 	writesBlocked bool
+	carried       []uint64 // hashes of the ids of the newest requests
+	next          int      // index in carried of the oldest one, once there are maxCarried
+}
+
+// carry records that the connection is to carry a request, and reports whether it has not
+// carried one with the same id before.
+func (c *countingConn) carry(id string) bool {
+	hash := xxhash.Sum64String(id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slices.Contains(c.carried, hash) {
+		return false
+	}
+	if len(c.carried) < maxCarried {
+		c.carried = append(c.carried, hash)
+		return true
+	}
+	c.carried[c.next] = hash
+	c.next = (c.next + 1) % maxCarried
+	return true
 }
 
 // Write implements net.Conn.
--- a/transport/trace.go
+++ b/transport/trace.go
@@ -4,12 +4,18 @@
 	"context"
 	"net"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 )
 
 // Trace records the connections that net/http uses for one attempt. The zero value is
 // ready to use.
 type Trace struct {
+	// RequestID is an id that the server repeats in its response, or empty. No connection
+	// carries two requests with the same id: a late copy of the first response could not be
+	// told from the second one.
+	RequestID string
+
 	mu   sync.Mutex
 	used []usedConn
 }
@@ -36,6 +42,9 @@
 		used.writesBefore = c.count()
 		if t.written() {
 			c.blockWrites()
+		} else if t.RequestID != "" && !c.carry(t.RequestID) {
+			c.blockWrites()
+			_ = c.Close()
 		}
 	}
 	t.used = append(t.used, used)
@@ -51,6 +60,13 @@
 	return false
 }
 
+// Reused reports whether a connection of the attempt was used for a request before.
+func (t *Trace) Reused() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.used, func(u usedConn) bool { return u.writesBefore > 0 })
+}
+
 // Close closes the connections of the request, so that bytes that follow a response are not
 // read as the response to a later request. A later request that was given the connection
 // before the HTTP client noticed that it is closed writes nothing and is reported as not sent.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -27,6 +27,8 @@
 	// unsent bytes when a network partition heals, and an abandoned attempt would reach
 	// its server seconds later.
 	ResetOnClose bool
+	// SingleUse closes each connection after one request.
+	SingleUse bool
 }
 
 // NewClient returns a client with default options.
@@ -68,6 +70,7 @@
 		IdleConnTimeout:        o.IdleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
+		DisableKeepAlives:      o.SingleUse,
 	}
 }
 
