lot, frontend: large submissions are stored in buckets of items

Cause: a submission was one encoded text. It was held several times while it was stored, and each read of one item's body read and decoded all of it.

Change: above 600 KB, buckets of about 500 KB by a hash of the item's id. A read of a body takes one bucket. Reads reserve memory from the budget of the host and are refused as not run if there is none.

--- a/frontend/service.go
+++ b/frontend/service.go
@@ -29,6 +29,9 @@
 	// peerReadTimeout bounds a read from another host, which responds from memory. It leaves
 	// time for a read from the store if that host is unavailable.
 	peerReadTimeout = 300 * time.Millisecond
+	// itemReadCopies is the number of copies of what a read of one item takes that exist at
+	// the same time: encoded and decoded.
+	itemReadCopies = 2
 )
 
 // Service is the front end of a host.
@@ -266,16 +269,17 @@
 	if err != nil {
 		return nil, err
 	}
-	sub, err := s.Repository.Body(ctx, stored.Head)
+	scope := s.MemoryScope()
+	defer scope.Close()
+	if err := scope.Open(nil).Resize(itemReadCopies * stored.Head.ItemReadBytes()); err != nil {
+		s.LogRefusal(id, err)
+		return nil, err
+	}
+	body, err := s.Repository.ItemBody(ctx, &stored.Head, item)
 	if err != nil {
 		return nil, s.readFailure(id, err)
 	}
-	for i := range sub.Items {
-		if sub.Items[i].ID == item {
-			return sub.Items[i].Body, nil
-		}
-	}
-	return nil, verdict.New(verdict.NotRun, verdict.ReasonUnknownLot, "lot %q has no item %q", id, item)
+	return body, nil
 }
 
 // End ends a lot: its remaining items no longer run. It is idempotent.
--- a/lot/delete.go
+++ b/lot/delete.go
@@ -54,19 +54,6 @@
 	return superseded, nil
 }
 
-// deleteObjects deletes the objects of a submission. All heads of a lot share them.
-func (repo *Repository) deleteObjects(ctx context.Context, h *Head) error {
-	if !h.InObjects {
-		return nil
-	}
-	for i := range h.BodyChunks {
-		if err := repo.Store.DeleteObject(ctx, ObjectName(h.ID, i)); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // deleteRows deletes the rows that a head references and then the head.
 func (repo *Repository) deleteRows(ctx context.Context, s StoredHead) error {
 	h := &s.Head
--- a/lot/lot.go
+++ b/lot/lot.go
@@ -104,6 +104,9 @@
 	AcceptedUnixMS  int64   `json:"accepted"`             // Unix milliseconds
 	BodyChunks      int     `json:"body_rows"`            // number of rows or objects of the submission
 	InObjects       bool    `json:"in_objects,omitempty"` // the submission is stored in objects, not in rows
+	// BucketParts is the number of objects of each bucket of a large submission. It is empty
+	// if an earlier release stored the submission in BodyChunks objects.
+	BucketParts []int `json:"bucket_parts,omitempty"`
 	// CandidateIndex is the index of the head's partition among the candidate partitions
 	// of the lot. A creation with an unknown outcome can leave heads of the same lot in
 	// several partitions; the one that was created first is authoritative.
--- a/lot/read.go
+++ b/lot/read.go
@@ -55,32 +55,6 @@
 	return StoredHead{Head: h, Version: r.Rows[0].Version}, nil
 }
 
-// Body reads the submission of a lot.
-func (repo *Repository) Body(ctx context.Context, h Head) (*Submission, error) {
-	chunks := make([][]byte, 0, h.BodyChunks)
-	if h.InObjects {
-		for i := range h.BodyChunks {
-			data, err := repo.Store.GetObject(ctx, ObjectName(h.ID, i))
-			if err != nil {
-				return nil, err
-			}
-			chunks = append(chunks, data)
-		}
-		return ParseBody(chunks)
-	}
-	r, err := repo.Store.Read(ctx, tableBodies, h.BodyPart, "", 0)
-	if err != nil {
-		return nil, err
-	}
-	if len(r.Rows) != h.BodyChunks {
-		return nil, fmt.Errorf("submission of lot %s: got %d rows, want %d", h.ID, len(r.Rows), h.BodyChunks)
-	}
-	for _, row := range r.Rows {
-		chunks = append(chunks, row.Value)
-	}
-	return ParseBody(chunks)
-}
-
 // Reader reads rows of a store. It is the subset of store.Client that reading results needs.
 type Reader interface {
 	Read(ctx context.Context, table, part, from string, limit int) (store.Range, error)
--- a/lot/repository.go
+++ b/lot/repository.go
@@ -54,17 +54,13 @@
 // candidate partitions. The head that was created first is authoritative; see
 // Head.CreationVersion.
 func (repo *Repository) Create(ctx context.Context, s *Submission, h Head) (created StoredHead, existing *StoredHead, err error) {
-	data := mustMarshal(s)
-	h.InObjects = len(data) > MaxInlineBytes
-	if h.InObjects {
-		objects := bodyObjects(s, data)
-		h.BodyChunks = len(objects)
-		for name, object := range objects {
-			if err := repo.Store.PutObject(ctx, name, object); err != nil {
-				return StoredHead{}, nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonStoreUnavailable, "put object %s", name)
-			}
-		}
+	var data []byte
+	if size := s.EncodedSize(); size <= MaxInlineBytes {
+		data = mustMarshal(s)
+	} else if h.BucketParts, err = repo.putBuckets(ctx, s, size); err != nil {
+		return StoredHead{}, nil, err
 	}
+	h.InObjects = len(h.BucketParts) > 0
 	return repo.commit(ctx, h.ID, maxCreateAttempts, func(attempt int) (Head, store.Commit) {
 		h.CandidateIndex = candidateForAttempt(attempt)
 		h.BodyPart = partName(h.ID, 0, attempt)
--- a/lot/rows.go
+++ b/lot/rows.go
@@ -24,13 +24,7 @@
 const (
 	// maxChunkBytes bounds the value of one row. The store allows 64 KiB.
 	maxChunkBytes = 60_000
-	// MaxInlineBytes bounds the encoded size of a submission that is stored in rows;
-	// larger submissions are stored in objects. The store limits a commit to 1 MB, in which
-	// values take a third more space than here.
-	MaxInlineBytes = 600_000
-	// maxObjectBytes bounds the size of one object. The store allows 8 MiB.
-	maxObjectBytes = 8_000_000
-	headPrefix     = "lot/" // row name prefix of heads
+	headPrefix    = "lot/" // row name prefix of heads
 )
 
 // headShards is the number of partitions that hold heads. If some partitions of the store
@@ -98,27 +92,6 @@
 // bodyRows splits an encoded submission into rows.
 func bodyRows(part string, data []byte) []store.Row { return chunkRows(tableBodies, part, "", data) }
 
-// bodyObjects splits an encoded submission into objects, keyed by object name.
-func bodyObjects(s *Submission, data []byte) map[string][]byte {
-	objects := make(map[string][]byte)
-	for i := 0; i*maxObjectBytes < len(data); i++ {
-		objects[ObjectName(s.ID, i)] = data[i*maxObjectBytes : min(len(data), (i+1)*maxObjectBytes)]
-	}
-	return objects
-}
-
-// ObjectName returns the name of the i-th object of a submission.
-func ObjectName(id string, i int) string { return fmt.Sprintf("lot-%s-%d", id, i) }
-
-// ParseBody decodes a submission from its chunks, given in order.
-func ParseBody(chunks [][]byte) (*Submission, error) {
-	var s Submission
-	if err := json.Unmarshal(joinChunks(chunks), &s); err != nil {
-		return nil, fmt.Errorf("decode submission: %w", err)
-	}
-	return &s, nil
-}
-
 // ResultRowName returns the prefix of the row names of the result at a position.
 func ResultRowName(position int) string { return fmt.Sprintf("%07d", position) }
 
@@ -185,17 +158,6 @@
 	return rows
 }
 
-func joinChunks(chunks [][]byte) []byte {
-	if len(chunks) == 1 {
-		return chunks[0]
-	}
-	var data []byte
-	for _, c := range chunks {
-		data = append(data, c...)
-	}
-	return data
-}
-
 // mustMarshal encodes a record as JSON, without escape sequences for HTML, which would take
 // six bytes for each <, > and &. It panics on an error, which the types of the records rule
 // out.
--- a/soak/memory_test.go
+++ b/soak/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/base64"
 	"fmt"
 	"io"
 	"net"
@@ -152,3 +153,62 @@
 	}
 	return resp.StatusCode
 }
+
+// TestLargeSubmissions guards against a host that runs out of memory because of submissions
+// that are within the limits, and against reads of bodies that each take the memory of the
+// whole submission.
+func TestLargeSubmissions(t *testing.T) {
+	const (
+		items     = 8192
+		itemBytes = 2400
+		limitMB   = 294
+		readers   = 12
+	)
+	c := newClusterOf(t, 1, eventsPerItem, fmt.Sprintf("limits.memoryMb=%d\n", limitMB))
+	h := c.hosts[0]
+	require.Eventually(t, func() bool { return c.ready(h) }, 10*time.Second, 20*time.Millisecond)
+	submission := func(id string) []byte {
+		var b bytes.Buffer
+		b.WriteString(`{"step":1,"model":"m","items":[`)
+		body := base64.StdEncoding.EncodeToString(make([]byte, itemBytes))
+		for i := range items {
+			if i > 0 {
+				b.WriteByte(',')
+			}
+			fmt.Fprintf(&b, `{"identifier":"%s-%d","path":"/lots/x","headers":{"Model":"m","Token-Counts":"500,400"},"body":%q,"tokens":900,"group":"g%d"}`, id, i, body, i/8)
+		}
+		b.WriteString("]}")
+		return b.Bytes()
+	}
+	client := &http.Client{Timeout: 20 * time.Second}
+	for n, status := 0, 0; n < 20 && status != http.StatusAccepted; n++ {
+		status = callHost(client, h, "large", "/lots/x", submission("large"))
+	}
+	var wg sync.WaitGroup
+	var refused, read atomic.Int32
+	for n := range readers {
+		wg.Go(func() {
+			for i := range 10 {
+				resp, err := http.Get(fmt.Sprintf("http://%s/v1/items/large?identifier=large-%d", h.frontAddress, items-1-n*10-i))
+				if err != nil {
+					continue
+				}
+				data, _ := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				switch {
+				case resp.StatusCode == http.StatusServiceUnavailable:
+					refused.Add(1)
+				case resp.StatusCode == http.StatusOK && len(data) == itemBytes:
+					read.Add(1)
+				}
+			}
+		})
+	}
+	second := callHost(client, h, "second", "/lots/x", submission("second"))
+	wg.Wait()
+	peak := peakMemoryMB(t, h.cmd.Process.Pid)
+	t.Logf("peak %d MB; %d bodies read, %d refused; the second submission was answered %d", peak, read.Load(), refused.Load(), second)
+	require.Less(t, peak, limitMB)
+	require.EqualValues(t, readers*10, read.Load()+refused.Load())
+	require.Positive(t, read.Load())
+}
