relay, system/rollout: a host that was cut off soon knows which servers left

Cause: two delays that add up. A read that began before the end of the cut goes on in calls to other hosts for up to 2.6 s. Then servers with missing records are kept for 2.2 s from the return of the feed, as after an outage of the store, also if only this host was away.

Change: a call through another host ends when the store serves this host again. The holder of the order lease writes for how long the store has served it; a host that was cut off counts the 2.2 s from there, with rows that were written after it was back. After an outage of the store nothing changes, because the holder was away too.

--- a/command/rollout.go
+++ b/command/rollout.go
@@ -136,6 +136,8 @@
 	Release bool
 	Settled bool          // see orderlease.Record
 	Quiet   time.Duration // of a release, see orderlease.Record
+	// StoreUpFor is the time for which the store has served this host without a break.
+	StoreUpFor time.Duration
 }
 
 // Name implements Command.
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -18,6 +18,10 @@
 	Failure *Failure
 }
 
+// FeedCaughtUp reports that the changes that were made while a feed was lost have been
+// delivered. Changes that follow are new.
+type FeedCaughtUp struct{ Table string }
+
 // SettingsRead holds those settings of the host that affect decisions, after the settings
 // were read again.
 type SettingsRead struct {
@@ -81,7 +85,9 @@
 	Holder  lot.Process
 	Settled bool
 	Quiet   time.Duration
-	Version uint64
+	// StoreUpFor is the time for which the store had served the holder without a break.
+	StoreUpFor time.Duration
+	Version    uint64
 }
 
 // OrderLeaseWritten is the outcome of a write that acquires, renews or releases the order
@@ -192,6 +198,9 @@
 // Name implements Event.
 func (FeedChanged) Name() string { return "feed_changed" }
 
+// Name implements Event.
+func (FeedCaughtUp) Name() string { return "feed_caught_up" }
+
 // Name implements Event.
 func (RowUnreadable) Name() string { return "row_unreadable" }
 
--- a/executor/feed.go
+++ b/executor/feed.go
@@ -100,10 +100,13 @@
 			continue
 		}
 		retryInterval = minFeedRetryInterval
-		f.handleReadSuccess(ctx)
+		regained := f.handleReadSuccess(ctx)
 		for _, e := range f.decode(rows, full) {
 			_ = f.Deliver(ctx, e) // fails only when the process ends
 		}
+		if regained {
+			_ = f.Deliver(ctx, event.FeedCaughtUp{Table: f.Name})
+		}
 		f.freshAt.Store(int64(currentAt))
 		f.waitForNextRead(ctx, sent, len(rows) > 0)
 	}
@@ -227,14 +230,15 @@
 	}
 }
 
-// handleReadSuccess reports the feed as available after its first successful read and when
-// it was lost before.
-func (f *Feed) handleReadSuccess(ctx context.Context) {
+// handleReadSuccess reports the feed as available, and returns true, after its first
+// successful read and when it was lost before.
+func (f *Feed) handleReadSuccess(ctx context.Context) bool {
 	if f.started && !f.down {
-		return
+		return false
 	}
 	f.started, f.down = true, false
 	_ = f.Deliver(ctx, event.FeedChanged{Table: f.Name})
+	return true
 }
 
 // sleep waits for d or until ctx ends.
--- a/executor/store.go
+++ b/executor/store.go
@@ -95,7 +95,7 @@
 
 // WriteOrderLease executes command.WriteOrderLease.
 func WriteOrderLease(ctx context.Context, w *orderlease.Writer, c command.WriteOrderLease) event.Event {
-	rec := orderlease.Record{Holder: w.Self, Settled: c.Settled}
+	rec := orderlease.Record{Holder: w.Self, Settled: c.Settled, StoreUpFor: c.StoreUpFor}
 	if c.Release {
 		rec = orderlease.Record{Quiet: c.Quiet}
 	}
@@ -115,7 +115,7 @@
 	for _, r := range rows {
 		if r.Key == orderlease.Key {
 			rec, ok := orderlease.Parse(r) // the holder is empty if the row is not valid
-			events = append(events, event.OrderLeaseRead{Holder: rec.Holder, Settled: rec.Settled, Quiet: rec.Quiet, Version: r.Version})
+			events = append(events, event.OrderLeaseRead{Holder: rec.Holder, Settled: rec.Settled, Quiet: rec.Quiet, StoreUpFor: rec.StoreUpFor, Version: r.Version})
 			appendUnreadable(ok, r, &events)
 			continue
 		}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -79,7 +79,7 @@
 	}
 	end := requestDeadline(r, route)
 	if err := f.CheckStop(end); err != nil && !r.Background {
-		f.Count("refused", verdict.ReasonOf(err))
+		f.refuse(r, err)
 		return nil, err
 	}
 	ctx, cancel := context.WithDeadline(ctx, f.beforeStop(end))
--- a/forward/stopping.go
+++ b/forward/stopping.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -36,6 +38,13 @@
 	return verdict.New(verdict.NotRun, verdict.ReasonDraining, "this host stops before the deadline of the request")
 }
 
+// refuse records that a request was refused before it was sent to a server.
+func (f *Forwarder) refuse(r *Request, err error) {
+	f.Count("refused", verdict.ReasonOf(err))
+	f.Log.Info("request refused", zap.String("request", r.ID), zap.Stringer("verdict", verdict.Of(err)),
+		zap.String("reason", string(verdict.ReasonOf(err))), zap.String("error", verdict.Message(err)))
+}
+
 // beforeStop returns the earlier of a deadline and the end of a graceful shutdown.
 func (f *Forwarder) beforeStop(end time.Time) time.Time {
 	if s := f.stopping.Load(); s != nil && s.end.Before(end) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -42,7 +42,7 @@
 	}
 	end := requestDeadline(r, route)
 	if err := f.CheckStop(end); err != nil {
-		f.Count("refused", verdict.ReasonOf(err))
+		f.refuse(r, err)
 		return err
 	}
 	ctx, cancel := context.WithDeadline(ctx, end)
--- a/orderlease/orderlease.go
+++ b/orderlease/orderlease.go
@@ -27,8 +27,11 @@
 	// Settled is set once the holder no longer waits for orders of the holder before it.
 	Settled bool `json:"settled,omitempty"`
 	// Quiet is the time before the write of a release in which no holder sent an order.
-	Quiet   time.Duration `json:"quiet,omitempty"`
-	WriteID uint64        `json:"write"` // unique to each write of a holder
+	Quiet time.Duration `json:"quiet,omitempty"`
+	// StoreUpFor is the time before the write for which the store had served the holder
+	// without a break.
+	StoreUpFor time.Duration `json:"store_up,omitempty"`
+	WriteID    uint64        `json:"write"` // unique to each write of a holder
 }
 
 // Parse decodes the row of the lease. ok is false if the row is deleted or not valid.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -58,7 +58,7 @@
 
 	peers            atomic.Pointer[[]string] // addresses of the other hosts
 	lastGoodPeer     atomic.Pointer[string]   // address of the peer that responded last
-	down             atomic.Bool              // the store does not serve this host
+	down             atomic.Pointer[outage]   // nil while the store serves this host
 	peerBackoffUntil atomic.Int64             // Unix nanoseconds
 	rateLimits       rateLimitStreak
 
@@ -67,6 +67,12 @@
 	probeErr error
 }
 
+// outage is a time in which the store does not serve this host.
+type outage struct {
+	ctx context.Context // ends with the outage
+	end context.CancelFunc
+}
+
 // SetPeers sets the addresses of the other hosts.
 func (c *Client) SetPeers(addresses []string) { c.peers.Store(&addresses) }
 
@@ -113,7 +119,7 @@
 func (c *Client) call(ctx context.Context, wait time.Duration, do func(context.Context, PeerStore) error) error {
 	var errs callErrors
 	down := c.down.Load()
-	if !down {
+	if down == nil {
 		err := callWithTimeout(ctx, directTimeout+wait, c.Client, do)
 		if rateLimited(err) {
 			if !c.rateLimits.add(time.Now()) {
@@ -125,17 +131,24 @@
 		c.switchToPeers(ctx, err)
 		errs.add(err)
 	}
+	// The outage may end during a call through another host, which is then abandoned: both
+	// may have been cut off, and the call would last until its timeout.
+	current := c.down.Load()
 	for _, address := range c.candidatePeers() {
-		err := callWithTimeout(ctx, relayTimeout+wait, c.Dial(address), do)
+		err := current.callUntilEnd(ctx, relayTimeout+wait, c.Dial(address), do)
 		if storeAnswered(err) {
 			c.lastGoodPeer.Store(&address)
 			return err
 		}
 		errs.add(err)
+		if current.over() {
+			down = current // one direct call follows
+			break
+		}
 		c.lastGoodPeer.Store(nil)
 		c.peerBackoffUntil.Store(time.Now().Add(peerBackoff).UnixNano())
 	}
-	if down && ctx.Err() == nil {
+	if down != nil && ctx.Err() == nil {
 		err := callWithTimeout(ctx, directTimeout+wait, c.Client, do)
 		if storeAnswered(err) {
 			return err
@@ -145,6 +158,20 @@
 	return errs.err()
 }
 
+// over reports whether the outage has ended.
+func (o *outage) over() bool { return o == nil || o.ctx.Err() != nil }
+
+// callUntilEnd is like callWithTimeout, but also ends the call at the end of the outage.
+func (o *outage) callUntilEnd(ctx context.Context, timeout time.Duration, s PeerStore, do func(context.Context, PeerStore) error) error {
+	if o == nil {
+		return callWithTimeout(ctx, timeout, s, do)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(o.ctx, cancel)()
+	return callWithTimeout(ctx, timeout, s, do)
+}
+
 // rateLimitStreak counts consecutive calls that the store refused because of its rate limit.
 type rateLimitStreak struct {
 	mu    sync.Mutex
@@ -249,7 +276,10 @@
 // switchToPeers marks direct access as down and probes the store in the background until
 // direct access works again.
 func (c *Client) switchToPeers(ctx context.Context, cause error) {
-	if !c.down.CompareAndSwap(false, true) {
+	current := new(outage)
+	current.ctx, current.end = context.WithCancel(context.Background())
+	if !c.down.CompareAndSwap(nil, current) {
+		current.end()
 		return
 	}
 	c.OnDirectChange(true, cause)
@@ -258,7 +288,8 @@
 		for {
 			time.Sleep(probeInterval)
 			if c.probe(ctx) == nil {
-				c.down.Store(false)
+				c.down.Store(nil)
+				current.end()
 				c.peerBackoffUntil.Store(0)
 				c.rateLimits.reset()
 				c.OnDirectChange(false, nil)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -77,6 +77,45 @@
 	}, 5*time.Second, 20*time.Millisecond)
 }
 
+// TestCallEndsWithOutage guards against a call that goes on through a host that does not
+// respond after the store serves this host again. A host that had been cut off from all others
+// learned of removed servers up to 3 s late.
+func TestCallEndsWithOutage(t *testing.T) {
+	rows := pamoja.NewStore()
+	var down atomic.Bool
+	down.Store(true)
+	direct := &hostView{Store: rows, unavailable: func(...string) bool { return down.Load() }}
+	c := newClient(direct, silentPeer{})
+	_, err := c.Commit(context.Background(), put(""))
+	require.Error(t, err)
+	time.Sleep(500 * time.Millisecond) // no longer than hosts are left alone after a failure
+	time.AfterFunc(200*time.Millisecond, func() { down.Store(false) })
+	rows.Set("t", "k", nil)
+	start := time.Now()
+	const wait = 5 * time.Second // of a read that is held while there are no changes
+	_, err = c.Changes(context.Background(), "t", 0, wait)
+	require.NoError(t, err)
+	require.Less(t, time.Since(start), 2*time.Second)
+}
+
+// silentPeer is a host that does not respond.
+type silentPeer struct{}
+
+func (silentPeer) Commit(ctx context.Context, _ store.Commit) (uint64, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func (silentPeer) Read(ctx context.Context, _, _, _ string, _ int) (store.Range, error) {
+	<-ctx.Done()
+	return store.Range{}, ctx.Err()
+}
+
+func (silentPeer) Changes(ctx context.Context, _ string, _ uint64, _ time.Duration) (store.Range, error) {
+	<-ctx.Done()
+	return store.Range{}, ctx.Err()
+}
+
 // TestUnavailablePartitionKeepsDirectAccess guards against the failure of one partition that
 // makes a host send all its calls through other hosts. In a simulation, all submissions then
 // failed.
--- a/system/rollout/order_lease.go
+++ b/system/rollout/order_lease.go
@@ -68,12 +68,33 @@
 	if e.Holder != r.Self {
 		lease.Predecessor = table.Predecessor{Known: true, Holder: e.Holder, Settled: e.Settled, Quiet: e.Quiet, SeenAt: now}
 	}
+	recordStoreUp(now, r, e)
 	if lease.Held && e.Holder != r.Self {
 		lease.Held = false
 		logOrderLease("order lease lost", lease, out)
 	}
 }
 
+// recordStoreUp records since when the store has served the holder of the lease. If that is
+// longer than it has served this host, only this host was cut off. A row that was written
+// while this host was cut off says nothing of the time since.
+func recordStoreUp(now time.Duration, r *table.Rollout, e event.OrderLeaseRead) {
+	coordination, servers := r.Feeds.Find(feedCoordination), r.Feeds.Find(feedServers)
+	if coordination == nil || !coordination.CaughtUp || servers == nil || servers.Down || e.StoreUpFor <= 0 {
+		return
+	}
+	servers.ServedSince = min(servers.ServedSince, now-e.StoreUpFor)
+}
+
+// storeUpFor returns the time for which the store has served this host without a break.
+func storeUpFor(now time.Duration, r *table.Rollout) time.Duration {
+	servers := r.Feeds.Find(feedServers)
+	if servers == nil || servers.Down {
+		return 0
+	}
+	return now - servers.Since
+}
+
 func applyOrderLeaseWritten(now time.Duration, r *table.Rollout, e event.OrderLeaseWritten, out *command.Outbox) {
 	lease := &r.OrderLease
 	lease.Writing, lease.NextWrite = false, now+orderLeaseRenewInterval
@@ -131,7 +152,7 @@
 		return
 	}
 	r.OrderLease.Writing = true
-	out.Add(command.WriteOrderLease{Version: r.OrderLease.Version, Settled: now >= r.OrderLease.OrdersFrom})
+	out.Add(command.WriteOrderLease{Version: r.OrderLease.Version, Settled: now >= r.OrderLease.OrdersFrom, StoreUpFor: storeUpFor(now, r)})
 }
 
 // acquireOrderLease requests the lease if it has no holder, if its holder stopped renewing
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -52,8 +52,11 @@
 		switch e := e.(type) {
 		case event.FeedChanged:
 			row, _ := t.Rollout.Feeds.Upsert(e.Table)
-			row.Down, row.Since = e.Down, now
+			*row = table.Feed{Down: e.Down, Since: now, ServedSince: now}
 			logFeed(e, out)
+		case event.FeedCaughtUp:
+			row, _ := t.Rollout.Feeds.Upsert(e.Table)
+			row.CaughtUp = !row.Down
 		case event.SettingsRead:
 			t.Rollout.OrderHandoverDelay, t.Rollout.StoreReadsPerSecond, t.Rollout.ResultRetention = e.OrderHandoverDelay, e.StoreReadsPerSecond, e.ResultRetention
 			t.Rollout.BackendDrainPeriod = e.BackendDrainPeriod
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// missingGracePeriod is the time after the feed of server records has recovered for
-	// which servers with a missing record are kept. A live server writes a record that
-	// expired during the outage again within two seconds.
+	// missingGracePeriod is the time after an outage of the store for which servers with a
+	// missing record are kept. A live server writes a record that expired during the outage
+	// again within two seconds.
 	missingGracePeriod = 2200 * time.Millisecond
 	// suspectThreshold is the number of consecutive failures at which a server becomes
 	// suspect and is used only if no other is left. A single failure may be just a lost
@@ -135,7 +135,7 @@
 		if s.MissingSince == 0 {
 			continue
 		}
-		if feed != nil && (feed.Down || (feed.Since > 0 && now-feed.Since < missingGracePeriod)) {
+		if feed != nil && (feed.Down || (feed.Since > 0 && now-feed.ServedSince < missingGracePeriod)) {
 			continue
 		}
 		logServer("backend server is gone", &s.Server, out)
--- a/system/rollout/servers_test.go
+++ b/system/rollout/servers_test.go
@@ -52,6 +52,46 @@
 	require.Nil(t, w.tables.Rollout.Servers.Find("s2"))
 }
 
+// TestOnlyThisHostWasCutOff guards against a host that was cut off, while the store served the
+// others, and that keeps sending requests to servers whose records were removed meanwhile.
+func TestOnlyThisHostWasCutOff(t *testing.T) {
+	cutOff := func(w *world) {
+		w.step(w.server("s1", nil), w.server("s2", nil))
+		for _, feed := range []string{feedServers, feedCoordination} {
+			w.step(event.FeedChanged{Table: feed}, event.FeedCaughtUp{Table: feed})
+		}
+		for _, feed := range []string{feedServers, feedCoordination} {
+			w.step(event.FeedChanged{Table: feed, Down: true})
+		}
+		w.advance(9 * time.Second)
+		w.step(event.FeedChanged{Table: feedServers}, w.removed("s2"), event.FeedCaughtUp{Table: feedServers}, event.FeedChanged{Table: feedCoordination})
+	}
+	served := func(w *world, d time.Duration) event.Event {
+		return event.OrderLeaseRead{Holder: otherProcess, StoreUpFor: d, Version: w.version()}
+	}
+
+	w := newWorld(t)
+	cutOff(w)
+	w.step(served(w, time.Minute))
+	require.NotNil(t, w.tables.Rollout.Servers.Find("s2"), "the row may be from before an outage of the store")
+	w.step(event.FeedCaughtUp{Table: feedCoordination})
+	w.step(served(w, time.Minute))
+	w.step()
+	require.Nil(t, w.tables.Rollout.Servers.Find("s2"))
+	require.NotNil(t, w.tables.Rollout.Servers.Find("s1"))
+
+	w = newWorld(t)
+	cutOff(w)
+	w.step(event.FeedCaughtUp{Table: feedCoordination})
+	back := w.now
+	w.step(served(w, time.Second))
+	w.advance(missingGracePeriod - time.Second - 100*time.Millisecond)
+	require.NotNil(t, w.tables.Rollout.Servers.Find("s2"), "the store was away for all, the record may come back")
+	w.advance(200 * time.Millisecond)
+	require.Nil(t, w.tables.Rollout.Servers.Find("s2"))
+	require.Less(t, w.now, back+missingGracePeriod)
+}
+
 // TestRestartUnderTheSameID guards against a restarted server that inherits the state
 // observed before its restart.
 func TestRestartUnderTheSameID(t *testing.T) {
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -152,8 +152,12 @@
 
 // Feed is the state of the change feed of one table of the store.
 type Feed struct {
-	Down  bool          // the feed is lost
-	Since time.Duration // when Down last changed
+	Down     bool          // the feed is lost
+	Since    time.Duration // when Down last changed
+	CaughtUp bool          // the changes made while the feed was lost have been applied
+	// ServedSince is since when the store has served some host without a break, as far as
+	// this host knows. It is at most Since while the feed is not lost.
+	ServedSince time.Duration
 }
 
 // MedianInterval is the median of the event intervals of a service's servers.
