relay, lot: a direct call follows when an outage has ended already; exact size of reads

If the outage ended between the failed direct call and the first call through another host, no direct call followed. A read of a body from rows reserved 600 kB whatever the submission's size.

go test -race of relay, lot and frontend passes.

--- a/lot/bodies.go
+++ b/lot/bodies.go
@@ -221,10 +221,14 @@
 
 // ItemReadBytes returns the approximate number of bytes that a read of one item takes.
 func (h *Head) ItemReadBytes() int64 {
-	if len(h.BucketParts) > 0 || !h.InObjects {
-		return MaxInlineBytes
+	switch {
+	case len(h.BucketParts) > 0:
+		return bucketBytes
+	case h.InObjects:
+		return int64(h.BodyChunks) * maxObjectBytes
+	default:
+		return int64(h.BodyChunks) * maxChunkBytes
 	}
-	return int64(h.BodyChunks) * maxObjectBytes
 }
 
 // deleteObjects deletes the objects of a submission. All heads of a lot share them.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -118,8 +118,8 @@
 // the error is not run only if no attempt may have had an effect.
 func (c *Client) call(ctx context.Context, wait time.Duration, do func(context.Context, PeerStore) error) error {
 	var errs callErrors
-	down := c.down.Load()
-	if down == nil {
+	tryDirectly := c.down.Load() != nil // after the other hosts
+	if !tryDirectly {
 		err := callWithTimeout(ctx, directTimeout+wait, c.Client, do)
 		if rateLimited(err) {
 			if !c.rateLimits.add(time.Now()) {
@@ -142,13 +142,13 @@
 		}
 		errs.add(err)
 		if current.over() {
-			down = current // one direct call follows
+			tryDirectly = true
 			break
 		}
 		c.lastGoodPeer.Store(nil)
 		c.peerBackoffUntil.Store(time.Now().Add(peerBackoff).UnixNano())
 	}
-	if down != nil && ctx.Err() == nil {
+	if tryDirectly && ctx.Err() == nil {
 		err := callWithTimeout(ctx, directTimeout+wait, c.Client, do)
 		if storeAnswered(err) {
 			return err
