--- a/forward/forward.go
+++ b/forward/forward.go
@@ -395,53 +395,6 @@
 	return nil, verdict.New(v, verdict.ReasonDeadline, "no answer in time")
 }
 
-// reportOutcome reports the outcome of an attempt to control.
-func (c *call) reportOutcome(res result) {
-	failed := res.err != nil || res.answer.serverFailed()
-	reason, now := reasonOf(res), time.Now()
-	switch {
-	case !failed: // a server may fail faster than it answers
-		res.target.Load.recordResponse(res.took, now)
-	case isLimitReached(res.err):
-	case res.err != nil && verdict.Of(res.err) == verdict.NotRun: // full or not reachable
-		res.target.Load.recordRefusal(refusalPause(res.target, now), now)
-	}
-	c.f.Report(Outcome{
-		Request: c.r.ID, Server: res.target.ID, Answered: res.err == nil, Took: res.took,
-		Failed:  failed && !blameless(reason),
-		Refused: reason == verdict.ReasonBackendRefused, Leaving: reason == verdict.ReasonBackendLeaving,
-		Limit: res.target.Load.Limit(), Ended: res.ended, EndedServers: len(c.ended), Content: c.r.content(),
-	})
-}
-
-// blameless reports whether the failure of an attempt for a reason says nothing about the
-// health of the server.
-func blameless(reason verdict.Reason) bool {
-	switch reason {
-	case verdict.ReasonBackendRefused, verdict.ReasonCanceled, verdict.ReasonServerLimit, verdict.ReasonMemory:
-		return true
-	default:
-		return false
-	}
-}
-
-// log writes one log line for the request, with its route, attempts and outcome.
-func (c *call) log(answer *Answer, err error) {
-	fields := []zap.Field{
-		zap.String("request", c.r.ID), zap.String("route", c.route.Name), zap.String("service", c.service),
-		zap.Int("servers_tried", len(c.tried)), zap.Int("refusals", c.refusals), zap.String("last_server", c.lastServer),
-		zap.Strings("servers_ended", c.ended),
-		zap.Duration("took", time.Since(c.startedAt)), zap.Uint64("desired_version", c.f.Plans.Load().Desired.Version),
-	}
-	if err != nil {
-		c.f.Count("refused", verdict.ReasonOf(err))
-		c.f.Log.Info("request failed", append(fields, zap.String("content", c.r.Fingerprint()), zap.Stringer("verdict", verdict.Of(err)),
-			zap.String("reason", string(verdict.ReasonOf(err))), zap.String("error", verdict.Message(err)))...)
-		return
-	}
-	c.f.Log.Info("request answered", append(fields, zap.Int("status", answer.Status))...)
-}
-
 // sleep waits for d. It returns false if ctx ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
