system/rollout: outputs that cannot be stored are not kept; progress of the others is

Found by reading: the events of a run that exceeded the bound of an output stayed with the item, and further runs added to them, so a server that sends valid events without end could fill the host's memory item by item. And an item whose progress does not fit into a commit hid that of all items after it.

Change: such an output is discarded; progress that does not fit is left out.

TestOutputThatCannotBeStored and TestLargeProgressDoesNotHideOthers, go test -race of the package passes.

--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -101,6 +101,9 @@
 	if discarded {
 		discardOutput(item, discardRestart, out)
 	}
+	if e.Failure != nil && e.Failure.Reason == verdict.ReasonOutputTooLarge {
+		discardOutput(item, discardTooLarge, out)
+	}
 	if e.Failure != nil {
 		retryOrTerminate(now, t, item, e, out)
 		return
--- a/system/rollout/software.go
+++ b/system/rollout/software.go
@@ -8,9 +8,10 @@
 
 // Reasons for which an output is discarded.
 const (
-	discardSoftware = "software" // no server of its software version could continue it in time
-	discardWeights  = "weights"  // a single version of the weights is required
-	discardRestart  = "restart"  // its server had restarted with another software version
+	discardSoftware = "software"  // no server of its software version could continue it in time
+	discardWeights  = "weights"   // a single version of the weights is required
+	discardTooLarge = "too_large" // it exceeds what can be stored
+	discardRestart  = "restart"   // its server had restarted with another software version
 )
 
 // canContinue reports whether a server can continue the output of an item: there is none, or
--- a/system/rollout/writes.go
+++ b/system/rollout/writes.go
@@ -208,10 +208,13 @@
 		p := lot.Progress{
 			Item: item.Spec.ID, Events: item.Events, Versions: item.Versions, Software: item.Software, Complete: item.Stage == table.ItemScoring,
 		}
-		if size = size.Plus(p.Size()); len(all) == maxProgressItems || !size.Fits() {
+		if len(all) == maxProgressItems {
 			break
 		}
-		all = append(all, p)
+		if total := size.Plus(p.Size()); total.Fits() {
+			size = total
+			all = append(all, p)
+		}
 	}
 	return all
 }
--- a/system/rollout/writes_test.go
+++ b/system/rollout/writes_test.go
@@ -117,7 +117,12 @@
 		require.NotEmpty(t, runs)
 		failed := endedRun(runs[0])
 		failed.Failure = &event.Failure{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonOutputTooLarge}
-		commands = append(w.step(failed), w.advance(3*time.Second)...)
+		failed.Events = []string{strings.Repeat("x", 100)}
+		commands = w.step(failed)
+		for _, item := range w.tables.Rollout.Items.All() {
+			require.Empty(t, item.Events, "an output that cannot be stored is not kept")
+		}
+		commands = append(commands, w.advance(3*time.Second)...)
 		if w.tables.Rollout.Items.Len() == 0 {
 			require.Equal(t, defaultMaxAttempts, attempt)
 			return
@@ -125,6 +130,22 @@
 	}
 }
 
+// TestLargeProgressDoesNotHideOthers guards against items whose progress is never stored
+// because that of an item before them does not fit into a commit.
+func TestLargeProgressDoesNotHideOthers(t *testing.T) {
+	w := newWorld(t)
+	w.step(w.server("s1", nil))
+	w.accept(submission(3))
+	for key, item := range w.tables.Rollout.Items.All() {
+		item.Events = []string{"event"}
+		if key == table.ItemKey("l", "i0") {
+			item.Events = []string{strings.Repeat("x", 1_000_000)}
+		}
+	}
+	progress := unstoredProgress(w.tables, w.tables.Rollout.Lots.Find("l"), lot.Size{})
+	require.Len(t, progress, 2)
+}
+
 // TestHandoverOfManyResults guards against results that are lost at a planned stop because
 // they do not fit into the write that hands the lot over.
 func TestHandoverOfManyResults(t *testing.T) {
