--- a/desired/desired.go
+++ b/desired/desired.go
@@ -27,6 +27,18 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Organisations lists the organisations whose keys callers send. Nil means that the
+	// deployment does not tell callers apart.
+	Organisations []Organisation
+}
+
+// Organisation is a group of callers that share keys and a priority.
+type Organisation struct {
+	Name string
+	Keys []string
+	// Priority takes precedence over that of the route, 0 is the highest. Nil means that the
+	// priority of the route applies.
+	Priority *int
 }
 
 // Route maps the requests for a host and path prefix to a service, or splits them among
@@ -45,6 +57,7 @@
 	Priority         int           // 0 is the highest
 	Resumable        bool          // a broken stream may continue at another backend server
 	SingleVersion    bool          // all output of an item must come from one version of the weights
+	Public           bool          // callers need no key
 }
 
 // WeightedService is a service of a route and its weight among the route's services.
@@ -57,6 +70,17 @@
 type Service struct {
 	Name   string
 	Models []string // models that the servers of an engine service offer, empty for other services
+	// MemoryTokens is the number of tokens that fit into the memory of one engine, 0 if unknown.
+	MemoryTokens int
+	Scaling      *Scaling // nil if the number of servers cannot be changed
+}
+
+// Scaling bounds the servers of a service that may be ordered from the platform.
+type Scaling struct {
+	Min, Max       int                // servers in each availability zone, ordinary and spot together
+	StartupTime    time.Duration      // from the order of a server until it serves
+	SpotPriceRatio float64            // price of a spot server relative to an ordinary one
+	ZonePrices     map[string]float64 // price of a second of an ordinary server by availability zone
 }
 
 // Limits bounds requests of callers and the connections that they hold. A limit of 0 is not
--- a/forward/types.go
+++ b/forward/types.go
@@ -29,6 +29,9 @@
 	Body     []byte
 	Deadline time.Time // zero if the caller set none
 	Caller   string    // identity of the caller, empty if the deployment does not tell callers apart
+	// Organisation is the organisation of the caller, empty if it has none or the deployment
+	// does not tell callers apart.
+	Organisation string
 	// Resumes is the id of the attempt that brought the first event of the stream that the
 	// caller resumes, and ResumeAfter the id of the last event that it received. They
 	// are empty and 0 for a new stream.
--- a/lot/lot.go
+++ b/lot/lot.go
@@ -19,6 +19,7 @@
 	ID             string           `json:"id"`
 	Host           string           `json:"host"` // host and path of the request, which select the route
 	Path           string           `json:"path"`
+	Organisation   string           `json:"organisation,omitempty"` // of the caller that submitted it
 	Model          string           `json:"model,omitempty"`
 	Step           int              `json:"step,omitempty"`
 	MinimumVersion registry.Version `json:"minimum_version,omitempty"`
@@ -97,6 +98,7 @@
 	ID              string  `json:"id"`
 	Owner           Process `json:"owner"` // empty after a planned handover
 	Model           string  `json:"model,omitempty"`
+	Organisation    string  `json:"organisation,omitempty"` // whose callers may access the lot; empty: all
 	Total           int     `json:"total"`
 	EstimatedTokens int     `json:"work,omitempty"` // estimated output tokens of all items
 	Listed          int     `json:"listed"`
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -2,6 +2,8 @@
 // the orders that engines accept.
 package registry
 
+import "time"
+
 // Version is the version number of a model's weights. Numbers start at 1.
 type Version int
 
@@ -42,6 +44,8 @@
 	StartedUnixMS int64 // start of the server in Unix milliseconds, 0 if not published; changes when the server restarts under the same id
 	Models        map[string]Version
 	Software      Software
+	Spot          bool          // the platform may reclaim the server at short notice
+	LeavesIn      time.Duration // announced time until a leaving server ends, 0 if not announced
 }
 
 // Change is a change of one record. Server is nil if the record was removed or does not
@@ -78,5 +82,8 @@
 }
 
 // Load is the load that a backend server reports together with a response: the numbers of
-// running and waiting requests and of its slots.
-type Load struct{ Running, Waiting, Slots int }
+// running and waiting requests and of its slots, and how long work takes at the moment.
+type Load struct {
+	Running, Waiting, Slots int
+	Slowdown                float64 // duration of work relative to usual, 0 if not stated
+}
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -19,15 +19,27 @@
 	MemoryMB   int    // memory limit of the process in MB; 0 if unknown
 	FirstStart bool
 	StoreReads float64 // reads per second that the store serves to all hosts together; 0 if unknown
+	Duties     Duties
 	Bounds     Bounds
 }
 
+// Duties states which calls to the platform's API one host at a time must make.
+type Duties struct {
+	Address        string  // of the API; empty if the platform has none
+	Usage          bool    // usage must be reported
+	Scaling        bool    // servers may be ordered
+	CallsPerSecond float64 // that the API accepts from all hosts together; 0 if unknown
+	ChecksFence    bool    // the API refuses calls with an old fencing token
+}
+
 // Bounds holds the times that the deployment guarantees to its users.
 type Bounds struct {
 	GracePeriod        time.Duration // from the signal of a graceful shutdown until the process is killed
 	OrderHandoverDelay time.Duration // minimum time between orders of two different holders of the order lease
 	BackendDrainPeriod time.Duration // time for which a backend server that leaves still serves
 	ResultRetention    time.Duration // time after a submission during which its results can be read
+	UsageWindow        time.Duration // length of a usage window, 0 if usage is not reported
+	UsageDue           time.Duration // time after the end of a window by which its report is due
 }
 
 // Changes returns the names of the fields in which d and other differ, in the order of
--- a/system/rollout/weights.go
+++ b/system/rollout/weights.go
@@ -22,9 +22,6 @@
 	// accepted it or may still carry it out. The next order is conditional on the number
 	// of orders that the engine has accepted.
 	unknownOrderDelay = 700 * time.Millisecond
-	// orderLeaseMargin is the time before the end of the order lease in which no order is
-	// sent.
-	orderLeaseMargin = 250 * time.Millisecond
 	// enginesPerLoad limits concurrent loads: one in enginesPerLoad of the engines that a
 	// service needs may load at a time. More concurrent loads slow each other down.
 	enginesPerLoad = 5
@@ -50,11 +47,10 @@
 		}
 	}
 	lease := &r.OrderLease
-	if !lease.Held || r.Draining || r.Desired == nil || now >= lease.ValidUntil-orderLeaseMargin {
-		return
-	}
-	if now < lease.OrdersFrom {
+	if lease.Held && now < lease.OrdersFrom {
 		out.WakeAt(lease.OrdersFrom)
+	}
+	if !lease.MayAct(now) || r.Draining || r.Desired == nil {
 		return
 	}
 	names := make([]string, 0, len(r.Desired.Services))
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -338,3 +338,13 @@
 	Writing     bool          // a write of the row is under way
 	NextWrite   time.Duration // earliest time of the next write
 }
+
+// orderLeaseMargin is the time before the end of the lease in which its holder begins nothing
+// that requires the lease. It covers the time until the call has been sent.
+const orderLeaseMargin = 250 * time.Millisecond
+
+// MayAct reports whether this process may give orders and perform duties now: it holds the
+// lease, the lease is not about to end, and no order of the previous holder can be in flight.
+func (l *OrderLease) MayAct(now time.Duration) bool {
+	return l.Held && now >= l.OrdersFrom && now < l.ValidUntil-orderLeaseMargin
+}
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -61,8 +61,10 @@
 	ReasonOutputTooLarge    Reason = "output_too_large" // the output of an item cannot be stored
 	ReasonMemory            Reason = "memory"           // the requests in flight use the memory of the host
 	ReasonAnswerTooLarge    Reason = "answer_too_large" // one answer, or those of one server together
-	ReasonFirstAttempt      Reason = "first_attempt"
-	ReasonUnknown           Reason = "unknown"
+	// ReasonPlatformUnavailable means that the platform's API does not carry out calls.
+	ReasonPlatformUnavailable Reason = "platform_unavailable"
+	ReasonFirstAttempt        Reason = "first_attempt"
+	ReasonUnknown             Reason = "unknown"
 )
 
 // Errors is the errorx namespace of all errors that carry a verdict and a reason.
