--- a/command/rollout.go
+++ b/command/rollout.go
@@ -64,6 +64,9 @@
 	MinVersion registry.Version // older weights must not generate the item
 	AfterEvent int
 	Priority   int // priority at the engine, 0 is first
+	// Organisation and Identified are those of forward.Request.
+	Organisation string
+	Identified   bool
 	// FirstEventTimeout and NextEventTimeout bound the wait for the first and for each
 	// further event. Progress is reported at once if the time between events exceeds
 	// SlowInterval, unless that is 0.
--- a/executor/run.go
+++ b/executor/run.go
@@ -160,7 +160,7 @@
 	r.SetUrgency(h, c.Priority)
 	return &forward.Request{
 		ID: c.Spec.ID, Method: http.MethodPost, Host: c.Host, Path: c.Spec.Path, Target: c.Spec.Path,
-		Header: h, Body: c.Spec.Body, Memory: scope,
+		Header: h, Body: c.Spec.Body, Memory: scope, Organisation: c.Organisation, Identified: c.Identified,
 	}
 }
 
--- a/forward/fingerprint.go
+++ b/forward/fingerprint.go
@@ -15,11 +15,11 @@
 }
 
 // Fingerprint identifies the content of a request. Requests with the same method, host,
-// path, query, caller and body have the same fingerprint, whatever their ids.
+// path, query, organisation and body have the same fingerprint, whatever their ids.
 func (r *Request) Fingerprint() string {
 	var d xxhash.Digest
 	d.Reset()
-	for _, part := range []string{r.Method, r.Host, r.Target, r.Caller} {
+	for _, part := range []string{r.Method, r.Host, r.Target, r.Organisation} {
 		_, _ = d.WriteString(part) // never fails
 		_, _ = d.Write([]byte{0})  // never fails
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -57,7 +57,7 @@
 func (f *Forwarder) Route(host, path string) (*Plan, *desired.Route, error) {
 	plan := f.Plans.Load()
 	if plan == nil || plan.Desired == nil {
-		return nil, nil, verdict.New(verdict.NotRun, verdict.ReasonNotReady, "this host has not received a desired state yet")
+		return nil, nil, notReady()
 	}
 	route := plan.Desired.Match(host, path)
 	if route == nil {
@@ -66,6 +66,10 @@
 	return plan, route, nil
 }
 
+func notReady() error {
+	return verdict.New(verdict.NotRun, verdict.ReasonNotReady, "this host has not received a desired state yet")
+}
+
 // MemoryScope returns the scope in which a request reserves the bytes that it holds. The
 // caller closes it when the answer has been written.
 func (f *Forwarder) MemoryScope() *memory.Scope { return f.Memory.Scope() }
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -107,7 +107,7 @@
 	seen := map[string]bool{deadlyRequest().Fingerprint(): true}
 	for name, change := range map[string]func(*Request){
 		"method": func(r *Request) { r.Method = "PUT" }, "host": func(r *Request) { r.Host = "h2" },
-		"query": func(r *Request) { r.Target = "/x?a" }, "caller": func(r *Request) { r.Caller = "c" },
+		"query": func(r *Request) { r.Target = "/x?a" }, "organisation": func(r *Request) { r.Organisation = "o" },
 		"body": func(r *Request) { r.Body = []byte("b2") }, "part of another field": func(r *Request) { r.Host, r.Target = "h/", "x" },
 	} {
 		r := deadlyRequest()
--- a/forward/types.go
+++ b/forward/types.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lavenderstand/lavenderstand/accesskey"
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/memory"
 	"github.com/lavenderstand/lavenderstand/registry"
@@ -28,10 +29,12 @@
 	Header   http.Header
 	Body     []byte
 	Deadline time.Time // zero if the caller set none
-	Caller   string    // identity of the caller, empty if the deployment does not tell callers apart
 	// Organisation is the organisation of the caller, empty if it has none or the deployment
 	// does not tell callers apart.
 	Organisation string
+	// Identified is set if the deployment tells callers apart: the server gets Organisation in
+	// place of the identity headers in Header.
+	Identified bool
 	// Resumes is the id of the attempt that brought the first event of the stream that the
 	// caller resumes, and ResumeAfter the id of the last event that it received. They
 	// are empty and 0 for a new stream.
@@ -186,6 +189,7 @@
 	Desired  *desired.State       // nil before the first desired state is known
 	Zone     string               // availability zone of this host
 	Services map[string][]*Target // backend servers by service
+	Keys     *accesskey.Index     // nil if the deployment does not tell callers apart
 }
 
 // AtomicPlan holds the current plan, which control publishes to request goroutines.
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -57,13 +57,13 @@
 	return !s.Stopping() && plan != nil && plan.Desired != nil
 }
 
-// Route returns the route of a request.
-func (s *Service) Route(host, path string) (*desired.Route, error) {
-	_, route, err := s.Forwarder.Route(host, path)
+// Admit returns the route and the caller of a request.
+func (s *Service) Admit(host, path string, keys []string) (*desired.Route, forward.Caller, error) {
+	route, caller, err := s.Forwarder.Admit(host, path, keys)
 	if err != nil {
 		s.Count("refused", verdict.ReasonOf(err))
 	}
-	return route, err
+	return route, caller, err
 }
 
 // LogRefusal records that a request was refused while its body was read.
@@ -83,21 +83,24 @@
 }
 
 // Accept stores a submission, and starts the lot if this process is to run it. It returns
-// nil if the lot is already stored, so a submission may be repeated. An error with the
-// verdict not run guarantees that no item of the submission runs.
-func (s *Service) Accept(ctx context.Context, sub *lot.Submission) error {
+// nil if the lot is already stored, so a submission may be repeated by callers that may access
+// the lot. An error with the verdict not run guarantees that no item of the submission runs.
+func (s *Service) Accept(ctx context.Context, caller forward.Caller, sub *lot.Submission) error {
 	if s.Stopping() {
 		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "this host is draining and accepts no submissions")
 	}
+	sub.Organisation = caller.Organisation
 	if known, ok, _ := s.Lots.lot(sub.ID); ok {
-		s.Log.Info("submission repeated", zap.String("lot", sub.ID), zap.Int("listed", known.Head.Listed))
-		return nil
+		return s.acceptRepeated(caller, sub.ID, &known.Head)
 	}
 	// The commit continues if the caller disconnects, so that its outcome becomes known.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
 	defer cancel()
+	if err := s.checkObjects(ctx, caller, sub); err != nil {
+		return err
+	}
 	head := lot.Head{
-		ID: sub.ID, Owner: s.runner(sub.Model), Model: sub.Model, Total: len(sub.Items), EstimatedTokens: sub.EstimatedTokens(),
+		ID: sub.ID, Owner: s.runner(sub.Model), Model: sub.Model, Organisation: sub.Organisation, Total: len(sub.Items), EstimatedTokens: sub.EstimatedTokens(),
 		AcceptedUnixMS: time.Now().UnixMilli(), WriteID: s.newWriteID(),
 	}
 	start := time.Now()
@@ -105,6 +108,7 @@
 	fields := []zap.Field{
 		zap.String("lot", sub.ID), zap.Int("items", len(sub.Items)), zap.String("model", sub.Model), zap.Int("step", sub.Step),
 		zap.Duration("took", time.Since(start)), zap.String("runner", head.Owner.Host),
+		zap.String("organisation", sub.Organisation),
 	}
 	switch {
 	case err != nil:
@@ -112,8 +116,7 @@
 		s.Log.Info("submission not accepted", append(fields, zap.Stringer("verdict", verdict.Of(err)), zap.String("error", verdict.Message(err)))...)
 		return err
 	case existing != nil:
-		s.Log.Info("submission repeated", append(fields, zap.String("owner", existing.Head.Owner.Host))...)
-		return nil
+		return s.acceptRepeated(caller, sub.ID, &existing.Head)
 	}
 	s.Log.Info("submission accepted", append(fields, zap.Uint64("row_version", created.Version))...)
 	if head.Owner != s.Self {
@@ -152,7 +155,7 @@
 
 // Results returns a page of the results of a lot, starting at position after. If there are
 // none yet, it waits for them for up to wait.
-func (s *Service) Results(ctx context.Context, id string, after int, wait time.Duration) (lot.Page, error) {
+func (s *Service) Results(ctx context.Context, caller forward.Caller, id string, after int, wait time.Duration) (lot.Page, error) {
 	if err := s.CheckStop(time.Now().Add(wait + 2*readTimeout)); err != nil {
 		return lot.Page{}, s.readFailure(id, err)
 	}
@@ -161,9 +164,12 @@
 	for {
 		// A listed result stays listed, so the published head may be of any age here.
 		if known, ok, _ := s.Lots.lot(id); ok && known.Head.Listed > after {
+			if err := s.checkAccess(caller, &known.Head); err != nil {
+				return lot.Page{}, err
+			}
 			return s.page(ctx, &known.Head, after)
 		}
-		stored, changed, err := s.head(ctx, id)
+		stored, changed, err := s.head(ctx, caller, id)
 		if err != nil {
 			return lot.Page{}, err
 		}
@@ -184,20 +190,20 @@
 	}
 }
 
-// head returns the published head of a lot, or reads it from the store if the published
-// heads are too old or do not include the lot.
-func (s *Service) head(ctx context.Context, id string) (lot.StoredHead, <-chan struct{}, error) {
+// head returns the published head of a lot that the caller may access, or reads it from the
+// store if the published heads are too old or do not include the lot.
+func (s *Service) head(ctx context.Context, caller forward.Caller, id string) (lot.StoredHead, <-chan struct{}, error) {
 	head, known, changed := s.Lots.lot(id)
 	if known && s.LotsAge() < maxLotsAge {
-		return head, changed, nil
+		return head, changed, s.checkAccess(caller, &head.Head)
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	stored, err := s.readHead(ctx, id, head, known)
 	if err != nil {
-		return lot.StoredHead{}, nil, s.readFailure(id, err)
+		return lot.StoredHead{}, nil, s.readFailure(id, caller.HideLot(err))
 	}
-	return stored, changed, nil
+	return stored, changed, s.checkAccess(caller, &stored.Head)
 }
 
 // readHead reads the head of a lot from the store. If a head is published, it reads only the
@@ -248,7 +254,7 @@
 func (s *Service) readFailure(id string, err error) error {
 	reason := verdict.ReasonOf(err)
 	s.Count("refused", reason)
-	if reason == verdict.ReasonUnknownLot {
+	if reason == verdict.ReasonUnknownLot || reason == verdict.ReasonUnauthenticated {
 		return err
 	}
 	s.Log.Info("lot could not be read", zap.String("lot", id), zap.String("reason", string(reason)), zap.String("error", verdict.Message(err)))
@@ -259,13 +265,13 @@
 }
 
 // ItemBody returns the request body of an item.
-func (s *Service) ItemBody(ctx context.Context, id, item string) ([]byte, error) {
+func (s *Service) ItemBody(ctx context.Context, caller forward.Caller, id, item string) ([]byte, error) {
 	if err := s.CheckStop(time.Now().Add(readTimeout)); err != nil {
 		return nil, s.readFailure(id, err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	stored, _, err := s.head(ctx, id)
+	stored, _, err := s.head(ctx, caller, id)
 	if err != nil {
 		return nil, err
 	}
@@ -283,23 +289,32 @@
 }
 
 // End ends a lot: its remaining items no longer run. It is idempotent.
-func (s *Service) End(ctx context.Context, id string) error {
+func (s *Service) End(ctx context.Context, caller forward.Caller, id string) error {
 	if err := s.CheckStop(time.Now().Add(acceptTimeout)); err != nil {
 		s.Count("refused", verdict.ReasonOf(err))
 		return err
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
 	defer cancel()
-	known, _, _ := s.Lots.lot(id)
-	stored, err := s.Repository.End(ctx, id, known, s.newWriteID())
+	known, ok, _ := s.Lots.lot(id)
+	var err error
+	if !ok {
+		known, err = s.Repository.Head(ctx, id)
+	}
+	if err == nil {
+		if err := s.checkAccess(caller, &known.Head); err != nil {
+			return err
+		}
+		known, err = s.Repository.End(ctx, id, known, s.newWriteID())
+	}
 	if err != nil {
-		if verdict.ReasonOf(err) == verdict.ReasonUnknownLot {
+		if err := caller.HideLot(err); verdict.ReasonOf(err) == verdict.ReasonUnknownLot || verdict.ReasonOf(err) == verdict.ReasonUnauthenticated {
 			return err
 		}
 		s.Log.Info("lot not ended", zap.String("lot", id), zap.String("error", verdict.Message(err)))
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonStoreUnavailable, "end of lot %s", id)
 	}
-	s.Log.Info("lot ended", zap.String("lot", id), zap.Int("listed", stored.Head.Listed), zap.Int("total", stored.Head.Total))
-	read := event.HeadsRead{Heads: []event.HeadRow{{ID: id, Head: stored.Head, Version: stored.Version}}}
+	s.Log.Info("lot ended", zap.String("lot", id), zap.Int("listed", known.Head.Listed), zap.Int("total", known.Head.Total))
+	read := event.HeadsRead{Heads: []event.HeadRow{{ID: id, Head: known.Head, Version: known.Version}}}
 	return s.Deliver(ctx, read)
 }
--- a/frontend/service_test.go
+++ b/frontend/service_test.go
@@ -50,16 +50,16 @@
 	ctx := context.Background()
 	for _, age := range []time.Duration{0, time.Minute} {
 		at := age
-		page, err := newService(owner, known, &at).Results(ctx, "l", 1, 0)
+		page, err := newService(owner, known, &at).Results(ctx, forward.Caller{}, "l", 1, 0)
 		require.NoError(t, err, "the owner has the results in its cache")
 		require.Equal(t, "b", page.Results[0].Text)
 
 		other := newService(&lot.Repository{Store: rows, Cache: new(lot.ResultCache)}, known, &at)
-		_, err = other.Results(ctx, "l", 0, 0)
+		_, err = other.Results(ctx, forward.Caller{}, "l", 0, 0)
 		require.Error(t, err, "the address of the owner is not known")
 		other.Peers.Publish(command.PublishPeers{Addresses: map[string]string{"owner": "x:1"}})
 		other.PeerReader = func(string) lot.Reader { return owner.Cache.CachingClient(rows) }
-		page, err = other.Results(ctx, "l", 0, 0)
+		page, err = other.Results(ctx, forward.Caller{}, "l", 0, 0)
 		require.NoError(t, err, "the results are read from the owner")
 		require.Len(t, page.Results, 2)
 		require.Equal(t, 3, page.Total)
@@ -75,10 +75,10 @@
 	rows.SetFault(func(pamoja.Call) pamoja.Outcome { return pamoja.RequestLost })
 	age := time.Duration(0)
 	s := newService(repo, known, &age)
-	page, err := s.Results(context.Background(), "l", 2, 0)
+	page, err := s.Results(context.Background(), forward.Caller{}, "l", 2, 0)
 	require.NoError(t, err)
 	require.Empty(t, page.Results)
 	age = time.Minute
-	_, err = s.Results(context.Background(), "l", 2, 0)
+	_, err = s.Results(context.Background(), forward.Caller{}, "l", 2, 0)
 	require.Equal(t, verdict.NotRun, verdict.Of(err))
 }
--- a/status/host.go
+++ b/status/host.go
@@ -15,7 +15,9 @@
 	Models         map[string]int `json:"models"` // newest weight version that the trainer named, by model
 	Lots           []LotView      `json:"lots"`
 	Peers          []string       `json:"peers"`
-	Quarantined    []string       `json:"quarantined,omitempty"` // contents of requests that crash servers
+	// Organisations lists the names of the organisations in force.
+	Organisations []string `json:"organisations,omitempty"`
+	Quarantined   []string `json:"quarantined,omitempty"` // contents of requests that crash servers
 	// SoftwareHistories lists the software versions of which streams may be open, by service.
 	SoftwareHistories map[string]string `json:"software_histories,omitempty"`
 }
@@ -55,15 +57,16 @@
 
 // LotView is the state of a lot.
 type LotView struct {
-	ID         string `json:"id"`
-	Model      string `json:"model"`
-	Owner      string `json:"owner"`
-	Stage      string `json:"stage"`
-	Listed     int    `json:"listed"`
-	Total      int    `json:"total"`
-	Ended      bool   `json:"ended"`
-	SilentMS   int64  `json:"silent_ms"` // milliseconds since this process saw RowVersion change
-	RowVersion uint64 `json:"row_version"`
+	ID           string `json:"id"`
+	Model        string `json:"model"`
+	Organisation string `json:"organisation,omitempty"`
+	Owner        string `json:"owner"`
+	Stage        string `json:"stage"`
+	Listed       int    `json:"listed"`
+	Total        int    `json:"total"`
+	Ended        bool   `json:"ended"`
+	SilentMS     int64  `json:"silent_ms"` // milliseconds since this process saw RowVersion change
+	RowVersion   uint64 `json:"row_version"`
 }
 
 // Millis converts a duration to milliseconds, the unit of times in views.
--- a/system/rollout/dispatch.go
+++ b/system/rollout/dispatch.go
@@ -151,7 +151,8 @@
 	out.Add(command.StartRun{
 		Key: w.key, Run: w.item.Run, Spec: w.item.Spec, Host: w.lot.Submission.Host, Target: target(s),
 		Model: w.lot.Head.Model, MinVersion: w.lot.Submission.MinimumVersion, AfterEvent: len(w.item.Events),
-		Priority:          enginePriority(now, w, w.route),
+		Priority:     enginePriority(now, r, w),
+		Organisation: runOrganisation(r, w.lot), Identified: r.Organisations.Keys != nil,
 		FirstEventTimeout: firstEventTimeout << doublings(w.item),
 		NextEventTimeout:  nextEventTimeout(r, s) << doublings(w.item),
 		SlowInterval:      slowInterval(r, w.pool.service),
@@ -169,13 +170,26 @@
 func doublings(item *table.Item) int { return min(item.Stalls, maxTimeoutDoublings) }
 
 // enginePriority returns the priority of an item at the engine. It follows the
-// priority of the route; a lot that has used more than half of its CompletionTarget
-// is urgent.
-func enginePriority(now time.Duration, w waitingItem, route *desired.Route) int {
-	if route.CompletionTarget > 0 && now-w.lot.AcceptedAt > route.CompletionTarget/2 {
+// priority of the organisation or, if that has none, of the route; a lot that has used more
+// than half of its CompletionTarget is urgent.
+func enginePriority(now time.Duration, r *table.Rollout, w waitingItem) int {
+	if w.route.CompletionTarget > 0 && now-w.lot.AcceptedAt > w.route.CompletionTarget/2 {
 		return urgentPriority
 	}
-	return min(9, basePriority+max(0, route.Priority))
+	priority, ok := r.Organisations.Keys.Priority(w.lot.Submission.Organisation)
+	if !ok {
+		priority = w.route.Priority
+	}
+	return min(9, basePriority+max(0, priority))
+}
+
+// runOrganisation returns the organisation that servers are told for the items of a lot, none
+// if the deployment does not tell callers apart any more.
+func runOrganisation(r *table.Rollout, l *table.Lot) string {
+	if r.Organisations.Keys == nil {
+		return ""
+	}
+	return l.Submission.Organisation
 }
 
 func itemTimeout(route *desired.Route) time.Duration {
--- a/system/rollout/host_view.go
+++ b/system/rollout/host_view.go
@@ -31,6 +31,7 @@
 	if r.Desired != nil {
 		v.DesiredVersion = r.Desired.Version
 	}
+	v.Organisations = r.Organisations.Keys.Names()
 	v.Quarantined = slices.Sorted(maps.Keys(quarantinedContents(r)))
 	for name, f := range r.Feeds.All() {
 		v.Feeds = append(v.Feeds, status.FeedView{Table: name, Down: f.Down, AgeMS: status.Millis(now - f.Since)})
@@ -46,7 +47,7 @@
 	}
 	for id, l := range r.Lots.All() {
 		v.Lots = append(v.Lots, status.LotView{
-			ID: id, Model: l.Head.Model, Owner: l.Head.Owner.Host, Stage: string(l.Stage), Listed: l.Head.Listed,
+			ID: id, Model: l.Head.Model, Organisation: l.Head.Organisation, Owner: l.Head.Owner.Host, Stage: string(l.Stage), Listed: l.Head.Listed,
 			Total: l.Head.Total, Ended: l.Head.Ended, SilentMS: status.Millis(now - l.VersionSeenAt), RowVersion: l.Version,
 		})
 	}
--- a/system/rollout/lots.go
+++ b/system/rollout/lots.go
@@ -216,7 +216,7 @@
 	r := &t.Rollout
 	previous := l.Head
 	l.Head, l.Version, l.VersionSeenAt, l.PartitionDown = h.Head, h.Version, now, false
-	r.LotsChanged = r.LotsChanged || previous.Listed != h.Head.Listed || previous.Ended != h.Head.Ended || previous.Total != h.Head.Total
+	r.LotsChanged = r.LotsChanged || previous.Listed != h.Head.Listed || previous.Ended != h.Head.Ended || previous.Total != h.Head.Total || previous.Organisation != h.Head.Organisation
 	if l.Stage != table.LotOwned {
 		return
 	}
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -259,7 +259,7 @@
 // servers that are leaving. Servers with a missing record are included until
 // expireMissing deletes them, because their record may return after an outage.
 func routingPlan(now time.Duration, r *table.Rollout) *forward.Plan {
-	p := &forward.Plan{Desired: r.Desired, Zone: r.Zone, Services: make(map[string][]*forward.Target)}
+	p := &forward.Plan{Desired: r.Desired, Zone: r.Zone, Services: make(map[string][]*forward.Target), Keys: r.Organisations.Keys}
 	for _, s := range r.Servers.All() {
 		if !s.Leaving {
 			to := target(s)
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lavenderstand/lavenderstand/accesskey"
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/forward"
@@ -29,6 +30,7 @@
 	NextDelete         time.Duration // earliest time of the next deletion
 	Feeds              Table[Feed]   // keyed by table name of the store
 	Desired            *desired.State
+	Organisations      Organisations
 	Servers            Table[Server] // keyed by server id
 	Models             Table[Model]  // keyed by model name
 	Lots               Table[Lot]    // keyed by lot id
@@ -64,6 +66,14 @@
 	RunCount    int    // number of runs of items so far, makes run numbers unique
 }
 
+// Organisations are the organisations in force.
+type Organisations struct {
+	Keys *accesskey.Index // nil if the deployment does not tell callers apart
+	// ValidVersion is the version of the desired state from which they come, 0 if it had none
+	// or invalid ones.
+	ValidVersion uint64
+}
+
 // PeerHost is a host of the system as described by its presence row in the store.
 type PeerHost struct {
 	Address        string
