--- a/frontend/access.go
+++ b/frontend/access.go
@@ -1,8 +1,6 @@
 package frontend
 
 import (
-	"context"
-
 	"go.uber.org/zap"
 
 	"github.com/lavenderstand/lavenderstand/forward"
@@ -27,20 +25,3 @@
 	s.Log.Info("submission repeated", zap.String("lot", id), zap.String("owner", h.Owner.Host), zap.Int("listed", h.Listed))
 	return nil
 }
-
-// checkObjects returns an error if a submission would replace the objects of another
-// organisation's lot with the same id. Objects are named after the lot and are written before
-// the commit that finds the lot. If the store does not answer, the submission goes on: the
-// failure of one partition must not stop all large submissions.
-func (s *Service) checkObjects(ctx context.Context, caller forward.Caller, sub *lot.Submission) error {
-	if !caller.Identified || sub.EncodedSize() <= lot.MaxInlineBytes {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	existing, err := s.Repository.Head(ctx, sub.ID)
-	if err != nil {
-		return nil
-	}
-	return s.checkAccess(caller, &existing.Head)
-}
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -96,9 +96,6 @@
 	// The commit continues if the caller disconnects, so that its outcome becomes known.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
 	defer cancel()
-	if err := s.checkObjects(ctx, caller, sub); err != nil {
-		return err
-	}
 	head := lot.Head{
 		ID: sub.ID, Owner: s.runner(sub.Model), Model: sub.Model, Organisation: sub.Organisation, Total: len(sub.Items), EstimatedTokens: sub.EstimatedTokens(),
 		AcceptedUnixMS: time.Now().UnixMilli(), WriteID: s.newWriteID(),
--- a/lot/repository.go
+++ b/lot/repository.go
@@ -222,7 +222,7 @@
 }
 
 // End ends a lot. It is idempotent. current is the last known head, or zero if none is
-// known. nonce becomes the WriteID of the head and must be unique to each call.
+// known. It does not end a lot that another organisation has created in its place. nonce becomes the WriteID of the head and must be unique to each call.
 func (repo *Repository) End(ctx context.Context, id string, current StoredHead, nonce string) (StoredHead, error) {
 	if current.Version == 0 {
 		var err error
@@ -243,6 +243,9 @@
 		if existing == nil {
 			return stored, nil
 		}
+		if o := existing.Head.Organisation; o != "" && o != current.Head.Organisation {
+			return StoredHead{}, verdict.New(verdict.NotRun, verdict.ReasonUnknownLot, "lot %q was replaced by one of another organisation", id)
+		}
 		current = *existing
 	}
 	return StoredHead{}, verdict.New(verdict.MayHaveRun, verdict.ReasonConflict, "lot %s not ended: its head changed during every attempt", id)
--- a/soak/verify_test.go
+++ b/soak/verify_test.go
@@ -81,12 +81,20 @@
 // call sends a request to the host at index modulo the number of hosts. The status
 // is 0 if no complete answer arrives.
 func (c *cluster) call(index int, method, path, id string, body []byte) (status int, answer []byte, stamp string) {
+	return c.callWith(nil, index, method, path, id, body)
+}
+
+// callWith is like call and adds headers.
+func (c *cluster) callWith(headers map[string]string, index int, method, path, id string, body []byte) (status int, answer []byte, stamp string) {
 	h := c.hosts[index%len(c.hosts)]
 	r, err := http.NewRequest(method, "http://"+h.frontAddress+path, bytes.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
 	r.Host = "h"
+	for name, value := range headers {
+		r.Header.Set(name, value)
+	}
 	r.Header.Set("Attempt-Id", id)
 	r.Header.Set("Deadline-Milliseconds", "3000")
 	r.GetBody = nil // the HTTP client must not send a request again
--- a/standin/pamoja/http.go
+++ b/standin/pamoja/http.go
@@ -150,11 +150,12 @@
 
 // Run is an execution of a request by a server.
 type Run struct {
-	Server, ID, Path string // ID is the attempt ID
-	Software         string // of the server
-	After            int    // event after which the run started
-	Events           int    // number of events sent
-	Complete         bool   // all events were sent
+	Server, ID, Path string   // ID is the attempt ID
+	Software         string   // of the server
+	After            int      // event after which the run started
+	Events           int      // number of events sent
+	Complete         bool     // all events were sent
+	Keys, Tenants    []string // values of the identity headers, nil if absent
 }
 
 // BackendFault is a set of faults that a server applies to a request.
@@ -235,7 +236,7 @@
 		s.stream(w, r, id, fault)
 		return
 	}
-	s.OnRun(Run{Server: s.ID, ID: id, Path: r.URL.Path, Complete: true})
+	s.OnRun(Run{Server: s.ID, ID: id, Path: r.URL.Path, Complete: true, Keys: r.Header.Values("Key"), Tenants: r.Header.Values("Tenant")})
 	if fault.LoseAnswer {
 		panic(http.ErrAbortHandler)
 	}
@@ -267,7 +268,7 @@
 	if resumes := r.Header.Get("Resumes"); resumes != "" {
 		id = resumes // the text is that of the attempt that began the stream
 	}
-	run := Run{Server: s.ID, Software: s.Software, ID: id, Path: r.URL.Path, After: after}
+	run := Run{Server: s.ID, Software: s.Software, ID: id, Path: r.URL.Path, After: after, Keys: r.Header.Values("Key"), Tenants: r.Header.Values("Tenant")}
 	defer func() { s.OnRun(run) }()
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Weight-Versions", strconv.Itoa(s.version(r.Header.Get("Model"))))
--- a/system/rollout/organisations_test.go
+++ b/system/rollout/organisations_test.go
@@ -9,6 +9,7 @@
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/forward"
+	"github.com/lavenderstand/lavenderstand/lot"
 )
 
 // withOrganisations returns a read of a desired state with the given organisations.
@@ -84,3 +85,16 @@
 		require.Equal(t, c.priority, runs[0].Priority, name)
 	}
 }
+
+// TestOrganisationOfReplacedHeadIsPublished guards against a lot that stays open to the
+// organisation whose creation another one supersedes.
+func TestOrganisationOfReplacedHeadIsPublished(t *testing.T) {
+	w := newWorld(t)
+	earlier := w.head("l", lot.Process{Host: "b"}, 0, 1)
+	later := w.head("l", lot.Process{Host: "b"}, 0, 1)
+	earlier.Head.Organisation, later.Head.Organisation = "acme", "beta"
+	w.step(headsRead(later))
+	published := commandsOf[command.PublishLots](w.step(headsRead(earlier)))
+	require.Len(t, published, 1)
+	require.Equal(t, "acme", published[0].Lots["l"].Head.Organisation)
+}
