--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -62,6 +62,9 @@
 	// is never older than its readers allow.
 	feedLongPollWait         = time.Second
 	coordinationLongPollWait = 500 * time.Millisecond
+	// operatorsLongPollWait lets a read that fails end before the desired state is older than
+	// Bounds.Configuration.
+	operatorsLongPollWait = 500 * time.Millisecond
 	// Maximum numbers of commands of one kind that run at the same time.
 	maxConcurrentWrites  = 32
 	maxConcurrentScores  = 64
@@ -94,6 +97,7 @@
 	repository       *lot.Repository
 	service          *frontend.Service
 	coordinationFeed *executor.Feed
+	operatorsFeed    *executor.Feed
 	handoverDone     chan struct{}             // closed when a graceful shutdown has handed over all lots
 	stopBy           atomic.Pointer[time.Time] // by when a graceful shutdown must have completed the requests in flight
 }
@@ -176,8 +180,8 @@
 	}
 	forwarder := &forward.Forwarder{
 		Plans: new(forward.AtomicPlan), Sender: h.backends, Permits: h.permits, Memory: h.memory, ServerEnded: h.backends.Ended, Log: h.log, Rand: rand.Float64, Count: h.count,
-		Origins: localOrigins{h},
-		Report:  func(o forward.Outcome) { h.inbox.Post(event.ServerOutcome{Outcome: o}) },
+		Origins: localOrigins{h}, KeysOverdue: func() bool { return h.operatorsFeed.Overdue(h.currentSettings().Bounds.Configuration) },
+		Report: func(o forward.Outcome) { h.inbox.Post(event.ServerOutcome{Outcome: o}) },
 	}
 	h.service = &frontend.Service{
 		Forwarder: forwarder, Repository: h.repository, Lots: frontend.NewLots(), Self: h.self, Log: h.log, Now: h.clock.Now,
@@ -311,9 +315,10 @@
 	h.coordinationFeed = h.newFeed("coordination", lot.TableCoordination, lot.CoordinationParts(), readbudget.CoordinationShare, 50*time.Millisecond, executor.DecodeCoordination)
 	h.coordinationFeed.LongPollWait = coordinationLongPollWait
 	singlePart := []string{""} // these tables have one partition
+	h.operatorsFeed = h.newFeed("operators", platform.TableOperators, singlePart, readbudget.OperatorsShare, 0, h.decodeOperators)
+	h.operatorsFeed.LongPollWait = operatorsLongPollWait
 	feeds := []*executor.Feed{
-		h.coordinationFeed,
-		h.newFeed("operators", platform.TableOperators, singlePart, readbudget.OperatorsShare, 0, h.decodeOperators),
+		h.coordinationFeed, h.operatorsFeed,
 		h.newFeed("servers", platform.TableServers, singlePart, readbudget.ServersShare, 250*time.Millisecond, decodeServers),
 	}
 	for _, f := range feeds {
--- a/executor/feed.go
+++ b/executor/feed.go
@@ -27,6 +27,9 @@
 	// considered lost if the store refuses its reads because of the rate limit. A host needs
 	// more recent data to decide whether other hosts have stopped responding.
 	maxRateLimitedAge = time.Second
+	// suspensionSlack is the time by which a read may exceed its timeout on a busy host
+	// without being taken for one during which the process was suspended.
+	suspensionSlack = 500 * time.Millisecond
 	// intervalJitterRatio is the share by which waits between reads vary in both directions,
 	// so that hosts that see a change at the same time do not all read again at the same
 	// time.
@@ -64,6 +67,7 @@
 	partial fullRead     // full read that has not reached its end
 	down    bool         // the feed is reported as lost
 	started bool         // a read has succeeded
+	cutOff  atomic.Bool  // the last reads failed while the process ran
 	freshAt atomic.Int64 // time of Now just before the last successful read was sent, 0 if there was none
 }
 
@@ -84,6 +88,10 @@
 	return f.Now() - freshAt
 }
 
+// Overdue reports whether the table was last known to be current more than limit ago although
+// no read has failed. This is so after the process was suspended, until it has read again.
+func (f *Feed) Overdue(limit time.Duration) bool { return !f.cutOff.Load() && f.Age() > limit }
+
 // Run follows the table until ctx ends.
 func (f *Feed) Run(ctx context.Context) error {
 	retryInterval := minFeedRetryInterval
@@ -91,7 +99,7 @@
 		sent, parts := f.Now(), f.partial.partsRead
 		rows, full, currentAt, err := f.read(ctx)
 		if err != nil {
-			f.handleReadFailure(ctx, err)
+			f.handleReadFailure(ctx, err, f.Now()-sent)
 			if f.partial.partsRead > parts {
 				retryInterval = minFeedRetryInterval
 			}
@@ -108,6 +116,7 @@
 			_ = f.Deliver(ctx, event.FeedCaughtUp{Table: f.Name})
 		}
 		f.freshAt.Store(int64(currentAt))
+		f.cutOff.Store(false)
 		f.waitForNextRead(ctx, sent, len(rows) > 0)
 	}
 	return nil
@@ -212,8 +221,9 @@
 }
 
 // handleReadFailure reports the feed as lost after a failed read. Refusals because of the
-// rate limit count only after maxRateLimitedAge without a successful read.
-func (f *Feed) handleReadFailure(ctx context.Context, err error) {
+// rate limit count only after maxRateLimitedAge without a successful read. A read that took
+// far longer than its timeout says nothing about the store: the process was suspended.
+func (f *Feed) handleReadFailure(ctx context.Context, err error, took time.Duration) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -224,6 +234,9 @@
 	} else {
 		f.OnReadFailure()
 	}
+	if took < f.LongPollWait+feedReadMargin+suspensionSlack {
+		f.cutOff.Store(true)
+	}
 	if !f.down {
 		f.down = true
 		_ = f.Deliver(ctx, event.FeedChanged{Table: f.Name, Down: true, Failure: event.FailureOf(err)})
--- a/forward/caller.go
+++ b/forward/caller.go
@@ -17,7 +17,17 @@
 }
 
 // Caller returns the sender of a call with the given values of the key header.
-func (f *Forwarder) Caller(keys []string) Caller { return f.Plans.Load().caller(keys) }
+func (f *Forwarder) Caller(keys []string) Caller { return f.callerOf(f.Plans.Load(), keys) }
+
+// callerOf returns the caller according to a plan. While the keys are overdue, calls that need
+// a key are refused: their key may have been removed.
+func (f *Forwarder) callerOf(p *Plan, keys []string) Caller {
+	c := p.caller(keys)
+	if c.Identified && c.refusal == nil && f.KeysOverdue != nil && f.KeysOverdue() {
+		c.refusal = verdict.New(verdict.NotRun, verdict.ReasonNotReady, "this host was suspended and has not read the desired state since")
+	}
+	return c
+}
 
 func (p *Plan) caller(keys []string) Caller {
 	if p == nil || p.Desired == nil {
@@ -44,7 +54,7 @@
 	if err != nil {
 		return nil, Caller{}, err
 	}
-	c := plan.caller(keys)
+	c := f.callerOf(plan, keys)
 	if c.refusal != nil && !route.Public {
 		return nil, Caller{}, c.refusal
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -43,6 +43,9 @@
 	// lost. Nil means that it is not known.
 	ServerEnded func(ctx context.Context, to *Target) bool
 	Quarantine  Quarantine
+	// KeysOverdue reports whether the keys of the plan may be older than a removed key may be
+	// accepted, although this host can read the desired state. Nil means never.
+	KeysOverdue func() bool
 	Origins     Origins // nil if streams are never resumed by callers
 	Report      func(Outcome)
 	Count       func(name string, reason verdict.Reason)
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -38,6 +38,7 @@
 	OrderHandoverDelay time.Duration // minimum time between orders of two different holders of the order lease
 	BackendDrainPeriod time.Duration // time for which a backend server that leaves still serves
 	ResultRetention    time.Duration // time after a submission during which its results can be read
+	Configuration      time.Duration // time after the acknowledgement of a desired state by which hosts follow it
 	UsageWindow        time.Duration // length of a usage window, 0 if usage is not reported
 	UsageDue           time.Duration // time after the end of a window by which its report is due
 }
--- a/soak/identity_test.go
+++ b/soak/identity_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -195,3 +196,37 @@
 	require.Greater(t, statuses[`"b0" 200`], 100)
 	require.Greater(t, statuses[`"a2" 200`], 5)
 }
+
+// TestSuspendedHostRefusesRemovedKey guards against a request that a host takes when it
+// continues, with a key that was removed while the host was suspended.
+func TestSuspendedHostRefusesRemovedKey(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	c.setKeys("a0")
+	keys := map[string]string{"Key": "a0"}
+	require.Eventually(t, func() bool {
+		status, _, _ := c.callWith(keys, 0, http.MethodPost, "/calls/x", "acme-ready", nil)
+		refused, _, _ := c.call(0, http.MethodPost, "/calls/x", "nobody-ready", nil)
+		return status == http.StatusOK && refused == http.StatusUnauthorized
+	}, 10*time.Second, 50*time.Millisecond)
+	require.NoError(t, c.hosts[0].cmd.Process.Signal(syscall.SIGSTOP))
+	c.setKeys("a1")
+	time.Sleep(configurationDelay + time.Second)
+	var work sync.WaitGroup
+	for i := range 40 {
+		work.Go(func() {
+			time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+			c.callWith(keys, 0, http.MethodPost, "/calls/x", fmt.Sprintf("acme-late-%d", i), nil)
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	require.NoError(t, c.hosts[0].cmd.Process.Signal(syscall.SIGCONT))
+	work.Wait()
+	for i := range 40 {
+		require.Empty(t, c.ledger.runsOf(fmt.Sprintf("acme-late-%d", i)), "sent after the key was removed")
+	}
+	require.Eventually(t, func() bool {
+		status, _, _ := c.callWith(map[string]string{"Key": "a1"}, 0, http.MethodPost, "/calls/x", "acme-after", nil)
+		return status == http.StatusOK
+	}, 10*time.Second, 50*time.Millisecond, "the host serves again")
+}
