--- a/forward/forward.go
+++ b/forward/forward.go
@@ -48,6 +48,10 @@
 	Count       func(name string, reason verdict.Reason)
 	Log         *zap.Logger
 	Rand        func() float64 // returns uniform random numbers in [0, 1), used to break ties
+	// Began adds delta to the number of requests of an organisation that servers began to run
+	// at a time of Now. Nil means that nobody counts. It must not block.
+	Began func(organisation string, at time.Duration, delta int64)
+	Now   func() time.Duration
 
 	stopping atomic.Pointer[stopTimes] // nil unless a graceful shutdown has begun
 }
@@ -87,6 +91,7 @@
 	c := &call{
 		f: f, r: r, route: route, service: route.Service(r.ID), idempotent: route.Kind == desired.KindIdempotent,
 		tried: make(map[string]int), results: make(chan result, 1), startedAt: time.Now(), wanted: 1, cause: verdict.ReasonFirstAttempt,
+		beginning: newBeginning(f, r),
 	}
 	answer, err := c.run(ctx)
 	c.log(answer, err)
@@ -126,6 +131,7 @@
 	lastServer   string   // server of the last attempt
 	failedAnswer *Answer
 	lastErr      error
+	beginning    *beginning
 }
 
 type result struct {
@@ -273,7 +279,7 @@
 	target.Load.InFlight.Add(1)
 	target.Load.suspects.Add(suspects)
 	go func() {
-		res := c.f.attempt(ctx, best, c.r, end)
+		res := c.f.attempt(ctx, best, c.r, end, c.beginning)
 		target.Load.InFlight.Add(-1)
 		target.Load.suspects.Add(-suspects)
 		select {
@@ -285,14 +291,17 @@
 }
 
 // attempt sends a request to the chosen server, after a wait if the server names a limit.
-func (f *Forwarder) attempt(ctx context.Context, to choice, r *Request, end time.Time) result {
+func (f *Forwarder) attempt(ctx context.Context, to choice, r *Request, end time.Time, b *beginning) result {
 	maxWait := time.Until(end) - (to.expected - to.permitWait)
 	if err := AwaitPermit(ctx, f.Permits, to.target, r.Background, maxWait); err != nil {
 		return result{target: to.target, err: err}
 	}
-	start := time.Now()
+	start, begunAt := time.Now(), b.sent()
 	answer, err := f.send(ctx, to.target, r, time.Until(end))
 	took := time.Since(start)
+	if err != nil && verdict.Of(err) == verdict.NotRun {
+		b.refused(begunAt)
+	}
 	ended := connectionLost(err) && f.ServerEnded != nil && f.ServerEnded(ctx, to.target)
 	return result{to.target, answer, err, took, ended}
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -47,7 +47,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	s := &streamCall{f: f, r: r, route: route, w: w, tried: make(map[string]int), lastEventID: r.ResumeAfter}
+	s := &streamCall{f: f, r: r, route: route, w: w, tried: make(map[string]int), lastEventID: r.ResumeAfter, beginning: newBeginning(f, r)}
 	if err = s.findOrigin(ctx); err == nil {
 		err = s.run(ctx)
 	}
@@ -69,6 +69,7 @@
 	parts       []streamPart
 	begun       bool              // a server has sent the first event, here or before the caller resumed the stream
 	software    registry.Software // version of the server that sent the first event
+	beginning   *beginning
 }
 
 // streamPart is the part of a stream that one server sent.
@@ -171,9 +172,11 @@
 	s.lastServer = target
 	target.Load.InFlight.Add(1)
 	defer target.Load.InFlight.Add(-1)
+	begunAt := s.beginning.sent()
 	stream, err := s.f.Sender.OpenStream(ctx, target, s.r, s.lastEventID, time.Until(end))
 	if err != nil {
 		if verdict.Of(err) == verdict.NotRun {
+			s.beginning.refused(begunAt)
 			now := time.Now()
 			target.Load.recordRefusal(refusalPause(target, now), now)
 		} else {
