--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -36,6 +36,7 @@
 	"github.com/lavenderstand/lavenderstand/relay"
 	"github.com/lavenderstand/lavenderstand/settings"
 	"github.com/lavenderstand/lavenderstand/store"
+	"github.com/lavenderstand/lavenderstand/system/duty"
 	"github.com/lavenderstand/lavenderstand/system/rollout"
 	"github.com/lavenderstand/lavenderstand/table"
 	"github.com/lavenderstand/lavenderstand/telemetry"
@@ -178,6 +179,7 @@
 		Plans: new(forward.AtomicPlan), Sender: h.backends, Permits: h.permits, Memory: h.memory, ServerEnded: h.backends.Ended, Log: h.log, Rand: rand.Float64, Count: h.count,
 		Origins: localOrigins{h},
 		Report:  func(o forward.Outcome) { h.inbox.Post(event.ServerOutcome{Outcome: o}) },
+		Began:   h.recordBegan, Now: h.clock.Now,
 	}
 	h.service = &frontend.Service{
 		Forwarder: forwarder, Repository: h.repository, Lots: frontend.NewLots(), Self: h.self, Log: h.log, Now: h.clock.Now,
@@ -253,6 +255,7 @@
 		return event.QuarantineWritten{Content: c.Content, Failure: event.FailureOf(err)}
 	})
 	h.registerOriginExecutors()
+	h.registerDutyExecutors()
 	control.HandleNow(h.dispatcher, func(c command.AnswerPermit) { h.waiters.Answer(c.RequestID, c) })
 	control.HandleNow(h.dispatcher, func(c command.AnswerHostView) { h.waiters.Answer(c.RequestID, c) })
 	runs := &executor.Runs{Ctx: h.ctx, Sender: h.backends, Permits: h.permits, Memory: h.memory, Deliver: h.inbox.Deliver, SetUrgency: platform.SetUrgency}
@@ -299,8 +302,9 @@
 	tables.Rollout.StoreReadsPerSecond, tables.Rollout.ResultRetention = h.settings.StoreReads, h.settings.Bounds.ResultRetention
 	tables.Rollout.BackendDrainPeriod = h.settings.Bounds.BackendDrainPeriod
 	tables.Rollout.Presence.Address = h.peerAddress()
+	tables.Duties = h.dutyTables()
 	loop := control.NewLoop(control.Options{
-		Tables: tables, Systems: rollout.Systems(), Inbox: h.inbox, Executor: h.dispatcher,
+		Tables: tables, Systems: append(rollout.Systems(), duty.Systems()...), Inbox: h.inbox, Executor: h.dispatcher,
 		Clock: h.clock.Now, ObserveDuration: telemetry.ObserveTicks(h.metrics.Scope), MaxTickInterval: maxTickInterval,
 	})
 	g.Add(func() error { return loop.Run(h.ctx) }, func(error) { h.cancel() })
--- a/cmd/lavender-host/signals.go
+++ b/cmd/lavender-host/signals.go
@@ -77,7 +77,10 @@
 	h.reloaded.Store(&d)
 	h.directStore.SetAddress(d.Store)
 	h.log.Info("settings read again", zap.String("changed", strings.Join(old.Changes(d), ",")))
-	if err := h.inbox.Deliver(h.ctx, event.SettingsRead{OrderHandoverDelay: d.Bounds.OrderHandoverDelay, StoreReadsPerSecond: d.StoreReads, ResultRetention: d.Bounds.ResultRetention, BackendDrainPeriod: d.Bounds.BackendDrainPeriod}); err != nil {
+	if err := h.inbox.Deliver(h.ctx, event.SettingsRead{
+		OrderHandoverDelay: d.Bounds.OrderHandoverDelay, StoreReadsPerSecond: d.StoreReads, ResultRetention: d.Bounds.ResultRetention, BackendDrainPeriod: d.Bounds.BackendDrainPeriod,
+		Duties: d.Duties, UsageWindow: d.Bounds.UsageWindow, UsageDue: d.Bounds.UsageDue,
+	}); err != nil {
 		h.log.Info("changed settings were not delivered to the control loop", zap.Error(err))
 	}
 }
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -9,6 +9,7 @@
 	"github.com/lavenderstand/lavenderstand/permit"
 	"github.com/lavenderstand/lavenderstand/quarantine"
 	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/settings"
 )
 
 // FeedChanged reports that the change feed of a table of the store was lost or regained.
@@ -29,6 +30,9 @@
 	StoreReadsPerSecond float64
 	ResultRetention     time.Duration
 	BackendDrainPeriod  time.Duration
+	Duties              settings.Duties
+	UsageWindow         time.Duration
+	UsageDue            time.Duration
 }
 
 // LotDeleted is the outcome of the deletion of an old lot. Version is the version that its
--- a/status/host.go
+++ b/status/host.go
@@ -11,6 +11,7 @@
 	DesiredVersion uint64         `json:"desired_version"` // 0 until the first desired state is read
 	Feeds          []FeedView     `json:"feeds"`
 	OrderLease     OrderLeaseView `json:"duty"`
+	Duties         *DutiesView    `json:"duties,omitempty"` // nil if the deployment has none
 	Servers        []ServerView   `json:"servers"`
 	Models         map[string]int `json:"models"` // newest weight version that the trainer named, by model
 	Lots           []LotView      `json:"lots"`
@@ -37,6 +38,29 @@
 	RowVersion uint64 `json:"row_version"`
 }
 
+// DutiesView shows which host makes the calls that one host at a time must make, and the last
+// calls of this process.
+type DutiesView struct {
+	Holder string                  `json:"holder"`
+	ForMS  int64                   `json:"for_ms"` // milliseconds since this process saw the holder first
+	Acting bool                    `json:"acting"` // this process may make calls now
+	Last   map[string]DutyCallView `json:"last"`   // by duty
+	// WindowsWaiting is the number of fixed usage windows that the platform has not taken. It is
+	// 0 unless this process holds the duties.
+	WindowsWaiting int `json:"windows_waiting"`
+	// FixedThrough is the number of the last usage window whose counts are no longer changed.
+	FixedThrough int64 `json:"fixed_through"`
+	// ClockCorrectionMS is added to the time of this host, in milliseconds.
+	ClockCorrectionMS int64 `json:"clock_correction_ms"`
+}
+
+// DutyCallView is a call of a duty.
+type DutyCallView struct {
+	Subject string `json:"subject"`
+	AgeMS   int64  `json:"age_ms"`
+	Outcome string `json:"outcome"` // sent or the reason of the failure, empty while the call is under way
+}
+
 // ServerView is the state of a backend server.
 type ServerView struct {
 	ID              string         `json:"id"`
--- a/system/rollout/host_view.go
+++ b/system/rollout/host_view.go
@@ -15,12 +15,13 @@
 func HostView(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
 	for _, e := range in {
 		if req, ok := e.(event.HostViewRequested); ok {
-			out.Add(command.AnswerHostView{RequestID: req.RequestID, View: hostView(now, &t.Rollout)})
+			out.Add(command.AnswerHostView{RequestID: req.RequestID, View: hostView(now, t)})
 		}
 	}
 }
 
-func hostView(now time.Duration, r *table.Rollout) status.HostView {
+func hostView(now time.Duration, t *table.Tables) status.HostView {
+	r := &t.Rollout
 	v := status.HostView{
 		Host: r.Self.Host, BootID: r.Self.BootID, Draining: r.Draining, Models: make(map[string]int), SoftwareHistories: make(map[string]string), Peers: slices.Sorted(maps.Values(peerAddresses(r))),
 		OrderLease: status.OrderLeaseView{
@@ -28,6 +29,9 @@
 			SilentMS: status.Millis(now - r.OrderLease.VersionSeenAt), RowVersion: r.OrderLease.Version,
 		},
 	}
+	if s := t.Duties.Settings; s.Usage || s.Scaling {
+		v.Duties = dutiesView(now, &r.OrderLease, &t.Duties)
+	}
 	if r.Desired != nil {
 		v.DesiredVersion = r.Desired.Version
 	}
@@ -53,6 +57,22 @@
 	return v
 }
 
+func dutiesView(now time.Duration, lease *table.OrderLease, d *table.Duties) *status.DutiesView {
+	v := &status.DutiesView{
+		Holder: d.Holder.Host, ForMS: status.Millis(now - d.HolderSince), Acting: lease.MayAct(now), Last: make(map[string]status.DutyCallView),
+		FixedThrough: d.Usage.Delivery.FixedThrough, ClockCorrectionMS: status.Millis(d.Usage.Clock.Correction),
+	}
+	for duty, c := range d.Last.All() {
+		v.Last[duty] = status.DutyCallView{Subject: c.Subject, AgeMS: status.Millis(now - c.At), Outcome: c.Outcome}
+	}
+	for _, w := range d.Usage.Collection.Windows.All() {
+		if w.Stage == table.WindowFixed {
+			v.WindowsWaiting++
+		}
+	}
+	return v
+}
+
 func serverView(id string, s *table.Server) status.ServerView {
 	v := status.ServerView{
 		ID: id, Service: s.Service, Zone: s.Zone, Leaving: s.Leaving, Missing: s.MissingSince != 0,
--- a/system/rollout/order_lease.go
+++ b/system/rollout/order_lease.go
@@ -27,6 +27,9 @@
 	firstAcquireDelay = 250 * time.Millisecond
 	// orderLeaseRetryDelay is the wait after a failed write of the lease row.
 	orderLeaseRetryDelay = 250 * time.Millisecond
+	// orderLeaseYieldDelay is the wait of a process that yielded the lease before it acquires
+	// it again, if no other process does. It is longer than another process takes.
+	orderLeaseYieldDelay = 3 * time.Second
 	// maxOrderInFlight bounds the time for which an order may be in flight after the
 	// lease of its sender ended.
 	maxOrderInFlight = 300 * time.Millisecond
@@ -50,7 +53,7 @@
 		return
 	}
 	switch {
-	case r.OrderLease.Held && r.Draining:
+	case r.OrderLease.Held && (r.Draining || r.OrderLease.Yielding):
 		releaseOrderLease(now, r, out)
 	case r.OrderLease.Held:
 		renewOrderLease(now, r, out)
@@ -109,12 +112,15 @@
 	lease.Version, lease.VersionSeenAt = e.Version, now
 	if e.Released {
 		lease.Held, lease.Holder = false, lot.Process{}
+		if lease.Yielding {
+			lease.Yielding, lease.NextWrite = false, now+orderLeaseYieldDelay
+		}
 		logOrderLease("order lease released", lease, out)
 		return
 	}
 	lease.ValidUntil, lease.Holder = e.SentAt+orderLeaseValidity, r.Self
 	if e.Acquired && !lease.Held {
-		lease.Held, lease.Fence = true, e.Version
+		lease.Held, lease.Fence, lease.Yielding = true, e.Version, false
 		lease.LastOrderAt = lastForeignOrder(r, &lease.Predecessor)
 		lease.OrdersFrom = lease.LastOrderAt + r.OrderHandoverDelay + maxOrderInFlight
 		logOrderLease("order lease acquired", lease, out)
@@ -134,9 +140,12 @@
 	}
 }
 
-// releaseOrderLease releases the lease once no order is pending. The row tells how long ago
+// releaseOrderLease releases the lease once no order and no call of a duty is pending. The row tells how long ago
 // the last order was sent, so that the next holder waits no longer than necessary.
 func releaseOrderLease(now time.Duration, r *table.Rollout, out *command.Outbox) {
+	if r.OrderLease.DutyCalls > 0 {
+		return
+	}
 	for _, s := range r.Servers.All() {
 		if s.Order.Pending {
 			return
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -337,6 +337,11 @@
 	LastOrderAt time.Duration // newest order of any holder that this process knows of or must allow for, while it holds the lease
 	Writing     bool          // a write of the row is under way
 	NextWrite   time.Duration // earliest time of the next write
+	// DutyCalls is the number of calls of duties to the platform's API that are under way.
+	DutyCalls int
+	// Yielding is set if another process is to acquire the lease, because the platform has seen
+	// a higher fencing token.
+	Yielding bool
 }
 
 // orderLeaseMargin is the time before the end of the lease in which its holder begins nothing
@@ -344,7 +349,8 @@
 const orderLeaseMargin = 250 * time.Millisecond
 
 // MayAct reports whether this process may give orders and perform duties now: it holds the
-// lease, the lease is not about to end, and no order of the previous holder can be in flight.
+// lease and does not yield it, the lease is not about to end, and no order of the previous
+// holder can be in flight.
 func (l *OrderLease) MayAct(now time.Duration) bool {
-	return l.Held && now >= l.OrdersFrom && now < l.ValidUntil-orderLeaseMargin
+	return l.Held && !l.Yielding && now >= l.OrdersFrom && now < l.ValidUntil-orderLeaseMargin
 }
--- a/table/tables.go
+++ b/table/tables.go
@@ -27,6 +27,7 @@
 	Controller ControllerState
 
 	Rollout Rollout // state of hosts that serve on a platform with a shared store
+	Duties  Duties  // calls to the platform's API
 }
 
 // NextScans holds the earliest times at which all backends are scanned again for due
