--- a/cmd/lavender-host/duty.go
+++ b/cmd/lavender-host/duty.go
@@ -59,10 +59,12 @@
 }
 
 // recordBegan counts a request that a server began to run. If the queue of events is full, the
-// count is lost and the queue counts it: control is then 16,384 events behind, and requests must
-// not wait for it.
+// count is lost and counted as such: control is then 16,384 events behind, and requests must not
+// wait for it.
 func (h *host) recordBegan(organisation string, at time.Duration, delta int64) {
-	h.inbox.Post(event.RequestBegan{Organisation: organisation, At: at, Delta: delta})
+	if !h.inbox.Post(event.RequestBegan{Organisation: organisation, At: at, Delta: delta}) {
+		h.count("usage_counts_lost", verdict.ReasonOverload)
+	}
 }
 
 // localUsage passes the counts of other hosts to control.
--- a/soak/usage_test.go
+++ b/soak/usage_test.go
@@ -81,7 +81,7 @@
 		u.mu.Lock()
 		u.sentTo[id] = host
 		u.mu.Unlock()
-		u.cluster.callWith(host, http.MethodPost, "/calls/x", id, []byte("x"), http.Header{"Key": {organisation}})
+		u.callWith(host, http.MethodPost, "/calls/x", id, []byte("x"), http.Header{"Key": {organisation}})
 		time.Sleep(pause)
 	}
 }
