--- a/cmd/lavender-host/duty.go
+++ b/cmd/lavender-host/duty.go
@@ -6,6 +6,9 @@
 	"strconv"
 	"time"
 
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/control"
 	"github.com/lavenderstand/lavenderstand/event"
@@ -24,6 +27,9 @@
 	// maxConcurrentUsageCalls bounds the calls to the platform and the writes of usage windows.
 	// The systems issue at most two calls at a time.
 	maxConcurrentUsageCalls = 4
+	// usageFlushTimeout bounds the last report of the counts of a process that ends. It is below
+	// stopMargin.
+	usageFlushTimeout = 400 * time.Millisecond
 )
 
 // registerDutyExecutors adds the executors for the duties to the platform.
@@ -34,6 +40,7 @@
 		Dial: func(address string) usage.Receiver { return &peer.UsageClient{Dialer: h.dialer, Address: address} },
 	}
 	control.Handle(h.dispatcher, 1, reports.Send)
+	control.HandleNow(h.dispatcher, func(c command.AnswerUsageFlush) { h.waiters.Answer(c.RequestID, c) })
 	control.HandleNow(h.dispatcher, func(c command.AnswerUsageReport) { h.waiters.Answer(c.RequestID, c) })
 	duty := &executor.Usage{
 		Store: h.store, Now: h.clock.Now,
@@ -67,6 +74,21 @@
 	}
 }
 
+// addUsageFlush adds an actor that reports the remaining counts of this host when the process
+// ends. It must be added after the servers for callers, whose requests are complete then.
+func (h *host) addUsageFlush(g *run.Group) {
+	flushed := make(chan struct{})
+	g.Add(func() error { <-flushed; return nil }, func(error) {
+		defer close(flushed)
+		ctx, cancel := context.WithTimeout(h.ctx, usageFlushTimeout)
+		defer cancel()
+		id := strconv.FormatUint(rand.Uint64(), 36)
+		if _, err := h.waiters.Call(ctx, h.inbox, id, event.UsageFlushRequested{RequestID: id}); err != nil {
+			h.log.Warn("counts of usage were not reported before the end", zap.Error(err))
+		}
+	})
+}
+
 // localUsage passes the counts of other hosts to control.
 type localUsage struct{ host *host }
 
--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -113,6 +113,7 @@
 	if err := h.addServers(&g); err != nil {
 		return err
 	}
+	h.addUsageFlush(&g)
 	if err := h.addPeers(&g); err != nil {
 		return err
 	}
--- a/command/duty.go
+++ b/command/duty.go
@@ -23,6 +23,12 @@
 	Answer    usage.Answer
 }
 
+// AnswerUsageFlush answers event.UsageFlushRequested when the holder has all counts.
+type AnswerUsageFlush struct{ RequestID string }
+
+// Name implements Command.
+func (AnswerUsageFlush) Name() string { return "answer_usage_flush" }
+
 // ReadUsage reads the stored usage. Fence is returned in the event.
 type ReadUsage struct{ Fence uint64 }
 
--- a/event/duty.go
+++ b/event/duty.go
@@ -34,6 +34,13 @@
 	Failure   *Failure
 }
 
+// UsageFlushRequested asks this host to report all its counts at once, because the process is
+// about to end.
+type UsageFlushRequested struct{ RequestID string }
+
+// Name implements Event.
+func (UsageFlushRequested) Name() string { return "usage_flush_requested" }
+
 // UsageRead holds the stored usage.
 type UsageRead struct {
 	Fence uint64 // as in the command
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -246,12 +246,8 @@
 	}
 	streams := route("streams", "/streams/", "streaming", "engines")
 	streams["resumable"] = true
-	var tenants []map[string]any
-	for _, name := range c.organisations {
-		tenants = append(tenants, map[string]any{"name": name, "accessKeys": []string{name}, "priority": 1})
-	}
-	c.store.Set("op", "config", encode(map[string]any{
-		"version": c.stateVersion, "tenants": tenants,
+	state := map[string]any{
+		"version": c.stateVersion,
 		"routes": []map[string]any{
 			route("lots", "/lots/", "rollout", "engines"), route("scores", "/scores/", "safe", "app"),
 			route("calls", "/calls/", "safe", "app"), route("once", "/once/", "unsafe", "app"),
@@ -262,7 +258,15 @@
 		"services": []map[string]any{
 			{"name": "engines", "engine": map[string]any{"models": []map[string]any{{"name": "m"}}}}, {"name": "app"}, {"name": "endless"}, {"name": "slow"},
 		},
-	}))
+	}
+	if len(c.organisations) > 0 {
+		var tenants []map[string]any
+		for _, name := range c.organisations {
+			tenants = append(tenants, map[string]any{"name": name, "accessKeys": []string{name}, "priority": 1})
+		}
+		state["tenants"] = tenants
+	}
+	c.store.Set("op", "config", encode(state))
 }
 
 func encode(v any) []byte {
--- a/soak/usage_test.go
+++ b/soak/usage_test.go
@@ -215,11 +215,19 @@
 		seeds = []uint64{*firstSeed}
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { t.Parallel(); testUsageReports(t, seed) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { t.Parallel(); testUsageReports(t, seed, (*usageTest).inject) })
 	}
+	t.Run("planned stops", func(t *testing.T) { t.Parallel(); testUsageReports(t, 1, (*usageTest).stopPlanned) })
 }
 
-func testUsageReports(t *testing.T, seed uint64) {
+// stopPlanned stops a host as planned and starts it again. No count may be lost.
+func (u *usageTest) stopPlanned(random *rand.Rand) string {
+	h := u.hosts[random.IntN(hosts)]
+	u.restart(h, syscall.SIGTERM)
+	return "planned stop of " + h.name
+}
+
+func testUsageReports(t *testing.T, seed uint64, inject func(*usageTest, *rand.Rand) string) {
 	u := newUsageTest(t, seed)
 	end := time.Now().Add(3 * *faultDuration)
 	var work sync.WaitGroup
@@ -230,7 +238,7 @@
 	random := rand.New(rand.NewPCG(seed, 2))
 	var names []string
 	for time.Now().Before(end.Add(-4 * time.Second)) {
-		names = append(names, u.inject(random))
+		names = append(names, inject(u, random))
 		time.Sleep(time.Duration(1500+random.IntN(1500)) * time.Millisecond)
 	}
 	work.Wait()
--- a/system/duty/delivery.go
+++ b/system/duty/delivery.go
@@ -30,14 +30,21 @@
 func Delivery(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
 	u, lease := &t.Duties.Usage, &t.Rollout.OrderLease
 	for _, e := range in {
-		if e, ok := e.(event.UsageDelivered); ok {
+		switch e := e.(type) {
+		case event.UsageDelivered:
 			applyDelivered(now, u, e, out)
+		case event.UsageFlushRequested:
+			u.Delivery.Flush = e.RequestID
 		}
 	}
+	d := &u.Delivery
+	if d.Flush != "" && (!reporting(&t.Duties) || delivered(u)) {
+		out.Add(command.AnswerUsageFlush{RequestID: d.Flush})
+		d.Flush = ""
+	}
 	if !reporting(&t.Duties) || lease.Holder.Host == "" {
 		return
 	}
-	d := &u.Delivery
 	if d.Receiver != lease.Holder {
 		d.Receiver = lease.Holder
 		for _, w := range u.Counted.All() {
@@ -61,7 +68,7 @@
 	if len(c.Report.Windows) == 0 && len(u.Unassigned) == 0 {
 		return
 	}
-	if now < d.NextReport {
+	if now < d.NextReport && (d.Flush == "" || d.Failures > 0) {
 		out.WakeAt(d.NextReport)
 		return
 	}
@@ -70,6 +77,16 @@
 	out.Add(c)
 }
 
+// delivered reports whether the holder has all counts of this host.
+func delivered(u *table.Usage) bool {
+	for _, w := range u.Counted.All() {
+		if w.Reported != w.Revision {
+			return false
+		}
+	}
+	return len(u.Unassigned) == 0
+}
+
 // applyDelivered records what the holder has, corrects the clock and removes the windows that
 // the holder has fixed.
 func applyDelivered(now time.Duration, u *table.Usage, e event.UsageDelivered, out *command.Outbox) {
--- a/system/duty/usage_test.go
+++ b/system/duty/usage_test.go
@@ -334,6 +334,23 @@
 	require.Equal(t, []map[string]int64{{"a": 4}}, c.reports(firstWindow))
 }
 
+// TestLastCountsOfStoppedHost guards against losing the counts since the last report of a host
+// that is stopped as planned.
+func TestLastCountsOfStoppedHost(t *testing.T) {
+	c := newCluster(t, 2)
+	c.began(1, "a", 1)
+	c.run(2 * time.Second)
+	c.began(1, "a", 1)
+	c.run(4 * tick) // reported
+	c.began(1, "a", 3)
+	c.hosts[1].queue = append(c.hosts[1].queue, event.UsageFlushRequested{RequestID: "f"})
+	c.run(2 * tick)
+	require.Equal(t, int64(1), c.hosts[1].counts["answer_usage_flush"])
+	c.hosts[1].down = true
+	c.runUntil(fixDelay + time.Second)
+	require.Equal(t, []map[string]int64{{"a": 5}}, c.reports(firstWindow))
+}
+
 // TestLateCountsAreCounted guards against counts that are missing in a report without a trace.
 func TestLateCountsAreCounted(t *testing.T) {
 	c := newCluster(t, 2)
--- a/table/usage.go
+++ b/table/usage.go
@@ -104,6 +104,7 @@
 
 // UsageDelivery is the state of the reports of this host to the holder.
 type UsageDelivery struct {
+	Flush        string      // id of the request to report all counts at once, empty if there is none
 	Receiver     lot.Process // holder to which Reported of the counted windows applies
 	Pending      bool        // a report is under way
 	NextReport   time.Duration
