--- a/soak/verify_test.go
+++ b/soak/verify_test.go
@@ -19,9 +19,13 @@
 	runs       map[string][]pamoja.Run // by request ID
 	fences     map[string]uint64       // highest fencing token by server
 	violations []string                // failures found while requests run
+	onRun      func(pamoja.Run)        // called for each run, may be nil
 }
 
 func (l *ledger) recordRun(r pamoja.Run) {
+	if l.onRun != nil {
+		l.onRun(r)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs[r.ID] = append(l.runs[r.ID], r)
