--- a/forward/caller.go
+++ b/forward/caller.go
@@ -20,10 +20,10 @@
 func (f *Forwarder) Caller(keys []string) Caller { return f.callerOf(f.Plans.Load(), keys) }
 
 // callerOf returns the caller according to a plan. While the keys are overdue, calls that need
-// a key are refused: their key may have been removed.
+// a key are refused as not ready: their key may have been removed or added.
 func (f *Forwarder) callerOf(p *Plan, keys []string) Caller {
 	c := p.caller(keys)
-	if c.Identified && c.refusal == nil && f.KeysOverdue != nil && f.KeysOverdue() {
+	if _, ok := accesskey.Single(keys); ok && c.Identified && f.KeysOverdue != nil && f.KeysOverdue() {
 		c.refusal = verdict.New(verdict.NotRun, verdict.ReasonNotReady, "this host was suspended and has not read the desired state since")
 	}
 	return c
--- a/lot/repository_test.go
+++ b/lot/repository_test.go
@@ -255,6 +255,14 @@
 	require.NoError(t, err, "an end may be repeated")
 	_, err = repo.End(ctx, "none", lot.StoredHead{}, "e3")
 	require.Equal(t, verdict.ReasonUnknownLot, verdict.ReasonOf(err))
+
+	require.NoError(t, repo.Delete(ctx, ended))
+	other := headOf(s, "w4")
+	other.Organisation = "other"
+	_, _, err = repo.Create(ctx, s, other)
+	require.NoError(t, err)
+	_, err = repo.End(ctx, "lot-1", stored, "e4")
+	require.Equal(t, verdict.ReasonUnknownLot, verdict.ReasonOf(err), "the lot of another organisation is not ended by the head of a deleted one")
 }
 
 // TestEachItemIsListedOnce guards against an item at two positions and against gaps when
