--- a/system/rollout/moves.go
+++ b/system/rollout/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -12,12 +13,25 @@
 )
 
 const (
-	// moveCost is the time that a run loses when it moves: the old run is stopped, and the
-	// new server reads the prompt and the output so far.
-	moveCost = 50 * time.Millisecond
+	// moveCost is the time that a run loses when it moves: the old run is stopped, a new
+	// connection is made, and the new server reads the prompt.
+	moveCost = 80 * time.Millisecond
+	// readingShare is the time in which a server reads an event of the output so far, as a
+	// share of the time in which it generates one.
+	readingShare = 0.02
 	// minMoveGain is the gain in expected completion time below which a run stays where it
 	// is. It exceeds the error of the measured paces, so that runs do not move to and fro.
 	minMoveGain = 200 * time.Millisecond
+	// firstMoveGain is the gain for which an item moves the first time. It doubles with each
+	// move.
+	firstMoveGain = 250 * time.Millisecond
+	// minMoveShare is the share of the expected remaining time below which a gain is within
+	// the error of the forecast.
+	minMoveShare = 0.02
+	// maxMoves bounds the moves of an item, apart from those away from leaving servers.
+	maxMoves = 4
+	// typicalEvents is the number of events for which free servers are compared.
+	typicalEvents = 50
 	// moveCheckInterval is the minimum time between two searches for runs to move while no
 	// item waits.
 	moveCheckInterval = 50 * time.Millisecond
@@ -25,14 +39,16 @@
 
 // move is a run that may complete sooner on a faster server.
 type move struct {
-	key      string
-	item     *table.Item
-	done     float64       // estimated number of events so far
-	events   float64       // expected number of further events
-	interval time.Duration // event interval where the item runs now
+	key    string
+	item   *table.Item
+	done   float64      // estimated number of events so far
+	events float64      // expected number of further events
+	pace   paceForecast // of the server where the item runs now
 	// cutIn is the time until the server is gone, if no other server has its software version
 	// and the run is not expected to be complete by then, else 0.
-	cutIn time.Duration
+	cutIn    time.Duration
+	baseline bool // see table.Baselines
+	idle     bool // the step of the lot is not expected to be ready sooner by the move
 }
 
 // gain returns the time by which the run completes sooner if it takes a slot of another
@@ -42,11 +58,27 @@
 	if m.cutIn > 0 {
 		return m.cutIn - moveCost // the output is lost in any case
 	}
-	gain := (m.events - waiting) * float64(m.interval-to.interval)
-	if !canResumeAt(m.item.RunSoftware, to.server) {
-		gain -= m.done * float64(to.interval)
+	gain := m.pace.timeFor(m.events) - to.pace.timeFor(m.events)
+	if waiting > 0 {
+		gain -= m.pace.timeFor(waiting) - to.pace.timeFor(waiting)
 	}
-	return time.Duration(gain) - moveCost
+	if canResumeAt(m.item.RunSoftware, to.server) {
+		gain -= time.Duration(readingShare * m.done * float64(to.pace.steady))
+	} else {
+		gain -= to.pace.timeFor(m.done)
+	}
+	return gain - moveCost
+}
+
+// requiredGain returns the gain for which the run moves.
+func (m *move) requiredGain() time.Duration {
+	if m.cutIn > 0 || m.baseline {
+		return minMoveGain
+	}
+	if m.idle || m.item.Moves >= maxMoves {
+		return math.MaxInt64
+	}
+	return max(firstMoveGain<<m.item.Moves, time.Duration(minMoveShare*float64(m.pace.timeFor(m.events))))
 }
 
 // bestSlot returns the index of the free server by which the run gains most. free holds the
@@ -99,7 +131,8 @@
 			continue
 		}
 		m := newMove(now, r, key, item, s, l)
-		if m.cutIn > 0 || free[pool][0].interval < m.interval {
+		m.idle = !delaysStep(now, r, l, item, m.pace.timeFor(m.events))
+		if m.cutIn > 0 || free[pool][0].pace.mean(typicalEvents) < m.pace.mean(typicalEvents) {
 			moves[pool] = append(moves[pool], m)
 		}
 	}
@@ -109,10 +142,10 @@
 }
 
 func newMove(now time.Duration, r *table.Rollout, key string, item *table.Item, s *table.Server, l *table.Lot) move {
-	m := move{key: key, item: item, interval: eventInterval(r, s)}
-	m.done = eventsDone(now, item, m.interval)
+	interval := eventInterval(r, s)
+	m := move{key: key, item: item, pace: forecastPace(now, r, s), done: eventsDone(now, item, interval), baseline: r.Baselines.Moves}
 	m.events = remainingEvents(r.Models.Find(l.Head.Model), item.Spec, m.done)
-	if left := s.LeavingSince + r.BackendDrainPeriod - now; s.Leaving && isLastOfSoftware(r, s) && time.Duration(m.events)*m.interval > left {
+	if left := s.LeavingSince + r.BackendDrainPeriod - now; s.Leaving && isLastOfSoftware(r, s) && time.Duration(m.events)*interval > left {
 		m.cutIn = max(0, left)
 	}
 	return m
@@ -132,9 +165,10 @@
 			return
 		}
 		i, gain := m.bestSlot(free, waiting)
-		if gain < minMoveGain {
-			continue // faster servers of its version have no slot left
+		if gain < m.requiredGain() {
+			continue // it gains too little, or faster servers of its version have no slot left
 		}
+		m.item.Moves++
 		m.item.Stopping, m.item.MoveTo = true, free[i].server.ID
 		free = takeSlot(free, i)
 		out.Add(command.StopRun{Key: m.key, Run: m.item.Run})
@@ -144,9 +178,9 @@
 
 // freeServer is a server with free slots.
 type freeServer struct {
-	server   *table.Server
-	interval time.Duration
-	slots    int
+	server *table.Server
+	pace   paceForecast
+	slots  int
 }
 
 // freeServers returns the servers of a pool with free slots and without a request limit, the
@@ -158,11 +192,15 @@
 			continue // each move is one request more
 		}
 		if n := serverRoom(now, s); n > 0 {
-			free = append(free, freeServer{s, eventInterval(r, s), n})
+			pace := forecastPace(now, r, s)
+			if pace.span > 0 {
+				pace.span += burstLength // its slowdown may be a burst, which the run would meet
+			}
+			free = append(free, freeServer{s, pace, n})
 		}
 	}
 	slices.SortFunc(free, func(a, b freeServer) int {
-		return cmp.Or(cmp.Compare(a.interval, b.interval), cmp.Compare(a.server.ID, b.server.ID))
+		return cmp.Or(cmp.Compare(a.pace.mean(typicalEvents), b.pace.mean(typicalEvents)), cmp.Compare(a.server.ID, b.server.ID))
 	})
 	return free
 }
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -56,7 +56,7 @@
 // and records the pace of the server.
 func runProgressed(now time.Duration, t *table.Tables, e event.RunProgressed) {
 	if s := t.Rollout.Servers.Find(e.Server); s != nil {
-		recordPace(now, s, e.EventInterval)
+		applyInterval(now, &t.Rollout, s, e.EventInterval)
 	}
 	item := t.Rollout.Items.Find(e.Key)
 	if item == nil || item.Stage != table.ItemRunning || item.Run != e.Run {
@@ -122,7 +122,7 @@
 	if e.Version != 0 && e.Model != "" && s.Models[e.Model] != e.Version {
 		setModelVersion(s, e.Model, e.Version)
 	}
-	recordPace(now, s, e.EventInterval)
+	applyInterval(now, r, s, e.EventInterval)
 	if e.Failure == nil {
 		recordSuccess(r, s)
 		return
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -56,6 +56,7 @@
 	MovesCheckedAt    time.Duration             // when runs that would gain by a move were last searched
 	Runners           map[string]command.Runner // as last published, by model
 
+	Baselines   Baselines
 	Draining    bool   // a graceful shutdown has begun
 	HandedOver  bool   // all lots and the order lease have been handed over
 	PlanChanged bool   // the routing plan must be published again
@@ -177,6 +178,7 @@
 	Running        int           // number of items that this host runs on the server
 	Reserved       int           // number of slots that are kept free for runs that move here
 	Pace           Pace
+	Slowdown       Slowdown
 	SuspectUntil   time.Duration // until then the server is used only if no other is left, 0 if not suspect
 	Failures       int           // consecutive failures
 	BusyUntil      time.Duration // until then no items are sent, after a refusal for lack of a slot or during a load
@@ -195,6 +197,20 @@
 	MeasuredAt time.Duration // when the newest measurement was made
 }
 
+// Slowdown is the state of a server relative to its steady event interval.
+type Slowdown struct {
+	Steady     time.Duration // event interval apart from slowdowns, 0 before the first measurement
+	Since      time.Duration // when the server was first found slower, 0 if it is not
+	MeasuredAt time.Duration // when the newest measurement was made
+}
+
+// Baselines selects simpler decisions, so that tests can compare the others with them.
+type Baselines struct {
+	Moves    bool // the newest measurement of a server is expected to last
+	Division bool // engines are divided by mean tokens of the lots and by count
+	Order    bool // groups of a lot are not told apart
+}
+
 // Order is the newest order of this process to a server.
 type Order struct {
 	Model       string
@@ -255,6 +271,14 @@
 	MaxWriteResults int
 	RetryAt         time.Duration // earliest time of the next adoption, write or deletion after a failure
 	Releasing       bool          // the runs have been stopped for a planned handover
+	Plan            StepPlan      `json:"-"`
+}
+
+// StepPlan is the expected course of the step of an owned lot.
+type StepPlan struct {
+	At        time.Duration   // when the plan was made
+	Remaining time.Duration   // expected time until the groups that the trainer waits for are complete
+	Spare     map[string]bool // incomplete groups that the trainer is not expected to wait for
 }
 
 // LotWrite is a commit of a lot. It is sent again unchanged until its outcome is known.
@@ -289,6 +313,7 @@
 	RunAfter      int               // number of events before the newest run
 	Stopping      bool              // the newest run has been told to stop
 	MoveTo        string            // server on which a slot is reserved for the next run
+	Moves         int               // number of times that the item was moved to another server
 	AvoidServer   string            // server of the last run that failed or was too slow
 	NotBefore     time.Duration     // earliest time of the next run or scoring request, 0 while a request is under way
 	WaitingSince  time.Duration     // when the item began to wait for its next run
