--- a/lot/lot.go
+++ b/lot/lot.go
@@ -121,6 +121,14 @@
 	// a partition does not respond, later results go to a new one.
 	Segments    []Segment `json:"segments,omitempty"`
 	HasProgress bool      `json:"progress,omitempty"` // partial outputs of unfinished items are stored
+	// Urgency states how far the trainer of the model is behind, 1000 if it is neither behind
+	// nor ahead. EventsPerS is the mean speed of the model's engines in thousandths of an event
+	// per second. ReadyMS is the time from the submission of the model's last step until the
+	// groups that its trainer waits for were complete. Each is as the owner knows, and 0 in
+	// heads that their owner has not written yet and in those of earlier releases.
+	Urgency    int `json:"urgency,omitempty"`
+	EventsPerS int `json:"speed,omitempty"`
+	ReadyMS    int `json:"ready,omitempty"`
 	// WriteID is unique to each commit. A commit whose response was lost is sent again with
 	// the same WriteID; if the stored head then has it, an earlier attempt took effect.
 	WriteID string `json:"write"`
--- a/system/rollout/assignment.go
+++ b/system/rollout/assignment.go
@@ -28,12 +28,12 @@
 		return
 	}
 	r.EnginesAssignedAt = now
-	demand, limited := meanLotTokens(r), limitedEngines(now, r)
+	limited := limitedEngines(now, r)
 	for name, service := range r.Desired.Services {
 		if len(service.Models) == 0 {
 			continue
 		}
-		all := engines(r, name)
+		all, demand := engines(r, name), modelDemand(r, service.Models)
 		withLimit := func(s *table.Server) bool { return limited[s.ID] }
 		free := slices.DeleteFunc(slices.Clone(all), withLimit)
 		scarce := slices.DeleteFunc(all, func(s *table.Server) bool { return !withLimit(s) })
@@ -75,6 +75,9 @@
 // assignEngines divides engines of a service among its models.
 func assignEngines(r *table.Rollout, service string, servers []*table.Server, models []string, demand map[string]int, out *command.Outbox) {
 	quotas := computeQuotas(len(servers), models, demand)
+	if !r.Baselines.Division {
+		quotas = keepQuotas(enginesOf(r, servers, quotas), exactShares(len(servers), models, demand), quotas)
+	}
 	changed := 0
 	for i, model := range assignModels(r, servers, quotas) {
 		if servers[i].PreferredModel != model {
@@ -171,21 +174,10 @@
 // with at least one server for each model. Models without known demand count with the
 // mean of the others.
 func computeQuotas(servers int, models []string, demand map[string]int) []quota {
-	known, sum := knownDemand(models, demand)
-	mean := 1.0
-	if known > 0 {
-		mean = float64(sum) / float64(known)
-	}
-	total := float64(sum) + mean*float64(len(models)-known)
 	all := make([]quota, len(models))
-	exact := make([]float64, len(models))
+	exact := exactShares(servers, models, demand)
 	left := servers
 	for i, m := range models {
-		d := mean
-		if demand[m] > 0 {
-			d = float64(demand[m])
-		}
-		exact[i] = float64(servers) * d / total
 		all[i] = quota{m, max(1, int(exact[i]))}
 		left -= all[i].servers
 	}
@@ -203,6 +195,25 @@
 	return all
 }
 
+// exactShares returns the share of a number of servers of each model.
+func exactShares(servers int, models []string, demand map[string]int) []float64 {
+	known, sum := knownDemand(models, demand)
+	mean := 1.0
+	if known > 0 {
+		mean = float64(sum) / float64(known)
+	}
+	total := float64(sum) + mean*float64(len(models)-known)
+	exact := make([]float64, len(models))
+	for i, m := range models {
+		d := mean
+		if demand[m] > 0 {
+			d = float64(demand[m])
+		}
+		exact[i] = float64(servers) * d / total
+	}
+	return exact
+}
+
 // engines returns the servers of a service that may be given orders, sorted by id.
 func engines(r *table.Rollout, service string) []*table.Server {
 	var servers []*table.Server
--- a/system/rollout/lots.go
+++ b/system/rollout/lots.go
@@ -97,6 +97,7 @@
 		Head: h, Version: version, VersionSeenAt: now, SeenAt: l.SeenAt, Stage: table.LotOwned, Submission: s, LastWriteAt: now,
 		AcceptedAt: now, LastProgressAt: now, Listed: make(map[string]bool, len(results)),
 	}
+	beginStep(now, r, l)
 	for _, res := range results {
 		l.Listed[res.Item] = true
 	}
--- a/system/rollout/slowdown.go
+++ b/system/rollout/slowdown.go
@@ -111,5 +111,5 @@
 func remainingSlowdown(age time.Duration, ratio float64) time.Duration {
 	repeats := max(0, float64(age-burstLength)/float64(burstLength))
 	odds := burstOdds * math.Pow(repeatChance, repeats) * math.Pow(burstSlowdown/max(ratio, burstSlowdown), burstFalloff)
-	return time.Duration(float64(lastingLength) / (1 + odds)) + max(0, burstLength-reportDelay-age)
+	return time.Duration(float64(lastingLength)/(1+odds)) + max(0, burstLength-reportDelay-age)
 }
--- a/system/rollout/writes.go
+++ b/system/rollout/writes.go
@@ -63,6 +63,7 @@
 	h := l.Head
 	h.Listed += n
 	h.WriteID = newWriteID(&t.Rollout)
+	updateStep(now, &t.Rollout, l, &h)
 	l.Write = &table.LotWrite{Head: h, Results: l.Pending[:n:n]}
 	if now-l.LastProgressAt >= progressInterval {
 		l.LastProgressAt = now
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -225,6 +225,11 @@
 	NamedVersion registry.Version
 	NamedAt      time.Duration
 	Lengths      LengthStats
+
+	LastStep    string        // newest lot that this process ran
+	StepReadyAt time.Duration // when the groups that its trainer waits for were complete, 0 before
+	StepTook    time.Duration // time until they were, of the last step in which they were
+	StepOverdue bool          // they were not complete when they were due
 }
 
 // LengthStats describes the lengths of the newest finished outputs of a model, as the
@@ -272,6 +277,7 @@
 	RetryAt         time.Duration // earliest time of the next adoption, write or deletion after a failure
 	Releasing       bool          // the runs have been stopped for a planned handover
 	Plan            StepPlan      `json:"-"`
+	Urgency         int           // see lot.Head
 }
 
 // StepPlan is the expected course of the step of an owned lot.
