--- a/system/rollout/division_test.go
+++ b/system/rollout/division_test.go
@@ -23,7 +23,6 @@
 	begun, readyAt   time.Duration
 	submitAt, behind time.Duration
 	left             float64 // work of the step that is not done, in seconds of one engine
-	floor            time.Duration
 	steps, urgency   int
 	took             time.Duration
 }
--- a/system/rollout/moves.go
+++ b/system/rollout/moves.go
@@ -138,7 +138,7 @@
 		if m.idle = !delaysStep(now, r, l, item, remaining); !m.idle && !r.Baselines.Order {
 			s.Critical = max(s.Critical, remaining)
 		}
-		if m.cutIn > 0 || free[pool][0].pace.mean(typicalEvents) < m.pace.mean(typicalEvents) {
+		if m.cutIn > 0 || free[pool][0].pace.typical() < m.pace.typical() {
 			moves[pool] = append(moves[pool], m)
 		}
 	}
@@ -206,7 +206,7 @@
 		}
 	}
 	slices.SortFunc(free, func(a, b freeServer) int {
-		return cmp.Or(cmp.Compare(a.pace.mean(typicalEvents), b.pace.mean(typicalEvents)), cmp.Compare(a.server.ID, b.server.ID))
+		return cmp.Or(cmp.Compare(a.pace.typical(), b.pace.typical()), cmp.Compare(a.server.ID, b.server.ID))
 	})
 	return free
 }
--- a/system/rollout/slowdown.go
+++ b/system/rollout/slowdown.go
@@ -16,8 +16,8 @@
 	burstLength  = 600 * time.Millisecond
 	repeatChance = 0.15
 	// burstOdds is the number of bursts for each lasting slowdown, among slowdowns that have
-	// just begun. Servers of known deployments have a burst each 4 s and a lasting slowdown
-	// each 50 s.
+	// just begun. It is an estimate: an engine has a burst each 4 s, and how often lasting
+	// slowdowns begin is not known.
 	burstOdds = 15
 	// burstSlowdown is the largest slowdown in a burst. A larger one is the less likely a
 	// burst, by the power of burstFalloff.
@@ -85,10 +85,8 @@
 	return time.Duration(slow*float64(f.current) + (events-slow)*float64(f.steady))
 }
 
-// mean returns the expected mean interval over a number of events.
-func (f paceForecast) mean(events float64) time.Duration {
-	return time.Duration(float64(f.timeFor(events)) / events)
-}
+// typical returns the expected time for typicalEvents.
+func (f paceForecast) typical() time.Duration { return f.timeFor(typicalEvents) }
 
 // forecastPace returns the forecast of a server's pace. A slowdown that has just begun is
 // probably a burst and not worth a reaction; the longer it lasts, the longer it is expected
--- a/system/rollout/steps_test.go
+++ b/system/rollout/steps_test.go
@@ -8,8 +8,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/lot"
 	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
 // groupedSubmission returns a submission of a group for each number of estimated tokens, with
@@ -72,6 +74,32 @@
 	require.Equal(t, []string{"l2/i0"}, startedItems(commands))
 }
 
+// TestLeftoverRunsMakeRoom guards against runs of a step whose trainer has its groups that hold
+// all slots while items of the next step wait.
+func TestLeftoverRunsMakeRoom(t *testing.T) {
+	w := newSlotsWorld(t)
+	first := commandsOf[command.StartRun](w.accept(groupedSubmission("l1", 1, []string{"a", "b", "c"}, 100, 1000, 1100)))
+	commands := w.step(endedRun(first[0], "x"))
+	require.Len(t, startedItems(commands), 1)
+	w.advance(2 * stepPlanInterval)
+	commands = append(w.accept(groupedSubmission("l2", 1, []string{"d"}, 100)), w.advance(stepPlanInterval)...)
+	stops := commandsOf[command.StopRun](commands)
+	require.Len(t, stops, 1, "one item waits")
+	require.Equal(t, []string{"l2/i0"}, startedItems(w.step(w.stopped(stops[0]))))
+}
+
+// TestResultsAreCommittedWhenTheStoreIsBack guards against finished results that wait for the
+// retry of a write although the store answers again.
+func TestResultsAreCommittedWhenTheStoreIsBack(t *testing.T) {
+	w := newSlotsWorld(t)
+	run := commandsOf[command.StartRun](w.accept(submission(2)))[0]
+	writes := commandsOf[command.WriteLot](append(w.step(endedRun(run, "x")), w.advance(2*resultGatherWindow)...))
+	require.Len(t, writes, 1)
+	failed := event.LotWritten{ID: "l", WriteID: writes[0].Head.WriteID, Failure: &event.Failure{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonStoreUnavailable}}
+	require.Empty(t, commandsOf[command.WriteLot](w.step(event.FeedChanged{Table: feedCoordination, Down: true}, failed)))
+	require.Len(t, commandsOf[command.WriteLot](w.step(event.FeedChanged{Table: feedCoordination})), 1)
+}
+
 // TestLastItemsHaveNoNeighbours guards against an item beside the one for which the step
 // waits, while another engine has as much room.
 func TestLastItemsHaveNoNeighbours(t *testing.T) {
--- a/system/rollout/writes.go
+++ b/system/rollout/writes.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -31,12 +32,20 @@
 
 // LotWrites commits the results and the progress of owned lots. The writes also show
 // that the owner is alive. A lot has at most one write in flight, which is sent again
-// unchanged until its outcome is known.
-func LotWrites(now time.Duration, t *table.Tables, _ []event.Event, out *command.Outbox) {
+// unchanged until its outcome is known. Once the store is available again, failed writes are
+// sent at once.
+func LotWrites(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+	regained := slices.ContainsFunc(in, func(e event.Event) bool {
+		f, ok := e.(event.FeedChanged)
+		return ok && f.Table == feedCoordination && !f.Down
+	})
 	for _, l := range t.Rollout.Lots.All() {
 		if l.Stage != table.LotOwned || !headConfirmed(&t.Rollout, l) {
 			continue
 		}
+		if regained {
+			l.RetryAt = min(l.RetryAt, now)
+		}
 		if l.Write == nil && !l.Releasing { // the handover holds the remaining results
 			beginWrite(now, t, l, out)
 		}
