--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -75,7 +75,8 @@
 	requestLimit float64                // that each backend server names, 0 for none
 	arrivals     map[string][]time.Time // of requests, by backend server
 	stateVersion uint64
-	moreSettings string // further lines of the settings files of all hosts
+	moreSettings string         // further lines of the settings files of all hosts
+	limits       map[string]any // of the desired state; nil for none
 }
 
 // host is a lavender-host process and the proxy between it and the store.
@@ -245,7 +246,7 @@
 	streams := route("streams", "/streams/", "streaming", "engines")
 	streams["resumable"] = true
 	c.store.Set("op", "config", encode(map[string]any{
-		"version": c.stateVersion,
+		"version": c.stateVersion, "limits": c.limits,
 		"routes": []map[string]any{
 			route("lots", "/lots/", "rollout", "engines"), route("scores", "/scores/", "safe", "app"),
 			route("calls", "/calls/", "safe", "app"), route("once", "/once/", "unsafe", "app"),
