--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -90,6 +90,7 @@
 	backends         *platform.BackendClient
 	permits          *permit.Client
 	memory           *memory.Budget // of all requests
+	connBounds       frontend.ConnBounds
 	reporter         *quarantine.Reporter
 	repository       *lot.Repository
 	service          *frontend.Service
@@ -135,6 +136,7 @@
 		h.log.Warn("metric could not be registered", zap.Error(err))
 	})
 	h.memory = limitMemory(d.MemoryMB)
+	h.connBounds = frontend.NewConnBounds(memoryBytes(d.MemoryMB), d.Descriptors)
 	h.buildClients()
 	h.registerExecutors()
 	return h
--- a/cmd/lavender-host/memory.go
+++ b/cmd/lavender-host/memory.go
@@ -21,10 +21,17 @@
 // limitMemory keeps the process within its memory limit, given in MB, and returns the budget
 // of its requests. Without a limit, only the requests are bounded.
 func limitMemory(limitMB int) *memory.Budget {
-	limit := float64(defaultMemoryMB) * bytesPerMB
+	limit := float64(memoryBytes(limitMB))
 	if limitMB > 0 {
-		limit = float64(limitMB) * bytesPerMB
 		debug.SetMemoryLimit(int64(gcMemoryRatio * limit))
 	}
 	return memory.NewBudget(int64(requestMemoryRatio * limit))
 }
+
+// memoryBytes returns the memory limit in bytes.
+func memoryBytes(limitMB int) int64 {
+	if limitMB <= 0 {
+		limitMB = defaultMemoryMB
+	}
+	return int64(limitMB) * bytesPerMB
+}
--- a/cmd/lavender-host/serve.go
+++ b/cmd/lavender-host/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -32,6 +31,9 @@
 	// and of operators. The timeouts of callers' connections come from the desired state.
 	adminIdleTimeout   = 60 * time.Second
 	adminHeaderTimeout = 5 * time.Second
+	adminHeaderBytes   = 16 << 10
+	adminReadTimeout   = 10 * time.Second
+	adminWriteTimeout  = 30 * time.Second
 	// balancerDrainDelay is the time for which new connections still arrive after the host
 	// reported that it is not ready: the load balancer checks every second and removes a
 	// host after two failed checks.
@@ -43,29 +45,27 @@
 
 // addServers adds the HTTP servers for callers, for the readiness check and for operators.
 func (h *host) addServers(g *run.Group) error {
-	errorLog := log.New(zap.NewStdLog(h.log).Writer(), "", 0)
-	timeouts := &frontend.ConnTimeouts{Limits: h.service.Limits}
-	frontServer := &http.Server{Handler: h.closeWhileStopping(platform.NewHandler(h.service)), ConnState: timeouts.ConnState, ErrorLog: errorLog} //nolint:gosec // timeouts bounds the time for the header
+	front, frontConns := h.newServer(h.closeWhileStopping(platform.NewHandler(h.service)), h.service.Limits, h.connBounds.Callers, "caller_connections_refused")
+	front.ReadTimeout, front.WriteTimeout, front.IdleTimeout = 0, 0, 0 // depend on the limits of the desired state and on the answer
 	checks := http.NewServeMux()
 	checks.HandleFunc(platform.ReadinessPath, h.handleReadiness)
-	checkServer := &http.Server{Handler: checks, ReadHeaderTimeout: adminHeaderTimeout, IdleTimeout: adminIdleTimeout, ErrorLog: errorLog}
+	ready, readyConns := h.newServer(checks, checkLimits, h.connBounds.Checks, "readiness_connections_refused")
+	metrics, metricsConns := h.newServer(h.operatorHandler(), checkLimits, h.connBounds.Checks, "metrics_connections_refused")
 	servers := []struct {
 		name, address string
 		server        *http.Server
-		wrap          func(net.Listener) net.Listener
+		conns         *frontend.CallerConns
 	}{
-		{"front", h.settings.Front, frontServer, timeouts.Listener},
-		{"readiness", h.settings.Ready, checkServer, nil},
-		{"metrics", h.metricsAddress(), &http.Server{Handler: h.operatorHandler(), ReadHeaderTimeout: adminHeaderTimeout, ErrorLog: errorLog}, nil},
+		{"front", h.settings.Front, front, frontConns},
+		{"readiness", h.settings.Ready, ready, readyConns},
+		{"metrics", h.metricsAddress(), metrics, metricsConns},
 	}
 	for _, s := range servers {
 		l, err := listen(s.name, s.address)
 		if err != nil {
 			return err
 		}
-		if s.wrap != nil {
-			l = s.wrap(l)
-		}
+		l = s.conns.Listener(l)
 		g.Add(func() error { return ignoreClosed(s.server.Serve(l)) }, func(error) { h.shutdown(s.server) })
 	}
 	return nil
@@ -115,7 +115,9 @@
 	if err != nil {
 		return err
 	}
-	server := grpc.NewServer(grpc.UnaryInterceptor(peer.RecoverInterceptor(h.log)))
+	conns := &frontend.PeerConns{Max: h.connBounds.Peers, Messages: h.connBounds.MessageBytes, OnRefused: h.refusals("peer_connections_refused")}
+	l = conns.Listener(l)
+	server := grpc.NewServer(append(peer.ServerLimits(), grpc.StatsHandler(conns), grpc.UnaryInterceptor(peer.RecoverInterceptor(h.log)))...)
 	peerpb.RegisterStoreServer(server, &peer.StoreServer{Store: h.repository.Cache.CachingClient(h.directStore), Memory: h.memory})
 	peerpb.RegisterPermitsServer(server, &peer.PermitServer{Granter: localPermits{h}})
 	peerpb.RegisterQuarantineServer(server, &peer.QuarantineServer{Receiver: localReceiver{h}})
--- a/frontend/conn_timeouts_test.go
+++ b/frontend/conn_test.go
@@ -18,7 +18,7 @@
 
 // startServer starts a server whose limits may change. It returns its address.
 func startServer(t *testing.T, limits *atomic.Pointer[desired.Limits]) string {
-	c := &frontend.ConnTimeouts{Limits: func() desired.Limits { return *limits.Load() }}
+	c := &frontend.CallerConns{Limits: func() desired.Limits { return *limits.Load() }}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &http.Server{
@@ -76,7 +76,7 @@
 	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\n")
 	require.NoError(t, err)
 	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
-	_, err = conn.Read(make([]byte, 1))
-	require.Error(t, err)
+	answer, err := io.ReadAll(conn)
 	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the server closes the connection")
+	require.Contains(t, string(answer), "HTTP/1.1 408 ", "the request has not run")
 }
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -11,17 +11,22 @@
 
 const (
 	// freeBytes is the size up to which an account needs no reservation. Most requests and
-	// answers are smaller, and their number is bounded by the connections of the process.
+	// answers are smaller.
 	freeBytes = 64 << 10
 	// holderDivisor is the fraction of a budget that one holder, such as a backend server,
 	// may use. One faulty holder then leaves room for the others.
 	holderDivisor = 4
+	// freeDivisor is the fraction of a budget up to which accounts together need no
+	// reservation. Without it, a thousand callers that send small bodies slowly hold more
+	// than a third of the memory of a small host.
+	freeDivisor = 4
 )
 
 // Budget is a number of bytes that accounts share. A nil Budget is unlimited.
 type Budget struct {
 	total int64
 	held  atomic.Int64
+	free  atomic.Int64 // bytes that accounts hold without a reservation
 }
 
 // NewBudget returns a budget of a number of bytes.
@@ -87,6 +92,7 @@
 
 	mu       sync.Mutex
 	reserved int64
+	free     int64 // bytes without a reservation
 	closed   bool
 }
 
@@ -103,7 +109,24 @@
 	if a.closed {
 		return verdict.New(verdict.NotRun, verdict.ReasonCanceled, "the request has ended")
 	}
-	return a.reserve(max(0, n-freeBytes))
+	before := a.free
+	a.takeFree(min(n, freeBytes))
+	if err := a.reserve(n - a.free); err != nil {
+		a.budget.free.Add(before - a.free)
+		a.free = before
+		return err
+	}
+	return nil
+}
+
+// takeFree sets the number of bytes without a reservation to n, or to 0 if all accounts
+// together would exceed their share.
+func (a *Account) takeFree(n int64) {
+	if held := a.budget.free.Add(n - a.free); n > a.free && held > max(freeBytes, a.budget.total/freeDivisor) {
+		a.budget.free.Add(-n)
+		n = 0
+	}
+	a.free = n
 }
 
 // reserve sets the number of reserved bytes.
@@ -135,6 +158,7 @@
 	defer a.mu.Unlock()
 	if !a.closed {
 		_ = a.reserve(0) // a decrease cannot fail
+		a.takeFree(0)
 	}
 	a.closed = true
 }
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -40,6 +40,25 @@
 	require.Error(t, s.Open(nil).Resize(1))
 }
 
+// TestSmallAccountsShareMemory guards against many small accounts that together hold more
+// than the budget leaves room for.
+func TestSmallAccountsShareMemory(t *testing.T) {
+	b := memory.NewBudget(1024 * kib)
+	s := b.Scope()
+	accepted := 0
+	for s.Open(nil).Resize(64*kib) == nil {
+		accepted++
+		require.LessOrEqual(t, accepted, 20, "a quarter of the budget without and all of it with a reservation")
+	}
+	require.Equal(t, 20, accepted)
+	a := b.Scope().Open(nil)
+	require.Error(t, a.Resize(64*kib))
+	s.Close()
+	require.Zero(t, b.Held())
+	require.NoError(t, a.Resize(64*kib))
+	require.Zero(t, b.Held(), "small accounts need no reservation again")
+}
+
 // TestReservationsAreReturned guards against bytes that stay reserved after their request
 // has ended, until no request is served any more.
 func TestReservationsAreReturned(t *testing.T) {
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -17,10 +17,12 @@
 	Store      string // address of the store
 	MilliCores int    // processor share in thousandths of a core
 	MemoryMB   int    // memory limit of the process in MB; 0 if unknown
-	FirstStart bool
-	StoreReads float64 // reads per second that the store serves to all hosts together; 0 if unknown
-	Duties     Duties
-	Bounds     Bounds
+	// Descriptors is the number of files and connections that the process may open; 0 if unknown.
+	Descriptors int
+	FirstStart  bool
+	StoreReads  float64 // reads per second that the store serves to all hosts together; 0 if unknown
+	Duties      Duties
+	Bounds      Bounds
 }
 
 // Duties states which calls to the platform's API one host at a time must make.
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -61,6 +61,7 @@
 	ReasonOutputTooLarge    Reason = "output_too_large" // the output of an item cannot be stored
 	ReasonMemory            Reason = "memory"           // the requests in flight use the memory of the host
 	ReasonAnswerTooLarge    Reason = "answer_too_large" // one answer, or those of one server together
+	ReasonCallerTooSlow     Reason = "caller_too_slow"  // a caller sends a head or body, or reads an answer, too slowly
 	// ReasonPlatformUnavailable means that the platform's API does not carry out calls.
 	ReasonPlatformUnavailable Reason = "platform_unavailable"
 	ReasonFirstAttempt        Reason = "first_attempt"
