--- a/frontend/conn_bounds_test.go
+++ b/frontend/conn_bounds_test.go
@@ -106,6 +106,16 @@
 			require.Equal(t, http.StatusOK, status(r), "pipelined, round %d", round)
 		}
 	}
+	// The server reads the beginning of the second request with the first one.
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status(r))
+	for _, part := range []string{":", " h", "\r\n\r\n"} {
+		_, err = io.WriteString(conn, part)
+		require.NoError(t, err)
+		time.Sleep(20 * time.Millisecond) // each part is read alone
+	}
+	require.Equal(t, http.StatusOK, status(r), "a pipelined request in parts")
 	require.Empty(t, s.refused)
 }
 
--- a/frontend/peer_conns_test.go
+++ b/frontend/peer_conns_test.go
@@ -60,6 +60,7 @@
 		return conn
 	}
 	sound := dial()
+	beginCall() // one call is always open
 	for range 10 {
 		_, err := sound.Write(make([]byte, size))
 		require.NoError(t, err)
