--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -94,6 +94,7 @@
 	backends         *platform.BackendClient
 	permits          *permit.Client
 	memory           *memory.Budget // of all requests
+	connBounds       frontend.ConnBounds
 	reporter         *quarantine.Reporter
 	repository       *lot.Repository
 	service          *frontend.Service
@@ -141,6 +142,7 @@
 		h.log.Warn("metric could not be registered", zap.Error(err))
 	})
 	h.memory = limitMemory(d.MemoryMB)
+	h.connBounds = frontend.NewConnBounds(memoryBytes(d.MemoryMB), d.Descriptors)
 	h.buildClients()
 	h.registerExecutors()
 	return h
@@ -339,9 +341,10 @@
 	h.logOutput.Close()
 }
 
-// listen listens on a TCP address. An error includes the name.
-func listen(name, address string) (net.Listener, error) {
-	l, err := net.Listen("tcp4", address)
+// listen listens on a TCP address. buffer is the size of the socket buffers of its
+// connections. An error includes the name.
+func listen(name, address string, buffer int) (net.Listener, error) {
+	l, err := frontend.Listen(address, buffer)
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s: %w", name, err)
 	}
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -77,6 +77,7 @@
 	stateVersion uint64
 	tenants      []map[string]any // of the desired state, none if nil
 	moreSettings string           // further lines of the settings files of all hosts
+	limits       map[string]any   // of the desired state; nil for none
 }
 
 // host is a lavender-host process and the proxy between it and the store.
@@ -246,7 +247,7 @@
 	streams := route("streams", "/streams/", "streaming", "engines")
 	streams["resumable"] = true
 	c.store.Set("op", "config", encode(map[string]any{
-		"version": c.stateVersion, "tenants": c.tenants,
+		"version": c.stateVersion, "tenants": c.tenants, "limits": c.limits,
 		"routes": []map[string]any{
 			route("lots", "/lots/", "rollout", "engines"), route("scores", "/scores/", "safe", "app"),
 			route("calls", "/calls/", "safe", "app"), route("once", "/once/", "unsafe", "app"),
