--- a/cmd/lavender-host/duty.go
+++ b/cmd/lavender-host/duty.go
@@ -47,6 +47,14 @@
 	control.Handle(h.dispatcher, 1, duty.Read)
 	control.Handle(h.dispatcher, 1, duty.WriteHolder)
 	control.Handle(h.dispatcher, 1, duty.Remove)
+	servers := &executor.Scaling{
+		Store: h.store, Now: h.clock.Now,
+		Platform: func() executor.ScalingPlatform {
+			return &platform.DutyClient{HTTP: client, Address: h.currentSettings().Duties.Address, Holder: h.settings.Host}
+		},
+	}
+	control.Handle(h.dispatcher, maxConcurrentUsageCalls, servers.Order)
+	control.Handle(h.dispatcher, 1, servers.Read)
 }
 
 // dutyTables returns the initial state of the duties. The time of day is read only here, because
--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -183,7 +183,7 @@
 		Plans: new(forward.AtomicPlan), Sender: h.backends, Permits: h.permits, Memory: h.memory, ServerEnded: h.backends.Ended, Log: h.log, Rand: rand.Float64, Count: h.count,
 		Origins: localOrigins{h}, KeysOverdue: func() bool { return h.operatorsFeed.Overdue(h.currentSettings().Bounds.Configuration) },
 		Report: func(o forward.Outcome) { h.inbox.Post(event.ServerOutcome{Outcome: o}) },
-		Began: h.recordBegan, Now: h.clock.Now,
+		Began:  h.recordBegan, Now: h.clock.Now,
 	}
 	h.service = &frontend.Service{
 		Forwarder: forwarder, Repository: h.repository, Lots: frontend.NewLots(), Self: h.self, Log: h.log, Now: h.clock.Now,
--- a/forward/types.go
+++ b/forward/types.go
@@ -115,6 +115,7 @@
 	InFlight   atomic.Int32  // requests in flight from this process
 	reported   atomic.Int32  // running and waiting requests of all callers, as last reported by the server
 	reportedAt atomic.Int64  // time of the last report, Unix nanoseconds
+	peak       atomic.Int32  // largest reported load since TakePeak was called
 	response   atomic.Int64  // smoothed response time, nanoseconds
 	measuredAt atomic.Int64  // time of the last measurement of response, Unix nanoseconds
 	Held       memory.Holder // bytes of answers and streams of the server that this process holds
@@ -131,8 +132,13 @@
 func (l *Load) Report(r registry.Load, at time.Time) {
 	l.reported.Store(int32(r.Running + r.Waiting))
 	l.reportedAt.Store(at.UnixNano())
+	l.peak.Store(max(l.peak.Load(), l.reported.Load())) // concurrent calls may lose one report
 }
 
+// TakePeak returns the largest load of the server since the last call: requests of all callers
+// as the server reported them, or those in flight from this process.
+func (l *Load) TakePeak() int { return int(max(l.peak.Swap(0), l.InFlight.Load())) }
+
 // loadReportTTL is the time for which a load report is used. It is several times the duration
 // of an ordinary request; after it, the reported requests have ended.
 const loadReportTTL = 300 * time.Millisecond
--- a/status/host.go
+++ b/status/host.go
@@ -54,6 +54,19 @@
 	FixedThrough int64 `json:"fixed_through"`
 	// ClockCorrectionMS is added to the time of this host, in milliseconds.
 	ClockCorrectionMS int64 `json:"clock_correction_ms"`
+	// Servers lists the orders of servers that this process knows of.
+	Servers []OrderedServersView `json:"servers,omitempty"`
+}
+
+// OrderedServersView is the last order of a kind of servers in an availability zone.
+type OrderedServersView struct {
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
+	Spot    bool   `json:"spot"`
+	Ordered bool   `json:"ordered"` // there has been an order
+	Number  int    `json:"number"`
+	Outcome string `json:"outcome"`
+	AgeMS   int64  `json:"age_ms"`
 }
 
 // DutyCallView is a call of a duty.
--- a/system/duty/duty.go
+++ b/system/duty/duty.go
@@ -1,6 +1,6 @@
 // Package duty holds the systems for calls to the platform's API that one host at a time must
 // make: the holder of the order lease. They count requests by usage window, collect the counts
-// of all hosts, fix each window and report it.
+// of all hosts, fix each window and report it, and they order servers.
 package duty
 
 import (
@@ -23,12 +23,17 @@
 		{Name: "usage_collection", Run: Collection},
 		{Name: "usage_windows", Run: Windows},
 		{Name: "usage_reports", Run: Reports},
+		{Name: "scaling_demand", Run: Demand},
+		{Name: "scaling", Run: Scaling},
 	}
 }
 
 // nameUsage is the name of the duty to report usage in tables, views and log lines.
 const nameUsage = "usage"
 
+// nameScaling is that of the duty to order servers.
+const nameScaling = "scaling"
+
 // Settings applies changed settings and records who performs the duties.
 func Settings(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
 	d := &t.Duties
--- /dev/null
+++ b/system/duty/scaling_demand.go
@@ -0,0 +1,125 @@
+package duty
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/desired"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/scaling"
+	"github.com/lavenderstand/lavenderstand/table"
+)
+
+// demandInterval is the time between two observations of the demand. A lot that is seen first
+// is observed at once.
+const demandInterval = 250 * time.Millisecond
+
+// ordersServers reports whether servers are to be ordered in this deployment.
+func ordersServers(t *table.Tables) bool {
+	d := &t.Duties.Settings
+	return d.Scaling && d.Address != "" && t.Rollout.Desired != nil
+}
+
+// Demand observes the demand for the services whose servers may be ordered. Every host does
+// so, so that a new holder of the order lease knows the recent demand.
+func Demand(now time.Duration, t *table.Tables, _ []event.Event, out *command.Outbox) {
+	if !ordersServers(t) {
+		return
+	}
+	s, r := &t.Duties.Scaling, &t.Rollout
+	for name := range s.Services.All() {
+		if r.Desired.Services[name].Scaling == nil {
+			s.Services.Delete(name)
+		}
+	}
+	var scaled []desired.Service
+	for name, service := range r.Desired.Services {
+		if service.Scaling != nil {
+			service.Name = name
+			scaled = append(scaled, service)
+		}
+	}
+	if len(scaled) == 0 {
+		return
+	}
+	loads, newLots := lotLoads(s.ObservedAt, t, scaled)
+	if !newLots && s.ObservedAt > 0 && now < s.ObservedAt+demandInterval {
+		out.WakeAt(s.ObservedAt + demandInterval)
+		return
+	}
+	out.WakeAt(now + demandInterval)
+	for _, service := range scaled {
+		row, _ := s.Services.Upsert(service.Name)
+		observe(now, r, row, service.Name, loads[service.Name])
+	}
+	s.ObservedAt = now
+}
+
+// observe records the load of a service. The load that its servers report includes the items
+// that run, so that only what exceeds the open items is counted as requests.
+func observe(now time.Duration, r *table.Rollout, row *table.ScaledService, service string, l scaling.Load) {
+	reported, open := 0, 0.0
+	for _, s := range r.Servers.All() {
+		if s.Service != service {
+			continue
+		}
+		reported += s.Load.TakePeak()
+		if row.Slots == 0 || (!s.Leaving && s.Slots < row.Slots) {
+			row.Slots = s.Slots
+		}
+	}
+	for _, n := range l.Open {
+		open += n
+	}
+	l.Direct = max(0, float64(reported)-max(open, row.Open))
+	row.Open = open
+	row.Demand.Observe(now, l)
+}
+
+// lotLoads returns the items of open lots by service, and whether a lot was seen first since
+// the last observation.
+func lotLoads(observedAt time.Duration, t *table.Tables, scaled []desired.Service) (loads map[string]scaling.Load, newLots bool) {
+	loads = make(map[string]scaling.Load)
+	for _, l := range t.Rollout.Lots.All() {
+		open := l.Head.Total - l.Head.Listed
+		if l.Head.Ended || open <= 0 {
+			continue
+		}
+		service := serviceOfModel(t.Rollout.Desired, scaled, l.Head.Model)
+		if service == "" {
+			continue
+		}
+		load, ok := loads[service]
+		if !ok {
+			load = scaling.Load{Open: make(map[string]float64), Largest: make(map[string]float64)}
+			loads[service] = load
+		}
+		load.Open[l.Head.Model] += float64(open)
+		if l.SeenAt > observedAt || observedAt == 0 {
+			newLots = true
+			load.Largest[l.Head.Model] = max(load.Largest[l.Head.Model], float64(l.Head.Total))
+		}
+	}
+	return loads, newLots
+}
+
+// serviceOfModel returns the scaled service that runs the items of a model, empty if there is
+// none. Items without a model run on a service of a rollout route that offers no models.
+func serviceOfModel(d *desired.State, scaled []desired.Service, model string) string {
+	for _, s := range scaled {
+		if slices.Contains(s.Models, model) {
+			return s.Name
+		}
+	}
+	for _, route := range d.Routes {
+		for _, share := range route.Services {
+			for _, s := range scaled {
+				if model == "" && route.Kind == desired.KindRollout && share.Service == s.Name && len(s.Models) == 0 {
+					return s.Name
+				}
+			}
+		}
+	}
+	return ""
+}
--- a/system/rollout/host_view.go
+++ b/system/rollout/host_view.go
@@ -71,6 +71,11 @@
 			v.WindowsWaiting++
 		}
 	}
+	for _, o := range d.Scaling.Orders.All() {
+		v.Servers = append(v.Servers, status.OrderedServersView{
+			Service: o.Service, Zone: o.Zone, Spot: o.Spot, Ordered: o.Ordered, Number: o.Number, Outcome: o.Outcome, AgeMS: status.Millis(now - o.At),
+		})
+	}
 	return v
 }
 
--- a/system/rollout/moves.go
+++ b/system/rollout/moves.go
@@ -30,8 +30,8 @@
 	done     float64       // estimated number of events so far
 	events   float64       // expected number of further events
 	interval time.Duration // event interval where the item runs now
-	// cutIn is the time until the server is gone, if no other server has its software version
-	// and the run is not expected to be complete by then, else 0.
+	// cutIn is the time until the server is gone, if it announced that time or no other server
+	// has its software version, and the run is not expected to be complete by then, else 0.
 	cutIn time.Duration
 }
 
@@ -112,7 +112,7 @@
 	m := move{key: key, item: item, interval: eventInterval(r, s)}
 	m.done = eventsDone(now, item, m.interval)
 	m.events = remainingEvents(r.Models.Find(l.Head.Model), item.Spec, m.done)
-	if left := s.LeavingSince + r.BackendDrainPeriod - now; s.Leaving && isLastOfSoftware(r, s) && time.Duration(m.events)*m.interval > left {
+	if left, cut := timeLeft(now, r, s); cut && time.Duration(m.events*float64(m.interval)) > left {
 		m.cutIn = max(0, left)
 	}
 	return m
--- a/system/rollout/organisations_test.go
+++ b/system/rollout/organisations_test.go
@@ -52,7 +52,7 @@
 	require.False(t, ok)
 	require.EqualValues(t, 5, plan.Desired.Version, "the rest of the version takes effect")
 	require.Len(t, plan.Desired.Organisations, 1)
-	require.Equal(t, []string{"a"}, hostView(w.now, &w.tables.Rollout).Organisations)
+	require.Equal(t, []string{"a"}, hostView(w.now, w.tables).Organisations)
 
 	plan = publishedPlan(t, w.step(withOrganisations(6, organisation("a", "new"))))
 	_, ok = plan.Keys.Organisation("k")
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -93,7 +93,7 @@
 			if r.Desired != nil && e.State.Version <= r.Desired.Version {
 				continue
 			}
-			r.Desired, r.PlanChanged = applyOrganisations(r, e.State, out), true
+			r.Desired, r.PlanChanged = applyOrganisations(r, applyScaling(r, e.State, out), out), true
 			out.Add(command.LogChange{Message: "desired state in force", Fields: []command.Field{
 				field("version", strconv.FormatUint(e.State.Version, 10)), field("routes", strconv.Itoa(len(e.State.Routes))),
 				field("organisations", strconv.Itoa(len(r.Organisations.Keys.Names()))),
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -90,6 +90,7 @@
 	if !c.Server.Leaving {
 		s.LeavingSince = 0
 	}
+	recordNotice(now, s, c.Server)
 	changed := s.Software != c.Server.Software
 	s.Server, s.RowVersion, s.MissingSince = *c.Server, c.RowVersion, 0
 	if changed {
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -182,6 +182,7 @@
 	RowVersion   uint64
 	MissingSince time.Duration // when the record was found missing, 0 if it exists
 	LeavingSince time.Duration // when the record first said that the server leaves, 0 if it does not
+	LeavesAt     time.Duration // when the server ends, as it announced, 0 if it did not
 
 	Load           *forward.Load `json:"-"` // shared with request goroutines
 	Running        int           // number of items that this host runs on the server
--- a/table/usage.go
+++ b/table/usage.go
@@ -19,6 +19,7 @@
 	Holder      lot.Process
 	HolderSince time.Duration
 	Usage       Usage
+	Scaling     Scaling
 }
 
 // DutyCall is the last call of a duty. Outcome is empty while the call is under way.
