--- a/scaling/decide.go
+++ b/scaling/decide.go
@@ -40,11 +40,15 @@
 	Wanted  int           // servers that are wanted and can be ordered
 }
 
-// Decide returns the orders that are due. It records in the orders since when servers differ
+// Decide returns the orders that are due. Nothing is ordered before there was some demand,
+// because the servers that are present may just have a pause. It records in the orders since when servers differ
 // from what is wanted.
 func Decide(now time.Duration, s Service) Decision {
 	in := Input{Bounds: s.Bounds, Need: s.Need, Slots: s.Slots, Others: s.Others}
 	d := Decision{Needed: in.Servers(), Present: s.Others, Wanted: s.Others}
+	if !s.Need.Shown {
+		return Decision{}
+	}
 	groups := s.byZone()
 	for _, pair := range groups {
 		z := Zone{Name: pair[0].Order.Zone, Price: s.Bounds.ZonePrices[pair[0].Order.Zone]}
--- a/scaling/demand.go
+++ b/scaling/demand.go
@@ -49,7 +49,7 @@
 	since  time.Duration
 	seenAt time.Duration // last observation
 	seen   bool
-	Shown  bool // there has been some load
+	shown  bool // there has been some load
 }
 
 // Load is what a service has to do at a moment. Submissions and open items are those of lots.
@@ -85,7 +85,7 @@
 	}
 	d.seen, d.seenAt = true, now
 	if total > 0 {
-		d.Shown = true
+		d.shown = true
 	}
 }
 
@@ -101,7 +101,7 @@
 // Need returns the demand. All models may submit at the same time, so their peaks are added.
 func (d *Demand) Need(now time.Duration) Need {
 	direct := d.direct.Max(now)
-	n := Need{Peak: direct, Base: d.mean}
+	n := Need{Peak: direct, Base: d.mean, Shown: d.shown}
 	for _, p := range d.models {
 		n.Peak += p.Max(now)
 	}
--- a/scaling/order.go
+++ b/scaling/order.go
@@ -102,19 +102,20 @@
 		}
 		return number, reason, 0
 	}
+	short := o.Ordered && seen.Present < min(o.Number, want)
 	switch {
 	case want > inForce:
 		return due(0, max(want, o.floor(seen)), ReasonRaise)
+	case short && o.Spot && o.At < seen.LeavingSince:
+		return due(0, o.Number, ReasonRepeat) // reclaimed since the order
+	case short:
+		return due(max(o.At, o.ShortSince)+seen.Startup+startupMargin, o.Number, ReasonRepeat)
 	case o.LowerSince > 0 && o.clearlyLower(inForce):
-		number := max(o.LowerMost, inForce-max(0, seen.Spare), o.floor(seen))
-		if number == inForce && o.Ordered {
+		number := max(o.LowerMost, min(inForce, seen.Present)-seen.Spare, o.floor(seen))
+		if number >= inForce && o.Ordered {
 			return 0, "", 0
 		}
 		return due(o.LowerSince+lowerDelay, number, ReasonLower)
-	case o.Ordered && seen.Present < o.Number && o.At < seen.LeavingSince && o.Spot:
-		return due(0, o.Number, ReasonRepeat) // reclaimed since the order
-	case o.Ordered && o.ShortSince > 0:
-		return due(max(o.At, o.ShortSince)+seen.Startup+startupMargin, o.Number, ReasonRepeat)
 	case o.Ordered && seen.Present > o.Number && want <= o.Number:
 		return due(o.At+excessDelay, o.Number, ReasonRepeat)
 	}
--- a/scaling/replay_test.go
+++ b/scaling/replay_test.go
@@ -101,9 +101,6 @@
 }
 
 func (w *world) decide() {
-	if !w.demand.Shown {
-		return
-	}
 	s := scaling.Service{Bounds: w.bounds, Need: w.demand.Need(w.now), Slots: slots}
 	for _, g := range w.groups {
 		present := g.present
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -15,8 +15,9 @@
 
 // Need is the demand for the slots of a service.
 type Need struct {
-	Peak float64 // slots for all work to run at once
-	Base float64 // slots in use most of the time
+	Peak  float64 // slots for all work to run at once
+	Base  float64 // slots in use most of the time
+	Shown bool    // there has been some demand
 }
 
 // Supply is the state of one kind of servers of a service in a zone.
--- a/system/duty/scaling.go
+++ b/system/duty/scaling.go
@@ -70,7 +70,7 @@
 	for _, name := range slices.Sorted(maps.Keys(t.Rollout.Desired.Services)) {
 		bounds := t.Rollout.Desired.Services[name].Scaling
 		row := s.Services.Find(name)
-		if bounds != nil && row != nil && row.Demand.Shown && row.Slots > 0 {
+		if bounds != nil && row != nil && row.Slots > 0 {
 			scaleService(now, t, name, bounds, row, out)
 		}
 	}
--- /dev/null
+++ b/system/duty/scaling_test.go
@@ -0,0 +1,265 @@
+package duty
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/desired"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/executor"
+	"github.com/lavenderstand/lavenderstand/forward"
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/scaling"
+	"github.com/lavenderstand/lavenderstand/settings"
+	"github.com/lavenderstand/lavenderstand/standin/pamoja"
+	"github.com/lavenderstand/lavenderstand/store"
+	"github.com/lavenderstand/lavenderstand/table"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// orderWorld runs the systems that order servers on a fake clock. Commands are executed at once
+// with the real executor, over a store and a platform in memory.
+type orderWorld struct {
+	t       *testing.T
+	now     time.Duration
+	tables  *table.Tables
+	store   *pamoja.Store
+	down    bool // the store takes no commits
+	queue   []event.Event
+	orders  []pamoja.APICall
+	outcome func(pamoja.APICall) error
+	brings  bool // orders bring servers at once
+}
+
+// failingStore is a store that takes no commits while its world says so.
+type failingStore struct {
+	*pamoja.Store
+	w *orderWorld
+}
+
+// Commit implements store.Client.
+func (s failingStore) Commit(ctx context.Context, c store.Commit) (uint64, error) {
+	if s.w.down {
+		return 0, verdict.New(verdict.NotRun, verdict.ReasonStoreUnavailable, "down")
+	}
+	return s.Store.Commit(ctx, c)
+}
+
+func newOrderWorld(t *testing.T) *orderWorld {
+	w := &orderWorld{t: t, store: pamoja.NewStore(), outcome: func(pamoja.APICall) error { return nil }}
+	w.begin(7)
+	return w
+}
+
+// begin starts a new process that holds the lease.
+func (w *orderWorld) begin(fence uint64) {
+	w.now, w.queue = time.Minute, nil
+	w.tables = table.New(table.Self{Host: "h"})
+	r := &w.tables.Rollout
+	r.Desired = &desired.State{Services: map[string]desired.Service{"s": {Name: "s", Models: []string{"m"}, Scaling: &desired.Scaling{
+		Min: 1, Max: 20, StartupTime: 4 * time.Second, SpotPriceRatio: 0.22, ZonePrices: map[string]float64{"a": 1, "b": 0.85, "c": 1.2},
+	}}}}
+	w.tables.Duties.Settings = settings.Duties{Address: "api", Scaling: true, CallsPerSecond: 50}
+	r.HeadsKnown = true
+	for _, name := range []string{feedServers, feedCoordination} {
+		f, _ := r.Feeds.Upsert(name)
+		f.CaughtUp, f.Since = true, time.Second
+	}
+	for _, zone := range []string{"a", "b", "c"} {
+		w.addServers(zone, 3, false)
+	}
+	r.OrderLease.Held, r.OrderLease.Fence, r.OrderLease.ValidUntil = true, fence, time.Hour
+}
+
+// addServers adds servers until there are n.
+func (w *orderWorld) addServers(zone string, n int, spot bool) {
+	for i := range n {
+		id := fmt.Sprint(zone, i, spot)
+		if s, created := w.tables.Rollout.Servers.Upsert(id); created {
+			*s = table.Server{Server: registry.Server{ID: id, Service: "s", Zone: zone, Slots: 6, Spot: spot}, Load: new(forward.Load)}
+		}
+	}
+}
+
+// demand makes a lot of 100 items known.
+func (w *orderWorld) demand() {
+	l, _ := w.tables.Rollout.Lots.Upsert("l")
+	*l = table.Lot{Head: lot.Head{ID: "l", Model: "m", Total: 100}, SeenAt: w.now}
+}
+
+func (w *orderWorld) run(d time.Duration) {
+	e := &executor.Scaling{Store: failingStore{w.store, w}, Now: func() time.Duration { return w.now }, Platform: func() executor.ScalingPlatform { return w }}
+	for end := w.now + d; w.now < end; w.now += tick {
+		in := w.queue
+		w.queue = nil
+		var out command.Outbox
+		for _, s := range Systems() {
+			s.Run(w.now, w.tables, in, &out)
+		}
+		for _, c := range out.Take() {
+			switch c := c.(type) {
+			case command.OrderServers:
+				w.queue = append(w.queue, e.Order(context.Background(), c))
+			case command.ReadOrders:
+				w.queue = append(w.queue, e.Read(context.Background(), c))
+			}
+		}
+	}
+}
+
+// OrderServers implements executor.ScalingPlatform.
+func (w *orderWorld) OrderServers(ctx context.Context, fence uint64, service, zone string, n int, spot bool) error {
+	call := pamoja.APICall{Fence: fence, Service: service, Zone: zone, TargetGroups: n, Spot: spot}
+	stored, _, err := scaling.Read(ctx, w.store)
+	require.NoError(w.t, err)
+	require.Contains(w.t, fmt.Sprint(stored), fmt.Sprintf("{%s %s %t %d %d", service, zone, spot, n, fence), "stored before it is sent")
+	if !spot {
+		require.GreaterOrEqual(w.t, n, 3, "an order below the servers present")
+	}
+	w.orders = append(w.orders, call)
+	if w.brings {
+		w.addServers(zone, n, spot)
+	}
+	return w.outcome(call)
+}
+
+// TestOrdersNeedCurrentState guards against orders that are not stored first, and against those
+// on the basis of an old list, without demand, without the lease or while the store is down.
+func TestOrdersNeedCurrentState(t *testing.T) {
+	for name, spoil := range map[string]func(*orderWorld){
+		"nothing":        func(*orderWorld) {},
+		"no demand":      func(w *orderWorld) { w.tables.Rollout.Lots.Delete("l") },
+		"servers feed":   func(w *orderWorld) { w.tables.Rollout.Feeds.Find(feedServers).Down = true },
+		"feed just back": func(w *orderWorld) { w.tables.Rollout.Feeds.Find(feedServers).Since = w.now },
+		"store down":     func(w *orderWorld) { w.down = true },
+		"no lease":       func(w *orderWorld) { w.tables.Rollout.OrderLease.Held = false },
+		"handover":       func(w *orderWorld) { w.tables.Rollout.OrderLease.OrdersFrom = w.now + time.Minute },
+		"not its duty":   func(w *orderWorld) { w.tables.Duties.Settings.Scaling = false },
+		"no bounds":      func(w *orderWorld) { w.tables.Rollout.Desired.Services = map[string]desired.Service{"s": {Name: "s"}} },
+	} {
+		w := newOrderWorld(t)
+		w.demand()
+		spoil(w)
+		w.run(2 * time.Second)
+		require.Equal(t, name == "nothing", len(w.orders) > 0, name)
+		require.Zero(t, w.tables.Rollout.OrderLease.DutyCalls, name)
+		if name == "store down" {
+			w.down = false
+			w.run(4 * time.Second)
+			require.NotEmpty(t, w.orders, "ordered once the store takes the row")
+		}
+	}
+}
+
+// TestRefusedOrders guards against a lease that is released because no servers are available,
+// and against a platform that is called without a pause after a refusal.
+func TestRefusedOrders(t *testing.T) {
+	for reason, most := range map[verdict.Reason]int{
+		verdict.ReasonConflict: 2, verdict.ReasonRateLimited: 4, verdict.ReasonPlatformUnavailable: 4,
+	} {
+		w := newOrderWorld(t)
+		w.outcome = func(c pamoja.APICall) error {
+			if c.Spot && c.Zone != "c" {
+				return verdict.New(verdict.NotRun, reason, "refused")
+			}
+			return nil
+		}
+		w.demand()
+		w.run(5 * time.Second)
+		calls := make(map[string]int)
+		for _, c := range w.orders {
+			if c.Spot {
+				calls[c.Zone]++
+			}
+		}
+		require.LessOrEqual(t, calls["a"], most, reason)
+		require.False(t, w.tables.Rollout.OrderLease.Yielding, reason)
+		if reason == verdict.ReasonConflict {
+			accepted := map[string]int{"afalse": 3, "bfalse": 3, "cfalse": 3}
+			for _, c := range w.orders {
+				if !c.Spot || c.Zone == "c" {
+					accepted[fmt.Sprint(c.Zone, c.Spot)] = c.TargetGroups
+				}
+			}
+			sum := 0
+			for _, n := range accepted {
+				sum += n
+			}
+			require.GreaterOrEqual(t, sum, 17, "100 items need 17 servers, also if two zones have no spot servers: %v", w.orders)
+		}
+		w.outcome = func(pamoja.APICall) error { return nil }
+		w.run(6 * time.Second)
+		require.True(t, w.tables.Duties.Scaling.Orders.Find(scaling.Key("s", "a", true)).Ordered, "tried again: %s", reason)
+	}
+}
+
+// TestNextHolderContinues guards against a new holder that repeats the orders of the one before
+// or, because it does not know them, orders other numbers.
+func TestNextHolderContinues(t *testing.T) {
+	w := newOrderWorld(t)
+	w.brings = true
+	w.demand()
+	w.run(5 * time.Second)
+	before := len(w.orders)
+	require.NotZero(t, before)
+	servers := w.tables.Rollout.Servers
+	w.begin(8)
+	w.tables.Rollout.Servers = servers
+	w.demand()
+	w.run(10 * time.Second)
+	require.Len(t, w.orders, before)
+	w.tables.Rollout.Servers.Delete("b9 false")
+	w.run(5 * time.Second)
+	require.Len(t, w.orders, before, "not before a server could have started")
+	w.run(time.Second)
+	require.Len(t, w.orders, before+1, "a server that never came")
+	require.EqualValues(t, 8, w.orders[before].Fence)
+	require.Equal(t, "b", w.orders[before].Zone)
+}
+
+// TestUnansweredOrders guards against an order without an answer that is repeated before its
+// servers can be present, or that is forgotten although it was carried out.
+func TestUnansweredOrders(t *testing.T) {
+	w := newOrderWorld(t)
+	w.outcome = func(pamoja.APICall) error {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, "no answer")
+	}
+	w.demand()
+	w.run(5 * time.Second)
+	last := make(map[string]int)
+	for _, c := range w.orders {
+		group := fmt.Sprint(c.Zone, c.Spot)
+		require.Greater(t, c.TargetGroups, last[group], "%s: %v", group, w.orders)
+		last[group] = c.TargetGroups
+	}
+	before := len(w.orders)
+	w.run(3 * time.Second)
+	require.Greater(t, len(w.orders), before, "the servers never came")
+}
+
+// TestRowOfAnotherProcess guards against an order on the basis of a row that another process has
+// replaced, and against a holder that never orders again after that.
+func TestRowOfAnotherProcess(t *testing.T) {
+	w := newOrderWorld(t)
+	w.run(time.Second)
+	other := scaling.Stored{Service: "s", Zone: "a", Spot: true, Number: 12, Fence: 6}
+	_, err := scaling.Write(context.Background(), w.store, other)
+	require.NoError(t, err)
+	w.demand()
+	w.run(200 * time.Millisecond)
+	for _, c := range w.orders {
+		require.False(t, c.Zone == "a" && c.Spot, "%v", w.orders)
+	}
+	w.run(2 * time.Second)
+	o := w.tables.Duties.Scaling.Orders.Find(scaling.Key("s", "a", true))
+	require.True(t, o.Ordered)
+	require.Equal(t, 12, o.Number)
+	w.run(6 * time.Second)
+	require.Contains(t, fmt.Sprint(w.orders), "s a 12 true", "repeated, because the servers are missing")
+}
