--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -75,8 +76,10 @@
 	requestLimit float64                // that each backend server names, 0 for none
 	arrivals     map[string][]time.Time // of requests, by backend server
 	stateVersion uint64
-	tenants      []map[string]any // of the desired state, none if nil
-	moreSettings string           // further lines of the settings files of all hosts
+	tenants      []map[string]any          // of the desired state, none if nil
+	moreSettings string                    // further lines of the settings files of all hosts
+	scale        map[string]any            // bounds of the engines that may be ordered, none if nil
+	placement    map[string]map[string]any // fields of the records of ordered backend servers, by their id
 }
 
 // host is a lavender-host process and the proxy between it and the store.
@@ -213,6 +216,9 @@
 	if service == "engines" {
 		record["models"] = []map[string]any{{"name": "m", "version": version}}
 	}
+	c.mu.Lock()
+	maps.Copy(record, c.placement[id])
+	c.mu.Unlock()
 	c.store.Set("servers", id, encode(record))
 }
 
@@ -255,7 +261,7 @@
 			streams,
 		},
 		"services": []map[string]any{
-			{"name": "engines", "engine": map[string]any{"models": []map[string]any{{"name": "m"}}}}, {"name": "app"}, {"name": "endless"}, {"name": "slow"},
+			{"name": "engines", "engine": map[string]any{"models": []map[string]any{{"name": "m"}}}, "scale": c.scale}, {"name": "app"}, {"name": "endless"}, {"name": "slow"},
 		},
 	}))
 }
