--- a/scaling/decide.go
+++ b/scaling/decide.go
@@ -65,7 +65,7 @@
 		for j, want := range []int{target.Ordinary, target.Spot} {
 			g := pair[j]
 			n, reason, wake := g.Order.Next(now, want, Observed{
-				Present: g.Present, LeavingSince: g.LeavingSince, Spare: spare, Startup: s.Bounds.StartupTime,
+				Present: g.Present, LeavingSince: g.LeavingSince, Spare: spare, Over: z.Ordinary.InForce+z.Spot.InForce > s.Bounds.Max, Startup: s.Bounds.StartupTime,
 			})
 			if wake > 0 && (d.Wake == 0 || wake < d.Wake) {
 				d.Wake = wake
--- a/scaling/order.go
+++ b/scaling/order.go
@@ -62,6 +62,7 @@
 	Present      int
 	LeavingSince time.Duration // when the newest spot server began to leave, 0 if none leaves
 	Spare        int           // servers of the service that may be removed without need for them
+	Over         bool          // both kinds together exceed the maximum
 	Startup      time.Duration
 }
 
@@ -110,6 +111,8 @@
 		return due(0, o.Number, ReasonRepeat) // reclaimed since the order
 	case short:
 		return due(max(o.At, o.ShortSince)+seen.Startup+startupMargin, o.Number, ReasonRepeat)
+	case o.LowerSince > 0 && seen.Over:
+		return due(o.LowerSince+lowerDelay, want, ReasonLower)
 	case o.LowerSince > 0 && o.clearlyLower(inForce):
 		number := max(o.LowerMost, min(inForce, seen.Present)-seen.Spare, o.floor(seen))
 		if number >= inForce && o.Ordered {
@@ -142,7 +145,7 @@
 	switch {
 	case want >= inForce:
 		o.LowerSince, o.LowerMost = 0, 0
-	case o.LowerSince == 0, now >= o.LowerSince+lowerDelay && !o.clearlyLower(inForce):
+	case o.LowerSince == 0, now >= o.LowerSince+lowerDelay && !seen.Over && !o.clearlyLower(inForce):
 		o.LowerSince, o.LowerMost = now, want
 	default:
 		o.LowerMost = max(o.LowerMost, want)
--- a/scaling/replay_test.go
+++ b/scaling/replay_test.go
@@ -290,6 +290,17 @@
 	w.requireNoShortage("after the night")
 }
 
+// TestLoweredMaximum guards against servers beyond a maximum that operators have lowered.
+func TestLoweredMaximum(t *testing.T) {
+	w := newWorld(t)
+	w.run(time.Minute, 4, 100)
+	w.bounds.Max = 25
+	w.run(time.Minute, 4, 100)
+	for zone := range w.bounds.ZonePrices {
+		require.LessOrEqual(t, w.group(zone, true).present+w.group(zone, false).present, 25, "%v", w.log)
+	}
+}
+
 // TestLostAnswers guards against orders without an answer that are repeated although they were
 // carried out, or not repeated although they were not.
 func TestLostAnswers(t *testing.T) {
--- a/system/duty/scaling_demand.go
+++ b/system/duty/scaling_demand.go
@@ -78,15 +78,20 @@
 // that run, so that only what exceeds the open items is counted as requests.
 func observe(now time.Duration, r *table.Rollout, row *table.ScaledService, service string, l scaling.Load) {
 	reported, open := 0, 0.0
+	var slots []int
 	for _, s := range r.Servers.All() {
 		if s.Service != service {
 			continue
 		}
 		reported += s.Load.TakePeak()
-		if row.Slots == 0 || (!s.Leaving && s.Slots < row.Slots) {
-			row.Slots = s.Slots
+		if !s.Leaving {
+			slots = append(slots, s.Slots)
 		}
 	}
+	if len(slots) > 0 { // the median, so that one odd record has no effect
+		slices.Sort(slots)
+		row.Slots = slots[len(slots)/2]
+	}
 	for _, n := range l.Open {
 		open += n
 	}
--- a/table/scaling.go
+++ b/table/scaling.go
@@ -24,7 +24,7 @@
 type ScaledService struct {
 	Demand scaling.Demand
 	Open   float64 // open items at the last observation
-	Slots  int     // of a server, 0 if none has been seen
+	Slots  int     // of a server, the median; 0 if none has been seen
 	// Short is set while the servers that can be ordered do not suffice for the peak.
 	Short bool
 }
