--- a/system/duty/scaling_demand.go
+++ b/system/duty/scaling_demand.go
@@ -16,6 +16,10 @@
 // their heads arrive, because trainers submit all at once.
 const demandInterval = 250 * time.Millisecond
 
+// maxLoadPerSlot bounds the requests per slot that a server can report, so that false figures
+// of one server do not have the most servers ordered.
+const maxLoadPerSlot = 4
+
 // ordersServers reports whether servers are to be ordered in this deployment.
 func ordersServers(t *table.Tables) bool {
 	d := &t.Duties.Settings
@@ -83,7 +87,7 @@
 		if s.Service != service {
 			continue
 		}
-		reported += s.Load.TakePeak()
+		reported += min(s.Load.TakePeak(), maxLoadPerSlot*s.Slots)
 		if !s.Leaving {
 			slots = append(slots, s.Slots)
 		}
--- a/system/duty/scaling_test.go
+++ b/system/duty/scaling_test.go
@@ -288,21 +288,23 @@
 	r := &w.tables.Rollout
 	r.OrderLease.Held = false // every host observes, so that it can take over
 	r.Desired.Services["p"] = desired.Service{Name: "p", Scaling: r.Desired.Services["s"].Scaling}
-	s, _ := r.Servers.Upsert("p0")
-	*s = table.Server{Server: registry.Server{ID: "p0", Service: "p", Zone: "a", Slots: 6}, Load: new(forward.Load)}
+	for id, load := range map[string]registry.Load{"p0": {Running: 5, Waiting: 4}, "p1": {Running: 1_000_000}} {
+		s, _ := r.Servers.Upsert(id)
+		*s = table.Server{Server: registry.Server{ID: id, Service: "p", Zone: "a", Slots: 6}, Load: new(forward.Load)}
+		s.Load.Report(load, time.Now())
+	}
 	for id, head := range map[string]lot.Head{
 		"open": {Model: "m", Total: 100, Listed: 60}, "ended": {Model: "m", Total: 500, Listed: 10, Ended: true}, "done": {Model: "m", Total: 500, Listed: 500},
 	} {
 		l, _ := r.Lots.Upsert(id)
 		*l = table.Lot{Head: head, SeenAt: w.now}
 	}
-	s.Load.Report(registry.Load{Running: 5, Waiting: 4}, time.Now())
 	w.run(time.Second)
 	need := func(service string) float64 {
 		return w.tables.Duties.Scaling.Services.Find(service).Demand.Need(w.now).Peak
 	}
 	require.EqualValues(t, 100, need("s"))
-	require.EqualValues(t, 9, need("p"))
+	require.EqualValues(t, 9+4*6, need("p"), "a false figure of one server counts little")
 	r.Lots.Find("open").Head.Listed = 100
 	w.run(30 * time.Second)
 	require.Zero(t, need("s"))
