--- a/executor/order.go
+++ b/executor/order.go
@@ -56,6 +56,9 @@
 	if o.Now() >= c.ValidUntil {
 		return verdict.New(verdict.NotRun, verdict.ReasonNotHolder, "the order lease expired before the order was sent")
 	}
+	if err := forward.CheckLeaving(c.Target); err != nil {
+		return err // the report may have said so
+	}
 	return o.Engines.SendOrder(ctx, c.Target, registry.Order{
 		Model: c.Model, Version: c.Version, Holder: o.Holder, Fence: c.Fence, ExpectedOrders: report.AcceptedOrders,
 	})
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -357,7 +357,7 @@
 		c.mayHaveRun--
 		c.refusals++
 	}
-	if isLimitReached(res.err) {
+	if notAsked(res.err) {
 		c.tried[res.target.ID]-- // the server was not asked
 	}
 	if !notRun && !c.mayRepeat() {
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -82,9 +82,12 @@
 }
 
 // AwaitPermit waits until a request may be sent to a server. It returns at once if the server
-// names no limit. An error states that the request was not sent; if its reason is
-// server_limit, the time after which to try again is attached.
+// names no limit, or has said that it leaves. An error states that the request was not sent; if
+// its reason is server_limit, the time after which to try again is attached.
 func AwaitPermit(ctx context.Context, permits Permits, to *Target, background bool, maxWait time.Duration) error {
+	if err := CheckLeaving(to); err != nil {
+		return err
+	}
 	limit := to.Load.Limit()
 	if limit == 0 {
 		return nil
@@ -111,7 +114,7 @@
 	if time.Since(asked) > p.Wait+permitTTL {
 		return limitReached(to, minPermitRetry)
 	}
-	return nil
+	return CheckLeaving(to) // it may have said so during the wait
 }
 
 // isLimitReached reports whether a request was not sent because of the limit of its server.
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -15,7 +15,7 @@
 	switch {
 	case !failed: // a server may fail faster than it answers
 		res.target.Load.recordResponse(res.took, now)
-	case isLimitReached(res.err):
+	case notAsked(res.err):
 	case res.err != nil && verdict.Of(res.err) == verdict.NotRun: // full or not reachable
 		res.target.Load.recordRefusal(refusalPause(res.target, now), now)
 	}
@@ -31,7 +31,7 @@
 // health of the server.
 func blameless(reason verdict.Reason) bool {
 	switch reason {
-	case verdict.ReasonBackendRefused, verdict.ReasonCanceled, verdict.ReasonServerLimit, verdict.ReasonMemory:
+	case verdict.ReasonBackendRefused, verdict.ReasonCanceled, verdict.ReasonServerLimit, verdict.ReasonMemory, verdict.ReasonBackendLeaving:
 		return true
 	default:
 		return false
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -55,7 +55,7 @@
 	var best choice
 	var bestScore time.Duration
 	for _, t := range targets {
-		if t.ID == c.avoid || (c.avoidLimited && t.Load.Limit() > 0) || (c.usable != nil && !c.usable(t)) {
+		if t.Load.Leaving() || t.ID == c.avoid || (c.avoidLimited && t.Load.Limit() > 0) || (c.usable != nil && !c.usable(t)) {
 			continue
 		}
 		e := estimate(t, fastest, c.now)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -115,7 +115,7 @@
 		if s.serverEnded(ctx, err) && tooManyEnded(s.r, len(s.ended)) {
 			return errTooManyEnded(err, len(s.ended))
 		}
-		if verdict.ReasonOf(err) == verdict.ReasonSoftwareGone {
+		if reason := verdict.ReasonOf(err); reason == verdict.ReasonSoftwareGone || reason == verdict.ReasonNoBackend {
 			return s.finalError(err)
 		}
 		notRun := verdict.Of(err) == verdict.NotRun
@@ -208,7 +208,8 @@
 	}
 	ch.usable = func(t *Target) bool { return !t.HoldNewStreams }
 	best := ch.choose(plan, service)
-	if best.target == nil && best.wait == 0 && len(plan.Services[service]) > 0 {
+	staying := func(t *Target) bool { return !t.Load.Leaving() }
+	if best.target == nil && best.wait == 0 && slices.ContainsFunc(plan.Services[service], staying) {
 		best.wait = streamRetryDelay
 	}
 	return best
@@ -268,7 +269,7 @@
 // has begun or not.
 func (f *Forwarder) hasAlternative(service string, from *Target, begun bool) bool {
 	return slices.ContainsFunc(f.Plans.Load().Services[service], func(t *Target) bool {
-		return t.ID != from.ID && (!begun || from.Software.Relation(t.Software) == registry.SoftwareSame)
+		return t.ID != from.ID && !t.Load.Leaving() && (!begun || from.Software.Relation(t.Software) == registry.SoftwareSame)
 	})
 }
 
--- a/forward/types.go
+++ b/forward/types.go
@@ -95,8 +95,10 @@
 type Target struct {
 	ID      string
 	Address string
-	Zone    string
-	Slots   int
+	// StartedUnixMS is the start time of the server as published, 0 if it is not.
+	StartedUnixMS int64
+	Zone          string
+	Slots         int
 	// Software is the version of the server's software.
 	Software registry.Software
 	// AvoidNewStreams is set if a stream that its caller may resume begins at the server only if
@@ -109,9 +111,15 @@
 	Load           *Load
 }
 
-// Load holds the load counters of one backend server. Successive plans share them, and
-// request goroutines update them.
+// Start returns the start of the server to which requests to the target go.
+func (t *Target) Start() registry.Start {
+	return registry.Start{Server: t.ID, Address: t.Address, StartedUnixMS: t.StartedUnixMS}
+}
+
+// Load holds the load counters of one start of a backend server. Successive plans share them,
+// and request goroutines update them.
 type Load struct {
+	leaving    atomic.Bool   // the server has said that it leaves
 	InFlight   atomic.Int32  // requests in flight from this process
 	reported   atomic.Int32  // running and waiting requests of all callers, as last reported by the server
 	reportedAt atomic.Int64  // time of the last report, Unix nanoseconds
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -2,7 +2,10 @@
 // the orders that engines accept.
 package registry
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Version is the version number of a model's weights. Numbers start at 1.
 type Version int
@@ -48,6 +51,22 @@
 	LeavesIn      time.Duration // announced time until a leaving server ends, 0 if not announced
 }
 
+// Start identifies one start of a backend server. A server that restarts under the same id has
+// another address or another start time.
+type Start struct {
+	Server        string
+	Address       string
+	StartedUnixMS int64
+}
+
+// Key returns a text that is different for each start.
+func (s Start) Key() string {
+	return s.Server + "\x00" + s.Address + "\x00" + strconv.FormatInt(s.StartedUnixMS, 10)
+}
+
+// Start returns the start that the record describes.
+func (s *Server) Start() Start { return Start{s.ID, s.Address, s.StartedUnixMS} }
+
 // Change is a change of one record. Server is nil if the record was removed or does not
 // describe a usable server; Reason then says which of the two.
 type Change struct {
--- a/standin/pamoja/http.go
+++ b/standin/pamoja/http.go
@@ -139,6 +139,8 @@
 	// RequestLimit, if set, returns the number of requests per second that the server names as
 	// its limit for all hosts together, 0 if it names none. It does not enforce the limit.
 	RequestLimit func() float64
+	// Leaving, if set, reports whether the server says in its answers that it leaves.
+	Leaving func() bool
 	// Fault, if set, returns the faults of the request with the given attempt ID.
 	Fault func(id string) BackendFault
 	// OnRun is called for each request that the server executes.
@@ -174,6 +176,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.Leaving != nil && s.Leaving() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	switch {
 	case r.URL.Path == "/v1/report":
 		s.serveReport(w)
