--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -24,6 +24,7 @@
 	"github.com/lavenderstand/lavenderstand/executor"
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/frontend"
+	"github.com/lavenderstand/lavenderstand/leaving"
 	"github.com/lavenderstand/lavenderstand/lot"
 	"github.com/lavenderstand/lavenderstand/memory"
 	"github.com/lavenderstand/lavenderstand/orderlease"
@@ -96,6 +97,7 @@
 	memory           *memory.Budget // of all requests
 	connBounds       frontend.ConnBounds
 	reporter         *quarantine.Reporter
+	leaving          *leaving.Reporter
 	repository       *lot.Repository
 	service          *frontend.Service
 	coordinationFeed *executor.Feed
@@ -164,7 +166,8 @@
 	orderOptions.SingleUse = true
 	h.backends = &platform.BackendClient{
 		HTTP: transport.NewClientWith(backendOptions), Orders: transport.NewClientWith(orderOptions),
-		OnResend: func() { h.metrics.Scope.Counter("requests_resent_total").Inc(1) },
+		OnResend:  func() { h.metrics.Scope.Counter("requests_resent_total").Inc(1) },
+		OnLeaving: h.serverSaidLeaving,
 	}
 	h.repository = &lot.Repository{Store: h.store, Cache: new(lot.ResultCache)}
 	h.permits = &permit.Client{
@@ -175,6 +178,7 @@
 			h.count("permit_host_failed", verdict.ReasonOf(err))
 		},
 	}
+	h.leaving = h.newLeavingReporter()
 	h.reporter = &quarantine.Reporter{
 		Self: h.settings.Host,
 		Dial: func(address string) quarantine.Receiver {
@@ -262,6 +266,7 @@
 		return event.QuarantineWritten{Content: c.Content, Failure: event.FailureOf(err)}
 	})
 	h.registerOriginExecutors()
+	h.registerLeavingExecutors()
 	h.registerDutyExecutors()
 	control.HandleNow(h.dispatcher, func(c command.AnswerPermit) { h.waiters.Answer(c.RequestID, c) })
 	control.HandleNow(h.dispatcher, func(c command.AnswerHostView) { h.waiters.Answer(c.RequestID, c) })
@@ -285,6 +290,7 @@
 		h.service.Peers.Publish(c)
 		h.permits.SetPeers(c.Addresses)
 		h.reporter.SetPeers(c.Addresses)
+		h.leaving.SetPeers(c.Addresses)
 	})
 	control.Handle(h.dispatcher, 1, func(ctx context.Context, c command.WritePresence) event.Event {
 		rec := presence.Record{Address: h.peerAddress(), BootID: h.self.BootID, WriteID: rand.Uint64(), LimitedEngines: c.LimitedEngines}
--- a/command/rollout.go
+++ b/command/rollout.go
@@ -111,6 +111,34 @@
 // Name implements Command.
 func (ReportSuspect) Name() string { return "report_suspect" }
 
+// MarkLeaving has requests and orders that are about to be sent to a server withheld, because it
+// leaves.
+type MarkLeaving struct{ Target *forward.Target }
+
+// Name implements Command.
+func (MarkLeaving) Name() string { return "mark_leaving" }
+
+// ShareLeaving tells all other hosts of starts of servers that said that they leave.
+type ShareLeaving struct{ Starts []registry.Start }
+
+// Name implements Command.
+func (ShareLeaving) Name() string { return "share_leaving" }
+
+// AskLeaving asks some other hosts which servers said that they leave.
+type AskLeaving struct{}
+
+// Name implements Command.
+func (AskLeaving) Name() string { return "ask_leaving" }
+
+// AnswerLeaving answers event.LeavingRequested.
+type AnswerLeaving struct {
+	RequestID string
+	Starts    []registry.Start
+}
+
+// Name implements Command.
+func (AnswerLeaving) Name() string { return "answer_leaving" }
+
 // WriteQuarantine writes or, with Remove, deletes the row of a quarantined content. Version is
 // that of the present row, 0 if there is none.
 type WriteQuarantine struct {
--- a/system/rollout/permits.go
+++ b/system/rollout/permits.go
@@ -22,6 +22,9 @@
 	// permitBucketTTL is the time after the last request for a permit after which the bucket of
 	// a server is deleted.
 	permitBucketTTL = 30 * time.Second
+	// leavingPermitWait is the time for which a host that asks for a permit of a leaving server
+	// does not ask again. It has been told by then.
+	leavingPermitWait = time.Second
 )
 
 // Permits grants permits for requests to servers that name a request limit. Callers reserve
@@ -56,6 +59,9 @@
 
 // grantPermit takes a permit from the bucket of a server if it is available in time.
 func grantPermit(now time.Duration, r *table.Rollout, req permit.Request) forward.Permit {
+	if s := r.Servers.Find(req.Server); s != nil && s.Leaving {
+		return forward.Permit{Wait: leavingPermitWait}
+	}
 	rate := req.Limit * req.Share
 	b := filledBucket(now, r, req.Server, rate)
 	if req.Background {
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -133,6 +133,8 @@
 		recordRefusal(now, r, s)
 	case verdict.ReasonServerLimit:
 		s.BusyUntil = max(s.BusyUntil, now+e.Failure.RetryAfter)
+	case verdict.ReasonBackendLeaving: // until the report that says so has been applied
+		s.BusyUntil = max(s.BusyUntil, now+minBusyPause)
 	case verdict.ReasonCanceled, verdict.ReasonTerminated, verdict.ReasonTooOld:
 	case verdict.ReasonBackendFailed:
 		recordSuccess(r, s) // the server answers; the failure is the item's
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -45,17 +45,22 @@
 func Servers(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
 	r := &t.Rollout
 	for _, e := range in {
-		read, ok := e.(event.ServersRead)
-		if !ok {
-			continue
-		}
-		for _, c := range read.Changes {
-			applyServer(now, r, c, out)
-		}
-		if read.Full {
-			removeUnlisted(now, r, read.Changes, out)
+		switch e := e.(type) {
+		case event.ServersRead:
+			for _, c := range e.Changes {
+				applyServer(now, r, c, out)
+			}
+			if e.Full {
+				removeUnlisted(now, r, e.Changes, out)
+			}
+		case event.ServersLeaving:
+			applyLeaving(now, r, e, out)
+		case event.LeavingRequested:
+			answerLeaving(r, e.RequestID, out)
 		}
 	}
+	askLeaving(r, out)
+	expireLeaving(now, r)
 	expireMissing(now, r, out)
 }
 
@@ -80,29 +85,24 @@
 		r.PlanChanged = true
 		logServer("backend server joined", c.Server, out)
 	}
-	if c.Server.Leaving != s.Leaving || s.MissingSince != 0 {
+	if s.MissingSince != 0 {
 		r.PlanChanged = true
-		if c.Server.Leaving && !s.Leaving {
-			s.LeavingSince = now
-			logServer("backend server is leaving", c.Server, out)
-		}
-	}
-	if !c.Server.Leaving {
-		s.LeavingSince = 0
 	}
 	changed := s.Software != c.Server.Software
+	known := s.Leaving
 	s.Server, s.RowVersion, s.MissingSince = *c.Server, c.RowVersion, 0
+	recordLeaving(now, r, s, known, out)
 	if changed {
 		r.PlanChanged = true
 		stopRunsOnOtherSoftware(r, s, out)
 	}
 }
 
-func logServer(message string, s *registry.Server, out *command.Outbox) {
-	out.Add(command.LogChange{Message: message, Fields: []command.Field{
+func logServer(message string, s *registry.Server, out *command.Outbox, more ...command.Field) {
+	out.Add(command.LogChange{Message: message, Fields: append([]command.Field{
 		field("server", s.ID), field("service", s.Service), field("address", s.Address), field("zone", s.Zone),
 		field("software", string(s.Software)),
-	}})
+	}, more...)})
 }
 
 // removeUnlisted marks the servers as missing whose records are absent from a full read.
@@ -272,6 +272,6 @@
 
 func target(s *table.Server) *forward.Target {
 	return &forward.Target{
-		ID: s.ID, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Software: s.Software, Suspect: s.SuspectUntil != 0, Load: s.Load,
+		ID: s.ID, Address: s.Address, StartedUnixMS: s.StartedUnixMS, Zone: s.Zone, Slots: s.Slots, Software: s.Software, Suspect: s.SuspectUntil != 0, Load: s.Load,
 	}
 }
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -36,17 +36,20 @@
 	Lots               Table[Lot]    // keyed by lot id
 	// HeadsVersion is the version of the store up to which all heads are known. It may
 	// be 0; HeadsKnown is set once all heads have been read.
-	HeadsVersion    uint64
-	HeadsKnown      bool
-	Items           Table[Item] // keyed by ItemKey; only items of lots that this process owns
-	OrderLease      OrderLease
-	Peers           Table[PeerHost]     // keyed by host name, this host included
-	Suspects        Table[Suspect]      // keyed by content of a request
-	SuspectsChanged bool                // the quarantined contents must be published again
-	PermitBuckets   Table[PermitBucket] // keyed by server id
-	StreamOrigins   Table[StreamOrigin] // keyed by StreamKey; streams that this host forwarded
-	StreamQueries   Table[StreamQuery]  // keyed by request id
-	StreamRecord    StreamRecord
+	HeadsVersion     uint64
+	HeadsKnown       bool
+	Items            Table[Item] // keyed by ItemKey; only items of lots that this process owns
+	OrderLease       OrderLease
+	Peers            Table[PeerHost]     // keyed by host name, this host included
+	Suspects         Table[Suspect]      // keyed by content of a request
+	SuspectsChanged  bool                // the quarantined contents must be published again
+	PermitBuckets    Table[PermitBucket] // keyed by server id
+	LeavingStarts    Table[LeavingStart] // keyed by registry.Start.Key
+	LeavingAsked     bool                // other hosts have been asked which servers leave
+	LeavingCheckedAt time.Duration       // when expired rows of LeavingStarts were last searched
+	StreamOrigins    Table[StreamOrigin] // keyed by StreamKey; streams that this host forwarded
+	StreamQueries    Table[StreamQuery]  // keyed by request id
+	StreamRecord     StreamRecord
 	// SoftwareHistories holds the software versions of services, keyed by service.
 	SoftwareHistories  Table[SoftwareHistory]
 	HistoriesCheckedAt time.Duration // when the versions of servers were last compared with the histories
@@ -111,6 +114,14 @@
 	FilledAt   time.Duration
 }
 
+// LeavingStart is a start of a backend server that said in an answer that it leaves. The row is
+// kept beside that of the server, whose record may come later or expire and return.
+type LeavingStart struct {
+	Start    registry.Start
+	FromHost bool          // another host reported it
+	SeenAt   time.Duration // when it was reported, or when the server was listed last
+}
+
 // StreamKey returns the key of a stream.
 func StreamKey(s origin.Stream) string {
 	text, _ := s.MarshalText() // never fails
@@ -183,7 +194,8 @@
 	registry.Server
 	RowVersion   uint64
 	MissingSince time.Duration // when the record was found missing, 0 if it exists
-	LeavingSince time.Duration // when the record first said that the server leaves, 0 if it does not
+	LeavingSince time.Duration // when this host first learned that the server leaves, 0 if it does not
+	SaidLeaving  bool          // an answer of this start said that it leaves, so that no record revokes it
 
 	Load           *forward.Load `json:"-"` // shared with request goroutines
 	Running        int           // number of items that this host runs on the server
