--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -69,6 +69,7 @@
 	faulty       map[string]bool   // backend servers that fail some requests
 	unregistered map[string]bool   // backend servers whose record is removed
 	draining     map[string]bool   // backend servers whose record says that they leave
+	saysLeaving  map[string]bool   // backend servers whose answers say that they leave
 	software     map[string]string // software version by backend server
 	servers      map[string]*httptest.Server
 	textEvents   int                    // number of events of each text
@@ -98,7 +99,7 @@
 func newClusterOf(t *testing.T, seed uint64, textEvents int, moreSettings string) *cluster {
 	c := &cluster{
 		t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(seed, 1)), store: pamoja.NewStore(),
-		versions: make(map[string]int), faulty: make(map[string]bool), unregistered: make(map[string]bool), draining: make(map[string]bool),
+		versions: make(map[string]int), faulty: make(map[string]bool), unregistered: make(map[string]bool), draining: make(map[string]bool), saysLeaving: make(map[string]bool),
 		software: make(map[string]string), servers: make(map[string]*httptest.Server), textEvents: textEvents, moreSettings: moreSettings, arrivals: make(map[string][]time.Time),
 		ledger: ledger{runs: make(map[string][]pamoja.Run)},
 	}
@@ -122,7 +123,7 @@
 
 // addServer starts a backend server.
 func (c *cluster) addServer(id, service, software string) {
-	s := &pamoja.Backend{ID: id, Software: software, Events: c.textEvents, EventInterval: eventGap, OnRun: c.ledger.recordRun, RequestLimit: c.currentLimit, Fault: func(string) pamoja.BackendFault { return c.serverFault(id) }}
+	s := &pamoja.Backend{ID: id, Software: software, Events: c.textEvents, EventInterval: eventGap, OnRun: c.ledger.recordRun, RequestLimit: c.currentLimit, Leaving: func() bool { c.mu.Lock(); defer c.mu.Unlock(); return c.saysLeaving[id] }, Fault: func(string) pamoja.BackendFault { return c.serverFault(id) }}
 	c.setVersion(id, 1)
 	s.SetWeights(func(string) int { c.mu.Lock(); defer c.mu.Unlock(); return c.versions[id] }, func(_ string, v int, fence uint64) {
 		c.ledger.checkFence(id, fence)
