--- a/forward/forward.go
+++ b/forward/forward.go
@@ -56,7 +56,11 @@
 	Began func(organisation string, at time.Duration, delta int64)
 	Now   func() time.Duration
 
+	// FirstCome is the baseline of the order among organisations: first come, first served.
+	FirstCome bool
+
 	stopping atomic.Pointer[stopTimes] // nil unless a graceful shutdown has begun
+	sharing  sharing
 }
 
 // Route returns the current plan and the route of a request. The error has the verdict not
@@ -139,6 +143,7 @@
 	failedAnswer *Answer
 	lastErr      error
 	beginning    *beginning
+	seat         seat
 }
 
 type result struct {
@@ -217,14 +222,14 @@
 	if best.target == nil || !best.queued || best.expected <= time.Until(end) {
 		return nil
 	}
-	return c.overload(best.expected-time.Until(end), "the expected wait of %s exceeds the time left", best.expected)
+	return c.f.overload(best.expected-time.Until(end), "the expected wait of %s exceeds the time left", best.expected)
 }
 
 // overload returns the error of a request that is rejected because all servers are full. A
 // place is expected to be free after wait. Callers come back spread over twice that time,
 // so that they do not all arrive at once.
-func (c *call) overload(wait time.Duration, format string, args ...any) error {
-	wait = min(maxRetryAfter, time.Duration((0.5+c.f.Rand())*float64(max(minRefusalPause, wait))))
+func (f *Forwarder) overload(wait time.Duration, format string, args ...any) error {
+	wait = min(maxRetryAfter, time.Duration((0.5+f.Rand())*float64(max(minRefusalPause, wait))))
 	return verdict.WithRetryAfter(verdict.New(verdict.NotRun, verdict.ReasonOverload, format, args...), wait)
 }
 
@@ -256,7 +261,19 @@
 	if c.inFlight > 0 {
 		avoid = c.lastServer // do not hedge at the server that has not responded
 	}
-	best := c.choose(c.f.Plans.Load(), avoid)
+	plan := c.f.Plans.Load()
+	best := c.choose(plan, avoid)
+	if c.f.mustWait(plan, c.service, c.r.Background, best) {
+		if c.inFlight > 0 {
+			return 0, verdict.New(verdict.NotRun, verdict.ReasonOverload, "no server has room for another attempt")
+		}
+		release, err := c.f.awaitTurn(ctx, &c.seat, c.service, plan.class(c.r, c.route), c.r.Organisation, best)
+		if err != nil {
+			return 0, err
+		}
+		release() // the attempt below counts instead
+		best = c.choose(c.f.Plans.Load(), avoid)
+	}
 	target := best.target
 	if target == nil && best.wait == 0 {
 		return 0, verdict.New(verdict.NotRun, verdict.ReasonNoBackend, "service %q has no backend server", c.service)
@@ -265,7 +282,7 @@
 	remaining := time.Until(end)
 	if remaining < best.wait+minRemaining {
 		if best.wait > 0 || c.refusedByAll() {
-			return 0, c.overload(best.wait, "all servers are full until the deadline")
+			return 0, c.f.overload(best.wait, "all servers are full until the deadline")
 		}
 		return 0, verdict.New(verdict.NotRun, verdict.ReasonDeadline, "the deadline is too close for another attempt")
 	}
@@ -273,7 +290,7 @@
 		return best.wait, nil
 	}
 	if best.permitWait > 0 && best.expected > remaining {
-		return 0, c.overload(best.expected-remaining, "the request limits of all servers are used until the deadline")
+		return 0, c.f.overload(best.expected-remaining, "the request limits of all servers are used until the deadline")
 	}
 	if target.Load.Limit() > 0 {
 		c.f.Count("limited_attempts", c.cause)
@@ -289,6 +306,7 @@
 		res := c.f.attempt(ctx, best, c.r, end, c.beginning)
 		target.Load.InFlight.Add(-1)
 		target.Load.suspects.Add(-suspects)
+		c.f.ended(c.service)
 		select {
 		case c.results <- res:
 		case <-ctx.Done():
@@ -356,6 +374,8 @@
 	if notRun {
 		c.mayHaveRun--
 		c.refusals++
+	} else {
+		c.seat = seat{} // only a refused request keeps its place
 	}
 	if isLimitReached(res.err) {
 		c.tried[res.target.ID]-- // the server was not asked
@@ -402,7 +422,7 @@
 		return c.failedAnswer, nil
 	}
 	if c.refusedByAll() {
-		return nil, c.overload(0, "all servers were full until the deadline")
+		return nil, c.f.overload(0, "all servers were full until the deadline")
 	}
 	v := verdict.NotRun
 	if c.mayHaveRun > 0 {
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -32,6 +32,7 @@
 	target   *Target
 	expected time.Duration // expected time until the response of target
 	queued   bool          // the request waits for a slot or for a permit of target
+	response time.Duration // the part of expected in which the request runs
 	// permitWait is the part of expected in which the request waits for a permit.
 	permitWait time.Duration
 	wait       time.Duration
@@ -67,7 +68,8 @@
 			continue
 		}
 		if score := c.score(p, t, e); best.target == nil || score < bestScore {
-			best, bestScore = choice{target: t, expected: e.total(), queued: e.queued() || e.permitWait > 0, permitWait: e.permitWait}, score
+			best = choice{target: t, expected: e.total(), queued: e.queued() || e.permitWait > 0, response: e.response, permitWait: e.permitWait}
+			bestScore = score
 		}
 	}
 	return best
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -70,6 +70,8 @@
 	begun       bool              // a server has sent the first event, here or before the caller resumed the stream
 	software    registry.Software // version of the server that sent the first event
 	beginning   *beginning
+	seat        seat
+	rejected    bool // the stream cannot be served before its deadline
 }
 
 // streamPart is the part of a stream that one server sent.
@@ -109,7 +111,7 @@
 				Request: s.r.ID, Server: s.lastServer.ID, Answered: true, Limit: s.lastServer.Load.Limit(), Content: s.r.content(),
 			})
 		}
-		if err == nil || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || s.rejected {
 			return s.finalError(err)
 		}
 		if s.serverEnded(ctx, err) && tooManyEnded(s.r, len(s.ended)) {
@@ -153,7 +155,18 @@
 
 // attempt forwards the events of one server. It returns nil at the end of a complete stream.
 func (s *streamCall) attempt(ctx context.Context) error {
-	best := s.choose(s.f.Plans.Load())
+	plan := s.f.Plans.Load()
+	best := s.choose(plan)
+	service := s.id().Service
+	if !s.begun && s.f.mustWait(plan, service, false, best) {
+		release, err := s.f.awaitTurn(ctx, &s.seat, service, plan.class(s.r, s.route), s.r.Organisation, best)
+		if err != nil {
+			s.rejected = true
+			return err
+		}
+		release() // the attempt below counts instead
+		best = s.choose(s.f.Plans.Load())
+	}
 	target := best.target
 	if target == nil && best.wait > 0 {
 		return verdict.New(verdict.NotRun, verdict.ReasonOverload, "all servers of the service are full, or their software version is not known to all hosts yet")
@@ -171,6 +184,7 @@
 	s.tried[target.ID]++
 	s.lastServer = target
 	target.Load.InFlight.Add(1)
+	defer s.f.ended(service) // after the stream has left the server
 	defer target.Load.InFlight.Add(-1)
 	begunAt := s.beginning.sent()
 	stream, err := s.f.Sender.OpenStream(ctx, target, s.r, s.lastEventID, time.Until(end))
--- a/forward/types.go
+++ b/forward/types.go
@@ -120,6 +120,7 @@
 	Held       memory.Holder // bytes of answers and streams of the server that this process holds
 	suspects   atomic.Int32  // requests in flight under which another server ended
 	fullUntil  atomic.Int64  // time until which the server is sent nothing after a refusal, Unix nanoseconds
+	probedAt   atomic.Int64  // time of the last request sent although the server reported a queue, see hasTurn, Unix nanoseconds
 	limit      atomic.Uint64 // requests per second that the server takes from all hosts, bits of a float64, 0 if it named no limit
 	// nextCallerPermit and nextBackgroundPermit are the times at which the next permit of a
 	// server with a limit is expected to be available, Unix nanoseconds.
