--- a/system/rollout/dispatch.go
+++ b/system/rollout/dispatch.go
@@ -30,11 +30,15 @@
 	basePriority   = 4
 	urgentPriority = 1
 	sparePriority  = 2 // added for items that the trainer is not expected to wait for
+	// lateMargin is the time before the latest start of an item from which the item comes before
+	// those of organisations with a higher priority. It covers the wait for a slot.
+	lateMargin = time.Second
 )
 
 // Dispatch moves runs to faster servers and starts runs of waiting items. The items that a
 // trainer waits for come before the others. Among them, the items that are expected to miss
-// the due time of their lot by most, or to meet it with the least time left, come first.
+// the due time of their lot by most, or to meet it with the least time left, come first. If the
+// deployment has organisations, items with time left are ordered by priority before that.
 func Dispatch(now time.Duration, t *table.Tables, _ []event.Event, out *command.Outbox) {
 	r := &t.Rollout
 	if r.Desired == nil {
@@ -75,6 +79,7 @@
 	remaining float64       // expected number of further events
 	latest    time.Duration // start time at which the item is expected to be completed when it is due
 	spare     bool          // the trainer is not expected to wait for it
+	class     int           // order before latest: 0 for items that are late
 }
 
 // byUrgency orders waiting items as they are started.
@@ -84,6 +89,8 @@
 		return -1
 	case a.spare != b.spare:
 		return 1
+	case a.class != b.class:
+		return cmp.Compare(a.class, b.class)
 	case a.latest != b.latest:
 		return cmp.Compare(a.latest, b.latest)
 	}
@@ -138,9 +145,21 @@
 	w.remaining = remainingEvents(r.Models.Find(l.Head.Model), item.Spec, float64(len(item.Events)))
 	w.spare = !r.Baselines.Order && isSpare(now, r, l, item)
 	w.latest = lotDue(l, route) - time.Duration(w.remaining*float64(medianInterval(r, pool.service)))
+	if r.Organisations.Keys != nil && !r.Baselines.Shares && now < w.latest-lateMargin {
+		w.class = 1 + max(0, itemPriority(r, w))
+	}
 	return w
 }
 
+// itemPriority returns the priority of an item: that of its organisation or, if that has none,
+// of its route.
+func itemPriority(r *table.Rollout, w waitingItem) int {
+	if priority, ok := r.Organisations.Keys.Priority(w.lot.Submission.Organisation); ok {
+		return priority
+	}
+	return w.route.Priority
+}
+
 // startRun starts a run of an item if a server has room for it. The output so far is discarded
 // if the server cannot continue it, or has another version of the weights on a route that
 // requires a single one.
@@ -198,11 +217,7 @@
 	if !w.spare && w.route.CompletionTarget > 0 && now-w.lot.AcceptedAt > w.route.CompletionTarget/2 {
 		return urgentPriority
 	}
-	priority, ok := r.Organisations.Keys.Priority(w.lot.Submission.Organisation)
-	if !ok {
-		priority = w.route.Priority
-	}
-	urgency := basePriority + max(0, priority)
+	urgency := basePriority + max(0, itemPriority(r, w))
 	if w.spare {
 		urgency += sparePriority
 	}
--- a/system/rollout/organisations_test.go
+++ b/system/rollout/organisations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -98,3 +99,72 @@
 	require.Len(t, published, 1)
 	require.Equal(t, "acme", published[0].Lots["l"].Head.Organisation)
 }
+
+// TestPriorityOrdersItemsWithTimeLeft guards against items of an organisation that wait behind
+// those of organisations with a lower priority, against items that miss their due time because
+// of a priority, and against another order in deployments without organisations.
+func TestPriorityOrdersItemsWithTimeLeft(t *testing.T) {
+	low := 5
+	for name, c := range map[string]struct {
+		organisations []desired.Organisation
+		baseline      bool
+		wait          time.Duration
+		first         string
+	}{
+		"time left":        {[]desired.Organisation{{Name: "high", Priority: new(int)}, {Name: "low", Priority: &low}}, false, 0, "high/i0"},
+		"late":             {[]desired.Organisation{{Name: "high", Priority: new(int)}, {Name: "low", Priority: &low}}, false, 6 * time.Second, "low/i0"},
+		"equal":            {[]desired.Organisation{{Name: "high"}, {Name: "low"}}, false, 0, "low/i0"},
+		"baseline":         {[]desired.Organisation{{Name: "high", Priority: new(int)}, {Name: "low", Priority: &low}}, true, 0, "low/i0"},
+		"no organisations": {nil, false, 0, "low/i0"},
+	} {
+		w := newWorld(t)
+		s := state(2)
+		s.Organisations, s.Routes[0].CompletionTarget = c.organisations, 7*time.Second
+		w.step(event.DesiredRead{State: s})
+		w.tables.Rollout.Baselines.Shares = c.baseline
+		for _, lot := range []string{"low", "high"} {
+			sub := submission(1)
+			sub.ID, sub.Organisation = lot, lot
+			w.accept(sub)
+			w.advance(500 * time.Millisecond)
+			if lot == "low" {
+				w.advance(c.wait)
+			}
+		}
+		var out command.Outbox
+		waiting := waitingItems(w.now, w.tables, &out)
+		require.Len(t, waiting, 2, name)
+		require.Equal(t, c.first, waiting[0].key, name)
+	}
+}
+
+// TestNoOrganisationStarves guards against lots of an organisation that never run while another
+// with a higher priority submits more than the engine can do.
+func TestNoOrganisationStarves(t *testing.T) {
+	low, done := 5, map[string]int{}
+	w := newSlotsWorld(t)
+	s := state(2)
+	s.Routes[0].CompletionTarget = 7 * time.Second
+	s.Organisations = []desired.Organisation{{Name: "high", Priority: new(int)}, {Name: "low", Priority: &low}}
+	w.step(event.DesiredRead{State: s})
+	var commands []command.Command
+	for i := range 40 {
+		for _, organisation := range []string{"high", "low"} {
+			sub := submission(1)
+			if organisation == "high" {
+				sub = submission(4)
+			}
+			sub.ID, sub.Organisation = organisation+string(rune('A'+i)), organisation
+			commands = append(commands, w.accept(sub)...)
+		}
+		started := commandsOf[command.StartRun](commands)
+		commands = w.advance(500 * time.Millisecond)
+		for _, run := range started {
+			done[run.Organisation]++
+			commands = append(commands, w.step(endedRun(run, "x"))...)
+		}
+	}
+	t.Logf("completed items: %v", done)
+	require.GreaterOrEqual(t, 4*4*done["low"], done["high"], "a quarter of the share of requests served")
+	require.Positive(t, done["high"])
+}
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -221,6 +221,7 @@
 	Moves    bool // the newest measurement of a server is expected to last
 	Division bool // engines are divided by mean tokens of the lots and by count
 	Order    bool // groups of a lot are not told apart
+	Shares   bool // organisations are not told apart in the order of waiting items
 }
 
 // Order is the newest order of this process to a server.
