--- a/fairshare/queue.go
+++ b/fairshare/queue.go
@@ -17,7 +17,7 @@
 	memory = 2 * time.Second
 	// maxLead bounds, in rounds of all organisations, how far an organisation can be ahead. It
 	// uses up what others leave without paying for more than this when they return.
-	maxLead = 2
+	maxLead = 4
 )
 
 // maxFlows bounds the organisations and classes that a queue tracks. Further organisations share
@@ -117,6 +117,9 @@
 // class.
 func (q *Queue[T]) Organisations() int { return q.active.Len() }
 
+// Lead returns by how many requests the organisation of a waiting request is ahead of its share.
+func (q *Queue[T]) Lead(p *Place[T]) float64 { return max(0, p.flow.start-p.flow.class.virtual) }
+
 // First returns the request that is served next, nil if none waits.
 func (q *Queue[T]) First() *Place[T] {
 	if q.length == 0 {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -265,7 +265,7 @@
 	best := c.choose(plan, avoid)
 	if c.f.mustWait(plan, c.service, c.r.Background, best) {
 		if c.inFlight > 0 {
-			return 0, verdict.New(verdict.NotRun, verdict.ReasonOverload, "no server has room for another attempt")
+			return 0, verdict.New(verdict.NotRun, verdict.ReasonOverload, "no attempt is added during a shortage")
 		}
 		release, err := c.f.awaitTurn(ctx, &c.seat, c.service, plan.class(c.r, c.route), c.r.Organisation, best)
 		if err != nil {
--- a/forward/share.go
+++ b/forward/share.go
@@ -59,14 +59,9 @@
 	place *fairshare.Place[*waiter]
 }
 
-// shared reports whether requests of a plan wait in the order of fair shares.
-func (f *Forwarder) shared(p *Plan, background bool) bool {
-	return p.Keys != nil && !background
-}
-
 // mustWait reports whether a request waits for its turn. It takes no lock.
 func (f *Forwarder) mustWait(p *Plan, service string, background bool, best choice) bool {
-	if !f.shared(p, background) || (best.target == nil && best.wait == 0) {
+	if p.Keys == nil || background || (best.target == nil && best.wait == 0) {
 		return false
 	}
 	if best.target == nil || best.queued {
@@ -148,7 +143,11 @@
 		s.place.Value = w
 		q.queue.Return(s.place, sinceStart(now))
 	} else {
-		if expected := q.queue.Wait(class, organisation, sinceStart(now)) + best.response; q.queue.Len() > 0 && now.Add(expected).After(end) {
+		expected := best.earliest()
+		if q.queue.Len() > 0 {
+			expected = max(expected, q.queue.Wait(class, organisation, sinceStart(now))+best.response)
+		}
+		if now.Add(expected).After(end) {
 			return nil, expected - end.Sub(now)
 		}
 		s.place = q.queue.Push(class, organisation, w, sinceStart(now))
@@ -183,13 +182,13 @@
 		ch := chooser{now: now, random: q.f.Rand}
 		best := ch.choose(plan, q.service)
 		var t turn
-		switch late := now.Add(best.response).Sub(p.Value.end); {
+		switch late := now.Add(best.earliest()).Sub(p.Value.end); {
 		case plan.Keys == nil || (best.target == nil && best.wait == 0):
-			q.queue.Remove(p, sinceStart(time.Now()))
+			q.queue.Remove(p, sinceStart(now))
 		case late > 0:
 			t.late = late
-			q.queue.Remove(p, sinceStart(time.Now()))
-		case !best.hasTurn(now, q.queue.Organisations()):
+			q.queue.Remove(p, sinceStart(now))
+		case !best.hasTurn(now, (1+q.queue.Lead(p))/float64(q.queue.Organisations())):
 			q.checkAfter(best)
 			return
 		default:
@@ -216,31 +215,46 @@
 	q.timer.Reset(wait)
 }
 
+// earliest returns the time until the response if the request comes first.
+func (c choice) earliest() time.Duration { return c.wait + c.permitWait + c.response }
+
 // hasTurn reports whether a request may be sent to the chosen server. A server whose requests
 // are all from this host takes one whenever it has a free slot. If other hosts send to it too,
 // each host sends one at intervals that follow from the reported queue: a host that took each
-// slot that its own requests leave would keep it from the others. The interval is divided by
-// the number of organisations that wait at this host, so that each gets the same over all hosts.
-func (c choice) hasTurn(now time.Time, organisations int) bool {
+// slot that its own requests leave would keep it from the others. factor is part of the
+// interval: less for a host at which many organisations wait, more for a request whose
+// organisation is ahead of its share.
+func (c choice) hasTurn(now time.Time, factor float64) bool {
 	if c.target == nil {
 		return false
 	}
 	l, slots := c.target.Load, max(1, c.target.Slots)
-	own, all := int(l.InFlight.Load()), int(l.estimatedRequests(now))
+	own, all := int(l.InFlight.Load()), l.lastRequests(now)
 	switch {
 	case c.permitWait > 0 || own >= slots:
 		return false
 	case all <= own || all+1 < slots:
 		return !c.queued
 	}
-	interval := turnInterval(c.response, all, slots) / time.Duration(max(1, organisations))
-	if now.UnixNano()-l.probedAt.Load() < int64(interval) {
+	interval := factor * float64(turnInterval(c.response, all, slots))
+	if float64(now.UnixNano()-l.probedAt.Load()) < interval {
 		return false
 	}
 	l.probedAt.Store(now.UnixNano())
 	return true
 }
 
+// lastRequests returns the number of requests at the server, from a report of the time of a
+// shortage if there is one. The interval between two requests of this host can be longer than
+// loadReportTTL; without a report, each would be sent at once.
+func (l *Load) lastRequests(now time.Time) int {
+	own := l.InFlight.Load()
+	if now.UnixNano()-l.reportedAt.Load() > int64(shortageMemory) {
+		return int(own)
+	}
+	return int(max(own, l.reported.Load()))
+}
+
 // turnInterval returns the time between two requests of one host to a server that several hosts
 // send to: the time in which its queue is served, and longer if the queue is long. With it, n
 // organisations that wait cause a queue of about the square root of n times the slots.
