--- a/forward/forward.go
+++ b/forward/forward.go
@@ -95,14 +95,18 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, f.beforeStop(end))
 	defer cancel()
-	c := &call{
+	c := newCall(f, r, route)
+	answer, err := c.run(ctx)
+	c.log(answer, err)
+	return answer, err
+}
+
+func newCall(f *Forwarder, r *Request, route *desired.Route) *call {
+	return &call{
 		f: f, r: r, route: route, service: route.Service(r.ID), idempotent: route.Kind == desired.KindIdempotent,
 		tried: make(map[string]int), results: make(chan result, 1), startedAt: time.Now(), wanted: 1, cause: verdict.ReasonFirstAttempt,
 		beginning: newBeginning(f, r),
 	}
-	answer, err := c.run(ctx)
-	c.log(answer, err)
-	return answer, err
 }
 
 // requestDeadline returns the earlier of the caller's deadline and the route's timeout.
@@ -212,12 +216,17 @@
 // admit rejects a request that is expected to miss its deadline because all servers have
 // queues, so that the caller can turn elsewhere or come back in time.
 func (c *call) admit(ctx context.Context) error {
-	best := c.choose(c.f.Plans.Load(), "")
 	end, _ := ctx.Deadline()
-	if best.target == nil || !best.queued || best.expected <= time.Until(end) {
+	return c.checkQueue(c.choose(c.f.Plans.Load(), ""), time.Until(end))
+}
+
+// checkQueue returns an error if the first attempt of a request is expected to wait for longer
+// than the time that remains.
+func (c *call) checkQueue(best choice, remaining time.Duration) error {
+	if best.target == nil || !best.queued || best.expected <= remaining {
 		return nil
 	}
-	return c.overload(best.expected-time.Until(end), "the expected wait of %s exceeds the time left", best.expected)
+	return c.overload(best.expected-remaining, "the expected wait of %s exceeds the time left", best.expected)
 }
 
 // overload returns the error of a request that is rejected because all servers are full. A
@@ -233,10 +242,15 @@
 
 // choose returns the server for the next attempt.
 func (c *call) choose(plan *Plan, avoid string) choice {
-	ch := chooser{now: time.Now(), tried: c.tried, avoid: avoid, avoidLimited: c.inFlight > 0, background: c.r.Background, random: c.f.Rand}
+	ch := c.chooser(avoid)
 	return ch.choose(plan, c.service)
 }
 
+// chooser returns what chooses the server for the next attempt.
+func (c *call) chooser(avoid string) chooser {
+	return chooser{now: time.Now(), tried: c.tried, avoid: avoid, avoidLimited: c.inFlight > 0, background: c.r.Background, random: c.f.Rand}
+}
+
 // hedgeDelay returns the delay before a hedged attempt starts.
 func (c *call) hedgeDelay() time.Duration {
 	return max(minHedgeDelay, time.Duration(float64(c.route.LatencyTarget)*hedgeDelayRatio))
@@ -258,23 +272,13 @@
 	}
 	best := c.choose(c.f.Plans.Load(), avoid)
 	target := best.target
-	if target == nil && best.wait == 0 {
-		return 0, verdict.New(verdict.NotRun, verdict.ReasonNoBackend, "service %q has no backend server", c.service)
-	}
 	end, _ := ctx.Deadline()
-	remaining := time.Until(end)
-	if remaining < best.wait+minRemaining {
-		if best.wait > 0 || c.refusedByAll() {
-			return 0, c.overload(best.wait, "all servers are full until the deadline")
-		}
-		return 0, verdict.New(verdict.NotRun, verdict.ReasonDeadline, "the deadline is too close for another attempt")
+	if err := c.checkAttempt(best, time.Until(end)); err != nil {
+		return 0, err
 	}
 	if target == nil {
 		return best.wait, nil
 	}
-	if best.permitWait > 0 && best.expected > remaining {
-		return 0, c.overload(best.expected-remaining, "the request limits of all servers are used until the deadline")
-	}
 	if target.Load.Limit() > 0 {
 		c.f.Count("limited_attempts", c.cause)
 	}
@@ -297,6 +301,22 @@
 	return 0, nil
 }
 
+// checkAttempt returns an error if no attempt can end in the time that remains, or the service
+// has no server.
+func (c *call) checkAttempt(best choice, remaining time.Duration) error {
+	switch {
+	case best.target == nil && best.wait == 0:
+		return verdict.New(verdict.NotRun, verdict.ReasonNoBackend, "service %q has no backend server", c.service)
+	case remaining < best.wait+minRemaining && (best.wait > 0 || c.refusedByAll()):
+		return c.overload(best.wait, "all servers are full until the deadline")
+	case remaining < best.wait+minRemaining:
+		return verdict.New(verdict.NotRun, verdict.ReasonDeadline, "the deadline is too close for another attempt")
+	case best.target != nil && best.permitWait > 0 && best.expected > remaining:
+		return c.overload(best.expected-remaining, "the request limits of all servers are used until the deadline")
+	}
+	return nil
+}
+
 // attempt sends a request to the chosen server, after a wait if the server names a limit.
 func (f *Forwarder) attempt(ctx context.Context, to choice, r *Request, end time.Time, b *beginning) result {
 	maxWait := time.Until(end) - (to.expected - to.permitWait)
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -55,24 +57,66 @@
 	var best choice
 	var bestScore time.Duration
 	for _, t := range targets {
-		if t.ID == c.avoid || (c.avoidLimited && t.Load.Limit() > 0) || (c.usable != nil && !c.usable(t)) {
-			continue
-		}
-		e := estimate(t, fastest, c.now)
-		e.permitWait = t.Load.permitWait(c.background, c.now)
-		if wait := c.waitFor(t, e); wait > 0 {
-			if best.target == nil && (best.wait == 0 || wait < best.wait) {
-				best.wait = wait
+		rated := c.rate(p, t, fastest)
+		switch {
+		case rated.excluded:
+		case rated.wait > 0:
+			if best.target == nil && (best.wait == 0 || rated.wait < best.wait) {
+				best.wait = rated.wait
 			}
-			continue
-		}
-		if score := c.score(p, t, e); best.target == nil || score < bestScore {
-			best, bestScore = choice{target: t, expected: e.total(), queued: e.queued() || e.permitWait > 0, permitWait: e.permitWait}, score
+		case best.target == nil || rated.score < bestScore:
+			e := rated.estimate
+			best, bestScore = choice{target: t, expected: e.total(), queued: e.queued() || e.permitWait > 0, permitWait: e.permitWait}, rated.score
 		}
 	}
 	return best
 }
 
+// rating is how a server compares with the others of its service for an attempt.
+type rating struct {
+	target   *Target
+	estimate responseEstimate
+	excluded bool          // the server is never chosen for the attempt
+	wait     time.Duration // time until the server may be sent the request, 0 if it may be now
+	score    time.Duration // the lowest of those without a wait is chosen
+}
+
+// rate rates a server. fastest is the result of fastestResponse for its service.
+func (c *chooser) rate(p *Plan, t *Target, fastest time.Duration) rating {
+	rated := rating{target: t}
+	if t.ID == c.avoid || (c.avoidLimited && t.Load.Limit() > 0) || (c.usable != nil && !c.usable(t)) {
+		rated.excluded = true
+		return rated
+	}
+	rated.estimate = estimate(t, fastest, c.now)
+	rated.estimate.permitWait = t.Load.permitWait(c.background, c.now)
+	if rated.wait = c.waitFor(t, rated.estimate); rated.wait == 0 {
+		rated.score = c.score(p, t, rated.estimate)
+	}
+	return rated
+}
+
+// rank returns all servers of a service in the order in which choose would return them, then
+// those with a wait by its length, then those that are never chosen.
+func (c *chooser) rank(p *Plan, service string) []rating {
+	targets := p.Services[service]
+	fastest := fastestResponse(targets, c.now)
+	ranked := make([]rating, 0, len(targets))
+	for _, t := range targets {
+		ranked = append(ranked, c.rate(p, t, fastest))
+	}
+	slices.SortStableFunc(ranked, func(a, b rating) int {
+		switch {
+		case a.excluded != b.excluded && b.excluded:
+			return -1
+		case a.excluded != b.excluded:
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.wait, b.wait), cmp.Compare(a.score, b.score))
+	})
+	return ranked
+}
+
 // waitFor returns the time until a server may be sent the request, 0 if it may be now.
 func (c *chooser) waitFor(t *Target, e responseEstimate) time.Duration {
 	if wait := t.Load.refusedUntil(c.now); wait > 0 {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -154,16 +154,10 @@
 // attempt forwards the events of one server. It returns nil at the end of a complete stream.
 func (s *streamCall) attempt(ctx context.Context) error {
 	best := s.choose(s.f.Plans.Load())
-	target := best.target
-	if target == nil && best.wait > 0 {
-		return verdict.New(verdict.NotRun, verdict.ReasonOverload, "all servers of the service are full, or their software version is not known to all hosts yet")
-	}
-	if target == nil && s.begun {
-		return verdict.New(verdict.NotRun, verdict.ReasonSoftwareGone, "no server has the software version %q that began the stream", s.software)
-	}
-	if target == nil {
-		return verdict.New(verdict.NotRun, verdict.ReasonNoBackend, "the service has no backend server")
+	if err := s.checkAttempt(best); err != nil {
+		return err
 	}
+	target := best.target
 	end, _ := ctx.Deadline()
 	if err := AwaitPermit(ctx, s.f.Permits, target, false, time.Until(end)-(best.expected-best.permitWait)); err != nil {
 		return err
@@ -193,25 +187,45 @@
 	return s.copyEvents(ctx, stream, target)
 }
 
+// checkAttempt returns an error if no server was chosen.
+func (s *streamCall) checkAttempt(best choice) error {
+	switch {
+	case best.target != nil:
+		return nil
+	case best.wait > 0:
+		return verdict.New(verdict.NotRun, verdict.ReasonOverload, "all servers of the service are full, or their software version is not known to all hosts yet")
+	case s.begun:
+		return verdict.New(verdict.NotRun, verdict.ReasonSoftwareGone, "no server has the software version %q that began the stream", s.software)
+	default:
+		return verdict.New(verdict.NotRun, verdict.ReasonNoBackend, "the service has no backend server")
+	}
+}
+
 // choose returns the server for the next attempt. A stream that the caller may resume begins at
 // a server with AvoidNewStreams only if there is no other, and waits if all have
 // HoldNewStreams.
 func (s *streamCall) choose(plan *Plan) choice {
-	ch := chooser{now: time.Now(), tried: s.tried, random: s.f.Rand, usable: s.usable}
+	best, _ := s.chooseWith(plan)
+	return best
+}
+
+// chooseWith returns the server for the next attempt and what chose it.
+func (s *streamCall) chooseWith(plan *Plan) (choice, *chooser) {
+	ch := &chooser{now: time.Now(), tried: s.tried, random: s.f.Rand, usable: s.usable}
 	service := s.id().Service
 	if s.begun || !s.route.Resumable {
-		return ch.choose(plan, service)
+		return ch.choose(plan, service), ch
 	}
 	ch.usable = func(t *Target) bool { return !t.AvoidNewStreams }
 	if best := ch.choose(plan, service); best.target != nil || best.wait > 0 {
-		return best
+		return best, ch
 	}
 	ch.usable = func(t *Target) bool { return !t.HoldNewStreams }
 	best := ch.choose(plan, service)
 	if best.target == nil && best.wait == 0 && len(plan.Services[service]) > 0 {
 		best.wait = streamRetryDelay
 	}
-	return best
+	return best, ch
 }
 
 // usable reports whether a server can continue the stream. Any server can begin one.
--- a/forward/types.go
+++ b/forward/types.go
@@ -105,7 +105,9 @@
 	// HoldNewStreams is set if such a stream does not begin at the server yet, also if there is
 	// no other.
 	HoldNewStreams bool
-	Suspect        bool // recently failed or did not respond; used only if no other server is left
+	Suspect        bool                        // recently failed or did not respond; used only if no other server is left
+	Missing        bool                        // its record expired while the store was unavailable
+	Models         map[string]registry.Version // weight versions by model
 	Load           *Load
 }
 
@@ -190,6 +192,8 @@
 	Zone     string               // availability zone of this host
 	Services map[string][]*Target // backend servers by service
 	Keys     *accesskey.Index     // nil if the deployment does not tell callers apart
+	Leaving  map[string][]*Target // servers that get no requests because they leave, by service
+	At       time.Duration        // when control built the plan
 }
 
 // AtomicPlan holds the current plan, which control publishes to request goroutines.
--- a/system/rollout/servers.go
+++ b/system/rollout/servers.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"maps"
 	"strconv"
 	"time"
 
@@ -67,7 +68,7 @@
 			out.Add(command.Count{Counter: "server_record_unreadable", Delta: 1})
 		}
 		if s := r.Servers.Find(c.ID); s != nil {
-			markMissing(now, s, out)
+			markMissing(now, r, s, out)
 		}
 		return
 	}
@@ -91,6 +92,9 @@
 		s.LeavingSince = 0
 	}
 	changed := s.Software != c.Server.Software
+	if !maps.Equal(s.Models, c.Server.Models) {
+		r.PlanChanged = true
+	}
 	s.Server, s.RowVersion, s.MissingSince = *c.Server, c.RowVersion, 0
 	if changed {
 		r.PlanChanged = true
@@ -113,7 +117,7 @@
 	}
 	for id, s := range r.Servers.All() {
 		if !listed[id] {
-			markMissing(now, s, out)
+			markMissing(now, r, s, out)
 		}
 	}
 }
@@ -121,9 +125,9 @@
 // markMissing notes that the record of a server is gone. expireMissing then deletes the
 // server: at once in normal operation, after missingGracePeriod if the record may have
 // expired because the store was unavailable.
-func markMissing(now time.Duration, s *table.Server, out *command.Outbox) {
+func markMissing(now time.Duration, r *table.Rollout, s *table.Server, out *command.Outbox) {
 	if s.MissingSince == 0 {
-		s.MissingSince = now
+		s.MissingSince, r.PlanChanged = now, true
 	}
 	out.WakeAt(now + missingGracePeriod)
 }
@@ -259,9 +263,14 @@
 // servers that are leaving. Servers with a missing record are included until
 // expireMissing deletes them, because their record may return after an outage.
 func routingPlan(now time.Duration, r *table.Rollout) *forward.Plan {
-	p := &forward.Plan{Desired: r.Desired, Zone: r.Zone, Services: make(map[string][]*forward.Target), Keys: r.Organisations.Keys}
+	p := &forward.Plan{
+		Desired: r.Desired, Zone: r.Zone, Services: make(map[string][]*forward.Target), Keys: r.Organisations.Keys,
+		Leaving: make(map[string][]*forward.Target), At: now,
+	}
 	for _, s := range r.Servers.All() {
-		if !s.Leaving {
+		if s.Leaving {
+			p.Leaving[s.Service] = append(p.Leaving[s.Service], target(s))
+		} else {
 			to := target(s)
 			to.AvoidNewStreams, to.HoldNewStreams = avoidNewStreams(now, r, s), holdNewStreams(now, r, s)
 			p.Services[s.Service] = append(p.Services[s.Service], to)
@@ -273,5 +282,6 @@
 func target(s *table.Server) *forward.Target {
 	return &forward.Target{
 		ID: s.ID, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Software: s.Software, Suspect: s.SuspectUntil != 0, Load: s.Load,
+		Missing: s.MissingSince != 0, Models: s.Models,
 	}
 }
