--- a/frontend/service.go
+++ b/frontend/service.go
@@ -82,12 +82,20 @@
 	return desired.Limits{}
 }
 
+// CheckSubmission returns an error while the host accepts no submissions.
+func (s *Service) CheckSubmission() error {
+	if s.Stopping() {
+		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "this host is draining and accepts no submissions")
+	}
+	return nil
+}
+
 // Accept stores a submission, and starts the lot if this process is to run it. It returns
 // nil if the lot is already stored, so a submission may be repeated by callers that may access
 // the lot. An error with the verdict not run guarantees that no item of the submission runs.
 func (s *Service) Accept(ctx context.Context, caller forward.Caller, sub *lot.Submission) error {
-	if s.Stopping() {
-		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "this host is draining and accepts no submissions")
+	if err := s.CheckSubmission(); err != nil {
+		return err
 	}
 	sub.Organisation = caller.Organisation
 	if known, ok, _ := s.Lots.lot(sub.ID); ok {
