--- a/command/rollout.go
+++ b/command/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/lot"
 	"github.com/lavenderstand/lavenderstand/quarantine"
@@ -207,6 +208,16 @@
 // Name implements Command.
 func (DeleteLot) Name() string { return "delete_lot" }
 
+// AnswerExplain answers event.ExplainRequested.
+type AnswerExplain struct {
+	RequestID   string
+	Explanation *status.LotExplanation // nil if Failure is set
+	Failure     *event.Failure
+}
+
+// Name implements Command.
+func (AnswerExplain) Name() string { return "answer_explain" }
+
 // AnswerHostView answers event.HostViewRequested.
 type AnswerHostView struct {
 	RequestID string
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -323,6 +323,16 @@
 // Name implements Event.
 func (QuarantineWritten) Name() string { return "quarantine_written" }
 
+// ExplainRequested asks what the items of a lot wait for. If Lot is empty, it is the newest lot
+// with the item that this host runs.
+type ExplainRequested struct {
+	RequestID string
+	Lot, Item string // Item is empty for all waiting items
+}
+
+// Name implements Event.
+func (ExplainRequested) Name() string { return "explain_asked" }
+
 // HostViewRequested asks for the state of this host, including its view of other hosts.
 type HostViewRequested struct{ RequestID string }
 
--- a/system/rollout/dispatch.go
+++ b/system/rollout/dispatch.go
@@ -107,7 +107,7 @@
 		}
 		if l == nil || item.Lot != last {
 			l, last = r.Lots.Find(item.Lot), item.Lot
-			runnable = l != nil && l.Stage == table.LotOwned && !l.Releasing && headConfirmed(r, l)
+			runnable = l != nil && blocked(r, l) == ""
 		}
 		if !runnable {
 			continue
@@ -121,6 +121,19 @@
 	return waiting
 }
 
+// blocked returns why no item of a lot may be started, empty if they may be.
+func blocked(r *table.Rollout, l *table.Lot) string {
+	switch {
+	case l.Stage != table.LotOwned:
+		return "the lot is not run by this host"
+	case l.Releasing:
+		return "the lot is being handed over"
+	case !headConfirmed(r, l):
+		return "the heads of older lots have not all been read"
+	}
+	return ""
+}
+
 // hasRoom reports whether any server may be sent a run now. The end of a run and
 // wakeForBusyServers trigger the tick in which a server has room again.
 func hasRoom(now time.Duration, r *table.Rollout) bool {
--- a/system/rollout/pools.go
+++ b/system/rollout/pools.go
@@ -33,28 +33,50 @@
 // has room. An output that a server of its software version could continue waits for one for as
 // long as it would take to generate the output again.
 func (p pools) choose(now time.Duration, r *table.Rollout, w waitingItem) *table.Server {
+	s, _ := p.decide(now, r, w)
+	return s
+}
+
+// basis states why a server was chosen for an item, or none.
+type basis string
+
+const (
+	basisReserved  basis = "a slot is reserved for the item"
+	basisFastest   basis = "expected to complete first"
+	basisContinues basis = "its software version can continue the output"
+	basisRestart   basis = "the last run at the software version of the output brought no event"
+	basisAwaits    basis = "waits for a server that can continue the output"
+	basisNoRoom    basis = "no server has room"
+	basisNoServer  basis = "no server can run the item"
+)
+
+// decide returns the result of choose and its basis.
+func (p pools) decide(now time.Duration, r *table.Rollout, w waitingItem) (*table.Server, basis) {
 	if reserved := r.Servers.Find(w.item.MoveTo); reserved != nil && now >= reserved.BusyUntil && slices.Contains(eligibleServers(r, w.pool), reserved) {
-		return reserved
+		return reserved, basisReserved
+	}
+	best, why := p.fastest(now, r, w, w.pool, ""), basisFastest
+	if best == nil {
+		why = basisNoRoom
 	}
-	best := p.fastest(now, r, w, w.pool, "")
 	if len(w.item.Events) == 0 || w.item.Software == "" {
-		return best
+		return best, why
 	}
 	overdue := now >= restartDue(r, w)
 	if overdue && w.item.RunAfter == len(w.item.Events) { // the newest run at the version brought no event
 		if other := p.fastest(now, r, w, w.pool, w.item.Software); other != nil {
-			return other
+			return other, basisRestart
 		}
 	}
 	same := w.pool
 	same.software = w.item.Software
 	if s := p.fastest(now, r, w, same, ""); s != nil && (best == nil || completionTime(r, w, s) < completionTime(r, w, best)+minMoveGain) {
-		return s
+		return s, basisContinues
 	}
 	if best != nil && !canContinue(w.item, best) && !overdue && len(eligibleServers(r, same)) > 0 {
-		return nil
+		return nil, basisAwaits
 	}
-	return best
+	return best, why
 }
 
 // restartDue returns the time until which an item with an output waits for a server that can
@@ -125,7 +147,7 @@
 func eligibleServers(r *table.Rollout, key poolKey) []*table.Server {
 	var preferred, healthy, all []*table.Server
 	for _, s := range r.Servers.All() {
-		if s.Service != key.service || s.Leaving || !hasWeights(s, key) || (key.software != "" && s.Software != key.software) {
+		if unfit(s, key) != "" {
 			continue
 		}
 		all = append(all, s)
@@ -147,6 +169,39 @@
 	}
 }
 
+// unfit returns why a server cannot run the items of a pool, empty if it can.
+func unfit(s *table.Server, key poolKey) string {
+	switch {
+	case s.Service != key.service:
+		return "other service"
+	case s.Leaving:
+		return "leaving"
+	case !hasWeights(s, key) && s.Models[key.model] == 0:
+		return "other model: has no weights of it"
+	case !hasWeights(s, key):
+		return "weights too old"
+	case key.software != "" && s.Software != key.software:
+		return "other software version"
+	}
+	return ""
+}
+
+// roomReason returns why no run may be started on a server now, empty if one may be.
+func roomReason(now time.Duration, s *table.Server) string {
+	switch {
+	case serverRoom(now, s) > 0:
+		return ""
+	case now < s.BusyUntil:
+		return "refused an item or is being tested"
+	case s.Running < s.Slots && s.Reserved > 0:
+		return "free slots are reserved"
+	case s.Running < s.Slots:
+		return "suspect or unproven: one run at a time"
+	default:
+		return "no free slot"
+	}
+}
+
 // hasWeights reports whether a server has the model in at least the minimum version, or
 // no version is required.
 func hasWeights(s *table.Server, key poolKey) bool {
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -41,6 +41,7 @@
 		{Name: "runners", Run: Runners},
 		{Name: "publish", Run: Publish},
 		{Name: "view", Run: HostView},
+		{Name: "explain", Run: Explain},
 	}
 }
 
