--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -100,6 +100,7 @@
 	service          *frontend.Service
 	coordinationFeed *executor.Feed
 	operatorsFeed    *executor.Feed
+	serversFeed      *executor.Feed
 	handoverDone     chan struct{}             // closed when a graceful shutdown has handed over all lots
 	stopBy           atomic.Pointer[time.Time] // by when a graceful shutdown must have completed the requests in flight
 }
@@ -265,6 +266,7 @@
 	h.registerDutyExecutors()
 	control.HandleNow(h.dispatcher, func(c command.AnswerPermit) { h.waiters.Answer(c.RequestID, c) })
 	control.HandleNow(h.dispatcher, func(c command.AnswerHostView) { h.waiters.Answer(c.RequestID, c) })
+	control.HandleNow(h.dispatcher, func(c command.AnswerExplain) { h.waiters.Answer(c.RequestID, c) })
 	runs := &executor.Runs{Ctx: h.ctx, Sender: h.backends, Permits: h.permits, Memory: h.memory, Deliver: h.inbox.Deliver, SetUrgency: platform.SetUrgency}
 	control.HandleNow(h.dispatcher, runs.Start)
 	control.HandleNow(h.dispatcher, runs.Stop)
@@ -324,10 +326,8 @@
 	singlePart := []string{""} // these tables have one partition
 	h.operatorsFeed = h.newFeed("operators", platform.TableOperators, singlePart, readbudget.OperatorsShare, 0, h.decodeOperators)
 	h.operatorsFeed.LongPollWait = operatorsLongPollWait
-	feeds := []*executor.Feed{
-		h.coordinationFeed, h.operatorsFeed,
-		h.newFeed("servers", platform.TableServers, singlePart, readbudget.ServersShare, 250*time.Millisecond, decodeServers),
-	}
+	h.serversFeed = h.newFeed("servers", platform.TableServers, singlePart, readbudget.ServersShare, 250*time.Millisecond, decodeServers)
+	feeds := []*executor.Feed{h.coordinationFeed, h.operatorsFeed, h.serversFeed}
 	for _, f := range feeds {
 		g.Add(func() error { return f.Run(h.ctx) }, func(error) { h.cancel() })
 	}
--- a/cmd/lavender-host/serve.go
+++ b/cmd/lavender-host/serve.go
@@ -88,6 +88,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", h.metrics.Handler)
 	mux.HandleFunc("/view", h.handleView)
+	mux.HandleFunc("POST /explain", h.handleExplain)
 	return mux
 }
 
--- a/cmd/lavenderctl/root.go
+++ b/cmd/lavenderctl/root.go
@@ -59,7 +59,7 @@
 	f.StringVarP(&o.output, "output", "o", outputTable, "output format: table or json")
 	f.DurationVar(&o.timeout, "timeout", defaultTimeout, "time limit for the answer of one server")
 	root.PersistentPreRunE = func(*cobra.Command, []string) error { return checkOutput(o.output) }
-	root.AddCommand(classCommand(o), configCommand(o), weightsCommand(o), checkSettingsCommand(o), hostViewCommand(o))
+	root.AddCommand(classCommand(o), configCommand(o), weightsCommand(o), checkSettingsCommand(o), hostViewCommand(o), explainCommand(o))
 	root.AddCommand(viewCommands(o)...)
 	return root
 }
