--- a/forward/explain_test.go
+++ b/forward/explain_test.go
@@ -25,29 +25,32 @@
 	return &Answer{Status: 200}, nil
 }
 
-// randomPlan returns a plan with servers in random states. Waits are either far below or far
-// above the timeout of the route, so that the time that a test takes does not change decisions.
+// randomPlan returns a plan with servers in random states. Expected times are either at most
+// 4 s or at least 20 s and the timeout is 10 s, so that the time that a test takes does not
+// change decisions.
 func randomPlan(rng *rand.Rand, now time.Time) *Plan {
 	p := testPlan(rng.IntN(5), 1+rng.IntN(4))
+	later := now.Add(time.Minute) // measurements do not become too old during the test
+	p.Desired.Routes[0].Timeout = 10 * time.Second
 	p.Desired.Routes[0].Resumable = rng.IntN(2) == 0
 	chance := func(percent int) bool { return rng.IntN(100) < percent }
-	full := chance(40)
+	full := chance(20)
 	for _, t := range p.Services["s"] {
 		t.Zone, t.Suspect = string(rune('a'+rng.IntN(2))), chance(20)
 		t.AvoidNewStreams, t.HoldNewStreams = chance(30), chance(20)
 		if chance(70) {
-			t.Load.recordResponse(time.Duration(10+rng.IntN(300))*time.Millisecond, now)
+			t.Load.recordResponse(time.Duration(10+rng.IntN(300))*time.Millisecond, later)
 		}
 		t.Load.InFlight.Store(rng.Int32N(6))
 		if chance(30) {
-			t.Load.Report(registry.Load{Running: rng.IntN(8), Waiting: rng.IntN(40)}, now.Add(time.Minute))
+			t.Load.Report(registry.Load{Running: rng.IntN(8), Waiting: 10_000 * rng.IntN(2)}, later)
 		}
 		if full || chance(20) {
-			t.Load.recordRefusal(5*time.Second, now)
+			t.Load.recordRefusal(20*time.Second, now)
 		}
 		if chance(30) {
 			t.Load.RecordLimit(float64(1 + rng.IntN(5)))
-			t.Load.nextCallerPermit.Store(now.Add(time.Duration(rng.IntN(2)) * 5 * time.Second).UnixNano())
+			t.Load.nextCallerPermit.Store(now.Add(time.Duration(rng.IntN(2)) * 20 * time.Second).UnixNano())
 		}
 		t.Load.suspects.Store(int32(rng.IntN(2)))
 	}
@@ -113,3 +116,17 @@
 	}
 	require.NotZero(t, refused)
 }
+
+// TestExplanationOfWait guards against a refusal, or a server without a reason, in the
+// explanation of a request that waits for room.
+func TestExplanationOfWait(t *testing.T) {
+	p := testPlan(2, 1)
+	for _, target := range p.Services["s"] {
+		target.Load.recordRefusal(100*time.Second, time.Now())
+	}
+	p.Desired.Routes[0].Timeout = time.Hour
+	e, err := testForwarder(nil, p).Explain(context.Background(), &Request{ID: "q", Host: "h", Path: "/x"})
+	require.NoError(t, err)
+	require.InDelta(t, 100_000, e.WaitMS, 50_000)
+	require.NotEmpty(t, e.Servers[0].LeftOut)
+}
