--- a/scaling/decide.go
+++ b/scaling/decide.go
@@ -19,7 +19,9 @@
 type Service struct {
 	Bounds desired.Scaling
 	Need   Need
+	Level  *Level
 	Slots  int     // of one server
+	Limit  int     // engines that can load each version, 0 if there is no limit
 	Others int     // servers that do not leave in zones that the bounds do not name
 	Groups []Group // both kinds in each zone of the bounds
 }
@@ -35,7 +37,7 @@
 type Decision struct {
 	Orders  []Due
 	Wake    time.Duration // when to decide again at the latest, 0 if not stated
-	Needed  int           // servers for the peak
+	Needed  int           // servers for all work
 	Present int           // servers that do not leave
 	Wanted  int           // servers that are wanted and can be ordered
 }
@@ -44,18 +46,25 @@
 // because the servers that are present may just have a pause. It records in the orders since when servers differ
 // from what is wanted.
 func Decide(now time.Duration, s Service) Decision {
-	in := Input{Bounds: s.Bounds, Need: s.Need, Slots: s.Slots, Others: s.Others}
-	d := Decision{Needed: in.Servers(), Present: s.Others, Wanted: s.Others}
 	if !s.Need.Shown {
 		return Decision{}
 	}
+	in := Input{Bounds: s.Bounds, Others: s.Others}
+	d := Decision{Present: s.Others, Wanted: s.Others}
+	inForce, ordinary := s.Others, s.Others
 	groups := s.byZone()
 	for _, pair := range groups {
 		z := Zone{Name: pair[0].Order.Zone, Price: s.Bounds.ZonePrices[pair[0].Order.Zone]}
 		z.Ordinary, z.Spot = pair[0].supply(now), pair[1].supply(now)
 		d.Present += z.Ordinary.Present + z.Spot.Present
+		inForce += z.Ordinary.InForce + z.Spot.InForce
+		ordinary += z.Ordinary.InForce
 		in.Zones = append(in.Zones, z)
 	}
+	in.Due, in.Total = s.Level.wanted(now, situation{
+		need: s.Need, slots: s.Slots, present: d.Present, inForce: inForce, ordinary: ordinary, startup: s.Bounds.StartupTime, limit: s.Limit,
+	})
+	d.Needed = in.Total
 	targets := Plan(in)
 	spare := max(0, d.Present-d.Needed)
 	for i, pair := range groups {
--- a/scaling/demand.go
+++ b/scaling/demand.go
@@ -1,17 +1,10 @@
 package scaling
 
-import (
-	"math"
-	"time"
-)
-
-const (
-	// peakMemory is the time for which a peak counts. Trainers submit about every 4 s, and
-	// one that is late up to 12 s after its last submission.
-	peakMemory = 20 * time.Second
-	// baseTime is the time constant of the mean load. It spans several submissions.
-	baseTime = 30 * time.Second
-)
+import "time"
+
+// peakMemory is the time for which a peak counts. Trainers submit about every 4 s, and one
+// that is late up to 12 s after its last submission.
+const peakMemory = 20 * time.Second
 
 // Peak is the maximum of a value over the last peakMemory.
 type Peak struct{ samples []sample } // values fall from the oldest to the newest
@@ -43,13 +36,27 @@
 
 // Demand is the recent demand for the slots of a service.
 type Demand struct {
-	models map[string]*Peak // of the open items, by model
-	direct Peak             // of requests that are not items
-	mean   float64          // smoothed load
-	since  time.Duration
-	seenAt time.Duration // last observation
-	seen   bool
-	shown  bool // there has been some load
+	models map[string]*Peak  // of the open items, by model
+	direct Peak              // of requests that are not items
+	steps  map[string]*steps // by model
+	shown  bool              // there has been some load
+}
+
+// steps are the last two steps of a model.
+type steps struct {
+	last, previous Step
+	late           Step // the one that is overdue, as far as it took
+	seenAt         time.Duration
+}
+
+// Step is the time that a step took, and the time after its submission at which it was due.
+type Step struct{ Took, Target time.Duration }
+
+func (s Step) share() float64 {
+	if s.Target <= 0 {
+		return 0
+	}
+	return s.Took.Seconds() / s.Target.Seconds()
 }
 
 // Load is what a service has to do at a moment. Submissions and open items are those of lots.
@@ -57,12 +64,14 @@
 	Open    map[string]float64 // items without a result, by model
 	Largest map[string]float64 // items of the largest lot that was seen first since the last observation, by model
 	Direct  float64            // requests in flight that are not items
+	Steps   map[string]Step    // last step that was ready, by model
+	Late    map[string]Step    // step that is overdue, by model
 }
 
 // Observe records the load at a moment.
 func (d *Demand) Observe(now time.Duration, l Load) {
 	if d.models == nil {
-		d.models, d.since = make(map[string]*Peak), now
+		d.models, d.steps = make(map[string]*Peak), make(map[string]*steps)
 	}
 	total := l.Direct
 	for model, open := range l.Open {
@@ -78,12 +87,7 @@
 		}
 	}
 	d.direct.Observe(now, l.Direct)
-	if d.seen {
-		// The mean begins as that of the time observed so far, so that it is not too low at first.
-		weight := 1 - math.Exp(-float64(now-d.seenAt)/float64(min(baseTime, max(time.Second, now-d.since))))
-		d.mean += weight * (total - d.mean)
-	}
-	d.seen, d.seenAt = true, now
+	d.observeSteps(now, l)
 	if total > 0 {
 		d.shown = true
 	}
@@ -98,13 +102,59 @@
 	p.Observe(now, value)
 }
 
+// observeSteps records the steps of models. A step whose time equals that of the one before is
+// the same step.
+func (d *Demand) observeSteps(now time.Duration, l Load) {
+	record := func(model string) *steps {
+		if d.steps[model] == nil {
+			d.steps[model] = new(steps)
+		}
+		d.steps[model].seenAt = now
+		return d.steps[model]
+	}
+	for _, s := range d.steps {
+		s.late = Step{}
+	}
+	for model, step := range l.Steps {
+		if s := record(model); s.last != step {
+			s.previous, s.last = s.last, step
+		}
+	}
+	for model, late := range l.Late {
+		record(model).late = late
+	}
+	for model, s := range d.steps {
+		if now-s.seenAt > peakMemory {
+			delete(d.steps, model)
+		}
+	}
+}
+
+// pressure returns the time of the steps of the model that is the furthest behind, as a share of
+// the completion target. Two steps must have taken as long, because one may be late for a
+// failure that more servers do not mend.
+func (d *Demand) pressure() (share float64, longest time.Duration) {
+	for _, s := range d.steps {
+		behind := s.late.share()
+		if s.last != (Step{}) {
+			behind = min(s.last.share(), max(s.previous.share(), behind))
+		}
+		share = max(share, behind)
+		for _, step := range []Step{s.last, s.late} {
+			// The time of a late step is bounded: the next steps need not be as late.
+			longest = max(longest, step.Target, min(step.Took, 2*step.Target))
+		}
+	}
+	return share, longest
+}
+
 // Need returns the demand. All models may submit at the same time, so their peaks are added.
 func (d *Demand) Need(now time.Duration) Need {
 	direct := d.direct.Max(now)
-	n := Need{Peak: direct, Base: d.mean, Shown: d.shown}
+	n := Need{Peak: direct, Direct: direct, Shown: d.shown}
+	n.Pressure, n.Step = d.pressure()
 	for _, p := range d.models {
 		n.Peak += p.Max(now)
 	}
-	n.Base = min(n.Base, n.Peak)
 	return n
 }
--- /dev/null
+++ b/scaling/level.go
@@ -0,0 +1,139 @@
+package scaling
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// calmShare is the share of the completion target within which steps are ready well before
+	// they are due: the present servers suffice.
+	calmShare = 2.0 / 3
+	// closeShare is the share of the completion target from which steps are close to the due
+	// time. It exceeds calmShare, so that the variation between steps orders nothing.
+	closeShare = 0.85
+	// maxRaise is the share of the servers by which a service grows at a time. Engines that
+	// start take loads and items from the others, and the effect is seen a step later.
+	maxRaise = 0.25
+	// maxSpotShare is the share of the servers of a service that may be spot servers: the
+	// platform may reclaim those of all zones at once.
+	maxSpotShare = 0.25
+	// lowShare is the share of the former demand below which it is clearly lower.
+	lowShare = 0.5
+	// lowDelay is the time for which the demand must be clearly lower until fewer servers are
+	// wanted. Trainers pause for several steps, for instance after a failure.
+	lowDelay = 60 * time.Second
+	// versionsPerLoad is the number of versions for which an engine needs one load: it may
+	// lag behind by one version.
+	versionsPerLoad = 2
+)
+
+// LoadLimit returns the number of engines that can be kept at the versions that trainers name,
+// 0 if it is not known. Loads at once take loadTime each, so atOnce*interval/loadTime of them
+// end between two versions, and an engine needs one load per versionsPerLoad versions.
+func LoadLimit(atOnce int, interval, loadTime time.Duration) int {
+	if atOnce <= 0 || interval <= 0 || loadTime <= 0 {
+		return 0
+	}
+	return int(min(math.MaxInt32, versionsPerLoad*float64(atOnce)*float64(interval)/float64(loadTime)))
+}
+
+// Level is the number of servers that a service has in calm, and the demand that they served.
+type Level struct {
+	Servers int // in calm, with those that were ordered for due work since
+	Start   int // servers present at the start
+	Demand  float64
+
+	since    time.Duration // first observation
+	seen     bool
+	lacks    Peak          // negative numbers of the ordinary servers present
+	lowSince time.Duration // since when the demand is clearly lower, 0 if it is not
+	recent   lowDemand
+	EffectAt time.Duration // when steps show the effect of the last change of the servers
+	// Continue is set when orders of another process were read: their servers may still start.
+	Continue bool
+}
+
+// lowDemand is the maximum of the demand in the current and in the previous lowDelay.
+type lowDemand struct {
+	at                time.Duration
+	current, previous float64
+}
+
+func (l *lowDemand) observe(now time.Duration, demand float64) {
+	if now-l.at >= lowDelay {
+		l.at, l.previous, l.current = now, l.current, 0
+	}
+	l.current = max(l.current, demand)
+}
+
+// Observe records the servers present. Those of the first peakMemory are the servers in calm;
+// a larger number of ordinary servers must have been present all through peakMemory, because a
+// late order may bring servers that are removed again.
+func (l *Level) Observe(now time.Duration, ordinary, spot int) {
+	if !l.seen {
+		l.seen, l.since = true, now
+	}
+	l.lacks.Observe(now, -float64(ordinary))
+	if now < l.since+peakMemory {
+		l.Start = max(l.Start, ordinary+spot)
+		l.Servers = max(l.Servers, l.Start)
+		return
+	}
+	l.Servers = max(l.Servers, -int(l.lacks.Max(now)))
+}
+
+// situation is what the wanted number of servers depends on.
+type situation struct {
+	need             Need
+	slots            int
+	present, inForce int           // servers of both kinds
+	ordinary         int           // ordinary servers in force
+	startup          time.Duration // of a server
+	limit            int           // engines that can load each version, 0 if there is no limit
+}
+
+// wanted returns the servers that due work needs, and those that all work needs. It records
+// the servers in calm.
+func (l *Level) wanted(now time.Duration, s situation) (due, total int) {
+	l.Demand = max(l.Demand, s.need.Peak)
+	most := servers(s.need.Peak, s.slots) // more slots than items never help
+	if s.limit > 0 {
+		most = min(most, s.limit)
+	}
+	effect := now + s.startup + s.need.Step
+	if l.Continue {
+		l.Continue, l.EffectAt, l.Servers = false, max(l.EffectAt, effect), max(l.Servers, s.ordinary)
+	}
+	switch {
+	case s.present < min(l.Servers, s.inForce):
+		// Steps are late because servers are missing, and the number is restored first.
+		l.EffectAt = max(l.EffectAt, effect)
+	case now >= l.EffectAt && s.need.Pressure >= closeShare && l.Servers < most:
+		share := min(maxRaise, s.need.Pressure/closeShare-1)
+		l.Servers = min(most, l.Servers+max(1, int(share*float64(s.present))))
+		l.EffectAt = effect
+	}
+	due = l.lowered(now, s.need.Peak)
+	total = max(due, servers(s.need.Direct, s.slots))
+	if s.limit > 0 {
+		total = max(due, min(total, s.limit))
+	}
+	return due, total
+}
+
+// lowered returns the servers in calm, or the part of them that the demand needs if it has been
+// clearly lower for some time.
+func (l *Level) lowered(now time.Duration, demand float64) int {
+	l.recent.observe(now, demand)
+	switch {
+	case demand > lowShare*l.Demand:
+		l.lowSince = 0
+	case l.lowSince == 0:
+		l.lowSince = now
+	}
+	if l.lowSince == 0 || now < l.lowSince+lowDelay || l.Demand <= 0 {
+		return l.Servers
+	}
+	return int(math.Ceil(float64(l.Servers) * min(1, max(l.recent.current, l.recent.previous)/l.Demand)))
+}
--- a/scaling/order.go
+++ b/scaling/order.go
@@ -16,6 +16,10 @@
 	// startupMargin is the time beyond the startup time after which servers that were ordered
 	// are considered missing. Records of servers arrive up to a second late.
 	startupMargin = 1500 * time.Millisecond
+	// lossDelay is the time for which servers must be missing until they are replaced, unless
+	// they announced that they leave. Live servers write an expired record again within two
+	// seconds.
+	lossDelay = 2500 * time.Millisecond
 	// excessDelay is the time after an order of fewer servers after which those that are still
 	// present are considered ordered by a late call.
 	excessDelay = 10 * time.Second
@@ -60,7 +64,7 @@
 // Observed is what is known of the servers that an order is about.
 type Observed struct {
 	Present      int
-	LeavingSince time.Duration // when the newest spot server began to leave, 0 if none leaves
+	LeavingSince time.Duration // when the newest leaving server began to leave, 0 if none leaves
 	Spare        int           // servers of the service that may be removed without need for them
 	Over         bool          // both kinds together exceed the maximum
 	Startup      time.Duration
@@ -103,14 +107,18 @@
 		}
 		return number, reason, 0
 	}
-	short := o.Ordered && seen.Present < min(o.Number, want)
+	short := seen.Present < min(inForce, want)
+	started := time.Duration(0) // when the servers of the last order must be present
+	if o.Ordered {
+		started = o.At + seen.Startup + startupMargin
+	}
 	switch {
 	case want > inForce:
 		return due(0, max(want, o.floor(seen)), ReasonRaise)
-	case short && o.Spot && o.At < seen.LeavingSince:
-		return due(0, o.Number, ReasonRepeat) // reclaimed since the order
+	case short && o.At < seen.LeavingSince:
+		return due(0, inForce, ReasonRepeat) // reclaimed or taken away since the order
 	case short:
-		return due(max(o.At, o.ShortSince)+seen.Startup+startupMargin, o.Number, ReasonRepeat)
+		return due(max(started, o.ShortSince+lossDelay), inForce, ReasonRepeat)
 	case o.LowerSince > 0 && seen.Over:
 		return due(o.LowerSince+lowerDelay, want, ReasonLower)
 	case o.LowerSince > 0 && o.clearlyLower(inForce):
@@ -151,7 +159,7 @@
 		o.LowerMost = max(o.LowerMost, want)
 	}
 	switch {
-	case !o.Ordered || seen.Present >= o.Number:
+	case seen.Present >= inForce:
 		o.ShortSince, o.Undelivered = 0, 0
 	case o.ShortSince == 0:
 		o.ShortSince = now
--- a/system/duty/scaling.go
+++ b/system/duty/scaling.go
@@ -118,6 +118,9 @@
 		o.Service, o.Zone, o.Spot, o.Version = stored.Service, stored.Zone, stored.Spot, stored.Version
 		if stored.Valid && stored.Fence != s.Fence {
 			o.Ordered, o.Number, o.At = true, stored.Number, now
+			if row := s.Services.Find(stored.Service); row != nil {
+				row.Level.Continue = true
+			}
 		}
 	}
 }
@@ -125,12 +128,15 @@
 // scaleService gives the orders for a service that are due.
 func scaleService(now time.Duration, t *table.Tables, service string, bounds *desired.Scaling, row *table.ScaledService, out *command.Outbox) {
 	s := &t.Duties.Scaling
-	d := scaling.Decide(now, viewService(now, t, service, bounds, row))
+	view := viewService(now, t, service, bounds, row)
+	need := view.Need
+	d := scaling.Decide(now, view)
 	if d.Wake > 0 {
 		out.WakeAt(d.Wake)
 	}
 	figures := []command.Field{
-		field("peak_slots", strconv.Itoa(int(row.Demand.Need(now).Peak))), field("base_slots", strconv.Itoa(int(row.Demand.Need(now).Base))),
+		field("peak_slots", strconv.Itoa(int(need.Peak))), field("direct_slots", strconv.Itoa(int(need.Direct))),
+		field("step_percent_of_target", strconv.Itoa(int(100*need.Pressure))), field("load_limit", strconv.Itoa(view.Limit)),
 		field("slots_per_server", strconv.Itoa(row.Slots)), field("servers_needed", strconv.Itoa(d.Needed)),
 		field("servers_present", strconv.Itoa(d.Present)), field("servers_wanted", strconv.Itoa(d.Wanted)),
 	}
@@ -150,7 +156,7 @@
 // viewService returns what the decision for a service is made from.
 func viewService(now time.Duration, t *table.Tables, service string, bounds *desired.Scaling, row *table.ScaledService) scaling.Service {
 	s := &t.Duties.Scaling
-	v := scaling.Service{Bounds: *bounds, Need: row.Demand.Need(now), Slots: row.Slots}
+	v := scaling.Service{Bounds: *bounds, Need: row.Demand.Need(now), Level: &row.Level, Slots: row.Slots, Limit: loadLimit(&t.Rollout, row, service)}
 	var keys []string
 	for _, zone := range slices.Sorted(maps.Keys(bounds.ZonePrices)) {
 		for _, spot := range []bool{false, true} {
@@ -184,7 +190,7 @@
 	return v
 }
 
-// logShort reports when the servers that can be ordered cease to suffice for the peak, and when
+// logShort reports when the servers that can be ordered cease to suffice, and when
 // they suffice again.
 func logShort(row *table.ScaledService, service string, d *scaling.Decision, figures []command.Field, out *command.Outbox) {
 	if short := d.Wanted < d.Needed; short == row.Short {
--- a/system/duty/scaling_demand.go
+++ b/system/duty/scaling_demand.go
@@ -9,6 +9,7 @@
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/scaling"
+	"github.com/lavenderstand/lavenderstand/system/rollout"
 	"github.com/lavenderstand/lavenderstand/table"
 )
 
@@ -20,6 +21,13 @@
 // of one server do not have the most servers ordered.
 const maxLoadPerSlot = 4
 
+// lateOpenShare is the share of its items that an overdue lot must have open. A trainer does not
+// wait for the last groups of a lot.
+const lateOpenShare = 0.5
+
+// intervalSmoothing is the weight of the newest interval between two versions of a model.
+const intervalSmoothing = 0.3
+
 // ordersServers reports whether servers are to be ordered in this deployment.
 func ordersServers(t *table.Tables) bool {
 	d := &t.Duties.Settings
@@ -47,10 +55,12 @@
 		return
 	}
 	loads := lotLoads(s.ObservedAt, t, scaled)
+	observeSteps(now, t, scaled, loads)
 	out.WakeAt(now + demandInterval)
 	for _, service := range scaled {
 		row, _ := s.Services.Upsert(service.Name)
 		observe(now, r, row, service.Name, loads[service.Name])
+		observeNamed(r, row, service.Models)
 	}
 	s.ObservedAt = now
 }
@@ -81,7 +91,7 @@
 // observe records the load of a service. The load that its servers report includes the items
 // that run, so that only what exceeds the open items is counted as requests.
 func observe(now time.Duration, r *table.Rollout, row *table.ScaledService, service string, l scaling.Load) {
-	reported, open := 0, 0.0
+	reported, open, ordinary, spot := 0, 0.0, 0, 0
 	var slots []int
 	for _, s := range r.Servers.All() {
 		if s.Service != service {
@@ -90,8 +100,16 @@
 		reported += min(s.Load.TakePeak(), maxLoadPerSlot*s.Slots)
 		if !s.Leaving {
 			slots = append(slots, s.Slots)
+			if s.Spot {
+				spot++
+			} else {
+				ordinary++
+			}
 		}
 	}
+	if listCurrent(now, r) {
+		row.Level.Observe(now, ordinary, spot)
+	}
 	if len(slots) > 0 { // the median, so that one odd record has no effect
 		slices.Sort(slots)
 		row.Slots = slots[len(slots)/2]
@@ -119,7 +137,7 @@
 		}
 		load, ok := loads[service]
 		if !ok {
-			load = scaling.Load{Open: make(map[string]float64), Largest: make(map[string]float64)}
+			load = newLoad()
 			loads[service] = load
 		}
 		load.Open[l.Head.Model] += float64(open)
@@ -130,6 +148,103 @@
 	return loads
 }
 
+func newLoad() scaling.Load {
+	return scaling.Load{
+		Open: make(map[string]float64), Largest: make(map[string]float64),
+		Steps: make(map[string]scaling.Step), Late: make(map[string]scaling.Step),
+	}
+}
+
+// observeSteps records the last step of each model that was ready, and the newest lots that are
+// overdue.
+func observeSteps(now time.Duration, t *table.Tables, scaled []desired.Service, loads map[string]scaling.Load) {
+	newest, published := make(map[string]*table.Lot), make(map[string]*table.Lot)
+	for _, l := range t.Rollout.Lots.All() {
+		model := l.Head.Model
+		if n := newest[model]; n == nil || n.Head.AcceptedUnixMS < l.Head.AcceptedUnixMS {
+			newest[model] = l
+		}
+		if p := published[model]; l.Head.ReadyMS > 0 && (p == nil || p.Head.AcceptedUnixMS < l.Head.AcceptedUnixMS) {
+			published[model] = l
+		}
+	}
+	for model, l := range newest {
+		service := serviceOfModel(t.Rollout.Desired, scaled, model)
+		if service == "" {
+			continue
+		}
+		load, ok := loads[service]
+		if !ok {
+			load = newLoad()
+			loads[service] = load
+		}
+		target := completionTarget(t.Rollout.Desired, service)
+		if p := published[model]; p != nil {
+			load.Steps[model] = scaling.Step{Took: time.Duration(p.Head.ReadyMS) * time.Millisecond, Target: target}
+		}
+		open := float64(l.Head.Total - l.Head.Listed)
+		if age := now - l.SeenAt; l.Head.Open() && age > target && open > lateOpenShare*float64(l.Head.Total) {
+			load.Late[model] = scaling.Step{Took: age, Target: target}
+		}
+	}
+}
+
+// completionTarget returns the shortest time in which lots on a service are due.
+func completionTarget(d *desired.State, service string) time.Duration {
+	shortest := time.Duration(0)
+	for i := range d.Routes {
+		route := &d.Routes[i]
+		offers := slices.ContainsFunc(route.Services, func(s desired.WeightedService) bool { return s.Service == service })
+		if target := rollout.CompletionTarget(route); route.Kind == desired.KindRollout && offers && (shortest == 0 || target < shortest) {
+			shortest = target
+		}
+	}
+	if shortest == 0 {
+		return rollout.CompletionTarget(nil)
+	}
+	return shortest
+}
+
+// observeNamed records the intervals between the versions of a service's models.
+func observeNamed(r *table.Rollout, row *table.ScaledService, models []string) {
+	if row.Named == nil {
+		row.Named = make(map[string]table.NamedVersions)
+	}
+	for _, model := range models {
+		m, seen := r.Models.Find(model), row.Named[model]
+		if m == nil || m.NamedVersion <= seen.Version {
+			continue
+		}
+		if seen.Version > 0 {
+			interval := float64(m.NamedAt-seen.At) / float64(m.NamedVersion-seen.Version)
+			if seen.Interval > 0 {
+				interval = float64(seen.Interval) + intervalSmoothing*(interval-float64(seen.Interval))
+			}
+			seen.Interval = time.Duration(interval)
+		}
+		seen.Version, seen.At = m.NamedVersion, m.NamedAt
+		row.Named[model] = seen
+	}
+}
+
+// loadLimit returns the number of engines of a service that can load each version, 0 if there
+// is no limit. The load time is known for the loads at once that the engines at the start need;
+// it is not known whether more of them would slow each other down.
+func loadLimit(r *table.Rollout, row *table.ScaledService, service string) int {
+	perSecond, models := 0.0, 0 // versions of all models
+	for _, n := range row.Named {
+		models++
+		if n.Interval > 0 {
+			perSecond += 1 / n.Interval.Seconds()
+		}
+	}
+	if perSecond == 0 {
+		return 0
+	}
+	interval := time.Duration(float64(models) / perSecond * float64(time.Second))
+	return scaling.LoadLimit(rollout.LoadsAtOnce(row.Level.Start), interval, rollout.ExpectedLoad(r, service))
+}
+
 // serviceOfModel returns the scaled service that runs the items of a model, empty if there is
 // none. Items without a model run on a service of a rollout route that offers no models.
 func serviceOfModel(d *desired.State, scaled []desired.Service, model string) string {
--- a/system/rollout/forecast.go
+++ b/system/rollout/forecast.go
@@ -94,8 +94,13 @@
 
 // lotDue returns the time at which all results of a lot are due.
 func lotDue(l *table.Lot, route *desired.Route) time.Duration {
+	return l.SeenAt + CompletionTarget(route)
+}
+
+// CompletionTarget returns the time after its submission at which a lot of a route is due.
+func CompletionTarget(route *desired.Route) time.Duration {
 	if route == nil || route.CompletionTarget <= 0 {
-		return l.SeenAt + defaultCompletionTarget
+		return defaultCompletionTarget
 	}
-	return l.SeenAt + route.CompletionTarget
+	return route.CompletionTarget
 }
--- a/system/rollout/weights.go
+++ b/system/rollout/weights.go
@@ -75,7 +75,7 @@
 			loading++
 		}
 	}
-	limit := max(minConcurrentLoads, len(servers)/enginesPerLoad)
+	limit := LoadsAtOnce(len(servers))
 	byModel := loadsByModel(now, servers)
 	for _, s := range servers {
 		model := s.PreferredModel
@@ -140,6 +140,19 @@
 	return items
 }
 
+// LoadsAtOnce returns the number of engines of a service that may load weights at the same
+// time if its lots need the given number.
+func LoadsAtOnce(engines int) int { return max(minConcurrentLoads, engines/enginesPerLoad) }
+
+// ExpectedLoad returns the expected time of a load of weights on an engine of a service. One
+// that has not been measured counts as long as it may take.
+func ExpectedLoad(r *table.Rollout, service string) time.Duration {
+	if took := r.LoadTimes[service]; took > 0 {
+		return took
+	}
+	return loadTimeout
+}
+
 // isLoading reports whether a server may still be loading the version of its newest
 // order.
 func isLoading(now time.Duration, s *table.Server) bool {
--- a/table/scaling.go
+++ b/table/scaling.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lavenderstand/lavenderstand/registry"
 	"github.com/lavenderstand/lavenderstand/scaling"
 )
 
@@ -23,8 +24,17 @@
 // ScaledService is the demand for a service whose servers may be ordered.
 type ScaledService struct {
 	Demand scaling.Demand
-	Open   float64 // open items at the last observation
-	Slots  int     // of a server, the median; 0 if none has been seen
+	Level  scaling.Level
+	Named  map[string]NamedVersions // by model
+	Open   float64                  // open items at the last observation
+	Slots  int                      // of a server, the median; 0 if none has been seen
 	// Short is set while the servers that can be ordered do not suffice for the peak.
 	Short bool
 }
+
+// NamedVersions is the rate at which a trainer names versions of its model.
+type NamedVersions struct {
+	Version  registry.Version
+	At       time.Duration
+	Interval time.Duration // mean time between two versions, 0 if unknown
+}
