--- a/scaling/level.go
+++ b/scaling/level.go
@@ -6,11 +6,9 @@
 )
 
 const (
-	// calmShare is the share of the completion target within which steps are ready well before
-	// they are due: the present servers suffice.
-	calmShare = 2.0 / 3
 	// closeShare is the share of the completion target from which steps are close to the due
-	// time. It exceeds calmShare, so that the variation between steps orders nothing.
+	// time. Below two thirds they are ready well before it; the range between orders nothing,
+	// so that the variation between steps does not.
 	closeShare = 0.85
 	// maxRaise is the share of the servers by which a service grows at a time. Engines that
 	// start take loads and items from the others, and the effect is seen a step later.
@@ -23,6 +21,11 @@
 	// lowDelay is the time for which the demand must be clearly lower until fewer servers are
 	// wanted. Trainers pause for several steps, for instance after a failure.
 	lowDelay = 60 * time.Second
+	// noEffectDelay is the time without a raise after one that did not make steps faster. It
+	// spans several steps, so that a fault of that time can end. It is doubled up to
+	// maxNoEffectDoublings times if that happens again.
+	noEffectDelay        = 60 * time.Second
+	maxNoEffectDoublings = 4
 	// versionsPerLoad is the number of versions for which an engine needs one load: it may
 	// lag behind by one version.
 	versionsPerLoad = 2
@@ -38,20 +41,48 @@
 	return int(min(math.MaxInt32, versionsPerLoad*float64(atOnce)*float64(interval)/float64(loadTime)))
 }
 
-// Level is the number of servers that a service has in calm, and the demand that they served.
+// Level is the number of servers that a service has in calm, and the demand that they serve.
 type Level struct {
-	Servers int // in calm, with those that were ordered for due work since
-	Start   int // servers present at the start
-	Demand  float64
+	Servers int     // in calm, with those that were ordered for due work since
+	Start   int     // servers present at the start
+	Demand  float64 // slots that were needed for lowDelay on end, 0 before
 
-	since    time.Duration // first observation
-	seen     bool
-	lacks    Peak          // negative numbers of the ordinary servers present
-	lowSince time.Duration // since when the demand is clearly lower, 0 if it is not
-	recent   lowDemand
 	EffectAt time.Duration // when steps show the effect of the last change of the servers
 	// Continue is set when orders of another process were read: their servers may still start.
 	Continue bool
+
+	since           time.Duration // first observation
+	seen            bool
+	present, demand sustained
+	lowSince        time.Duration // since when the demand is clearly lower, 0 if it is not
+	recent          lowDemand
+	raised          Need // at the last raise, zero if it had no effect
+	fruitless       int  // raises without effect since one that had some
+}
+
+// sustained is the least value since a value exceeds a bound.
+type sustained struct {
+	above bool
+	since time.Duration
+	least float64
+}
+
+// exceeds returns the least value that was observed for lowDelay if all exceeded the bound, and
+// the bound otherwise.
+func (s *sustained) exceeds(now time.Duration, value, bound float64) float64 {
+	switch {
+	case value <= bound:
+		s.above = false
+		return bound
+	case !s.above:
+		*s = sustained{above: true, since: now, least: value}
+	}
+	s.least = min(s.least, value)
+	if now < s.since+lowDelay {
+		return bound
+	}
+	s.above = false
+	return s.least
 }
 
 // lowDemand is the maximum of the demand in the current and in the previous lowDelay.
@@ -67,20 +98,22 @@
 	l.current = max(l.current, demand)
 }
 
-// Observe records the servers present. Those of the first peakMemory are the servers in calm;
-// a larger number of ordinary servers must have been present all through peakMemory, because a
-// late order may bring servers that are removed again.
+// max returns the maximum of at least the last lowDelay.
+func (l *lowDemand) max() float64 { return max(l.current, l.previous) }
+
+// Observe records the servers present. Those of the first peakMemory are the servers in calm. A
+// larger number of ordinary servers must be present for lowDelay: those that replaced others or
+// that a late order brought are removed before.
 func (l *Level) Observe(now time.Duration, ordinary, spot int) {
 	if !l.seen {
 		l.seen, l.since = true, now
 	}
-	l.lacks.Observe(now, -float64(ordinary))
 	if now < l.since+peakMemory {
 		l.Start = max(l.Start, ordinary+spot)
 		l.Servers = max(l.Servers, l.Start)
 		return
 	}
-	l.Servers = max(l.Servers, -int(l.lacks.Max(now)))
+	l.Servers = int(l.present.exceeds(now, float64(ordinary), float64(l.Servers)))
 }
 
 // situation is what the wanted number of servers depends on.
@@ -96,7 +129,8 @@
 // wanted returns the servers that due work needs, and those that all work needs. It records
 // the servers in calm.
 func (l *Level) wanted(now time.Duration, s situation) (due, total int) {
-	l.Demand = max(l.Demand, s.need.Peak)
+	// A burst, such as after an outage, is no measure of what is clearly lower.
+	l.Demand = l.demand.exceeds(now, s.need.Peak, l.Demand)
 	most := servers(s.need.Peak, s.slots) // more slots than items never help
 	if s.limit > 0 {
 		most = min(most, s.limit)
@@ -111,11 +145,23 @@
 		l.EffectAt = max(l.EffectAt, effect)
 	case now >= l.EffectAt && s.need.Pressure >= closeShare && l.Servers < most:
 		share := min(maxRaise, s.need.Pressure/closeShare-1)
+		if l.raised.Pressure > 0 && s.need.Pressure >= l.raised.Pressure && s.need.Peak <= l.raised.Peak {
+			// Steps are late for another reason than too few servers.
+			l.raised, l.EffectAt = Need{}, now+noEffectDelay<<min(l.fruitless, maxNoEffectDoublings)
+			l.fruitless++
+			break
+		}
+		if l.raised.Pressure > 0 {
+			l.fruitless = 0
+		}
 		l.Servers = min(most, l.Servers+max(1, int(share*float64(s.present))))
-		l.EffectAt = effect
+		l.raised, l.EffectAt = s.need, effect
 	}
 	due = l.lowered(now, s.need.Peak)
 	total = max(due, servers(s.need.Direct, s.slots))
+	if s.need.Step > 0 { // servers that start also take loads from those that run due work
+		total = min(total, due+int(maxRaise*float64(due)))
+	}
 	if s.limit > 0 {
 		total = max(due, min(total, s.limit))
 	}
@@ -132,8 +178,12 @@
 	case l.lowSince == 0:
 		l.lowSince = now
 	}
-	if l.lowSince == 0 || now < l.lowSince+lowDelay || l.Demand <= 0 {
+	if l.lowSince == 0 || now < l.lowSince+lowDelay {
 		return l.Servers
 	}
-	return int(math.Ceil(float64(l.Servers) * min(1, max(l.recent.current, l.recent.previous)/l.Demand)))
+	most := l.recent.max()
+	if most == 0 {
+		return 0
+	}
+	return int(math.Ceil(float64(l.Servers) * most / max(most, l.Demand)))
 }
--- a/scaling/replay_test.go
+++ b/scaling/replay_test.go
@@ -17,8 +17,6 @@
 	tick   = 250 * time.Millisecond
 	target = 7500 * time.Millisecond // until a step is due
 	period = 4 * time.Second         // between two submissions of a trainer
-	// shortest is the time of a step with slots for all its items.
-	shortest = 1500 * time.Millisecond
 )
 
 // group is the servers of one kind in a zone of a simulated platform.
@@ -50,8 +48,9 @@
 	jobs   map[string]*job // by model
 	next   map[string]time.Duration
 	steps  map[string]scaling.Step
-	work   float64 // slot seconds of an item
-	direct float64 // requests that are not items
+	work   float64       // slot seconds of an item
+	least  time.Duration // shortest time of a step, also with enough slots
+	direct float64       // requests that are not items
 	list   func(real int) int
 	answer func(g *group, n int) (carriedOut, known bool)
 	never  bool    // the baseline: nothing is ordered
@@ -65,7 +64,7 @@
 
 func newWorld(t *testing.T) *world {
 	w := &world{
-		t: t, now: time.Second, groups: make(map[string]*group), work: 1,
+		t: t, now: time.Second, groups: make(map[string]*group), work: 1, least: 1500 * time.Millisecond,
 		jobs: make(map[string]*job), next: make(map[string]time.Duration), steps: make(map[string]scaling.Step),
 		bounds: desired.Scaling{Min: 1, Max: 40, StartupTime: 4 * time.Second, SpotPriceRatio: 0.22, ZonePrices: map[string]float64{"a": 1, "b": 0.85, "c": 1.2}},
 	}
@@ -124,7 +123,7 @@
 	}
 	for model, j := range w.jobs {
 		took := w.now + tick - j.began
-		if j.left <= 0 && took >= shortest {
+		if j.left <= 0 && took >= w.least {
 			w.steps[model] = scaling.Step{Took: took + time.Duration(w.ready)*time.Microsecond, Target: target}
 			w.ready++
 			if took > target {
@@ -286,6 +285,44 @@
 	}
 }
 
+// TestNoEffect guards against servers that are ordered again and again for steps that are late
+// for another reason than too few servers.
+func TestNoEffect(t *testing.T) {
+	w := newWorld(t)
+	w.least = 12 * time.Second
+	w.run(5*time.Minute, 4, 100)
+	require.LessOrEqual(t, len(w.raises), 4, "%v", w.log)
+	require.LessOrEqual(t, w.total(false), 30, "%v", w.log)
+}
+
+// TestShortBurst guards against servers that are given up because the demand of a burst, such as
+// after an outage, is taken for the usual one.
+func TestShortBurst(t *testing.T) {
+	w := newWorld(t)
+	w.run(2*time.Minute, 4, 100)
+	w.run(20*time.Second, 4, 400)
+	w.run(time.Minute, 4, 100)
+	before := w.total(false)
+	require.GreaterOrEqual(t, before, 15)
+	w.run(10*time.Minute, 4, 100)
+	require.GreaterOrEqual(t, w.total(false), before, "%v", w.log)
+}
+
+// TestReplacementsAreNoCalm guards against a number in calm that grows with each loss, because
+// servers were replaced in another zone and then in their own.
+func TestReplacementsAreNoCalm(t *testing.T) {
+	w := newWorld(t)
+	w.run(time.Minute, 4, 100)
+	for range 5 {
+		from := w.now
+		w.answer = func(g *group, _ int) (bool, bool) { return g.order.Zone != "b" || w.now > from+10*time.Second, true }
+		w.reclaim("b", false)
+		w.run(3*time.Minute, 4, 100)
+	}
+	require.LessOrEqual(t, w.total(false), 19, "less than a quarter more than 15: %v", w.log)
+	require.GreaterOrEqual(t, w.total(false), 15, "%v", w.log)
+}
+
 // TestLoadLimit guards against more engines than can load each version, and against a limit
 // that removes servers.
 func TestLoadLimit(t *testing.T) {
@@ -394,6 +431,7 @@
 	w := newWorld(t)
 	w.run(time.Minute, 4, 100)
 	w.direct = 150
+	clear(w.jobs)
 	for range 240 {
 		w.run(tick, 0, 0)
 		require.LessOrEqual(t, 4*w.total(true), w.total(true)+w.total(false)+10, "%v", w.log)
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -102,7 +102,7 @@
 
 // planOrdinary keeps the ordinary servers in force and adds or removes what differs from the
 // wanted number. Added servers go to the zones with the fewest, so that the loss of one zone
-// costs the least; the dearest zones are reduced first.
+// costs the least, and those with the most are reduced first.
 func planOrdinary(in *Input, zones []Zone, targets []Target) {
 	missing := in.Total - in.Others
 	for i, z := range zones {
@@ -123,12 +123,12 @@
 			}
 		}
 	}
-	for i := len(zones) - 1; i >= 0 && missing < 0; i-- {
-		if zones[i].Ordinary.Unavailable {
-			continue
+	for level := in.Bounds.Max; missing < 0 && level > in.Bounds.Min; level-- {
+		for i := len(zones) - 1; i >= 0; i-- {
+			if missing < 0 && !zones[i].Ordinary.Unavailable && targets[i].Ordinary == level {
+				targets[i].Ordinary--
+				missing++
+			}
 		}
-		n := min(-missing, max(0, targets[i].Ordinary-in.Bounds.Min))
-		targets[i].Ordinary -= n
-		missing += n
 	}
 }
--- a/system/duty/scaling_test.go
+++ b/system/duty/scaling_test.go
@@ -311,3 +311,61 @@
 	require.Zero(t, need("s"))
 	require.Zero(t, need("p"))
 }
+
+// TestStepsOfModels guards against steps whose times are not seen, against those of the services
+// of other routes, and against a raise for one late step.
+func TestStepsOfModels(t *testing.T) {
+	w := newOrderWorld(t)
+	r := &w.tables.Rollout
+	r.Desired.Routes = []desired.Route{
+		{Kind: desired.KindRollout, CompletionTarget: 8 * time.Second, Services: []desired.WeightedService{{Service: "s"}}},
+		{Kind: desired.KindRollout, CompletionTarget: time.Second, Services: []desired.WeightedService{{Service: "other"}}},
+	}
+	step := func(id string, accepted int64, ready, listed int) {
+		l, _ := r.Lots.Upsert(id)
+		*l = table.Lot{Head: lot.Head{ID: id, Model: "m", Total: 100, Listed: listed, AcceptedUnixMS: accepted, ReadyMS: ready}, SeenAt: w.now}
+		w.run(time.Second)
+	}
+	pressure := func() float64 { return w.tables.Duties.Scaling.Services.Find("s").Demand.Need(w.now).Pressure }
+	step("1", 1, 4_000, 0)
+	step("2", 2, 12_000, 0)
+	require.InDelta(t, 0.5, pressure(), 0.01, "one late step")
+	require.Empty(t, w.orders)
+	step("old", 1, 30_000, 0)
+	require.InDelta(t, 0.5, pressure(), 0.01, "of a lot before")
+	step("3", 3, 10_000, 0)
+	require.InDelta(t, 1.25, pressure(), 0.01)
+	w.run(time.Second)
+	require.NotEmpty(t, w.orders)
+	step("4", 4, 4_000, 60)
+	step("5", 5, 4_001, 60)
+	r.Lots.Find("5").SeenAt = w.now - time.Minute
+	w.run(time.Second)
+	require.InDelta(t, 0.5, pressure(), 0.01, "a trainer does not wait for the last items")
+}
+
+// TestLoadLimitOfEngines guards against a limit that does not follow the versions named and the
+// measured load time, and against one for services without models.
+func TestLoadLimitOfEngines(t *testing.T) {
+	w := newOrderWorld(t)
+	r := &w.tables.Rollout
+	limit := func() int { return loadLimit(r, w.tables.Duties.Scaling.Services.Find("s"), "s") }
+	m, _ := r.Models.Upsert("m")
+	for version := range 5 {
+		m.NamedVersion, m.NamedAt = registry.Version(version+1), w.now
+		w.run(4 * time.Second)
+		if version == 0 {
+			require.Zero(t, limit(), "the interval is unknown")
+		}
+	}
+	require.Equal(t, 12, limit(), "9 engines, 2 loads at once of at most 1.3 s")
+	r.LoadTimes = map[string]time.Duration{"s": 800 * time.Millisecond}
+	require.Equal(t, 20, limit())
+	m.NamedVersion, m.NamedAt = 7, w.now // two versions
+	w.run(time.Second)
+	require.Less(t, limit(), 20)
+	r.Desired.Services["s"] = desired.Service{Name: "s", Scaling: r.Desired.Services["s"].Scaling}
+	w.tables.Duties.Scaling.Services.Delete("s")
+	w.run(time.Second)
+	require.Zero(t, limit())
+}
