--- a/scaling/level.go
+++ b/scaling/level.go
@@ -26,6 +26,8 @@
 	// maxNoEffectDoublings times if that happens again.
 	noEffectDelay        = 60 * time.Second
 	maxNoEffectDoublings = 4
+	// sameDemand is the factor up to which a demand counts as the same. Lots vary in size.
+	sameDemand = 1.1
 	// versionsPerLoad is the number of versions for which an engine needs one load: it may
 	// lag behind by one version.
 	versionsPerLoad = 2
@@ -56,7 +58,7 @@
 	present, demand sustained
 	lowSince        time.Duration // since when the demand is clearly lower, 0 if it is not
 	recent          lowDemand
-	raised          Need // at the last raise, zero if it had no effect
+	raised          Need // at the last raise, zero once its effect was judged
 	fruitless       int  // raises without effect since one that had some
 }
 
@@ -139,21 +141,13 @@
 	if l.Continue {
 		l.Continue, l.EffectAt, l.Servers = false, max(l.EffectAt, effect), max(l.Servers, s.ordinary)
 	}
+	l.judge(now, s.need)
 	switch {
 	case s.present < min(l.Servers, s.inForce):
 		// Steps are late because servers are missing, and the number is restored first.
 		l.EffectAt = max(l.EffectAt, effect)
 	case now >= l.EffectAt && s.need.Pressure >= closeShare && l.Servers < most:
 		share := min(maxRaise, s.need.Pressure/closeShare-1)
-		if l.raised.Pressure > 0 && s.need.Pressure >= l.raised.Pressure && s.need.Peak <= l.raised.Peak {
-			// Steps are late for another reason than too few servers.
-			l.raised, l.EffectAt = Need{}, now+noEffectDelay<<min(l.fruitless, maxNoEffectDoublings)
-			l.fruitless++
-			break
-		}
-		if l.raised.Pressure > 0 {
-			l.fruitless = 0
-		}
 		l.Servers = min(most, l.Servers+max(1, int(share*float64(s.present))))
 		l.raised, l.EffectAt = s.need, effect
 	}
@@ -168,6 +162,21 @@
 	return due, total
 }
 
+// judge delays the next raise if the last one has not made steps faster although the demand is
+// the same: they are late for another reason than too few servers.
+func (l *Level) judge(now time.Duration, n Need) {
+	if l.raised.Pressure == 0 || now < l.EffectAt {
+		return
+	}
+	if n.Pressure >= l.raised.Pressure && n.Peak <= sameDemand*l.raised.Peak {
+		l.EffectAt = now + noEffectDelay<<min(l.fruitless, maxNoEffectDoublings)
+		l.fruitless++
+	} else {
+		l.fruitless = 0
+	}
+	l.raised = Need{}
+}
+
 // lowered returns the servers in calm, or the part of them that the demand needs if it has been
 // clearly lower for some time.
 func (l *Level) lowered(now time.Duration, demand float64) int {
