--- a/scaling/demand.go
+++ b/scaling/demand.go
@@ -45,7 +45,8 @@
 // steps are the last two steps of a model.
 type steps struct {
 	last, previous Step
-	late           Step // the one that is overdue, as far as it took
+	late           Step          // the one that is overdue, as far as it took
+	changedAt      time.Duration // when last was seen first
 	seenAt         time.Duration
 }
 
@@ -117,7 +118,7 @@
 	}
 	for model, step := range l.Steps {
 		if s := record(model); s.last != step {
-			s.previous, s.last = s.last, step
+			s.previous, s.last, s.changedAt = s.last, step, now
 		}
 	}
 	for model, late := range l.Late {
@@ -130,13 +131,19 @@
 	}
 }
 
+// stale reports whether the last step is too old to tell how the present ones do. No step is
+// published while a trainer submits the next one before the last one was ready.
+func (s *steps) stale(now time.Duration) bool {
+	return now-s.changedAt > 2*max(s.last.Took, s.last.Target)
+}
+
 // pressure returns the time of the steps of the model that is the furthest behind, as a share of
 // the completion target. Two steps must have taken as long, because one may be late for a
 // failure that more servers do not mend.
-func (d *Demand) pressure() (share float64, longest time.Duration) {
+func (d *Demand) pressure(now time.Duration) (share float64, longest time.Duration) {
 	for _, s := range d.steps {
 		behind := s.late.share()
-		if s.last != (Step{}) {
+		if !s.stale(now) {
 			behind = min(s.last.share(), max(s.previous.share(), behind))
 		}
 		share = max(share, behind)
@@ -152,7 +159,7 @@
 func (d *Demand) Need(now time.Duration) Need {
 	direct := d.direct.Max(now)
 	n := Need{Peak: direct, Direct: direct, Shown: d.shown}
-	n.Pressure, n.Step = d.pressure()
+	n.Pressure, n.Step = d.pressure(now)
 	for _, p := range d.models {
 		n.Peak += p.Max(now)
 	}
--- a/system/duty/scaling_demand.go
+++ b/system/duty/scaling_demand.go
@@ -25,6 +25,10 @@
 // wait for the last groups of a lot.
 const lateOpenShare = 0.5
 
+// maxLateSteps is the age of an overdue lot, in completion targets, from which it does not count:
+// its trainer may have given it up.
+const maxLateSteps = 3
+
 // intervalSmoothing is the weight of the newest interval between two versions of a model.
 const intervalSmoothing = 0.3
 
@@ -155,20 +159,17 @@
 	}
 }
 
-// observeSteps records the last step of each model that was ready, and the newest lots that are
-// overdue.
+// observeSteps records the last step of each model that was ready, and the one that is overdue
+// for the longest time. Trainers may submit the next lot before the last one is ready.
 func observeSteps(now time.Duration, t *table.Tables, scaled []desired.Service, loads map[string]scaling.Load) {
-	newest, published := make(map[string]*table.Lot), make(map[string]*table.Lot)
+	published := make(map[string]*table.Lot)
 	for _, l := range t.Rollout.Lots.All() {
-		model := l.Head.Model
-		if n := newest[model]; n == nil || n.Head.AcceptedUnixMS < l.Head.AcceptedUnixMS {
-			newest[model] = l
-		}
-		if p := published[model]; l.Head.ReadyMS > 0 && (p == nil || p.Head.AcceptedUnixMS < l.Head.AcceptedUnixMS) {
-			published[model] = l
+		p := published[l.Head.Model]
+		if l.Head.ReadyMS > 0 && (p == nil || p.Head.AcceptedUnixMS < l.Head.AcceptedUnixMS) {
+			published[l.Head.Model] = l
 		}
 	}
-	for model, l := range newest {
+	for model, l := range published {
 		service := serviceOfModel(t.Rollout.Desired, scaled, model)
 		if service == "" {
 			continue
@@ -178,13 +179,20 @@
 			load = newLoad()
 			loads[service] = load
 		}
-		target := completionTarget(t.Rollout.Desired, service)
-		if p := published[model]; p != nil {
-			load.Steps[model] = scaling.Step{Took: time.Duration(p.Head.ReadyMS) * time.Millisecond, Target: target}
+		load.Steps[model] = scaling.Step{
+			Took: time.Duration(l.Head.ReadyMS) * time.Millisecond, Target: completionTarget(t.Rollout.Desired, service),
+		}
+	}
+	for _, l := range t.Rollout.Lots.All() {
+		service := serviceOfModel(t.Rollout.Desired, scaled, l.Head.Model)
+		load, ok := loads[service]
+		if !ok || !l.Head.Open() {
+			continue
 		}
-		open := float64(l.Head.Total - l.Head.Listed)
-		if age := now - l.SeenAt; l.Head.Open() && age > target && open > lateOpenShare*float64(l.Head.Total) {
-			load.Late[model] = scaling.Step{Took: age, Target: target}
+		target := completionTarget(t.Rollout.Desired, service)
+		age, open := now-l.SeenAt, float64(l.Head.Total-l.Head.Listed)
+		if age > max(target, load.Late[l.Head.Model].Took) && age <= maxLateSteps*target && open > lateOpenShare*float64(l.Head.Total) {
+			load.Late[l.Head.Model] = scaling.Step{Took: age, Target: target}
 		}
 	}
 }
--- a/system/duty/scaling_test.go
+++ b/system/duty/scaling_test.go
@@ -322,6 +322,9 @@
 		{Kind: desired.KindRollout, CompletionTarget: time.Second, Services: []desired.WeightedService{{Service: "other"}}},
 	}
 	step := func(id string, accepted int64, ready, listed int) {
+		for _, before := range r.Lots.All() {
+			before.Head.Ended = before.Head.ID != "6"
+		}
 		l, _ := r.Lots.Upsert(id)
 		*l = table.Lot{Head: lot.Head{ID: id, Model: "m", Total: 100, Listed: listed, AcceptedUnixMS: accepted, ReadyMS: ready}, SeenAt: w.now}
 		w.run(time.Second)
@@ -342,6 +345,14 @@
 	r.Lots.Find("5").SeenAt = w.now - time.Minute
 	w.run(time.Second)
 	require.InDelta(t, 0.5, pressure(), 0.01, "a trainer does not wait for the last items")
+	w.run(16 * time.Second)
+	step("6", 6, 0, 0)
+	r.Lots.Find("6").SeenAt = w.now - 9*time.Second
+	step("7", 7, 0, 0)
+	require.InDelta(t, 1.25, pressure(), 0.05, "the next lot was submitted before this one was ready")
+	r.Lots.Find("6").SeenAt = w.now - time.Minute
+	w.run(time.Second)
+	require.Zero(t, pressure(), "given up")
 }
 
 // TestLoadLimitOfEngines guards against a limit that does not follow the versions named and the
