--- a/table/scaling.go
+++ b/table/scaling.go
@@ -28,7 +28,7 @@
 	Named  map[string]NamedVersions // by model
 	Open   float64                  // open items at the last observation
 	Slots  int                      // of a server, the median; 0 if none has been seen
-	// Short is set while the servers that can be ordered do not suffice for the peak.
+	// Short is set while the servers that can be ordered do not suffice.
 	Short bool
 }
 
