--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -240,6 +240,7 @@
 	})
 	telemetry.Register(h.dispatcher, h.metrics.Scope, h.log)
 	control.HandleNow(h.dispatcher, func(c command.PublishRouting) { h.service.Plans.Publish(c.Plan) })
+	control.HandleNow(h.dispatcher, executor.PublishEstimate)
 	control.HandleNow(h.dispatcher, h.service.Lots.Publish)
 	control.HandleNow(h.dispatcher, h.service.Runners.Publish)
 	control.HandleNow(h.dispatcher, func(command.HandoverFinished) { close(h.handoverDone) })
--- a/command/rollout.go
+++ b/command/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lavenderstand/lavenderstand/capacity"
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/lot"
 	"github.com/lavenderstand/lavenderstand/quarantine"
@@ -192,6 +193,18 @@
 	Version uint64
 }
 
+// PublishEstimate replaces the estimate of a server that request goroutines read, of plain
+// requests or of streams.
+type PublishEstimate struct {
+	Load     *forward.Load
+	Estimate capacity.Estimate
+	Stream   bool
+	Age      time.Duration // of the estimate
+}
+
+// Name implements Command.
+func (PublishEstimate) Name() string { return "publish_estimate" }
+
 // PublishPeers replaces the addresses of the other hosts, by host name.
 type PublishPeers struct{ Addresses map[string]string }
 
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lavenderstand/lavenderstand/capacity"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -12,8 +13,10 @@
 func (c *call) reportOutcome(res result) {
 	failed := res.err != nil || res.answer.serverFailed()
 	reason, now := reasonOf(res), time.Now()
+	var work capacity.Observation
 	switch {
 	case !failed: // a server may fail faster than it answers
+		work = res.target.Load.observe(res.took, 1, now)
 		res.target.Load.recordResponse(res.took, now)
 	case isLimitReached(res.err):
 	case res.err != nil && verdict.Of(res.err) == verdict.NotRun: // full or not reachable
@@ -23,7 +26,7 @@
 		Request: c.r.ID, Server: res.target.ID, Answered: res.err == nil, Took: res.took,
 		Failed:  failed && !blameless(reason),
 		Refused: reason == verdict.ReasonBackendRefused, Leaving: reason == verdict.ReasonBackendLeaving,
-		Limit: res.target.Load.Limit(), Ended: res.ended, EndedServers: len(c.ended), Content: c.r.content(),
+		Limit: res.target.Load.Limit(), Ended: res.ended, EndedServers: len(c.ended), Content: c.r.content(), Work: work,
 	})
 }
 
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -40,10 +40,13 @@
 // chooser holds what the choice of a server depends on besides the plan.
 type chooser struct {
 	now          time.Time
+	nanos        int64 // now in Unix nanoseconds
 	tried        map[string]int
 	avoid        string             // id of a server that is never chosen
 	avoidLimited bool               // never choose a server that names a request limit
 	background   bool               // leave the servers' queues to callers that wait for a response
+	stream       bool               // the request is a stream, whose unit of work is an event
+	baseline     bool               // estimate by the smoothed response time alone, for comparison
 	random       func() float64     // uniform in [0, 1)
 	usable       func(*Target) bool // servers that may be chosen, nil for all
 }
@@ -51,22 +54,28 @@
 // choose returns the server of a service that is expected to respond first.
 func (c *chooser) choose(p *Plan, service string) choice {
 	targets := p.Services[service]
-	fastest := fastestResponse(targets, c.now)
+	c.nanos = c.now.UnixNano()
+	assumed := c.assumedTime(targets)
 	var best choice
 	var bestScore time.Duration
 	for _, t := range targets {
 		if t.ID == c.avoid || (c.avoidLimited && t.Load.Limit() > 0) || (c.usable != nil && !c.usable(t)) {
 			continue
 		}
-		e := estimate(t, fastest, c.now)
+		var e responseEstimate
+		c.estimate(t, assumed, &e)
 		e.permitWait = t.Load.permitWait(c.background, c.now)
-		if wait := c.waitFor(t, e); wait > 0 {
+		if wait := c.waitFor(t, &e); wait > 0 {
 			if best.target == nil && (best.wait == 0 || wait < best.wait) {
 				best.wait = wait
 			}
 			continue
 		}
-		if score := c.score(p, t, e); best.target == nil || score < bestScore {
+		score := c.score(p, t, &e)
+		if best.target != nil && score >= bestScore {
+			continue
+		}
+		if score += time.Duration(tieBreak * c.random() * float64(e.response)); best.target == nil || score < bestScore {
 			best, bestScore = choice{target: t, expected: e.total(), queued: e.queued() || e.permitWait > 0, permitWait: e.permitWait}, score
 		}
 	}
@@ -74,30 +83,32 @@
 }
 
 // waitFor returns the time until a server may be sent the request, 0 if it may be now.
-func (c *chooser) waitFor(t *Target, e responseEstimate) time.Duration {
+func (c *chooser) waitFor(t *Target, e *responseEstimate) time.Duration {
 	if wait := t.Load.refusedUntil(c.now); wait > 0 {
 		return wait
 	}
 	if c.background && e.permitWait > 0 {
 		return max(minRefusalPause, e.permitWait)
 	}
-	if c.background && e.queued() {
+	if c.background && (e.queued() || e.requests >= e.useful) {
 		return max(minRefusalPause, e.response/time.Duration(e.slots))
 	}
 	return 0
 }
 
-// score rates a server; the lowest score is the best.
-func (c *chooser) score(p *Plan, t *Target, e responseEstimate) time.Duration {
-	factor := tieBreak * c.random()
+// score rates a server without the random amount; the lowest score is the best.
+func (c *chooser) score(p *Plan, t *Target, e *responseEstimate) time.Duration {
+	factor := 0.0
 	if t.Zone != p.Zone {
 		factor += crossZonePenalty
 	}
 	if t.Load.Limit() > 0 {
 		factor += limitedPenalty
 	}
-	score := e.total() + time.Duration((factor+float64(e.requests)/float64(e.slots))*float64(e.response))
-	score += time.Duration(c.tried[t.ID]) * triedPenalty
+	score := e.permitWait + e.crowdedFor + time.Duration((factor+e.crowded/float64(e.slots))*float64(e.response))
+	if len(c.tried) > 0 {
+		score += time.Duration(c.tried[t.ID]) * triedPenalty
+	}
 	if t.Suspect {
 		score += suspectPenalty
 	}
@@ -107,49 +118,8 @@
 	return score
 }
 
-// responseEstimate is what this host expects of a request to a server.
-type responseEstimate struct {
-	response   time.Duration // response time of a request that does not wait
-	requests   int           // running and waiting at the server
-	slots      int
-	permitWait time.Duration // until a permit is expected, if the server names a limit
-}
-
-// queued reports whether a request would wait for a slot.
-func (e responseEstimate) queued() bool { return e.requests >= e.slots }
-
-// total returns the expected time until the response, including the waits for a permit and for a slot.
-func (e responseEstimate) total() time.Duration {
-	ahead := max(0, e.requests+1-e.slots)
-	return e.permitWait + e.response + e.response*time.Duration(ahead)/time.Duration(e.slots)
-}
-
-// estimate returns the estimate for a server. fastest is assumed if the server has not been
-// measured lately, so that it is tried again.
-func estimate(t *Target, fastest time.Duration, now time.Time) responseEstimate {
-	e := responseEstimate{response: fastest, requests: int(t.Load.estimatedRequests(now)), slots: max(1, t.Slots)}
-	if measured := t.Load.responseTime(now); measured > 0 {
-		e.response = measured
-	}
-	return e
-}
-
-// fastestResponse returns the shortest measured response time of the servers.
-func fastestResponse(targets []*Target, now time.Time) time.Duration {
-	var fastest time.Duration
-	for _, t := range targets {
-		if measured := t.Load.responseTime(now); measured > 0 && (fastest == 0 || measured < fastest) {
-			fastest = measured
-		}
-	}
-	if fastest == 0 {
-		return defaultResponseTime
-	}
-	return fastest
-}
-
 // refusalPause returns the time for which a server that refused a request is left alone:
 // about the time in which it completes half of its running requests.
 func refusalPause(t *Target, now time.Time) time.Duration {
-	return max(minRefusalPause, t.Load.responseTime(now)/2)
+	return max(minRefusalPause, expectedAlone(t, now)/2)
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lavenderstand/lavenderstand/capacity"
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/registry"
 	"github.com/lavenderstand/lavenderstand/verdict"
@@ -67,8 +68,9 @@
 	lastServer  *Target  // server of the last attempt that was sent
 	headerSent  bool
 	parts       []streamPart
-	begun       bool              // a server has sent the first event, here or before the caller resumed the stream
-	software    registry.Software // version of the server that sent the first event
+	begun       bool                 // a server has sent the first event, here or before the caller resumed the stream
+	software    registry.Software    // version of the server that sent the first event
+	work        capacity.Observation // of the newest part
 }
 
 // streamPart is the part of a stream that one server sent.
@@ -106,6 +108,7 @@
 		if err == nil {
 			s.f.Report(Outcome{
 				Request: s.r.ID, Server: s.lastServer.ID, Answered: true, Limit: s.lastServer.Load.Limit(), Content: s.r.content(),
+				Work: s.work, Stream: true,
 			})
 		}
 		if err == nil || ctx.Err() != nil {
@@ -194,7 +197,7 @@
 // a server with AvoidNewStreams only if there is no other, and waits if all have
 // HoldNewStreams.
 func (s *streamCall) choose(plan *Plan) choice {
-	ch := chooser{now: time.Now(), tried: s.tried, random: s.f.Rand, usable: s.usable}
+	ch := chooser{now: time.Now(), tried: s.tried, random: s.f.Rand, usable: s.usable, stream: true}
 	service := s.id().Service
 	if s.begun || !s.route.Resumable {
 		return ch.choose(plan, service)
@@ -240,6 +243,8 @@
 		}
 	})
 	defer idleTimer.Stop()
+	firstAt, lastAt, events := time.Time{}, time.Time{}, 0
+	defer func() { s.work = from.Load.observe(lastAt.Sub(firstAt), float64(events-1), lastAt) }()
 	for first := true; ; first = false {
 		e, err := stream.Next()
 		if errors.Is(err, ErrStreamEnd) {
@@ -248,7 +253,10 @@
 		if err != nil {
 			return err
 		}
+		lastAt = time.Now()
+		events++
 		if first {
+			firstAt = lastAt
 			s.parts = append(s.parts, streamPart{server: from.ID, software: from.Software, after: s.lastEventID})
 			s.recordOrigin(from.Software)
 			begun.Store(true)
--- a/forward/types.go
+++ b/forward/types.go
@@ -7,10 +7,12 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/lavenderstand/lavenderstand/capacity"
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/memory"
 	"github.com/lavenderstand/lavenderstand/registry"
@@ -122,11 +124,20 @@
 	// server with a limit is expected to be available, Unix nanoseconds.
 	nextCallerPermit     atomic.Int64
 	nextBackgroundPermit atomic.Int64
+
+	slowdown  atomic.Uint64 // as last stated by the server, bits of a float64, 0 if not stated
+	others    atomic.Uint64 // smoothed ratio of reported requests to those in flight from this process, bits of a float64
+	surprise  atomic.Uint64 // ratio of the last response time to the expected one, bits of a float64
+	responses atomic.Pointer[capacity.Estimate]
+	streams   atomic.Pointer[capacity.Estimate]
 }
 
 // Report records the load that the server reported.
 func (l *Load) Report(r registry.Load, at time.Time) {
+	requests := float64(r.Running + r.Waiting)
+	smoothFloat(&l.others, min(maxOthers, max(1, requests/float64(max(1, l.InFlight.Load())))), loadSmoothing)
 	l.reported.Store(int32(r.Running + r.Waiting))
+	l.slowdown.Store(math.Float64bits(r.Slowdown))
 	l.reportedAt.Store(at.UnixNano())
 }
 
@@ -145,6 +156,7 @@
 // recordResponse records the time that the server took to respond. Concurrent calls may
 // lose a measurement.
 func (l *Load) recordResponse(took time.Duration, now time.Time) {
+	l.recordSurprise(took, now)
 	if old := l.responseTime(now); old > 0 {
 		took = time.Duration((1-responseSmoothing)*float64(old) + responseSmoothing*float64(took))
 	}
@@ -213,4 +225,8 @@
 	Content      string // fingerprint of the request, empty if it is in the background
 	Took         time.Duration
 	Limit        float64 // requests per second that the server takes from all hosts, 0 if it named no limit
+	// Work is what was measured of the server, without its time. Its units are those of plain
+	// requests or, if Stream is set, events.
+	Work   capacity.Observation
+	Stream bool
 }
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -25,6 +25,7 @@
 		{Name: "servers", Run: Servers},
 		{Name: "permits", Run: Permits},
 		{Name: "judgement", Run: ServerHealth},
+		{Name: "estimates", Run: Estimates},
 		{Name: "quarantine", Run: Quarantine},
 		{Name: "origins", Run: StreamOrigins},
 		{Name: "lots", Run: Lots},
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lavenderstand/lavenderstand/capacity"
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/forward"
@@ -176,6 +177,7 @@
 	Load           *forward.Load `json:"-"` // shared with request goroutines
 	Running        int           // number of items that this host runs on the server
 	Reserved       int           // number of slots that are kept free for runs that move here
+	Answers        Speed
 	Pace           Pace
 	SuspectUntil   time.Duration // until then the server is used only if no other is left, 0 if not suspect
 	Failures       int           // consecutive failures
@@ -188,8 +190,17 @@
 	PreferredModel string // model to which the engine is assigned
 }
 
-// Pace is the measured time between two events of a run on a server.
+// Speed is what this host has learned of the time that a server takes for a unit of work.
+type Speed struct {
+	Estimator *capacity.Estimator `json:"-"` // nil before the first observation
+	Estimate  capacity.Estimate   // newest estimate
+	OwnAt     time.Duration       // newest observation of this host, 0 if there is none
+}
+
+// Pace is the measured time between two events of a run on a server. The baseline, which the
+// estimate replaces, is used in comparisons only.
 type Pace struct {
+	Speed
 	Usual      time.Duration // smoothed over the life of the server, 0 before the first measurement
 	Recent     time.Duration // smoothed over the newest measurements
 	MeasuredAt time.Duration // when the newest measurement was made
