--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -52,23 +52,26 @@
 // maxMomentary bounds the effect of a single statement of a server.
 const maxMomentary = 4
 
-// staleHalf is the age at which half of the difference between an estimate and the assumption
-// for a server without one is left. Noise of several hundred milliseconds is well below it,
-// and a server that recovered is tried again within some ten seconds.
-const staleHalf = 5 * time.Second
+// staleAge is the age at which a quarter of the difference between an estimate and the
+// assumption for a server without one is left. Noise of several hundred milliseconds is well
+// below it. A server that recovered from 1.7 to 0.7 times the usual time is tried again after
+// some 30 s if others have room for more requests, and sooner if they do not.
+const staleAge = 10 * time.Second
 
 // Toward returns the estimate at a later time: with its age it approaches the time of a unit
 // that is assumed of servers without an estimate. Servers that are not used because they were
 // slow therefore get a trial request after some time, the slower ones later.
 func (e Estimate) Toward(assumed time.Duration, now time.Duration) Estimate {
-	if !e.Known() {
-		return Estimate{Unit: assumed, Growth: priorGrowth, Capacity: e.Capacity}
-	}
-	weight := float64(staleHalf) / float64(staleHalf+max(0, now-e.At))
-	e.Unit = assumed + time.Duration(weight*float64(e.Unit-assumed))
+	weight := float64(staleAge) / float64(staleAge+max(0, now-e.At))
+	e.Unit = assumed + time.Duration(weight*weight*float64(e.Unit-assumed))
 	return e
 }
 
+// Assumed returns the estimate for a server of which nothing is known but its slots.
+func Assumed(unit time.Duration, slots int) Estimate {
+	return Estimate{Unit: unit, Growth: priorGrowth, Capacity: float64(max(1, slots))}
+}
+
 // Observation is a piece of work that a server did.
 type Observation struct {
 	At       time.Duration // when the work ended
@@ -90,7 +93,7 @@
 	windowSlices = 9
 	// windowLength is the age, relative to the newest slice, beyond which only the newest
 	// minSlices count, so that an estimate from few observations follows a change after two.
-	windowLength = 10 * time.Second
+	windowLength = windowSlices * sliceLength
 	minSlices    = 3
 )
 
@@ -124,8 +127,8 @@
 	if now := e.Estimate(); now.Known() {
 		e.trust.observe(o.Slowdown, unit/float64(now.Time(float64(requests))))
 	}
-	if e.count == 0 || o.At-e.slices[0].start >= sliceLength {
-		e.push(slice{start: o.At})
+	if start := o.At.Truncate(sliceLength); e.count == 0 || start > e.slices[0].start {
+		e.push(slice{start: start})
 		e.shape.fit(e.Slots)
 	}
 	e.slices[0].took += float64(o.Took)
@@ -152,7 +155,7 @@
 // Estimate returns the present estimate.
 func (e *Estimator) Estimate() Estimate {
 	if e.count == 0 {
-		return Estimate{Growth: priorGrowth, Capacity: float64(max(1, e.Slots))}
+		return Assumed(0, e.Slots)
 	}
 	growth, useful := e.shape.parameters(e.Slots)
 	return Estimate{
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -169,9 +169,8 @@
 func TestFreshServer(t *testing.T) {
 	e := Estimator{Slots: 6}
 	require.False(t, e.Estimate().Known())
-	assumed := e.Estimate().Toward(45*time.Millisecond, 0)
-	require.Equal(t, 45*time.Millisecond, assumed.Time(1))
-	require.InDelta(t, 6, assumed.Capacity, 0)
+	require.Equal(t, 45*time.Millisecond, Assumed(45*time.Millisecond, 6).Time(1))
+	require.Equal(t, Assumed(0, 6), e.Estimate())
 	e.Observe(Observation{At: 0, Requests: 1, Took: 200 * time.Millisecond, Units: 1}) // cold
 	require.Equal(t, 200*time.Millisecond, e.Estimate().Unit)
 	e.Observe(Observation{At: 10 * time.Second, Requests: 1, Took: 25 * time.Millisecond, Units: 1})
--- a/capacity/shape.go
+++ b/capacity/shape.go
@@ -15,15 +15,19 @@
 	// Within it, a difference is more likely due to the load than to a change of the server.
 	pairGap = time.Second
 	// firstRate and lastRate are the weights of a comparison in the relative time of a level:
-	// the first when nothing is known, the last in the long run.
-	firstRate = 0.5
+	// the first when nothing is known, the last in the long run. It falls to half after rateSpan
+	// comparisons.
+	firstRate = 0.15
 	lastRate  = 0.03
+	rateSpan  = 10
 	// maxSurprise bounds the effect of one comparison, as the logarithm of a ratio.
 	maxSurprise = 1.0
 	// growthDoubt and capacityDoubt are the costs, in squared logarithms, of a growth that
-	// exceeds priorGrowth by 0.1 and of a capacity of no slot instead of all.
-	growthDoubt   = 0.02
-	capacityDoubt = 0.05
+	// exceeds priorGrowth by 0.1 and of a capacity of no slot instead of all. They are chosen so
+	// that a server that becomes 2.5 times slower while its load changes once does not count as
+	// one that slows down with its load.
+	growthDoubt   = 0.05
+	capacityDoubt = 0.5
 	// maxWeight bounds the number of comparisons that count for one level.
 	maxWeight = 30
 )
@@ -73,7 +77,7 @@
 		level int
 		sign  float64
 	}{{a, -1}, {b, 1}} {
-		rate := max(lastRate, firstRate/(1+s.weights[side.level]))
+		rate := max(lastRate, firstRate/(1+s.weights[side.level]/rateSpan))
 		s.heights[side.level] += side.sign * rate * surprise
 		s.weights[side.level] = min(maxWeight, s.weights[side.level]+1)
 	}
@@ -102,7 +106,7 @@
 	}
 	best := math.Inf(1)
 	for g, growth := range growths {
-		doubt := growthDoubt * math.Pow(max(0, growth-priorGrowth)/0.1, 2)
+		doubt := growthDoubt * max(0, growth-priorGrowth) / 0.1
 		for c := range most {
 			free := 1 - float64(c+1)/float64(most)
 			cost := doubt + capacityDoubt*free*free + s.error(&logFactors[g][c])
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -158,6 +158,7 @@
 	Events        []string           // data of the events after those reported before
 	Versions      []registry.Version // weight versions that generated Events
 	EventInterval time.Duration      // median of the newest times between two events, 0 if not measured
+	Requests      int                // mean number of requests at the server, 0 if not known
 }
 
 // RunEnded is the outcome of one run of an item at a backend server.
@@ -170,6 +171,7 @@
 	Versions      []registry.Version // weight versions that generated Events
 	Version       registry.Version   // newest version that the server stated, 0 if none
 	EventInterval time.Duration      // median of the newest times between two events, 0 if not measured
+	Requests      int                // mean number of requests at the server, 0 if not known
 	Failure       *Failure           // nil if the output is complete
 }
 
--- a/executor/run.go
+++ b/executor/run.go
@@ -98,6 +98,7 @@
 	intervals  []time.Duration         // newest times between two events, at most intervalWindow
 	lastAt     time.Time               // arrival of the last event
 	reportedAt time.Time               // start of the run or last progress report
+	requests   int                     // number of requests at the server when it began to send, this one included
 }
 
 // runItem sends an item to its backend server and receives the response.
@@ -130,6 +131,7 @@
 	if err == nil {
 		defer stream.Close()
 		u.outcome.Version = stream.Version()
+		u.requests = c.Target.Load.Requests(time.Now())
 		_ = u.deliver(event.RunStarted{Server: c.Target.ID, Model: c.Model, Version: u.outcome.Version, Limit: c.Target.Load.Limit()}) // an error may be ignored, because the outcome also holds the version
 		err = u.receive(stream, watchdog)
 	}
@@ -141,7 +143,7 @@
 		err = verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonStalled, "server %s sent no event in time", c.Target.ID)
 	}
 	u.outcome.Failure = event.FailureOf(err)
-	u.outcome.EventInterval = u.medianInterval()
+	u.outcome.EventInterval, u.outcome.Requests = u.medianInterval(), u.meanRequests()
 	return u.outcome
 }
 
@@ -231,13 +233,20 @@
 	}
 	u.reportedAt = u.lastAt
 	e := event.RunProgressed{
-		Key: u.cmd.Key, Run: u.cmd.Run, Server: u.cmd.Target.ID, Events: u.outcome.Events, Versions: u.outcome.Versions, EventInterval: u.medianInterval(),
+		Key: u.cmd.Key, Run: u.cmd.Run, Server: u.cmd.Target.ID, Events: u.outcome.Events, Versions: u.outcome.Versions,
+		EventInterval: u.medianInterval(), Requests: u.meanRequests(),
 	}
 	if u.deliver(e) == nil {
 		u.outcome.Events, u.outcome.Versions = nil, nil
 	}
 }
 
+// meanRequests returns the mean of the numbers of requests at the server when it began to send and
+// now, rounded up.
+func (u *run) meanRequests() int {
+	return (u.requests + u.cmd.Target.Load.Requests(time.Now()) + 1) / 2
+}
+
 // medianInterval returns the median of the newest intervals between events, or 0 if there
 // are fewer than minIntervals.
 func (u *run) medianInterval() time.Duration {
--- a/forward/estimate.go
+++ b/forward/estimate.go
@@ -129,7 +129,7 @@
 func (c *chooser) estimate(t *Target, assumed time.Duration, e *responseEstimate) {
 	e.slots = max(1, t.Slots)
 	known := t.Load.estimateOf(c.stream)
-	if known == nil || c.baseline {
+	if known == nil || !known.Known() || c.baseline {
 		e.requests = int(t.Load.estimatedRequests(c.now))
 		c.smoothedEstimate(t, assumed, e)
 		return
--- a/forward/types.go
+++ b/forward/types.go
@@ -183,6 +183,9 @@
 	return max(0, time.Duration(l.fullUntil.Load()-now.UnixNano()))
 }
 
+// Requests returns the estimated number of requests at the server.
+func (l *Load) Requests(now time.Time) int { return int(l.estimatedRequests(now)) }
+
 // estimatedRequests returns the estimated number of requests at the server: the larger of
 // the requests in flight from this process and a recent load report.
 func (l *Load) estimatedRequests(now time.Time) int32 {
--- a/status/host.go
+++ b/status/host.go
@@ -46,13 +46,24 @@
 	Missing         bool           `json:"missing"` // its record expired while the store was unavailable
 	Suspect         bool           `json:"suspect"`
 	Running         int            `json:"running"`                 // number of items that this host runs on it
-	EventIntervalMS float64        `json:"gap_ms"`                  // smoothed time between two events, in milliseconds
+	EventIntervalMS float64        `json:"gap_ms"`                  // expected time between two events, in milliseconds
+	Answers         *SpeedView     `json:"answers,omitempty"`       // estimate of plain requests, absent if nothing is known
+	Events          *SpeedView     `json:"events,omitempty"`        // estimate of the events of streams and items
 	RequestLimit    float64        `json:"request_limit,omitempty"` // requests per second that it takes from all hosts, 0 for no limit
 	PreferredModel  string         `json:"home,omitempty"`
 	Software        string         `json:"software,omitempty"` // version of its software
 	Versions        map[string]int `json:"versions,omitempty"`
 }
 
+// SpeedView is the estimate of the speed of a server.
+type SpeedView struct {
+	AloneMS float64 `json:"alone_ms"` // time of a unit of work while there are no other requests
+	Growth  float64 `json:"growth"`   // relative growth of that time with each further request
+	Useful  float64 `json:"useful"`   // number of requests beyond which further ones add no throughput
+	Trust   float64 `json:"trust"`    // share of a stated slowdown that shows in the durations of work
+	AgeMS   int64   `json:"age_ms"`   // age of the newest measurement
+}
+
 // LotView is the state of a lot.
 type LotView struct {
 	ID         string `json:"id"`
--- a/system/rollout/estimates.go
+++ b/system/rollout/estimates.go
@@ -12,6 +12,7 @@
 // Estimates applies what requests of callers and scorers showed of the servers, and publishes the
 // new estimates to the request goroutines.
 func Estimates(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
+	t.Rollout.Now = now
 	for _, e := range in {
 		o, ok := e.(event.ServerOutcome)
 		if !ok || o.Work.Units <= 0 {
@@ -25,29 +26,26 @@
 
 // speedOf returns what is known of the events of a server or of its plain answers.
 func speedOf(s *table.Server, events bool) *table.Speed {
+	speed := &s.Answers
 	if events {
-		return &s.Pace.Speed
+		speed = &s.Pace.Events
 	}
-	return &s.Answers
+	if *speed == nil {
+		*speed = new(table.Speed)
+	}
+	(*speed).Estimator.Slots = s.Slots
+	return *speed
 }
 
 // observe adds an observation of this host.
 func observe(now time.Duration, s *table.Server, events bool, o capacity.Observation, out *command.Outbox) {
 	speed := speedOf(s, events)
 	o.At = now
-	estimatorOf(speed, s).Observe(o)
+	speed.Estimator.Observe(o)
 	speed.OwnAt = now
 	publishEstimate(now, s, events, out)
 }
 
-func estimatorOf(speed *table.Speed, s *table.Server) *capacity.Estimator {
-	if speed.Estimator == nil {
-		speed.Estimator = new(capacity.Estimator)
-	}
-	speed.Estimator.Slots = s.Slots
-	return speed.Estimator
-}
-
 func publishEstimate(now time.Duration, s *table.Server, events bool, out *command.Outbox) {
 	speed := speedOf(s, events)
 	speed.Estimate = speed.Estimator.Estimate()
--- a/system/rollout/estimates_test.go
+++ b/system/rollout/estimates_test.go
@@ -31,8 +31,8 @@
 		require.Equal(t, stream, published[0].Stream)
 		require.Equal(t, 30*time.Millisecond, published[0].Estimate.Unit)
 		require.Same(t, w.tables.Rollout.Servers.Find("s1").Load, published[0].Load)
-		require.Equal(t, !stream, !w.tables.Rollout.Servers.Find("s1").Pace.Estimate.Known())
+		require.Equal(t, !stream, !w.tables.Rollout.Servers.Find("s1").Pace.Events.Known())
 	}
 	w.step(w.server("s1", func(s *registry.Server) { s.StartedUnixMS = 2 }))
-	require.False(t, w.tables.Rollout.Servers.Find("s1").Answers.Estimate.Known(), "the server started anew")
+	require.False(t, w.tables.Rollout.Servers.Find("s1").Answers.Known(), "the server started anew")
 }
--- a/system/rollout/host_view.go
+++ b/system/rollout/host_view.go
@@ -39,7 +39,7 @@
 		v.Models[name] = int(m.NamedVersion)
 	}
 	for id, s := range r.Servers.All() {
-		v.Servers = append(v.Servers, serverView(id, s))
+		v.Servers = append(v.Servers, serverView(now, r, id, s))
 	}
 	for service, h := range r.SoftwareHistories.All() {
 		v.SoftwareHistories[service] = joinVersions(h.Versions)
@@ -53,11 +53,11 @@
 	return v
 }
 
-func serverView(id string, s *table.Server) status.ServerView {
+func serverView(now time.Duration, r *table.Rollout, id string, s *table.Server) status.ServerView {
 	v := status.ServerView{
 		ID: id, Service: s.Service, Zone: s.Zone, Leaving: s.Leaving, Missing: s.MissingSince != 0,
-		Suspect: s.SuspectUntil != 0, Running: s.Running, EventIntervalMS: float64(s.Pace.Recent.Microseconds()) / 1000, PreferredModel: s.PreferredModel, RequestLimit: s.RequestLimit,
-		Software: string(s.Software),
+		Suspect: s.SuspectUntil != 0, Running: s.Running, EventIntervalMS: float64(eventInterval(r, s).Microseconds()) / 1000, PreferredModel: s.PreferredModel, RequestLimit: s.RequestLimit,
+		Software: string(s.Software), Answers: speedView(now, s.Answers), Events: speedView(now, s.Pace.Events),
 		Versions: make(map[string]int, len(s.Models)),
 	}
 	for model, version := range s.Models {
@@ -65,3 +65,14 @@
 	}
 	return v
 }
+
+// speedView returns the view of an estimate, nil if nothing is known.
+func speedView(now time.Duration, s *table.Speed) *status.SpeedView {
+	if !s.Known() {
+		return nil
+	}
+	e := s.Estimate
+	return &status.SpeedView{
+		AloneMS: float64(e.Unit.Microseconds()) / 1000, Growth: e.Growth, Useful: e.Capacity, Trust: e.Trust, AgeMS: status.Millis(now - e.At),
+	}
+}
--- a/system/rollout/placement_test.go
+++ b/system/rollout/placement_test.go
@@ -13,6 +13,7 @@
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/registry"
 	"github.com/lavenderstand/lavenderstand/table"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
@@ -22,9 +23,13 @@
 	slowerFactor = 1.3 // of a third of the engines of the deployments
 )
 
-// measure sets the pace of a server as if it had been measured just now.
+// measure sets the pace of a server as if it had been measured until now.
 func (w *world) measure(server string, interval time.Duration) {
-	w.tables.Rollout.Servers.Find(server).Pace = table.Pace{Usual: interval, Recent: interval, MeasuredAt: w.now}
+	s := w.tables.Rollout.Servers.Find(server)
+	s.Pace = table.Pace{}
+	for age := 3 * time.Second; age >= 0; age -= 300 * time.Millisecond {
+		recordPace(w.now-age, &w.tables.Rollout, s, interval, 1, new(command.Outbox))
+	}
 }
 
 // newPacedWorld returns a world with a fast server and one that is slower by a factor, both
@@ -192,8 +197,7 @@
 }
 
 // TestRunLeavesServerThatTurnedSlow guards against runs that stay on a server that became
-// slow, against items that wait although that server is the only one with room, and
-// against a server that gets many runs before it was found to be fast again. Six items of
+// slow, and against items that wait although that server is the only one with room. Six items of
 // a step once took 6 to 9 s on a slow server.
 func TestRunLeavesServerThatTurnedSlow(t *testing.T) {
 	w := newWorld(t)
@@ -212,7 +216,10 @@
 	}
 	require.Len(t, on["s1"], 2)
 	slow := 3 * fastInterval
-	w.step(progressed(&on["s1"][0], 4, slow), progressed(&on["s1"][1], 4, slow))
+	for range 8 {
+		w.step(progressed(&on["s1"][0], 1, slow), progressed(&on["s1"][1], 1, slow))
+		w.advance(240 * time.Millisecond)
+	}
 	require.Empty(t, commandsOf[command.StopRun](w.advance(200*time.Millisecond)), "s2 is full")
 	stops := commandsOf[command.StopRun](append(w.step(endedRun(on["s2"][0], "x")), w.advance(moveCheckInterval)...))
 	require.Len(t, stops, 1, "s2 has one free slot")
@@ -220,22 +227,84 @@
 	next := commandsOf[command.StartRun](w.step(w.stopped(stops[0])))
 	require.Len(t, next, 1)
 	require.Equal(t, "s2", next[0].Target.ID)
-	require.Equal(t, 4, next[0].AfterEvent)
+	require.Equal(t, 8, next[0].AfterEvent)
 
 	again := submission(4)
 	again.ID = "l2"
 	more := commandsOf[command.StartRun](w.accept(again))
 	require.Len(t, more, 1, "an item starts on a slow server rather than wait")
 	require.Equal(t, "s1", more[0].Target.ID)
+}
+
+// TestRunStaysDuringNoise guards against moves because of noise: a server that is 2.5 times slower
+// for 600 ms. With the baseline, runs move after the first report.
+func TestRunStaysDuringNoise(t *testing.T) {
+	for _, baseline := range []bool{false, true} {
+		w := newPacedWorld(t, 1)
+		w.tables.Rollout.PaceBaseline = baseline
+		s := submission(3)
+		for i := range s.Items {
+			s.Items[i].EstimatedTokens = 1000
+		}
+		runs := commandsOf[command.StartRun](w.accept(s))
+		moved := 0
+		for range 3 {
+			for _, r := range runs {
+				if r.Target.ID == runs[0].Target.ID {
+					moved += len(commandsOf[command.StopRun](w.step(progressed(&r, 1, 5*fastInterval/2))))
+				}
+			}
+			moved += len(commandsOf[command.StopRun](w.advance(200 * time.Millisecond)))
+		}
+		require.Equal(t, baseline, moved > 0)
+	}
+}
 
-	w.tables.Rollout.Servers.Find("s1").Running = 0
-	w.now += paceTTL
-	require.True(t, isUnproven(w.now, w.tables.Rollout.Servers.Find("s1")))
-	require.Len(t, commandsOf[command.StartRun](w.step()), 1, "one run measures the server again")
-	for range 5 {
-		recordPace(w.now, w.tables.Rollout.Servers.Find("s1"), fastInterval)
+// TestSlowServerIsTriedAgain guards against a slow server that is never found to have recovered,
+// and against one that gets many runs before it was. While there is room on the other server, one
+// run after some time measures it again.
+func TestSlowServerIsTriedAgain(t *testing.T) {
+	w := newWorld(t)
+	sixSlots := func(s *registry.Server) { s.Slots = 6 }
+	w.step(w.server("fast", sixSlots), w.server("slow", sixSlots))
+	w.measure("fast", fastInterval)
+	w.measure("slow", 3*fastInterval)
+	targets := func(lot string, items int) (on map[string][]command.StartRun) {
+		s := submission(items)
+		s.ID = lot
+		on = make(map[string][]command.StartRun)
+		for _, c := range commandsOf[command.StartRun](w.accept(s)) {
+			on[c.Target.ID] = append(on[c.Target.ID], c)
+		}
+		return on
+	}
+	require.Len(t, targets("l1", 4)["fast"], 4, "the slow server was measured just now")
+	w.now += 30 * time.Second
+	on := targets("l2", 3)
+	require.Len(t, on["slow"], 1, "one run measures the server again")
+	require.Len(t, on["fast"], 2)
+	for range 7 {
+		w.step(progressed(&on["slow"][0], 1, fastInterval))
+		w.advance(300 * time.Millisecond)
+	}
+	require.Len(t, targets("l3", 2)["slow"], 2, "the server has recovered")
+}
+
+// TestServersGetRunsByCapacity guards against runs that only slow down others: a server that adds
+// no throughput beyond three runs gets no fourth one, while the baseline fills its slots.
+func TestServersGetRunsByCapacity(t *testing.T) {
+	for _, baseline := range []bool{false, true} {
+		w := newWorld(t)
+		w.tables.Rollout.PaceBaseline = baseline
+		w.step(w.server("s1", func(s *registry.Server) { s.Slots = 6 }))
+		server := w.tables.Rollout.Servers.Find("s1")
+		for i := range 200 {
+			n := 1 + i%6
+			recordPace(w.now+time.Duration(i-200)*100*time.Millisecond, &w.tables.Rollout, server, fastInterval*time.Duration(max(3, n))/3, n, new(command.Outbox))
+		}
+		runs := commandsOf[command.StartRun](w.accept(submission(8)))
+		require.Len(t, runs, map[bool]int{false: 3, true: 6}[baseline])
 	}
-	require.Len(t, commandsOf[command.StartRun](w.step()), 1, "the server is as fast as usual again")
 }
 
 // TestCrashedServerIsTriedByOneItem guards against items that are sent again and again to
--- a/system/rollout/pools.go
+++ b/system/rollout/pools.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// fullServerSlowdown is the share by which an engine with all slots in use is slower
-	// than an idle one.
-	fullServerSlowdown = 0.2
 	// crossZoneDelay is added to the expected completion of a run in another availability
 	// zone, because traffic between zones adds latency and cost.
 	crossZoneDelay = 10 * time.Millisecond
@@ -93,21 +90,20 @@
 	if now < s.BusyUntil {
 		return 0
 	}
-	if isUnproven(now, s) || s.Failures >= suspectThreshold {
+	if s.Failures >= suspectThreshold {
 		return 1 - s.Running - s.Reserved // one run tests the server
 	}
-	return s.Slots - s.Running - s.Reserved
+	return usefulSlots(s) - s.Running - s.Reserved
 }
 
 // completionTime returns the time that an item is expected to take on a server, plus
 // penalties.
 func completionTime(r *table.Rollout, w waitingItem, s *table.Server) time.Duration {
-	load := 1 + fullServerSlowdown*float64(s.Running+1)/float64(s.Slots)
 	events := w.remaining
 	if !canContinue(w.item, s) {
 		events += float64(len(w.item.Events))
 	}
-	t := time.Duration(events * load * float64(eventInterval(r, s)))
+	t := time.Duration(events * float64(placementInterval(r, s)))
 	if s.ID == w.item.AvoidServer {
 		t += avoidedServerDelay
 	}
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -31,7 +31,7 @@
 		case event.RunStarted:
 			runStarted(now, t, e, out)
 		case event.RunProgressed:
-			runProgressed(now, t, e)
+			runProgressed(now, t, e, out)
 		case event.RunEnded:
 			runEnded(now, t, e, out)
 		}
@@ -54,9 +54,9 @@
 
 // runProgressed adds the new events of a run to its item, so that they can be stored,
 // and records the pace of the server.
-func runProgressed(now time.Duration, t *table.Tables, e event.RunProgressed) {
+func runProgressed(now time.Duration, t *table.Tables, e event.RunProgressed, out *command.Outbox) {
 	if s := t.Rollout.Servers.Find(e.Server); s != nil {
-		recordPace(now, s, e.EventInterval)
+		recordPace(now, &t.Rollout, s, e.EventInterval, e.Requests, out)
 	}
 	item := t.Rollout.Items.Find(e.Key)
 	if item == nil || item.Stage != table.ItemRunning || item.Run != e.Run {
@@ -122,7 +122,7 @@
 	if e.Version != 0 && e.Model != "" && s.Models[e.Model] != e.Version {
 		setModelVersion(s, e.Model, e.Version)
 	}
-	recordPace(now, s, e.EventInterval)
+	recordPace(now, r, s, e.EventInterval, e.Requests, out)
 	if e.Failure == nil {
 		recordSuccess(r, s)
 		return
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -51,6 +51,8 @@
 	HistoriesCheckedAt time.Duration // when the versions of servers were last compared with the histories
 	// Presence is the state of the row by which other hosts find this host.
 	Presence          Presence
+	Now               time.Duration             // time of the newest tick
+	PaceBaseline      bool                      // use the baseline of Pace in place of the estimate, for comparison
 	MedianIntervals   map[string]MedianInterval // by service
 	LoadTimes         map[string]time.Duration  // expected time of a load of weights, by service
 	EnginesAssignedAt time.Duration             // when engines were last assigned to models
@@ -177,7 +179,7 @@
 	Load           *forward.Load `json:"-"` // shared with request goroutines
 	Running        int           // number of items that this host runs on the server
 	Reserved       int           // number of slots that are kept free for runs that move here
-	Answers        Speed
+	Answers        *Speed        // of plain requests, nil before the first observation
 	Pace           Pace
 	SuspectUntil   time.Duration // until then the server is used only if no other is left, 0 if not suspect
 	Failures       int           // consecutive failures
@@ -192,20 +194,35 @@
 
 // Speed is what this host has learned of the time that a server takes for a unit of work.
 type Speed struct {
-	Estimator *capacity.Estimator `json:"-"` // nil before the first observation
-	Estimate  capacity.Estimate   // newest estimate
-	OwnAt     time.Duration       // newest observation of this host, 0 if there is none
+	Estimator capacity.Estimator `json:"-"`
+	Estimate  capacity.Estimate  // newest estimate
+	OwnAt     time.Duration      // newest observation of this host, 0 if there is none
 }
 
+// Known reports whether the time of a unit of work is known.
+func (s *Speed) Known() bool { return s != nil && s.Estimate.Known() }
+
 // Pace is the measured time between two events of a run on a server. The baseline, which the
 // estimate replaces, is used in comparisons only.
 type Pace struct {
-	Speed
+	Events     *Speed  // nil before the first observation
+	Useful     int     // number of runs beyond which further ones add no throughput, 0 if not known
+	Others     float64 // smoothed number of requests of other hosts at the server
+	Placement  Placement
 	Usual      time.Duration // smoothed over the life of the server, 0 before the first measurement
 	Recent     time.Duration // smoothed over the newest measurements
 	MeasuredAt time.Duration // when the newest measurement was made
 }
 
+// Placement is the time between two events that is expected of one more run on a server, as
+// computed in a tick for a number of runs. A lot may look at each server once for each item.
+type Placement struct {
+	Interval time.Duration // 0 if it was not computed
+	At       time.Duration // time of the tick
+	Running  int
+	Idle     bool // no slot is in use or reserved
+}
+
 // Order is the newest order of this process to a server.
 type Order struct {
 	Model       string
