--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -254,6 +254,8 @@
 		return event.QuarantineWritten{Content: c.Content, Failure: event.FailureOf(err)}
 	})
 	h.registerOriginExecutors()
+	control.Handle(h.dispatcher, 1, h.shareNotes)
+	control.HandleNow(h.dispatcher, func(c command.AnswerNotes) { h.waiters.Answer(c.RequestID, c) })
 	control.HandleNow(h.dispatcher, func(c command.AnswerPermit) { h.waiters.Answer(c.RequestID, c) })
 	control.HandleNow(h.dispatcher, func(c command.AnswerHostView) { h.waiters.Answer(c.RequestID, c) })
 	runs := &executor.Runs{Ctx: h.ctx, Sender: h.backends, Permits: h.permits, Memory: h.memory, Deliver: h.inbox.Deliver, SetUrgency: platform.SetUrgency}
--- a/cmd/lavender-host/serve.go
+++ b/cmd/lavender-host/serve.go
@@ -119,6 +119,7 @@
 	peerpb.RegisterStoreServer(server, &peer.StoreServer{Store: h.repository.Cache.CachingClient(h.directStore), Memory: h.memory})
 	peerpb.RegisterPermitsServer(server, &peer.PermitServer{Granter: localPermits{h}})
 	peerpb.RegisterQuarantineServer(server, &peer.QuarantineServer{Receiver: localReceiver{h}})
+	peerpb.RegisterServersServer(server, &peer.ServersServer{Exchanger: localNotes{h}})
 	g.Add(func() error { return server.Serve(l) }, func(error) { h.stopPeers(server) })
 	return nil
 }
--- a/command/rollout.go
+++ b/command/rollout.go
@@ -205,6 +205,24 @@
 // Name implements Command.
 func (PublishEstimate) Name() string { return "publish_estimate" }
 
+// ShareNotes tells another host what this host knows of backend servers.
+type ShareNotes struct {
+	Address string // of the other host
+	Share   capacity.Share
+}
+
+// Name implements Command.
+func (ShareNotes) Name() string { return "share_notes" }
+
+// AnswerNotes answers event.NotesReceived.
+type AnswerNotes struct {
+	RequestID string
+	Notes     []capacity.Note
+}
+
+// Name implements Command.
+func (AnswerNotes) Name() string { return "answer_notes" }
+
 // PublishPeers replaces the addresses of the other hosts, by host name.
 type PublishPeers struct{ Addresses map[string]string }
 
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lavenderstand/lavenderstand/capacity"
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/lot"
@@ -292,6 +293,25 @@
 // Name implements Event.
 func (PermitRequested) Name() string { return "permit_requested" }
 
+// NotesReceived holds what another host told of backend servers and asks for what this host
+// knows.
+type NotesReceived struct {
+	RequestID string
+	Share     capacity.Share
+}
+
+// Name implements Event.
+func (NotesReceived) Name() string { return "notes_received" }
+
+// NotesExchanged is the outcome of command.ShareNotes.
+type NotesExchanged struct {
+	Notes   []capacity.Note
+	Failure *Failure
+}
+
+// Name implements Event.
+func (NotesExchanged) Name() string { return "notes_exchanged" }
+
 // SuspectReported holds what another host reports about a request under which a backend
 // server ended.
 type SuspectReported struct{ quarantine.Report }
--- a/system/rollout/estimates.go
+++ b/system/rollout/estimates.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math"
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/capacity"
@@ -19,7 +20,7 @@
 			continue
 		}
 		if s := t.Rollout.Servers.Find(o.Server); s != nil {
-			observe(now, s, o.Stream, o.Work, out)
+			observe(now, &t.Rollout, s, o.Stream, o.Work, out)
 		}
 	}
 }
@@ -38,16 +39,23 @@
 }
 
 // observe adds an observation of this host.
-func observe(now time.Duration, s *table.Server, events bool, o capacity.Observation, out *command.Outbox) {
+func observe(now time.Duration, r *table.Rollout, s *table.Server, events bool, o capacity.Observation, out *command.Outbox) {
 	speed := speedOf(s, events)
 	o.At = now
 	speed.Estimator.Observe(o)
 	speed.OwnAt = now
-	publishEstimate(now, s, events, out)
+	estimateChanged(now, r, s, events, out)
 }
 
-func publishEstimate(now time.Duration, s *table.Server, events bool, out *command.Outbox) {
+// estimateChanged applies and publishes the present estimate of a server.
+func estimateChanged(now time.Duration, r *table.Rollout, s *table.Server, events bool, out *command.Outbox) {
 	speed := speedOf(s, events)
 	speed.Estimate = speed.Estimator.Estimate()
+	if events {
+		s.Pace.Placement, s.Pace.Useful = table.Placement{}, int(math.Ceil(speed.Estimate.Capacity))
+		if r.PaceBaseline {
+			s.Pace.Useful = 0
+		}
+	}
 	out.Add(command.PublishEstimate{Load: s.Load, Estimate: speed.Estimate, Stream: events, Age: now - speed.Estimate.At})
 }
--- a/system/rollout/pace.go
+++ b/system/rollout/pace.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -35,12 +34,7 @@
 	}
 	requests = max(1, requests, s.Running)
 	s.Pace.Others += othersSmoothing * (float64(requests-max(1, s.Running)) - s.Pace.Others)
-	observe(now, s, true, capacity.Observation{Requests: requests, Took: interval, Units: 1}, out)
-	s.Pace.Useful = int(math.Ceil(s.Pace.Events.Estimate.Capacity))
-	if r.PaceBaseline {
-		s.Pace.Useful = 0
-	}
-	s.Pace.Placement = table.Placement{}
+	observe(now, r, s, true, capacity.Observation{Requests: requests, Took: interval, Units: 1}, out)
 	recordBaseline(now, &s.Pace, interval)
 }
 
--- a/system/rollout/rollout.go
+++ b/system/rollout/rollout.go
@@ -26,6 +26,7 @@
 		{Name: "permits", Run: Permits},
 		{Name: "judgement", Run: ServerHealth},
 		{Name: "estimates", Run: Estimates},
+		{Name: "sharing", Run: ShareEstimates},
 		{Name: "quarantine", Run: Quarantine},
 		{Name: "origins", Run: StreamOrigins},
 		{Name: "lots", Run: Lots},
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -51,6 +51,7 @@
 	HistoriesCheckedAt time.Duration // when the versions of servers were last compared with the histories
 	// Presence is the state of the row by which other hosts find this host.
 	Presence          Presence
+	Sharing           Sharing
 	Now               time.Duration             // time of the newest tick
 	PaceBaseline      bool                      // use the baseline of Pace in place of the estimate, for comparison
 	MedianIntervals   map[string]MedianInterval // by service
@@ -67,6 +68,14 @@
 	RunCount    int    // number of runs of items so far, makes run numbers unique
 }
 
+// Sharing is the state of the exchange of estimates with other hosts.
+type Sharing struct {
+	NextAt  time.Duration // earliest time of the next exchange
+	Pending bool          // an exchange is under way
+	Round   int           // number of exchanges so far, selects the host
+	After   string        // id of the last server of which a note was sent
+}
+
 // PeerHost is a host of the system as described by its presence row in the store.
 type PeerHost struct {
 	Address        string
