--- a/forward/estimate.go
+++ b/forward/estimate.go
@@ -88,6 +88,7 @@
 		ratio = min(maxSurprise, max(1, float64(took)/float64(e.Time(float64(l.requestsWith(now))))))
 	}
 	l.surprise.Store(math.Float64bits(ratio))
+	l.surprisedAt.Store(now.UnixNano())
 }
 
 // momentary returns the factor by which the server is slower at the moment than its estimate,
@@ -96,7 +97,7 @@
 // milliseconds.
 func (l *Load) momentary(e *capacity.Estimate, now int64, reportIsFresh bool) float64 {
 	factor := 1.0
-	if age := now - l.measuredAt.Load(); age < int64(surpriseTTL) {
+	if age := now - l.surprisedAt.Load(); age < int64(surpriseTTL) {
 		fading := 1 - float64(max(0, age))/float64(surpriseTTL)
 		factor = 1 + fading*max(0, math.Float64frombits(l.surprise.Load())-1)
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -276,6 +276,9 @@
 		res := c.f.attempt(ctx, best, c.r, end)
 		target.Load.InFlight.Add(-1)
 		target.Load.suspects.Add(-suspects)
+		if ctx.Err() != nil {
+			c.f.reportAbandoned(c.r, res)
+		}
 		select {
 		case c.results <- res:
 		case <-ctx.Done():
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -30,6 +30,23 @@
 	})
 }
 
+// reportAbandoned reports how long an attempt lasted whose answer is not awaited any more, because
+// another attempt was answered or the deadline passed, if the server would have answered by then
+// at its estimated speed. Otherwise nothing would be learned of a server that became slow.
+func (f *Forwarder) reportAbandoned(r *Request, res result) {
+	load, now := res.target.Load, time.Now()
+	expected := defaultResponseTime
+	if e := load.responses.Load(); e != nil && e.Known() {
+		expected = e.Time(float64(load.requestsWith(now)))
+	}
+	if res.err == nil || verdict.Of(res.err) == verdict.NotRun || res.took <= expected {
+		return
+	}
+	work := load.observe(res.took, 1, now)
+	load.recordSurprise(res.took, now)
+	f.Report(Outcome{Request: r.ID, Server: res.target.ID, Limit: load.Limit(), Work: work})
+}
+
 // blameless reports whether the failure of an attempt for a reason says nothing about the
 // health of the server.
 func blameless(reason verdict.Reason) bool {
--- a/forward/replay_test.go
+++ b/forward/replay_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -12,6 +13,7 @@
 
 	"github.com/lavenderstand/lavenderstand/capacity"
 	"github.com/lavenderstand/lavenderstand/registry"
+	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
 // simulatedServer is a server with slots and a bounded queue in virtual time.
@@ -242,3 +244,39 @@
 	c.background = false
 	require.NotNil(t, c.choose(p, "s").target, "a caller may wait at the server")
 }
+
+// hangingSender answers requests at once, apart from those at one server.
+type hangingSender struct {
+	Sender
+	hanging string
+}
+
+func (s *hangingSender) Send(ctx context.Context, to *Target, _ *Request, _ time.Duration) (*Answer, error) {
+	if to.ID != s.hanging {
+		return &Answer{Status: 200}, nil
+	}
+	<-ctx.Done()
+	return nil, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.ReasonCanceled, "canceled")
+}
+
+// TestServerBehindHedgedAttemptIsMeasured guards against a server that became slow and of which
+// nothing is learned, because a second attempt elsewhere is always answered first.
+func TestServerBehindHedgedAttemptIsMeasured(t *testing.T) {
+	p := testPlan(2, 4)
+	for i, target := range p.Services["s"] {
+		target.Load.SetEstimate(capacity.Estimate{Unit: time.Duration(25+i) * ms, Capacity: 4}, false, 0, time.Now())
+	}
+	f := testForwarder(&hangingSender{hanging: "a"}, p)
+	outcomes := make(chan Outcome, 4)
+	f.Report = func(o Outcome) { outcomes <- o }
+	_, err := f.Forward(context.Background(), &Request{ID: "q", Host: "h", Path: "/x"})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return len(outcomes) == 2 }, time.Second, time.Millisecond)
+	for range 2 {
+		o := <-outcomes
+		require.Equal(t, 1.0, o.Work.Units)
+		require.Equal(t, o.Server == "a", o.Work.Took > 25*ms, o.Server)
+	}
+	c := chooser{now: time.Now(), random: func() float64 { return 0 }}
+	require.Equal(t, "b", c.choose(p, "s").target.ID, "passed over at once")
+}
--- a/forward/types.go
+++ b/forward/types.go
@@ -125,11 +125,12 @@
 	nextCallerPermit     atomic.Int64
 	nextBackgroundPermit atomic.Int64
 
-	slowdown  atomic.Uint64 // as last stated by the server, bits of a float64, 0 if not stated
-	others    atomic.Uint64 // smoothed ratio of reported requests to those in flight from this process, bits of a float64
-	surprise  atomic.Uint64 // ratio of the last response time to the expected one, bits of a float64
-	responses atomic.Pointer[capacity.Estimate]
-	streams   atomic.Pointer[capacity.Estimate]
+	slowdown    atomic.Uint64 // as last stated by the server, bits of a float64, 0 if not stated
+	others      atomic.Uint64 // smoothed ratio of reported requests to those in flight from this process, bits of a float64
+	surprise    atomic.Uint64 // ratio of the last response time to the expected one, bits of a float64
+	surprisedAt atomic.Int64  // time of surprise, Unix nanoseconds
+	responses   atomic.Pointer[capacity.Estimate]
+	streams     atomic.Pointer[capacity.Estimate]
 }
 
 // Report records the load that the server reported.
