--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -190,7 +190,7 @@
 }
 
 // TestFalseFigures guards against a server that gets more or less work than it can do because
-// it states a slowdown that it does not have, or that it is idle.
+// it states a slowdown that it does not have, or that it is idle, or nothing.
 func TestFalseFigures(t *testing.T) {
 	honest := func(_ *rand.Rand, slowdown float64) float64 { return slowdown }
 	lie := func(random *rand.Rand, _ float64) float64 { return 0.5 + 3*random.Float64() }
@@ -209,16 +209,33 @@
 		require.InDelta(t, c.momentary, got.Momentary(2.5*got.Usual), 0.5, c.name)
 		require.InEpsilon(t, 1, got.Momentary(got.Usual), 0.01, c.name)
 	}
-	idle := &server{unit: 45 * time.Millisecond, growth: 0.5, capacity: 6, count: func(int) int { return 1 }}
+	for _, stated := range []int{0, 1} { // nothing, or idle
+		s := &server{unit: 45 * time.Millisecond, growth: 0.5, capacity: 6, count: func(int) int { return stated }}
+		e := Estimator{Slots: 6}
+		var expected, actual time.Duration
+		s.replay(&e, 0, 60*time.Second, func(at time.Duration, requests int) {
+			if at > 10*time.Second {
+				expected += e.Estimate().Time(1)
+				actual += s.truth().Time(float64(requests))
+			}
+		})
+		require.InEpsilon(t, float64(actual), float64(expected), 2*maxError, "the server counts with the times that it takes")
+	}
+}
+
+// TestChangeOfSpeedIsNotLoad guards against a server that gets less work because it became slower
+// in the moment in which its load changed.
+func TestChangeOfSpeedIsNotLoad(t *testing.T) {
 	e := Estimator{Slots: 6}
-	var expected, actual time.Duration
-	idle.replay(&e, 0, 60*time.Second, func(at time.Duration, requests int) {
-		if at > 10*time.Second {
-			expected += e.Estimate().Time(1)
-			actual += idle.truth().Time(float64(requests))
+	for i := range 40 {
+		o := Observation{At: time.Duration(i) * 100 * time.Millisecond, Requests: 1, Took: 45 * time.Millisecond, Units: 1}
+		if i >= 20 {
+			o.Requests, o.Took = 2, 5*o.Took/2
 		}
-	})
-	require.InEpsilon(t, float64(actual), float64(expected), 2*maxError, "a server that claims to be idle counts with the times that it takes")
+		e.Observe(o)
+	}
+	require.InDelta(t, 6, e.Estimate().Capacity, 0)
+	require.InDelta(t, priorGrowth, e.Estimate().Growth, 0.03)
 }
 
 // TestOddObservations guards against observations and estimates of others that make an
