--- a/forward/forward.go
+++ b/forward/forward.go
@@ -311,6 +311,9 @@
 		target.Load.InFlight.Add(-1)
 		target.Load.suspects.Add(-suspects)
 		c.f.ended(c.service)
+		if ctx.Err() != nil {
+			c.f.reportAbandoned(c.r, res)
+		}
 		select {
 		case c.results <- res:
 		case <-ctx.Done():
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lavenderstand/lavenderstand/capacity"
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/registry"
 	"github.com/lavenderstand/lavenderstand/verdict"
@@ -71,7 +72,8 @@
 	software    registry.Software // version of the server that sent the first event
 	beginning   *beginning
 	seat        seat
-	rejected    bool // the stream cannot be served before its deadline
+	rejected    bool                 // the stream cannot be served before its deadline
+	work        capacity.Observation // of the newest part
 }
 
 // streamPart is the part of a stream that one server sent.
@@ -109,6 +111,7 @@
 		if err == nil {
 			s.f.Report(Outcome{
 				Request: s.r.ID, Server: s.lastServer.ID, Answered: true, Limit: s.lastServer.Load.Limit(), Content: s.r.content(),
+				Work: s.work, Stream: true,
 			})
 		}
 		if err == nil || ctx.Err() != nil || s.rejected {
@@ -225,7 +228,7 @@
 
 // chooseWith returns the server for the next attempt and what chose it.
 func (s *streamCall) chooseWith(plan *Plan) (choice, *chooser) {
-	ch := &chooser{now: time.Now(), tried: s.tried, random: s.f.Rand, usable: s.usable}
+	ch := &chooser{now: time.Now(), tried: s.tried, random: s.f.Rand, usable: s.usable, stream: true}
 	service := s.id().Service
 	if s.begun || !s.route.Resumable {
 		return ch.choose(plan, service), ch
@@ -272,6 +275,8 @@
 		}
 	})
 	defer idleTimer.Stop()
+	firstAt, lastAt, events := time.Time{}, time.Time{}, 0
+	defer func() { s.work = from.Load.observe(lastAt.Sub(firstAt), float64(events-1), lastAt) }()
 	for first := true; ; first = false {
 		e, err := stream.Next()
 		if errors.Is(err, ErrStreamEnd) {
@@ -280,7 +285,10 @@
 		if err != nil {
 			return err
 		}
+		lastAt = time.Now()
+		events++
 		if first {
+			firstAt = lastAt
 			s.parts = append(s.parts, streamPart{server: from.ID, software: from.Software, after: s.lastEventID})
 			s.recordOrigin(from.Software)
 			begun.Store(true)
--- a/forward/types.go
+++ b/forward/types.go
@@ -7,11 +7,13 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/accesskey"
+	"github.com/lavenderstand/lavenderstand/capacity"
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/memory"
 	"github.com/lavenderstand/lavenderstand/registry"
@@ -137,11 +139,21 @@
 	// server with a limit is expected to be available, Unix nanoseconds.
 	nextCallerPermit     atomic.Int64
 	nextBackgroundPermit atomic.Int64
+
+	slowdown    atomic.Uint64 // as last stated by the server, bits of a float64, 0 if not stated
+	others      atomic.Uint64 // smoothed ratio of reported requests to those in flight from this process, bits of a float64
+	surprise    atomic.Uint64 // ratio of the last response time to the expected one, bits of a float64
+	surprisedAt atomic.Int64  // time of surprise, Unix nanoseconds
+	responses   atomic.Pointer[capacity.Estimate]
+	streams     atomic.Pointer[capacity.Estimate]
 }
 
 // Report records the load that the server reported.
 func (l *Load) Report(r registry.Load, at time.Time) {
+	requests := float64(r.Running + r.Waiting)
+	smoothFloat(&l.others, min(maxOthers, max(1, requests/float64(max(1, l.InFlight.Load())))), loadSmoothing)
 	l.reported.Store(int32(r.Running + r.Waiting))
+	l.slowdown.Store(math.Float64bits(r.Slowdown))
 	l.reportedAt.Store(at.UnixNano())
 	l.peak.Store(max(l.peak.Load(), l.reported.Load())) // concurrent calls may lose one report
 }
@@ -165,6 +177,7 @@
 // recordResponse records the time that the server took to respond. Concurrent calls may
 // lose a measurement.
 func (l *Load) recordResponse(took time.Duration, now time.Time) {
+	l.recordSurprise(took, now)
 	if old := l.responseTime(now); old > 0 {
 		took = time.Duration((1-responseSmoothing)*float64(old) + responseSmoothing*float64(took))
 	}
@@ -191,6 +204,9 @@
 	return max(0, time.Duration(l.fullUntil.Load()-now.UnixNano()))
 }
 
+// Requests returns the estimated number of requests at the server.
+func (l *Load) Requests(now time.Time) int { return int(l.estimatedRequests(now)) }
+
 // estimatedRequests returns the estimated number of requests at the server: the larger of
 // the requests in flight from this process and a recent load report.
 func (l *Load) estimatedRequests(now time.Time) int32 {
@@ -236,4 +252,8 @@
 	Content      string // fingerprint of the request, empty if it is in the background
 	Took         time.Duration
 	Limit        float64 // requests per second that the server takes from all hosts, 0 if it named no limit
+	// Work is what was measured of the server, without its time. Its units are those of plain
+	// requests or, if Stream is set, events.
+	Work   capacity.Observation
+	Stream bool
 }
--- a/system/rollout/slowdown.go
+++ b/system/rollout/slowdown.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/table"
 )
 
@@ -38,12 +39,12 @@
 
 // applyInterval applies a measured event interval of a server to its pace and to the age of
 // its slowdown.
-func applyInterval(now time.Duration, r *table.Rollout, s *table.Server, interval time.Duration) {
+func applyInterval(now time.Duration, r *table.Rollout, s *table.Server, interval time.Duration, requests int, out *command.Outbox) {
 	if interval <= 0 {
 		return
 	}
 	before := eventInterval(r, s)
-	recordPace(now, s, interval)
+	recordPace(now, r, s, interval, requests, out)
 	if s.SuspectUntil == 0 {
 		s.Slowdown = nextSlowdown(now, s.Slowdown, before, min(interval, eventInterval(r, s)))
 	}
