--- a/peer/servers.go
+++ b/peer/servers.go
@@ -39,7 +39,7 @@
 		}
 		answer.Notes = known
 	}
-	if len(r.Notes) > len(estimates) {
+	if len(r.Notes) > 0 && len(estimates) == 0 {
 		return answer, nil // a report about servers that leave
 	}
 	notes, err := s.Exchanger.Share(ctx, capacity.Share{Notes: estimates, Everything: r.Host == ""})
--- a/system/rollout/estimates.go
+++ b/system/rollout/estimates.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"math"
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/capacity"
@@ -51,11 +50,5 @@
 func estimateChanged(now time.Duration, r *table.Rollout, s *table.Server, events bool, out *command.Outbox) {
 	speed := speedOf(s, events)
 	speed.Estimate = speed.Estimator.Estimate()
-	if events {
-		s.Pace.Placement, s.Pace.Useful = table.Placement{}, int(math.Ceil(speed.Estimate.Capacity))
-		if r.PaceBaseline {
-			s.Pace.Useful = 0
-		}
-	}
 	out.Add(command.PublishEstimate{Load: s.Load, Estimate: speed.Estimate, Stream: events, Age: now - speed.Estimate.At})
 }
--- a/system/rollout/slowdown.go
+++ b/system/rollout/slowdown.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/lavenderstand/lavenderstand/capacity"
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/table"
 )
@@ -44,7 +45,8 @@
 		return
 	}
 	before := eventInterval(r, s)
-	recordPace(now, r, s, interval, requests, out)
+	recordPace(now, s, interval)
+	observe(now, r, s, true, capacity.Observation{Requests: max(1, requests, s.Running), Took: interval, Units: 1}, out)
 	if s.SuspectUntil == 0 {
 		s.Slowdown = nextSlowdown(now, s.Slowdown, before, min(interval, eventInterval(r, s)))
 	}
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -58,7 +58,6 @@
 	Presence          Presence
 	Sharing           Sharing
 	Now               time.Duration             // time of the newest tick
-	PaceBaseline      bool                      // use the baseline of Pace in place of the estimate, for comparison
 	MedianIntervals   map[string]MedianInterval // by service
 	LoadTimes         map[string]time.Duration  // expected time of a load of weights, by service
 	EnginesAssignedAt time.Duration             // when engines were last assigned to models
@@ -238,13 +237,9 @@
 // Known reports whether the time of a unit of work is known.
 func (s *Speed) Known() bool { return s != nil && s.Estimate.Known() }
 
-// Pace is the measured time between two events of a run on a server. The baseline, which the
-// estimate replaces, is used in comparisons only.
+// Pace is the measured time between two events of a run on a server.
 type Pace struct {
-	Events     *Speed  // nil before the first observation
-	Useful     int     // number of runs beyond which further ones add no throughput, 0 if not known
-	Others     float64 // smoothed number of requests of other hosts at the server
-	Placement  Placement
+	Events     *Speed        // by which callers' streams choose a server, nil before the first observation
 	Usual      time.Duration // smoothed over the life of the server, 0 before the first measurement
 	Recent     time.Duration // smoothed over the newest measurements
 	MeasuredAt time.Duration // when the newest measurement was made
@@ -265,15 +260,6 @@
 	Shares   bool // organisations are not told apart in the order of waiting items
 }
 
-// Placement is the time between two events that is expected of one more run on a server, as
-// computed in a tick for a number of runs. A lot may look at each server once for each item.
-type Placement struct {
-	Interval time.Duration // 0 if it was not computed
-	At       time.Duration // time of the tick
-	Running  int
-	Idle     bool // no slot is in use or reserved
-}
-
 // Order is the newest order of this process to a server.
 type Order struct {
 	Model       string
