--- a/command/rollout.go
+++ b/command/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lavenderstand/lavenderstand/capacity"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/lot"
@@ -224,6 +225,36 @@
 	Version uint64
 }
 
+// PublishEstimate replaces the estimate of a server that request goroutines read, of plain
+// requests or of streams.
+type PublishEstimate struct {
+	Load     *forward.Load
+	Estimate capacity.Estimate
+	Stream   bool
+	Age      time.Duration // of the estimate
+}
+
+// Name implements Command.
+func (PublishEstimate) Name() string { return "publish_estimate" }
+
+// ShareNotes tells another host what this host knows of backend servers.
+type ShareNotes struct {
+	Address string // of the other host
+	Share   capacity.Share
+}
+
+// Name implements Command.
+func (ShareNotes) Name() string { return "share_notes" }
+
+// AnswerNotes answers event.NotesReceived.
+type AnswerNotes struct {
+	RequestID string
+	Notes     []capacity.Note
+}
+
+// Name implements Command.
+func (AnswerNotes) Name() string { return "answer_notes" }
+
 // PublishPeers replaces the addresses of the other hosts, by host name.
 type PublishPeers struct{ Addresses map[string]string }
 
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lavenderstand/lavenderstand/capacity"
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/forward"
 	"github.com/lavenderstand/lavenderstand/lot"
@@ -162,6 +163,7 @@
 	Events        []string           // data of the events after those reported before
 	Versions      []registry.Version // weight versions that generated Events
 	EventInterval time.Duration      // median of the newest times between two events, 0 if not measured
+	Requests      int                // mean number of requests at the server, 0 if not known
 }
 
 // RunEnded is the outcome of one run of an item at a backend server.
@@ -174,6 +176,7 @@
 	Versions      []registry.Version // weight versions that generated Events
 	Version       registry.Version   // newest version that the server stated, 0 if none
 	EventInterval time.Duration      // median of the newest times between two events, 0 if not measured
+	Requests      int                // mean number of requests at the server, 0 if not known
 	Failure       *Failure           // nil if the output is complete
 }
 
@@ -294,6 +297,25 @@
 // Name implements Event.
 func (PermitRequested) Name() string { return "permit_requested" }
 
+// NotesReceived holds what another host told of backend servers and asks for what this host
+// knows.
+type NotesReceived struct {
+	RequestID string
+	Share     capacity.Share
+}
+
+// Name implements Event.
+func (NotesReceived) Name() string { return "notes_received" }
+
+// NotesExchanged is the outcome of command.ShareNotes.
+type NotesExchanged struct {
+	Notes   []capacity.Note
+	Failure *Failure
+}
+
+// Name implements Event.
+func (NotesExchanged) Name() string { return "notes_exchanged" }
+
 // SuspectReported holds what another host reports about a request under which a backend
 // server ended.
 type SuspectReported struct{ quarantine.Report }
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lavenderstand/lavenderstand/capacity"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -12,8 +13,10 @@
 func (c *call) reportOutcome(res result) {
 	failed := res.err != nil || res.answer.serverFailed()
 	reason, now := reasonOf(res), time.Now()
+	var work capacity.Observation
 	switch {
 	case !failed: // a server may fail faster than it answers
+		work = res.target.Load.observe(res.took, 1, now)
 		res.target.Load.recordResponse(res.took, now)
 	case notAsked(res.err):
 	case res.err != nil && verdict.Of(res.err) == verdict.NotRun: // full or not reachable
@@ -23,10 +26,27 @@
 		Request: c.r.ID, Server: res.target.ID, Answered: res.err == nil, Took: res.took,
 		Failed:  failed && !blameless(reason),
 		Refused: reason == verdict.ReasonBackendRefused, Leaving: reason == verdict.ReasonBackendLeaving,
-		Limit: res.target.Load.Limit(), Ended: res.ended, EndedServers: len(c.ended), Content: c.r.content(),
+		Limit: res.target.Load.Limit(), Ended: res.ended, EndedServers: len(c.ended), Content: c.r.content(), Work: work,
 	})
 }
 
+// reportAbandoned reports how long an attempt lasted whose answer is not awaited any more, because
+// another attempt was answered or the deadline passed, if the server would have answered by then
+// at its estimated speed. Otherwise nothing would be learned of a server that became slow.
+func (f *Forwarder) reportAbandoned(r *Request, res result) {
+	load, now := res.target.Load, time.Now()
+	expected := defaultResponseTime
+	if e := load.responses.Load(); e != nil && e.Known() {
+		expected = e.Time(float64(load.requestsWith(now)))
+	}
+	if res.err == nil || verdict.Of(res.err) == verdict.NotRun || res.took <= expected {
+		return
+	}
+	work := load.observe(res.took, 1, now)
+	load.recordSurprise(res.took, now)
+	f.Report(Outcome{Request: r.ID, Server: res.target.ID, Limit: load.Limit(), Work: work})
+}
+
 // blameless reports whether the failure of an attempt for a reason says nothing about the
 // health of the server.
 func blameless(reason verdict.Reason) bool {
--- a/peer/leaving.go
+++ b/peer/leaving.go
@@ -6,7 +6,6 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"github.com/lavenderstand/lavenderstand/leaving"
 	"github.com/lavenderstand/lavenderstand/peer/peerpb"
 	"github.com/lavenderstand/lavenderstand/registry"
 	"github.com/lavenderstand/lavenderstand/verdict"
@@ -20,27 +19,21 @@
 	maxNoteBytes = 1 << 10
 )
 
-// LeavingServer receives reports of other hosts about servers that leave. It ignores all other
-// notes.
-type LeavingServer struct {
-	peerpb.UnimplementedServersServer
-	Receiver leaving.Receiver
-}
-
-// Share implements peerpb.ServersServer. A request without notes asks for those of this host.
-func (s *LeavingServer) Share(ctx context.Context, r *peerpb.ShareServersRequest) (*peerpb.ShareServersResponse, error) {
+// shareLeaving passes on which servers leave and returns what this host knows of that. A request
+// without notes only asks.
+func (s *ServersServer) shareLeaving(ctx context.Context, r *peerpb.ShareServersRequest) ([]*peerpb.ServerNote, error) {
 	starts, err := leavingStarts(r.Notes)
-	if err != nil || r.Host == "" {
-		return nil, status.Error(codes.InvalidArgument, "host is missing, or there are too many notes")
+	if err != nil {
+		return nil, err
 	}
 	if len(starts) == 0 && len(r.Notes) > 0 {
-		return &peerpb.ShareServersResponse{}, nil
+		return nil, nil
 	}
-	known, err := s.Receiver.Share(ctx, r.Host, starts)
+	known, err := s.Leaving.Share(ctx, r.Host, starts)
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, verdict.Message(err))
 	}
-	return &peerpb.ShareServersResponse{Notes: leavingNotes(known)}, nil
+	return leavingNotes(known), nil
 }
 
 // LeavingClient reports servers that leave to another host.
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lavenderstand/lavenderstand/accesskey"
+	"github.com/lavenderstand/lavenderstand/capacity"
 	"github.com/lavenderstand/lavenderstand/command"
 	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/forward"
@@ -55,6 +56,8 @@
 	HistoriesCheckedAt time.Duration // when the versions of servers were last compared with the histories
 	// Presence is the state of the row by which other hosts find this host.
 	Presence          Presence
+	Sharing           Sharing
+	Now               time.Duration             // time of the newest tick
 	MedianIntervals   map[string]MedianInterval // by service
 	LoadTimes         map[string]time.Duration  // expected time of a load of weights, by service
 	EnginesAssignedAt time.Duration             // when engines were last assigned to models
@@ -79,6 +82,14 @@
 	ValidVersion uint64
 }
 
+// Sharing is the state of the exchange of estimates with other hosts.
+type Sharing struct {
+	NextAt  time.Duration // earliest time of the next exchange
+	Pending bool          // an exchange is under way
+	Round   int           // number of exchanges so far, selects the host
+	After   string        // id of the last server of which a note was sent
+}
+
 // PeerHost is a host of the system as described by its presence row in the store.
 type PeerHost struct {
 	Address        string
@@ -201,6 +212,7 @@
 	Load           *forward.Load `json:"-"` // shared with request goroutines
 	Running        int           // number of items that this host runs on the server
 	Reserved       int           // number of slots that are kept free for runs that move here
+	Answers        *Speed        // of plain requests, nil before the first observation
 	Pace           Pace
 	Slowdown       Slowdown
 	Critical       time.Duration // expected further time of its runs that delay a step, 0 if there are none
@@ -215,8 +227,19 @@
 	PreferredModel string // model to which the engine is assigned
 }
 
+// Speed is what this host has learned of the time that a server takes for a unit of work.
+type Speed struct {
+	Estimator capacity.Estimator `json:"-"`
+	Estimate  capacity.Estimate  // newest estimate
+	OwnAt     time.Duration      // newest observation of this host, 0 if there is none
+}
+
+// Known reports whether the time of a unit of work is known.
+func (s *Speed) Known() bool { return s != nil && s.Estimate.Known() }
+
 // Pace is the measured time between two events of a run on a server.
 type Pace struct {
+	Events     *Speed        // by which callers' streams choose a server, nil before the first observation
 	Usual      time.Duration // smoothed over the life of the server, 0 before the first measurement
 	Recent     time.Duration // smoothed over the newest measurements
 	MeasuredAt time.Duration // when the newest measurement was made
