--- a/system/rollout/estimates.go
+++ b/system/rollout/estimates.go
@@ -12,14 +12,13 @@
 // Estimates applies what requests of callers and scorers showed of the servers, and publishes the
 // new estimates to the request goroutines.
 func Estimates(now time.Duration, t *table.Tables, in []event.Event, out *command.Outbox) {
-	t.Rollout.Now = now
 	for _, e := range in {
 		o, ok := e.(event.ServerOutcome)
 		if !ok || o.Work.Units <= 0 {
 			continue
 		}
 		if s := t.Rollout.Servers.Find(o.Server); s != nil {
-			observe(now, &t.Rollout, s, o.Stream, o.Work, out)
+			observe(now, s, o.Stream, o.Work, out)
 		}
 	}
 }
@@ -38,16 +37,16 @@
 }
 
 // observe adds an observation of this host.
-func observe(now time.Duration, r *table.Rollout, s *table.Server, events bool, o capacity.Observation, out *command.Outbox) {
+func observe(now time.Duration, s *table.Server, events bool, o capacity.Observation, out *command.Outbox) {
 	speed := speedOf(s, events)
 	o.At = now
 	speed.Estimator.Observe(o)
 	speed.OwnAt = now
-	estimateChanged(now, r, s, events, out)
+	estimateChanged(now, s, events, out)
 }
 
 // estimateChanged applies and publishes the present estimate of a server.
-func estimateChanged(now time.Duration, r *table.Rollout, s *table.Server, events bool, out *command.Outbox) {
+func estimateChanged(now time.Duration, s *table.Server, events bool, out *command.Outbox) {
 	speed := speedOf(s, events)
 	speed.Estimate = speed.Estimator.Estimate()
 	out.Add(command.PublishEstimate{Load: s.Load, Estimate: speed.Estimate, Stream: events, Age: now - speed.Estimate.At})
--- a/system/rollout/sharing.go
+++ b/system/rollout/sharing.go
@@ -157,7 +157,7 @@
 		}
 		speed.Estimator.Learn(n.Estimate, now)
 		if speed.Estimator.Estimate().Known() {
-			estimateChanged(now, r, s, isEngine(s), out)
+			estimateChanged(now, s, isEngine(s), out)
 		}
 	}
 }
--- a/system/rollout/slowdown.go
+++ b/system/rollout/slowdown.go
@@ -46,7 +46,7 @@
 	}
 	before := eventInterval(r, s)
 	recordPace(now, s, interval)
-	observe(now, r, s, true, capacity.Observation{Requests: max(1, requests, s.Running), Took: interval, Units: 1}, out)
+	observe(now, s, true, capacity.Observation{Requests: max(1, requests, s.Running), Took: interval, Units: 1}, out)
 	if s.SuspectUntil == 0 {
 		s.Slowdown = nextSlowdown(now, s.Slowdown, before, min(interval, eventInterval(r, s)))
 	}
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -57,7 +57,6 @@
 	// Presence is the state of the row by which other hosts find this host.
 	Presence          Presence
 	Sharing           Sharing
-	Now               time.Duration             // time of the newest tick
 	MedianIntervals   map[string]MedianInterval // by service
 	LoadTimes         map[string]time.Duration  // expected time of a load of weights, by service
 	EnginesAssignedAt time.Duration             // when engines were last assigned to models
