--- a/cmd/lavender-host/decode.go
+++ b/cmd/lavender-host/decode.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lavenderstand/lavenderstand/desired"
 	"github.com/lavenderstand/lavenderstand/event"
 	"github.com/lavenderstand/lavenderstand/executor"
 	"github.com/lavenderstand/lavenderstand/platform"
@@ -32,6 +33,7 @@
 	for _, r := range rows {
 		state, ok, err := platform.ParseDesired(r)
 		if ok && err == nil {
+			h.operatorsFeed.LongPollWait = operatorsWait(state) // only the goroutine of the feed, which calls this, reads it
 			events = append(events, event.DesiredRead{State: state})
 			continue
 		}
@@ -48,6 +50,14 @@
 	return events
 }
 
+// operatorsWait returns the time for which the store holds a read of the operators' table.
+func operatorsWait(s *desired.State) time.Duration {
+	if s.Organisations == nil {
+		return feedLongPollWait
+	}
+	return operatorsLongPollWait
+}
+
 // decodeServers converts rows of the servers table to one event.
 func decodeServers(rows []store.Row, full bool, _ uint64) []event.Event {
 	changes := make([]registry.Change, len(rows))
--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -64,7 +64,8 @@
 	// is never older than its readers allow.
 	feedLongPollWait         = time.Second
 	coordinationLongPollWait = 500 * time.Millisecond
-	// operatorsLongPollWait lets a read that fails end before the desired state is older than
+	// operatorsLongPollWait applies to the operators' table while callers are identified by keys.
+	// It lets a read that fails end before the desired state is older than
 	// Bounds.Configuration.
 	operatorsLongPollWait = 500 * time.Millisecond
 	// Maximum numbers of commands of one kind that run at the same time.
@@ -334,7 +335,6 @@
 	h.coordinationFeed.LongPollWait = coordinationLongPollWait
 	singlePart := []string{""} // these tables have one partition
 	h.operatorsFeed = h.newFeed("operators", platform.TableOperators, singlePart, readbudget.OperatorsShare, 0, h.decodeOperators)
-	h.operatorsFeed.LongPollWait = operatorsLongPollWait
 	h.serversFeed = h.newFeed("servers", platform.TableServers, singlePart, readbudget.ServersShare, 250*time.Millisecond, decodeServers)
 	feeds := []*executor.Feed{h.coordinationFeed, h.operatorsFeed, h.serversFeed}
 	for _, f := range feeds {
