--- a/cmd/lavenderctl/explain.go
+++ b/cmd/lavenderctl/explain.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/lavenderstand/lavenderstand/identity"
+	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/status"
 )
 
@@ -21,9 +22,6 @@
 the last of its internal ports. The answer is the view of that host; nothing is sent to
 a backend server and nothing is counted.`
 
-// keyHeader is the header in which callers send their key.
-const keyHeader = "Key"
-
 // explainCommand returns the commands that ask a host what it would do and why.
 func explainCommand(o *options) *cobra.Command {
 	c := &cobra.Command{Use: "explain", Short: "Explain what a lavender-host would do now with a request, a lot or an item, and why", Long: explainHelp}
@@ -56,7 +54,7 @@
 	var keyFile, bodyFile string
 	c := &cobra.Command{
 		Use: "request ADDRESS", Short: "Explain where a request would go", Args: cobra.ExactArgs(1), Long: explainHelp,
-		Example: "  lavenderctl explain request 10.1.0.38:7395 --host shop.example --path /search?q=x --header 'Deadline-Milliseconds: 400'",
+		Example: "  lavenderctl explain request 10.1.0.38:7395 --host shop.example --path /search?q=x --header 'Accept-Language: cy'",
 		RunE: func(_ *cobra.Command, args []string) error {
 			if err := readRequestFiles(&q, headers, keyFile, bodyFile); err != nil {
 				return err
@@ -90,7 +88,7 @@
 		if err != nil {
 			return failf(exitUsage, "--key-file: %w", err)
 		}
-		q.Header.Add(keyHeader, key)
+		platform.AddKey(q.Header, key)
 	}
 	if bodyFile != "" {
 		if q.Body, err = os.ReadFile(bodyFile); err != nil {
--- a/cmd/lavenderctl/explain_test.go
+++ b/cmd/lavenderctl/explain_test.go
@@ -32,7 +32,7 @@
 			_ = json.NewEncoder(w).Encode(api.ErrorBody{Error: api.ErrorDetail{Message: "lot is not known", Reason: verdict.ReasonUnknownLot}})
 		default:
 			_ = json.NewEncoder(w).Encode(status.Explanation{Host: "h1", DesiredVersion: 7, Request: &status.RequestExplanation{
-				Route: "r", Organisation: q.Request.Header.Get(keyHeader)[:1], Servers: []status.ServerCandidate{{ID: "i1", LeftOut: "full"}},
+				Route: "r", Organisation: q.Request.Header.Get("Key")[:1], Servers: []status.ServerCandidate{{ID: "i1", LeftOut: "full"}},
 				Refusal: &status.Refusal{Reason: verdict.ReasonOverload, Status: 503, RetryAfterMS: 40},
 			}})
 		}
