--- a/soak/scaling_test.go
+++ b/soak/scaling_test.go
@@ -133,8 +133,9 @@
 	server := httptest.NewServer(&p.api)
 	t.Cleanup(server.Close)
 	c := newClusterOf(t, 1, longEvents, "cloud.address="+strings.TrimPrefix(server.URL, "http://")+"\ncloud.duties=scaling\ncloud.dutyPerS=50\n")
-	p.c, c.placement = c, make(map[string]map[string]any)
+	p.c = c
 	c.mu.Lock()
+	c.placement = make(map[string]map[string]any)
 	c.scale = map[string]any{"minimum": samplers, "maximum": 30, "bootS": bootTime.Seconds(), "spotPrice": 0.22, "zonePrices": map[string]any{"z": 1, "y": 0.9}}
 	c.mu.Unlock()
 	c.writeDesiredState()
