review: case 9, a large lot is never run again after its host was killed

Cause: one time limit of 2 s covers the whole adoption of a lot, also the reads of all its objects, and each failed attempt keeps other hosts away. Change: the case, with the store's times for objects in the stand-in.

--- a/review/_rig2/cluster.go
+++ b/review/_rig2/cluster.go
@@ -134,7 +134,7 @@
 	c.address = l.Addr().String()
 	e := echo.New()
 	c.store.Register(e)
-	go func() { _ = (&http.Server{Handler: e}).Serve(l) }() //nolint:gosec // a stand-in on loopback
+	go func() { _ = (&http.Server{Handler: &blobPace{next: e}}).Serve(l) }() //nolint:gosec // a stand-in on loopback
 	return c, nil
 }
 
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -10,14 +10,14 @@
 	"path/filepath"
 )
 
-// verdict is the outcome of a case: what broke the rule, empty if it held.
+// outcome is the outcome of a case: what broke the rule, empty if it held.
 type outcome struct {
 	broken []string
 	seen   string
 }
 
 var cases = map[string]func(c *cluster, trouble bool) (outcome, error){
-	"6": playTimeout, "7": playEnded,
+	"6": playTimeout, "7": playEnded, "8": playCrashes, "9": playAdoption,
 }
 
 func main() {
--- a/review/_rig2/sampler.go
+++ b/review/_rig2/sampler.go
@@ -25,6 +25,8 @@
 	registered    func(map[string]any)          // changes the record, may be nil
 	born          int64
 	places, turns chan struct{}
+	server        *http.Server
+	ended         chan struct{} // closed by a crash
 	models        []string
 
 	mu       sync.Mutex
@@ -54,11 +56,16 @@
 		s.versions[m] = 1
 	}
 	c.samplers = append(c.samplers, s)
-	go func() { _ = (&http.Server{Handler: s}).Serve(l) }() //nolint:gosec // a stand-in on loopback
+	s.server, s.ended = &http.Server{Handler: s}, make(chan struct{}) //nolint:gosec // a stand-in on loopback
+	go func() { _ = s.server.Serve(l) }()
 	go func() {
 		for n := 0; ; n++ {
 			s.register(n)
-			time.Sleep(1200 * time.Millisecond)
+			select {
+			case <-s.ended:
+				return
+			case <-time.After(1200 * time.Millisecond):
+			}
 		}
 	}()
 	return nil
--- a/review/_rig2/trainer.go
+++ b/review/_rig2/trainer.go
@@ -19,6 +19,8 @@
 	reward  string // path of the reward calls
 	model   string
 	target  int
+	at      int       // index of the host to which it is sent first
+	body    int       // bytes of the body of each item, 0 for a short one
 	endedAt time.Time // when the end was acknowledged
 	results map[int]result
 }
@@ -70,12 +72,21 @@
 
 func (c *cluster) anyHost() *host { return c.hosts[rand.IntN(len(c.hosts))] }
 
+// prompt returns the body of an item.
+func prompt(id string, size int) []byte {
+	text := []byte("prompt " + id)
+	if size > len(text) {
+		text = append(text, bytes.Repeat([]byte{'x'}, size-len(text))...)
+	}
+	return text
+}
+
 // submit hands in a lot, at another host after each failure.
 func (c *cluster) submit(l *lot, step int) error {
 	var items []map[string]any
 	for _, i := range l.items {
 		items = append(items, map[string]any{
-			"identifier": i.id, "path": "/pule252/3/" + i.id, "body": []byte("prompt " + i.id), "tokens": 300, "group": i.group,
+			"identifier": i.id, "path": "/pule252/3/" + i.id, "body": prompt(i.id, l.body), "tokens": 300, "group": i.group,
 			"headers": map[string]string{"Model": l.model, "Token-Counts": "271,40", "Prompt-Prefix": i.group + ":255," + i.id + ":16"},
 			"scorer":  map[string]any{"identifier": i.scorer, "host": routeHost, "path": l.reward + i.scorer, "body": []byte("score " + i.id)},
 		})
@@ -83,7 +94,7 @@
 	body := mustJSON(map[string]any{"step": step, "model": l.model, "minimumVersion": 1, "targetGroups": l.target, "items": items})
 	end := time.Now().Add(10 * time.Second)
 	for n := 0; time.Now().Before(end); n++ {
-		h := c.hosts[n%len(c.hosts)]
+		h := c.hosts[(l.at+n)%len(c.hosts)]
 		status, _, err := c.call(h, http.MethodPost, "/pule252/"+l.id, l.id, map[string]string{"Content-Type": "application/json"}, body)
 		c.record.add("trainer: lot %s with %d items sent to %s: status %d, error %v", l.id, len(l.items), h.name, status, err)
 		if status == http.StatusAccepted {
