review: case 10, requests that wait at a host are cut off by its planned stop

Cause: only requests that arrive after the begin of a planned stop are bounded by its end; one that arrived before and waits for a sampler is cut off when the process ends.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Plays case 10; claim.txt tells what it shows. TROUBLE=0 leaves out the disruption.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x review/_rig2/bin/rig ] || { echo "run review/build-2.sh first" >&2; exit 2; }
+exec timeout --signal=TERM --kill-after=5 118 review/_rig2/bin/rig 10 review/10
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -17,7 +17,7 @@
 }
 
 var cases = map[string]func(c *cluster, trouble bool) (outcome, error){
-	"6": playTimeout, "7": playEnded, "8": playCrashes, "9": playAdoption,
+	"6": playTimeout, "7": playEnded, "8": playCrashes, "9": playAdoption, "10": playStop,
 }
 
 func main() {
