--- a/review/_rig2/adoption.go
+++ b/review/_rig2/adoption.go
@@ -12,7 +12,7 @@
 	const contact = 3 * time.Second   // contactMs
 	const restartDelay = 500 * time.Millisecond
 	const patience = 38 * time.Second        // maxAgeS is 40
-	const groups, size, body = 9, 4, 600_000 // 28.9 MB on the wire; the desired state allows 33.5 MB
+	const groups, size, body = 9, 4, 630_000 // 30.3 MB on the wire; the desired state allows 33.5 MB
 	for i := range 4 {
 		s := &sampler{id: fmt.Sprintf("i-model%d", i), service: "huvo11a", slots: 8, queue: 24, events: 40, gap: 20 * time.Millisecond, models: []string{"daka510000", "rada7437b5"}}
 		if err := c.addSampler(s); err != nil {
@@ -35,14 +35,14 @@
 	time.Sleep(4 * time.Second)
 	l := newLot("daka510000", groups, size)
 	l.body = body
-	submitted := time.Now()
 	if err := c.submit(l, 0); err != nil {
 		return o, err
 	}
+	submitted := l.sentAt
 	time.Sleep(restartDelay)
 	killedAt := time.Now()
 	if trouble {
-		h := c.hosts[0] // accepted the lot and runs it
+		h := l.accepted // runs the lot
 		c.kill(h)
 		time.AfterFunc(restartDelay, func() { _ = c.startHost(h) })
 	}
--- a/review/_rig2/cluster.go
+++ b/review/_rig2/cluster.go
@@ -85,6 +85,7 @@
 	hosts    []*host
 	samplers []*sampler
 	version  int // of the desired state
+	ports    []int
 }
 
 type host struct {
@@ -169,17 +170,19 @@
 // addHost starts a host with a loopback address of its own.
 func (c *cluster) addHost(index int) error {
 	h := &host{name: fmt.Sprintf("front-caerdydd-%d", index+1), ip: fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, os.Getpid()/200%250, index+1)}
-	ports := make([]int, 2)
-	for i := range ports {
-		p, err := freePort(h.ip)
-		if err != nil {
-			return err
+	if c.ports == nil { // the ports are the same on all machines
+		for range 4 {
+			p, err := freePort(h.ip)
+			if err != nil {
+				return err
+			}
+			c.ports = append(c.ports, p)
 		}
-		ports[i] = p
 	}
+	ports := c.ports
 	h.front = fmt.Sprintf("%s:%d", h.ip, ports[0])
-	text := fmt.Sprintf("node=%s\nzone=caerdydd\nipAddress=%s\nlisten.front=%s\nlisten.ready=%s:%d\ninternalPorts=7380,7395\nplatform.address=%s\n",
-		h.name, h.ip, h.front, h.ip, ports[1], c.address)
+	text := fmt.Sprintf("node=%s\nzone=caerdydd\nipAddress=%s\nlisten.front=%s\nlisten.ready=%s:%d\ninternalPorts=%d,%d\nplatform.address=%s\n",
+		h.name, h.ip, h.front, h.ip, ports[1], min(ports[2], ports[3]), max(ports[2], ports[3]), c.address)
 	h.settings = filepath.Join(c.dir, h.name+".conf")
 	if err := os.WriteFile(h.settings, []byte(text+bounds), 0o600); err != nil {
 		return err
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -7,7 +7,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // outcome is the outcome of a case: what broke the rule, empty if it held.
@@ -17,7 +19,7 @@
 }
 
 var cases = map[string]func(c *cluster, trouble bool) (outcome, error){
-	"6": playTimeout, "7": playEnded, "8": playCrashes, "9": playAdoption, "10": playStop,
+	"adoption": playAdoption, "timeout": playTimeout, "stop": playStop, "crashes": playCrashes, "ended": playEnded,
 }
 
 func main() {
@@ -44,6 +46,13 @@
 		return 2
 	}
 	defer c.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		c.close()
+		os.Exit(2)
+	}()
 	o, err := run(c, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		rec.add("the case could not run: %v", err)
--- a/review/_rig2/rewards.go
+++ b/review/_rig2/rewards.go
@@ -26,7 +26,7 @@
 
 // startSite starts model samplers, reward samplers and three hosts.
 func startSite(c *cluster, rewardSamplers, rewardSlots, rewardTimeoutMs int, work func(string) time.Duration) error {
-	for i := range 4 {
+	for i := range 8 {
 		s := &sampler{id: fmt.Sprintf("i-model%d", i), service: "huvo11a", slots: 8, queue: 24, events: 13, gap: 20 * time.Millisecond, models: []string{"daka510000", "rada7437b5"}}
 		if err := c.addSampler(s); err != nil {
 			return err
@@ -103,13 +103,24 @@
 func playEnded(c *cluster, trouble bool) (o outcome, err error) {
 	const cancelAfter = 900 * time.Millisecond
 	const cancelMs = 3 * time.Second
+	models := []string{"daka510000", "rada7437b5"}
 	if err := startSite(c, 2, 6, 6000, func(string) time.Duration { return 400 * time.Millisecond }); err != nil {
 		return o, err
 	}
+	for step, model := range models { // the steps before
+		l := newLot(model, 9, 4)
+		if err := c.submit(l, step); err != nil {
+			return o, err
+		}
+		c.read(l, time.Now().Add(15*time.Second))
+		if err := c.end(l); err != nil {
+			return o, err
+		}
+	}
 	var lots []*lot
 	done := make(chan error, 5)
 	for i := range 5 {
-		l := newLot([]string{"daka510000", "rada7437b5"}[i%2], 9, 4)
+		l := newLot(models[i%2], 9, 4)
 		lots = append(lots, l)
 		go func() {
 			if err := c.submit(l, 0); err != nil {
--- a/review/_rig2/trainer.go
+++ b/review/_rig2/trainer.go
@@ -14,15 +14,16 @@
 
 // lot is a batch submission of a trainer.
 type lot struct {
-	id      string
-	items   []item
-	reward  string // path of the reward calls
-	model   string
-	target  int
-	at      int       // index of the host to which it is sent first
-	body    int       // bytes of the body of each item, 0 for a short one
-	endedAt time.Time // when the end was acknowledged
-	results map[int]result
+	id       string
+	items    []item
+	reward   string // path of the reward calls
+	model    string
+	target   int
+	body     int       // bytes of the body of each item, 0 for a short one
+	accepted *host     // which answered 202
+	sentAt   time.Time // when the attempt that was answered 202 was sent
+	endedAt  time.Time // when the end was acknowledged
+	results  map[int]result
 }
 
 type item struct{ id, group, scorer string }
@@ -92,12 +93,14 @@
 		})
 	}
 	body := mustJSON(map[string]any{"step": step, "model": l.model, "minimumVersion": 1, "targetGroups": l.target, "items": items})
-	end := time.Now().Add(10 * time.Second)
+	end := time.Now().Add(20 * time.Second)
 	for n := 0; time.Now().Before(end); n++ {
-		h := c.hosts[(l.at+n)%len(c.hosts)]
+		h := c.hosts[n%len(c.hosts)]
+		l.sentAt = time.Now()
 		status, _, err := c.call(h, http.MethodPost, "/pule252/"+l.id, l.id, map[string]string{"Content-Type": "application/json"}, body)
 		c.record.add("trainer: lot %s with %d items sent to %s: status %d, error %v", l.id, len(l.items), h.name, status, err)
 		if status == http.StatusAccepted {
+			l.accepted = h
 			return nil
 		}
 		time.Sleep(200 * time.Millisecond)
