executor, system/rollout: the end of a lot stops its scoring requests

Cause: nothing stopped a scoring request. It used the context of the process and waited for a free server until the timeout of its route; requests beyond maxConcurrentScores even began after the end of their lot.

Change: command.StopScore, sent wherever an item is dropped or expires, cancels the request of an item, also one that waits for another request. Requests are numbered, so that the outcome of a stopped one is not applied to a later one.

--- a/cmd/lavender-host/host.go
+++ b/cmd/lavender-host/host.go
@@ -279,9 +279,9 @@
 	runs := &executor.Runs{Ctx: h.ctx, Sender: h.backends, Permits: h.permits, Memory: h.memory, Deliver: h.inbox.Deliver, SetUrgency: platform.SetUrgency}
 	control.HandleNow(h.dispatcher, runs.Start)
 	control.HandleNow(h.dispatcher, runs.Stop)
-	control.Handle(h.dispatcher, maxConcurrentScores, func(ctx context.Context, c command.ScoreItem) event.Event {
-		return executor.Score(ctx, h.service.Forwarder, c)
-	})
+	scores := executor.NewScores(h.ctx, h.service.Forwarder, h.inbox.Deliver, maxConcurrentScores)
+	control.HandleNow(h.dispatcher, scores.Start)
+	control.HandleNow(h.dispatcher, scores.Stop)
 	control.Handle(h.dispatcher, maxConcurrentWrites, func(ctx context.Context, c command.WriteLot) event.Event {
 		return executor.WriteLot(ctx, h.repository, c)
 	})
--- a/command/rollout.go
+++ b/command/rollout.go
@@ -84,12 +84,21 @@
 	Run int
 }
 
-// ScoreItem sends the scoring request of an item whose output is complete.
+// ScoreItem sends the scoring request of an item whose output is complete. Run numbers the
+// request; no run or other scoring request has the same number.
 type ScoreItem struct {
 	Key    string
+	Run    int
 	Scorer *lot.Scorer
 }
 
+// StopScore cancels a scoring request, also one that has not been sent yet. Its outcome is
+// reported by event.ScoreEnded like that of any scoring request.
+type StopScore struct {
+	Key string
+	Run int
+}
+
 // SendOrder orders an engine to load a weight version. The executor drops the order if
 // ValidUntil, a monotonic offset, has passed just before it is sent.
 type SendOrder struct {
@@ -197,6 +206,9 @@
 // Name implements Command.
 func (ScoreItem) Name() string { return "score_item" }
 
+// Name implements Command.
+func (StopScore) Name() string { return "stop_score" }
+
 // Name implements Command.
 func (SendOrder) Name() string { return "send_order" }
 
--- a/event/rollout.go
+++ b/event/rollout.go
@@ -184,6 +184,7 @@
 // reported a failure.
 type ScoreEnded struct {
 	Key      string
+	Run      int
 	Score    string
 	Failures int
 	Failure  *Failure
--- a/executor/run.go
+++ b/executor/run.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,48 +43,63 @@
 	// SetUrgency sets the header that carries the priority of a run.
 	SetUrgency func(h http.Header, urgency int)
 
-	mu     sync.Mutex
-	active map[string]activeRun // by item key
+	active activeRuns
+}
+
+// activeRuns holds the runs or scoring requests that can be stopped. The zero value is empty.
+type activeRuns struct {
+	mu    sync.Mutex
+	byKey map[string]activeRun // by item key
 }
 
 type activeRun struct {
-	run  int // number of the run of the item
-	stop context.CancelCauseFunc
+	number int
+	stop   context.CancelCauseFunc
+}
+
+func (a *activeRuns) add(key string, number int, stop context.CancelCauseFunc) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.byKey == nil {
+		a.byKey = make(map[string]activeRun)
+	}
+	a.byKey[key] = activeRun{number, stop}
+}
+
+func (a *activeRuns) remove(key string, number int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.byKey[key].number == number {
+		delete(a.byKey, key)
+	}
+}
+
+func (a *activeRuns) stop(key string, number int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r, ok := a.byKey[key]; ok && r.number == number {
+		r.stop(errStopped)
+	}
 }
 
-// errStopped is the cause of the end of a run that was stopped by command.StopRun.
+// errStopped is the cause of the end of a run or scoring request that was stopped by a command.
 var errStopped = errors.New("the run was stopped")
 
 // Start starts a run of an item.
 func (r *Runs) Start(c command.StartRun) {
 	timeout, cancel := context.WithTimeout(r.Ctx, c.Deadline)
 	ctx, stop := context.WithCancelCause(timeout)
-	r.mu.Lock()
-	if r.active == nil {
-		r.active = make(map[string]activeRun)
-	}
-	r.active[c.Key] = activeRun{c.Run, stop}
-	r.mu.Unlock()
+	r.active.add(c.Key, c.Run, stop)
 	go func() {
 		ended := r.runItem(ctx, c)
 		cancel()
-		r.mu.Lock()
-		if r.active[c.Key].run == c.Run {
-			delete(r.active, c.Key)
-		}
-		r.mu.Unlock()
+		r.active.remove(c.Key, c.Run)
 		_ = r.Deliver(r.Ctx, ended) // fails only when the process ends
 	}()
 }
 
 // Stop cancels a run. Its outcome is reported like that of any other run.
-func (r *Runs) Stop(c command.StopRun) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if a, ok := r.active[c.Key]; ok && a.run == c.Run {
-		a.stop(errStopped)
-	}
-}
+func (r *Runs) Stop(c command.StopRun) { r.active.stop(c.Key, c.Run) }
 
 // run is the state of one run of an item.
 type run struct {
@@ -257,27 +271,3 @@
 	slices.Sort(sorted)
 	return sorted[len(sorted)/2]
 }
-
-// Score sends the scoring request of an item. The score is the stamp of the response.
-func Score(ctx context.Context, f *forward.Forwarder, c command.ScoreItem) event.Event {
-	ended := event.ScoreEnded{Key: c.Key}
-	scope := f.MemoryScope()
-	defer scope.Close()
-	answer, err := f.Forward(ctx, &forward.Request{
-		ID: c.Scorer.ID, Method: http.MethodPost, Host: c.Scorer.Host, Path: c.Scorer.Path,
-		Target: c.Scorer.Path, Body: c.Scorer.Body, Background: true, Memory: scope,
-	})
-	if err != nil {
-		ended.Failure = event.FailureOf(err)
-		return ended
-	}
-	ended.Failures = answer.Failures
-	if answer.Status/100 != 2 || answer.Stamp == "" {
-		ended.Failure = &event.Failure{
-			Verdict: verdict.Ran, Reason: verdict.ReasonBackendFailed, Message: "status " + strconv.Itoa(answer.Status),
-		}
-		return ended
-	}
-	ended.Score = answer.Stamp
-	return ended
-}
--- a/system/rollout/dispatch.go
+++ b/system/rollout/dispatch.go
@@ -270,10 +270,7 @@
 			if item == nil {
 				continue
 			}
-			if item.Stage == table.ItemRunning {
-				out.Add(command.StopRun{Key: key, Run: item.Run})
-				releaseSlot(t, item)
-			}
+			stopItem(t, key, item, out)
 			finishItem(now, t, item, lot.Result{Item: item.Spec.ID, State: lot.StateTerminated}, out)
 		}
 	}
--- a/system/rollout/lots.go
+++ b/system/rollout/lots.go
@@ -232,7 +232,7 @@
 	}
 }
 
-// dropLot stops the runs of an owned lot's items and deletes the items.
+// dropLot stops the runs and scoring requests of an owned lot's items and deletes the items.
 func dropLot(t *table.Tables, l *table.Lot, out *command.Outbox) {
 	if l.Stage != table.LotOwned {
 		return
@@ -252,16 +252,13 @@
 	return keys
 }
 
-// dropItem stops the run of an item and deletes the item.
+// dropItem stops the run or the scoring request of an item and deletes the item.
 func dropItem(t *table.Tables, key string, out *command.Outbox) {
 	item := t.Rollout.Items.Find(key)
 	if item == nil {
 		return
 	}
-	if item.Stage == table.ItemRunning {
-		out.Add(command.StopRun{Key: key, Run: item.Run})
-		releaseSlot(t, item)
-	}
+	stopItem(t, key, item, out)
 	cancelReservation(&t.Rollout, item)
 	t.Rollout.Items.Delete(key)
 }
--- a/system/rollout/lots_test.go
+++ b/system/rollout/lots_test.go
@@ -38,7 +38,7 @@
 	require.Len(t, runs, 1)
 	scores := commandsOf[command.ScoreItem](w.step(endedRun(runs[0], "x", "y")))
 	require.Len(t, scores, 1)
-	w.step(event.ScoreEnded{Key: scores[0].Key, Score: "stamp"})
+	w.step(event.ScoreEnded{Key: scores[0].Key, Run: scores[0].Run, Score: "stamp"})
 	writes := commandsOf[command.WriteLot](w.advance(100 * time.Millisecond))
 	require.Len(t, writes, 1)
 	require.Equal(t, []lot.Result{{Item: "i0", State: lot.StateCompleted, Text: "x\ny", Versions: writes[0].Results[0].Versions, Score: "stamp"}}, writes[0].Results)
@@ -198,6 +198,45 @@
 	}
 }
 
+// TestEndStopsScoring guards against scoring requests that reach servers after their lot ended,
+// expired or was taken over by another owner, and against their outcomes being applied to a
+// later request of the same item.
+func TestEndStopsScoring(t *testing.T) {
+	for name, end := range map[string]func(w *world, l *table.Lot) []command.Command{
+		"ended": func(w *world, l *table.Lot) []command.Command {
+			h := w.rewritten(l.Head, l.Version, "x")
+			h.Head.Ended = true
+			return w.step(headsRead(h))
+		},
+		"another owner": func(w *world, l *table.Lot) []command.Command {
+			h := w.rewritten(l.Head, l.Version, "x")
+			h.Head.Owner = otherProcess
+			return w.step(headsRead(h))
+		},
+		"expired": func(w *world, _ *table.Lot) []command.Command { return w.advance(defaultItemTimeout) },
+	} {
+		w := newWorld(t)
+		w.step(w.server("s1", nil))
+		s := submission(1)
+		s.Items[0].Scorer = &lot.Scorer{ID: "q", Host: "h", Path: "/s/x"}
+		run := commandsOf[command.StartRun](w.accept(s))[0]
+		score := commandsOf[command.ScoreItem](w.step(endedRun(run, "x")))[0]
+		l := w.tables.Rollout.Lots.Find("l")
+		require.Equal(t, []command.StopScore{{Key: score.Key, Run: score.Run}}, commandsOf[command.StopScore](end(w, l)), name)
+
+		h := w.rewritten(l.Head, l.Version, "y")
+		h.Head.Owner, h.Head.Ended = w.tables.Rollout.Self, false
+		w.step(headsRead(h))
+		l.Stage = table.LotAdopting
+		again := commandsOf[command.ScoreItem](w.step(event.LotAdopted{
+			ID: "l", Submission: s, Head: h.Head, Version: h.Version, Progress: []lot.Progress{{Item: "i0", Events: []string{"x"}, Complete: true}},
+		}))
+		require.Len(t, again, 1, name)
+		w.step(event.ScoreEnded{Key: score.Key, Run: score.Run, Failures: 9, Failure: &event.Failure{Verdict: verdict.Ran}})
+		require.NotNil(t, w.tables.Rollout.Items.Find(score.Key), "%s: the outcome of the first request terminated the item", name)
+	}
+}
+
 // TestConflictKeepsResults guards against results that are lost when another write of
 // the lot was committed first.
 func TestConflictKeepsResults(t *testing.T) {
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -224,7 +224,7 @@
 		return
 	}
 	item.Stage, item.NotBefore = table.ItemScoring, 0
-	startScoring(item, out)
+	startScoring(&t.Rollout, item, out)
 }
 
 func result(item *table.Item, score string) lot.Result {
@@ -248,9 +248,21 @@
 	return string(text)
 }
 
-func startScoring(item *table.Item, out *command.Outbox) {
-	item.ScoreRuns++
-	out.Add(command.ScoreItem{Key: table.ItemKey(item.Lot, item.Spec.ID), Scorer: item.Spec.Scorer})
+func startScoring(r *table.Rollout, item *table.Item, out *command.Outbox) {
+	r.RunCount++
+	item.Run = r.RunCount
+	out.Add(command.ScoreItem{Key: table.ItemKey(item.Lot, item.Spec.ID), Run: item.Run, Scorer: item.Spec.Scorer})
+}
+
+// stopItem stops the run or the scoring request of an item that is about to be deleted.
+func stopItem(t *table.Tables, key string, item *table.Item, out *command.Outbox) {
+	switch item.Stage {
+	case table.ItemRunning:
+		out.Add(command.StopRun{Key: key, Run: item.Run})
+		releaseSlot(t, item)
+	case table.ItemScoring:
+		out.Add(command.StopScore{Key: key, Run: item.Run})
+	}
 }
 
 // finishItem deletes an item and queues its result for the next write of its lot.
@@ -286,8 +298,8 @@
 			continue
 		}
 		item := t.Rollout.Items.Find(s.Key)
-		if item == nil || item.Stage != table.ItemScoring {
-			continue
+		if item == nil || item.Stage != table.ItemScoring || item.Run != s.Run {
+			continue // the lot ended or went to another owner
 		}
 		item.ScoreFailures += s.Failures
 		switch {
@@ -323,6 +335,6 @@
 			continue
 		}
 		item.NotBefore = 0
-		startScoring(item, out)
+		startScoring(&t.Rollout, item, out)
 	}
 }
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -70,7 +70,7 @@
 	PlanChanged bool   // the routing plan must be published again
 	LotsChanged bool   // the heads of lots must be published again
 	WriteCount  uint64 // number of writes so far, makes write ids unique
-	RunCount    int    // number of runs of items so far, makes run numbers unique
+	RunCount    int    // number of runs and scoring requests of items so far, makes run numbers unique
 }
 
 // Organisations are the organisations in force.
@@ -365,7 +365,7 @@
 	Spec  *lot.Item `json:"-"`
 	Stage ItemStage
 
-	Run           int               // number of the newest run
+	Run           int               // number of the newest run or scoring request
 	Server        string            // server of the newest run
 	RunSoftware   registry.Software // software version of Server
 	RunAfter      int               // number of events before the newest run
@@ -387,7 +387,6 @@
 	Failures             int // number of answers that reported a failure of the run
 	UnprocessableAnswers int // number of answers that reported that the item can never be processed
 	OversizedOutputs     int // number of runs whose output exceeded what can be stored
-	ScoreRuns            int // number of scoring requests sent
 	ScoreFailures        int // number of answers of the scorer that reported a failure
 }
 
