executor, lot, system/rollout: the time of an adoption follows from the lot

Cause: one timeout of 2 s covered the commit of the head and all reads after it, object after object. The commit took effect, the reads did not end in time, and the same host began anew for ever; each attempt wrote the head, which other hosts took for a sign of a living owner.

Change: the timeout bounds the commit only. Objects are read four at a time, and each read has a timeout and three attempts of its own. A host that loads a lot renews its presence row. One that cannot load a lot hands it over and lets the others try first. A planned stop waits for a lot that is being loaded.

--- a/event/rollout.go
+++ b/event/rollout.go
@@ -112,13 +112,14 @@
 	Version    uint64
 }
 
-// LotAdopted is the outcome of command.AdoptLot, with the stored data of the lot.
+// LotAdopted is the outcome of command.AdoptLot, with the stored data of the lot. Version is 0
+// if the commit that makes this process the owner failed.
 type LotAdopted struct {
 	ID         string
 	Submission *lot.Submission
 	Head       lot.Head
 	Version    uint64
-	Results    []lot.Result
+	Listed     []string // ids of the items whose results are listed
 	Progress   []lot.Progress
 	// ProgressLost is why the stored progress could not be read, nil if it was read.
 	// Unfinished items then start from the beginning.
--- a/executor/store.go
+++ b/executor/store.go
@@ -31,12 +31,15 @@
 	return e
 }
 
-// AdoptLot executes command.AdoptLot.
+// AdoptLot executes command.AdoptLot. Only the commit is bounded by writeTimeout. What is loaded
+// after it grows with the size of the lot, and repo bounds each read.
 func AdoptLot(ctx context.Context, repo *lot.Repository, c command.AdoptLot) event.Event {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
 	e := event.LotAdopted{ID: c.Head.ID, Head: c.Head}
-	e.Failure = event.FailureOf(adoptLot(ctx, repo, c, &e))
+	err := commitAdoption(ctx, repo, c, &e)
+	if err == nil {
+		err = loadLot(ctx, repo, &e)
+	}
+	e.Failure = event.FailureOf(err)
 	return e
 }
 
@@ -51,8 +54,10 @@
 	}
 }
 
-// adoptLot commits the new head of a lot and reads what the new owner needs into e.
-func adoptLot(ctx context.Context, repo *lot.Repository, c command.AdoptLot, e *event.LotAdopted) error {
+// commitAdoption commits the new head of a lot and sets it in e.
+func commitAdoption(ctx context.Context, repo *lot.Repository, c command.AdoptLot, e *event.LotAdopted) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
 	stored, existing, err := repo.Append(ctx, c.Head, c.Version, nil, nil)
 	if err != nil {
 		return err
@@ -61,21 +66,19 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonConflict, "the head of the lot changed to version %d", existing.Version)
 	}
 	e.Head, e.Version = stored.Head, stored.Version
-	if e.Submission, err = repo.Body(ctx, c.Head); err != nil {
+	return nil
+}
+
+// loadLot reads what the new owner of a lot needs into e.
+func loadLot(ctx context.Context, repo *lot.Repository, e *event.LotAdopted) (err error) {
+	if e.Submission, err = repo.Body(ctx, e.Head); err != nil {
 		return err
 	}
-	for len(e.Results) < c.Head.Listed {
-		page, err := repo.Results(ctx, &c.Head, len(e.Results))
-		if err != nil {
-			return err
-		}
-		for i := range page {
-			page[i].Text = "" // the owner needs only the item ids
-		}
-		e.Results = append(e.Results, page...)
+	if e.Listed, err = repo.ListedItems(ctx, &e.Head); err != nil {
+		return err
 	}
-	if c.Head.HasProgress {
-		e.Progress, err = repo.Progress(ctx, &c.Head)
+	if e.Head.HasProgress {
+		e.Progress, err = repo.Progress(ctx, &e.Head)
 		e.ProgressLost = event.FailureOf(err)
 	}
 	return nil
--- /dev/null
+++ b/executor/store_test.go
@@ -0,0 +1,79 @@
+package executor_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lavenderstand/lavenderstand/command"
+	"github.com/lavenderstand/lavenderstand/event"
+	"github.com/lavenderstand/lavenderstand/executor"
+	"github.com/lavenderstand/lavenderstand/lot"
+	"github.com/lavenderstand/lavenderstand/standin/pamoja"
+	"github.com/lavenderstand/lavenderstand/verdict"
+)
+
+// slowObjects is a store that takes objectTime for each call for an object. It refuses the first
+// read of each object, and never answers that of one object.
+type slowObjects struct {
+	*pamoja.Store
+	mu    sync.Mutex
+	reads map[string]int
+}
+
+const objectTime = 100 * time.Millisecond
+
+func (s *slowObjects) GetObject(ctx context.Context, name string) ([]byte, error) {
+	s.mu.Lock()
+	s.reads[name]++
+	first := s.reads[name] == 1
+	s.mu.Unlock()
+	if first && strings.HasSuffix(name, "bucket-7-0") {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(objectTime)
+	if first {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonStoreUnavailable, "refused")
+	}
+	return s.Store.GetObject(ctx, name)
+}
+
+// TestLargeLotIsAdopted guards against a lot that no host can adopt because it takes longer to
+// load than a fixed time, and against an adoption that begins anew after one failed read.
+func TestLargeLotIsAdopted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const items, itemBytes, listed = 400, 75_000, 2 // 40 MB as stored
+		slow := &slowObjects{Store: pamoja.NewStore(), reads: make(map[string]int)}
+		repo := &lot.Repository{Store: slow}
+		s := &lot.Submission{ID: "l", Host: "h", Path: "/p/", Model: "m"}
+		for i := range items {
+			s.Items = append(s.Items, lot.Item{ID: fmt.Sprintf("i%03d", i), Path: "/p/x", Body: make([]byte, itemBytes)})
+		}
+		stored, _, err := repo.Create(t.Context(), s, lot.Head{ID: "l", Total: items, WriteID: "w"})
+		require.NoError(t, err)
+		require.Greater(t, len(stored.Head.BucketParts), 60)
+		h := stored.Head
+		h.WriteID, h.Listed, h.HasProgress = "w2", listed, true
+		var progress []lot.Progress
+		for _, item := range s.Items[listed:] {
+			progress = append(progress, lot.Progress{Item: item.ID, Events: []string{"e"}})
+		}
+		stored, _, err = repo.Append(t.Context(), h, stored.Version, []lot.Result{{Item: "i000"}, {Item: "i001"}}, progress)
+		require.NoError(t, err)
+
+		h = stored.Head
+		h.WriteID, h.Owner = "w3", lot.Process{Host: "b", BootID: "1"}
+		e := executor.AdoptLot(t.Context(), repo, command.AdoptLot{Head: h, Version: stored.Version}).(event.LotAdopted)
+		require.Nil(t, e.Failure)
+		require.Equal(t, s.Items, e.Submission.Items)
+		require.Equal(t, []string{"i000", "i001"}, e.Listed)
+		require.Len(t, e.Progress, items-listed)
+	})
+}
--- a/lot/bodies.go
+++ b/lot/bodies.go
@@ -7,6 +7,7 @@
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/lavenderstand/lavenderstand/store"
 	"github.com/lavenderstand/lavenderstand/verdict"
@@ -22,6 +23,9 @@
 	// bucketBytes is the mean size of a bucket of a submission. The request body of an item is
 	// read with the whole bucket.
 	bucketBytes = 500_000
+	// concurrentObjects is the number of objects of a lot that are read at the same time. The
+	// store takes a fixed time for each, which dominates for single buckets.
+	concurrentObjects = 4
 )
 
 // bucket holds the items of a large submission whose ids have the same hash, so that one item
@@ -92,7 +96,7 @@
 func (repo *Repository) getBucket(ctx context.Context, h *Head, index int) (*bucket, error) {
 	var data []byte
 	for part := range h.BucketParts[index] {
-		object, err := repo.Store.GetObject(ctx, objectName(h.ID, index, part))
+		object, err := repo.getObject(ctx, objectName(h.ID, index, part))
 		if err != nil {
 			return nil, err
 		}
@@ -109,7 +113,17 @@
 	return &b, nil
 }
 
-// Body reads the submission of a lot.
+// getObject reads an object.
+func (repo *Repository) getObject(ctx context.Context, name string) (data []byte, err error) {
+	err = repo.retryRead(ctx, func(ctx context.Context) error {
+		data, err = repo.Store.GetObject(ctx, name)
+		return err
+	})
+	return data, err
+}
+
+// Body reads the submission of a lot. Its duration grows with the size of the submission, so a
+// caller bounds it by the deadline of its own request, if any.
 func (repo *Repository) Body(ctx context.Context, h Head) (*Submission, error) {
 	switch {
 	case len(h.BucketParts) > 0:
@@ -122,17 +136,20 @@
 }
 
 func (repo *Repository) bodyFromBuckets(ctx context.Context, h *Head) (*Submission, error) {
-	items := make([]Item, h.Total)
-	var s *Submission
-	read := 0
-	for i := range h.BucketParts {
-		b, err := repo.getBucket(ctx, h, i)
-		if err != nil {
-			return nil, err
-		}
-		if i == 0 {
-			s = b.Submission
-		}
+	buckets := make([]*bucket, len(h.BucketParts))
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.SetLimit(concurrentObjects)
+	for i := range buckets {
+		group.Go(func() (err error) {
+			buckets[i], err = repo.getBucket(groupCtx, h, i)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	s, items, read := buckets[0].Submission, make([]Item, h.Total), 0
+	for _, b := range buckets {
 		for _, item := range b.Items {
 			if item.Position < 0 || item.Position >= len(items) {
 				return nil, fmt.Errorf("item %q of lot %s has position %d of %d", item.ID, h.ID, item.Position, len(items))
@@ -152,7 +169,7 @@
 func (repo *Repository) bodyFromObjects(ctx context.Context, h *Head) (*Submission, error) {
 	var data []byte
 	for i := range h.BodyChunks {
-		object, err := repo.Store.GetObject(ctx, chunkObjectName(h.ID, i))
+		object, err := repo.getObject(ctx, chunkObjectName(h.ID, i))
 		if err != nil {
 			return nil, err
 		}
@@ -166,7 +183,11 @@
 func chunkObjectName(id string, i int) string { return fmt.Sprintf("lot-%s-%d", id, i) }
 
 func (repo *Repository) bodyFromRows(ctx context.Context, h *Head) (*Submission, error) {
-	r, err := repo.Store.Read(ctx, tableBodies, h.BodyPart, "", 0)
+	var r store.Range
+	err := repo.retryRead(ctx, func(ctx context.Context) (err error) {
+		r, err = repo.Store.Read(ctx, tableBodies, h.BodyPart, "", 0)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/lot/read.go
+++ b/lot/read.go
@@ -1,18 +1,42 @@
 package lot
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/lavenderstand/lavenderstand/store"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
-// maxPageRows bounds the number of rows in one page of results, which is held in memory.
-const maxPageRows = 128
+const (
+	// maxPageRows bounds the number of rows in one page of results or progress, which is held in
+	// memory.
+	maxPageRows = 128
+	// maxReadAttempts and readTimeout bound each read of what a new owner loads. A call that
+	// gets no answer is repeated on another connection. The largest object takes 0.1 s at the
+	// rate of the store, which all hosts share.
+	maxReadAttempts = 3
+	readTimeout     = 2 * time.Second
+)
+
+// retryRead repeats a read that fails. What the store does not hold is not read again.
+func (repo *Repository) retryRead(ctx context.Context, read func(context.Context) error) (err error) {
+	for range maxReadAttempts {
+		attempt, cancel := context.WithTimeout(ctx, readTimeout)
+		err = read(attempt)
+		cancel()
+		if err == nil || errors.Is(err, store.ErrObjectNotFound) || !sleep(ctx, cmp.Or(repo.RetryInterval, defaultRetryInterval)) {
+			return err
+		}
+	}
+	return err
+}
 
 // Head reads the authoritative head of a lot. The error has the reason unknown_lot if no
 // candidate partition holds a head. If one of them cannot be read, Head fails, because that
@@ -98,18 +122,46 @@
 	return results, nil
 }
 
+// ListedItems reads the ids of the items whose results a head lists, in the order of positions.
+func (repo *Repository) ListedItems(ctx context.Context, h *Head) ([]string, error) {
+	items := make([]string, 0, h.Listed)
+	for len(items) < h.Listed {
+		var page []Result
+		err := repo.retryRead(ctx, func(ctx context.Context) (err error) {
+			page, err = repo.Results(ctx, h, len(items))
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+		for i := range page {
+			items = append(items, page[i].Item)
+		}
+	}
+	return items, nil
+}
+
 // Progress reads the stored progress of the unfinished items of a lot. Rows that cannot be
 // decoded are left out.
 func (repo *Repository) Progress(ctx context.Context, h *Head) ([]Progress, error) {
-	r, err := repo.Store.Read(ctx, tableProgress, h.BodyPart, "", 0)
-	if err != nil {
-		return nil, err
-	}
 	var all []Progress
-	for _, row := range r.Rows {
-		if p, ok := ParseProgress(row); ok {
-			all = append(all, p)
+	for from := ""; ; {
+		var page store.Range
+		err := repo.retryRead(ctx, func(ctx context.Context) (err error) {
+			page, err = repo.Store.Read(ctx, tableProgress, h.BodyPart, from, maxPageRows)
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range page.Rows {
+			if p, ok := ParseProgress(row); ok {
+				all = append(all, p)
+			}
+		}
+		if len(page.Rows) < maxPageRows {
+			return all, nil
 		}
+		from = page.Rows[len(page.Rows)-1].Name + "\x00"
 	}
-	return all, nil
 }
--- a/system/rollout/drain.go
+++ b/system/rollout/drain.go
@@ -29,6 +29,7 @@
 	}
 	pending := r.OrderLease.Held || r.OrderLease.Writing
 	for _, l := range r.Lots.All() {
+		pending = pending || l.Stage == table.LotAdopting // handed over once it is loaded
 		if l.Stage != table.LotOwned {
 			continue
 		}
--- a/system/rollout/lots.go
+++ b/system/rollout/lots.go
@@ -54,6 +54,9 @@
 	assignedOwnerTimeout = 600 * time.Millisecond
 	// adoptRetryDelay is the wait after a failed adoption.
 	adoptRetryDelay = 300 * time.Millisecond
+	// loadRetryDelay is the wait of a host that could not load a lot before it adopts the lot
+	// again. All other hosts can try within it, also if the handover is not written.
+	loadRetryDelay = 2 * adoptTimeout
 	// ownerReturnDelay is the time that an owner is given to renew the head of its lot after
 	// the partition of the head has become available again. It covers a write that was sent
 	// during the outage, its timeout and its repetition.
@@ -81,7 +84,7 @@
 
 // takeOwnership makes this process the owner of a lot and creates rows for the items
 // whose results are not listed yet.
-func takeOwnership(now time.Duration, t *table.Tables, h lot.Head, version uint64, s *lot.Submission, results []lot.Result, progress []lot.Progress, out *command.Outbox) {
+func takeOwnership(now time.Duration, t *table.Tables, h lot.Head, version uint64, s *lot.Submission, listed []string, progress []lot.Progress, out *command.Outbox) {
 	r := &t.Rollout
 	l, created := r.Lots.Upsert(h.ID)
 	if created {
@@ -95,11 +98,11 @@
 	}
 	*l = table.Lot{
 		Head: h, Version: version, VersionSeenAt: now, SeenAt: l.SeenAt, Stage: table.LotOwned, Submission: s, LastWriteAt: now,
-		AcceptedAt: now, LastProgressAt: now, Listed: make(map[string]bool, len(results)),
+		AcceptedAt: now, LastProgressAt: now, Listed: make(map[string]bool, len(listed)),
 	}
 	beginStep(now, r, l)
-	for _, res := range results {
-		l.Listed[res.Item] = true
+	for _, id := range listed {
+		l.Listed[id] = true
 	}
 	stored := make(map[string]lot.Progress, len(progress))
 	for _, p := range progress {
@@ -152,15 +155,31 @@
 		logLot("stored progress of lot could not be read", l, out, field("reason", string(e.ProgressLost.Reason)), field("error", e.ProgressLost.Message))
 	}
 	if e.Failure == nil {
-		takeOwnership(now, t, e.Head, e.Version, e.Submission, e.Results, e.Progress, out)
+		takeOwnership(now, t, e.Head, e.Version, e.Submission, e.Listed, e.Progress, out)
 		return
 	}
 	l.Stage, l.RetryAt = table.LotNotOwned, now+adoptRetryDelay
+	if e.Version != 0 {
+		giveUpLot(now, t, l, e, out)
+	}
 	l.PartitionDown = e.Failure.Reason == verdict.ReasonStoreUnavailable && mayHaveLiveOwner(&t.Rollout, l)
 	out.Add(command.Count{Counter: "lot_adoption_failed", Tags: map[string]string{"reason": string(e.Failure.Reason)}, Delta: 1})
 	logLot("lot not adopted", l, out, field("reason", string(e.Failure.Reason)), field("error", e.Failure.Message))
 }
 
+// giveUpLot hands over a lot that this process has adopted and could not load, so that another
+// host tries. If the handover is not written, others adopt the lot after adoptTimeout.
+func giveUpLot(now time.Duration, t *table.Tables, l *table.Lot, e event.LotAdopted, out *command.Outbox) {
+	l.RetryAt = now + loadRetryDelay
+	if e.Version != l.Version && !replacesHead(l, e.Head, e.Version) {
+		return // the lot ended or has another owner
+	}
+	l.Head, l.Version, l.VersionSeenAt = e.Head, e.Version, now
+	h := e.Head
+	h.Owner, h.WriteID = lot.Process{}, newWriteID(&t.Rollout)
+	out.Add(command.WriteLot{Head: h, Version: e.Version})
+}
+
 // applyHeads applies a read of heads. After a full read, lots that are not owned and
 // not among the heads are deleted.
 func applyHeads(now time.Duration, t *table.Tables, e event.HeadsRead, out *command.Outbox) {
--- a/system/rollout/presence.go
+++ b/system/rollout/presence.go
@@ -49,9 +49,10 @@
 }
 
 // presenceRenewalDue reports whether this host must write its row to show that it is
-// alive: the row lists engines with a limit, which others believe for limitMemory, or it cannot write the head of a lot that it owns, and the row is older than
-// headRenewInterval. Without the row, another host would adopt the lot as soon as the
-// head can be written again, and the results that wait for their commit would be lost.
+// alive: the row lists engines with a limit, which others believe for limitMemory, or it cannot
+// write the head of a lot that it owns, or it loads a lot that it has adopted, and the row is
+// older than headRenewInterval. Without the row, another host would adopt the lot, and the
+// results that wait for their commit, or what has been loaded, would be lost.
 func presenceRenewalDue(now time.Duration, r *table.Rollout, own *table.PeerHost) bool {
 	if now-own.VersionSeenAt < headRenewInterval {
 		return false
@@ -60,7 +61,10 @@
 		return true
 	}
 	for _, l := range r.Lots.All() {
-		if l.Stage == table.LotOwned && l.Write != nil && now-l.VersionSeenAt > 2*headRenewInterval {
+		switch {
+		case l.Stage == table.LotOwned && l.Write != nil && now-l.VersionSeenAt > 2*headRenewInterval:
+			return true
+		case l.Stage == table.LotAdopting && l.Head.Owner == r.Self && now-l.VersionSeenAt > headRenewInterval:
 			return true
 		}
 	}
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -295,7 +295,7 @@
 // Stages of a lot.
 const (
 	LotNotOwned LotStage = "foreign"  // owned by another process or by none
-	LotAdopting LotStage = "adopting" // a commit that makes this process the owner is in flight
+	LotAdopting LotStage = "adopting" // this process commits that it is the owner, or loads the lot
 	LotOwned    LotStage = "owned"
 )
 
