executor, lot: the time of a deletion follows from the number of objects

Cause: the deletion of a lot had 5 s for all of its objects, one after the other, and began anew after a timeout. At 25 ms each, that is enough for 200 objects, about 100 MB.

Change: four objects are deleted at a time, and 250 ms per object are added to the timeout.

Result: TestLargeLotIsDeleted (300 objects at 100 ms) fails with the old timeout and passes now.

--- a/executor/store.go
+++ b/executor/store.go
@@ -84,13 +84,16 @@
 	return nil
 }
 
-// deleteTimeout bounds the deletion of one lot, which takes a few reads and writes for each
-// partition.
-const deleteTimeout = 5 * time.Second
+// deleteTimeout bounds the deletion of the rows of one lot, which takes a few reads and writes
+// for each partition, and deleteObjectTimeout is added for each of its objects.
+const (
+	deleteTimeout       = 5 * time.Second
+	deleteObjectTimeout = 250 * time.Millisecond
+)
 
 // DeleteLot executes command.DeleteLot.
 func DeleteLot(ctx context.Context, repo *lot.Repository, c command.DeleteLot) event.Event {
-	ctx, cancel := context.WithTimeout(ctx, deleteTimeout)
+	ctx, cancel := context.WithTimeout(ctx, deleteTimeout+time.Duration(c.Head.ObjectCount())*deleteObjectTimeout)
 	defer cancel()
 	err := repo.Delete(ctx, lot.StoredHead{Head: c.Head, Version: c.Version})
 	return event.LotDeleted{ID: c.Head.ID, Version: c.Version, Failure: event.FailureOf(err)}
--- a/executor/store_test.go
+++ b/executor/store_test.go
@@ -16,6 +16,7 @@
 	"github.com/lavenderstand/lavenderstand/executor"
 	"github.com/lavenderstand/lavenderstand/lot"
 	"github.com/lavenderstand/lavenderstand/standin/pamoja"
+	"github.com/lavenderstand/lavenderstand/store"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -45,6 +46,14 @@
 	return s.Store.GetObject(ctx, name)
 }
 
+func (s *slowObjects) DeleteObject(ctx context.Context, name string) error {
+	time.Sleep(objectTime)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return s.Store.DeleteObject(ctx, name)
+}
+
 // TestLargeLotIsAdopted guards against a lot that no host can adopt because it takes longer to
 // load than a fixed time, and against an adoption that begins anew after one failed read.
 func TestLargeLotIsAdopted(t *testing.T) {
@@ -77,3 +86,21 @@
 		require.Len(t, e.Progress, items-listed)
 	})
 }
+
+// TestLargeLotIsDeleted guards against a lot that is never deleted because the deletion of its
+// objects takes longer than a fixed time and begins anew each time.
+func TestLargeLotIsDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := &slowObjects{Store: pamoja.NewStore(), reads: make(map[string]int)}
+		repo := &lot.Repository{Store: slow}
+		h := lot.Head{ID: "l", Total: 1, Ended: true, InObjects: true, WriteID: "w", BucketParts: make([]int, 300)}
+		for i := range h.BucketParts {
+			h.BucketParts[i] = 1
+		}
+		version, err := slow.Commit(t.Context(), store.Commit{Put: []store.Row{lot.HeadRow(h)}})
+		require.NoError(t, err)
+		e := executor.DeleteLot(t.Context(), repo, command.DeleteLot{Head: h, Version: version}).(event.LotDeleted)
+		require.Nil(t, e.Failure)
+		require.Zero(t, slow.Len())
+	})
+}
--- a/lot/bodies.go
+++ b/lot/bodies.go
@@ -23,8 +23,8 @@
 	// bucketBytes is the mean size of a bucket of a submission. The request body of an item is
 	// read with the whole bucket.
 	bucketBytes = 500_000
-	// concurrentObjects is the number of objects of a lot that are read at the same time. The
-	// store takes a fixed time for each, which dominates for single buckets.
+	// concurrentObjects is the number of objects of a lot that are read or deleted at the same
+	// time. The store takes a fixed time for each, which dominates for single buckets.
 	concurrentObjects = 4
 )
 
@@ -252,8 +252,11 @@
 	}
 }
 
-// deleteObjects deletes the objects of a submission. All heads of a lot share them.
-func (repo *Repository) deleteObjects(ctx context.Context, h *Head) error {
+// ObjectCount returns the number of objects in which the submission is stored.
+func (h *Head) ObjectCount() int { return len(h.objectNames()) }
+
+// objectNames returns the names of the objects in which the submission is stored.
+func (h *Head) objectNames() []string {
 	var names []string
 	for i, parts := range h.BucketParts {
 		for part := range parts {
@@ -265,10 +268,20 @@
 			names = append(names, chunkObjectName(h.ID, i))
 		}
 	}
-	for _, name := range names {
-		if err := repo.Store.DeleteObject(ctx, name); err != nil && !errors.Is(err, store.ErrObjectNotFound) {
-			return err
-		}
+	return names
+}
+
+// deleteObjects deletes the objects of a submission. All heads of a lot share them.
+func (repo *Repository) deleteObjects(ctx context.Context, h *Head) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(concurrentObjects)
+	for _, name := range h.objectNames() {
+		group.Go(func() error {
+			if err := repo.Store.DeleteObject(ctx, name); err != nil && !errors.Is(err, store.ErrObjectNotFound) {
+				return err
+			}
+			return nil
+		})
 	}
-	return nil
+	return group.Wait()
 }
