forward, platform, system/rollout: only failures of an item terminate it

Cause: scoring requests ended at the timeout of their route, which is meant for callers, and each answer from status 500 on counted as a failure of the item, also that of a server that had stopped at the deadline it was given. Runs of items counted each status but 200 and 422.

Change: only status 500 counts. Other statuses cost time: the run or scoring request is repeated with growing pauses until the item expires.

--- a/command/rollout.go
+++ b/command/rollout.go
@@ -90,6 +90,8 @@
 	Key    string
 	Run    int
 	Scorer *lot.Scorer
+	// Timeout bounds the request in place of the timeout of its route.
+	Timeout time.Duration
 }
 
 // StopScore cancels a scoring request, also one that has not been sent yet. Its outcome is
--- a/executor/score.go
+++ b/executor/score.go
@@ -54,7 +54,7 @@
 	defer scope.Close()
 	answer, err := s.forwarder.Forward(ctx, &forward.Request{
 		ID: c.Scorer.ID, Method: http.MethodPost, Host: c.Scorer.Host, Path: c.Scorer.Path,
-		Target: c.Scorer.Path, Body: c.Scorer.Body, Background: true, Memory: scope,
+		Target: c.Scorer.Path, Body: c.Scorer.Body, Timeout: c.Timeout, Background: true, Memory: scope,
 	})
 	if err != nil {
 		ended.Failure = event.FailureOf(err)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync/atomic"
@@ -113,12 +114,10 @@
 	}
 }
 
-// requestDeadline returns the earlier of the caller's deadline and the route's timeout.
+// requestDeadline returns the earlier of the caller's deadline and the timeout of the request or,
+// if it has none, of its route.
 func requestDeadline(r *Request, route *desired.Route) time.Time {
-	limit := route.Timeout
-	if limit <= 0 {
-		limit = defaultTimeout
-	}
+	limit := cmp.Or(r.Timeout, max(0, route.Timeout), defaultTimeout)
 	end := time.Now().Add(limit)
 	if !r.Deadline.IsZero() && r.Deadline.Before(end) {
 		return r.Deadline
@@ -136,7 +135,7 @@
 	tried        map[string]int // attempts by server
 	mayHaveRun   int            // number of attempts that may have run
 	refusals     int
-	failureCount int // number of failure responses
+	failureCount int // number of responses that state that the request failed
 	inFlight     int
 	wanted       int            // number of attempts to start
 	cause        verdict.Reason // why the next attempt starts
@@ -342,7 +341,9 @@
 		return nil, true, errTooManyEnded(res.err, len(c.ended))
 	}
 	if res.err == nil && res.answer.serverFailed() {
-		c.failureCount++
+		if res.answer.requestFailed() {
+			c.failureCount++
+		}
 		res.answer.Failures = c.failureCount
 	}
 	if res.err == nil && (!res.answer.serverFailed() || !c.mayRepeat()) {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -201,3 +202,48 @@
 	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
 	require.Equal(t, verdict.ReasonInternal, verdict.ReasonOf(err))
 }
+
+// TestOnlyFailedRequestsCount guards against items that are terminated because servers stopped
+// their scoring requests at the deadline that this host had given, or were faulty themselves.
+func TestOnlyFailedRequestsCount(t *testing.T) {
+	for _, c := range []struct{ statuses, failures [3]int }{
+		{[3]int{504, 504, 504}, [3]int{0, 0, 0}},
+		{[3]int{502, 503, 501}, [3]int{0, 0, 0}},
+		{[3]int{500, 504, 500}, [3]int{1, 1, 2}},
+	} {
+		for attempts := 1; attempts <= 3; attempts++ {
+			s := &sender{reply: func(_ context.Context, _ string, n int) (*forward.Answer, error) {
+				return &forward.Answer{Status: c.statuses[n-1]}, nil
+			}}
+			f, _ := newForwarder(s, desired.KindIdempotent)
+			f.Plans.Load().Desired.Routes[0].MaxAttempts = attempts
+			answer, err := f.Forward(context.Background(), request())
+			require.NoError(t, err)
+			require.Equal(t, c.statuses[attempts-1], answer.Status)
+			require.Equal(t, c.failures[attempts-1], answer.Failures, "%d attempts, answers %v", attempts, c.statuses)
+		}
+	}
+}
+
+// TestRequestHasTimeoutOfItsOwn guards against scoring requests that end at the timeout of their
+// route, which operators choose for callers.
+func TestRequestHasTimeoutOfItsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &sender{reply: func(ctx context.Context, _ string, _ int) (*forward.Answer, error) {
+			select {
+			case <-time.After(2 * time.Second):
+				return &forward.Answer{Status: http.StatusOK}, nil
+			case <-ctx.Done():
+				return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, "deadline")
+			}
+		}}
+		f, _ := newForwarder(s, desired.KindIdempotent) // the route has 1 s
+		r := request()
+		_, err := f.Forward(context.Background(), r)
+		require.Equal(t, verdict.ReasonDeadline, verdict.ReasonOf(err))
+		r.Timeout = 3 * time.Second
+		answer, err := f.Forward(context.Background(), r)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, answer.Status)
+	})
+}
--- a/forward/types.go
+++ b/forward/types.go
@@ -31,6 +31,8 @@
 	Header   http.Header
 	Body     []byte
 	Deadline time.Time // zero if the caller set none
+	// Timeout replaces the timeout of the route, unless it is 0.
+	Timeout time.Duration
 	// Organisation is the organisation of the caller, empty if it has none or the deployment
 	// does not tell callers apart.
 	Organisation string
@@ -55,14 +57,20 @@
 	Header http.Header
 	Body   []byte
 	Stamp  string // proof of origin that the server adds to its response
-	// Failures is the number of failure responses to the request, including this one. It is
-	// set only in failure responses.
+	// Failures is the number of responses, including this one, that state that the request
+	// itself failed. It is set only in failure responses.
 	Failures int
 }
 
-// serverFailed reports whether the request ran on the server and failed there.
+// serverFailed reports whether the request ran on the server without success, and another server
+// may succeed.
 func (a *Answer) serverFailed() bool { return a.Status >= http.StatusInternalServerError }
 
+// requestFailed reports whether the server states that the request failed. Other statuses from
+// 500 on say nothing about the request: with 504, for example, a server stops at the deadline
+// that it was given.
+func (a *Answer) requestFailed() bool { return a.Status == http.StatusInternalServerError }
+
 // ErrStreamEnd is returned at the end of a complete stream. It differs from io.EOF, which can
 // also be the cause of a broken stream.
 var ErrStreamEnd = errors.New("the stream is complete")
--- a/system/rollout/lots_test.go
+++ b/system/rollout/lots_test.go
@@ -89,6 +89,42 @@
 	require.Equal(t, lot.StateTerminated, writes[0].Results[0].State)
 }
 
+// TestOnlyFailuresTerminateItems guards against items that are terminated although no server
+// stated that they failed, and against their repetition without a pause. Reward calls of 20
+// items once got only answers of 504, because the timeout of their route was too short.
+func TestOnlyFailuresTerminateItems(t *testing.T) {
+	const repetitions = 12
+	w := newWorld(t)
+	w.step(w.server("s1", nil))
+	s := submission(1)
+	s.Items[0].Scorer = &lot.Scorer{ID: "q", Host: "h", Path: "/s/x"}
+	commands := w.accept(s)
+	var last command.StartRun
+	start := w.now
+	for n := range repetitions {
+		runs := commandsOf[command.StartRun](append(commands, w.advance(200*time.Millisecond)...))
+		require.Len(t, runs, 1, "run %d", n)
+		last = runs[0]
+		e := endedRun(last)
+		e.Failure = &event.Failure{Verdict: verdict.Ran, Reason: verdict.ReasonUnexpectedStatus}
+		commands = w.step(e)
+	}
+	require.Equal(t, repetitions, w.tables.Rollout.Items.Find(last.Key).UnexpectedAnswers)
+
+	last = commandsOf[command.StartRun](append(commands, w.advance(200*time.Millisecond)...))[0]
+	commands = w.step(endedRun(last, "x"))
+	scored := 0
+	for ; scored < repetitions; scored++ {
+		scores := commandsOf[command.ScoreItem](append(commands, w.advance(900*time.Millisecond)...))
+		require.Len(t, scores, 1, "scoring request %d", scored)
+		remaining := 40*time.Second - (w.now - start)
+		require.GreaterOrEqual(t, scores[0].Timeout, minScoreTimeout)
+		require.LessOrEqual(t, scores[0].Timeout, min(minScoreTimeout<<min(scored, maxTimeoutDoublings), remaining+time.Second))
+		commands = w.step(event.ScoreEnded{Key: scores[0].Key, Run: scores[0].Run, Failure: &event.Failure{Verdict: verdict.Ran, Reason: verdict.ReasonBackendFailed}})
+	}
+	require.NotNil(t, w.tables.Rollout.Items.Find(last.Key))
+}
+
 // TestSilentOwnerIsReplaced guards against a lot that is not adopted after its owner
 // died, and against one that is adopted although its owner is alive.
 func TestSilentOwnerIsReplaced(t *testing.T) {
--- a/system/rollout/runs.go
+++ b/system/rollout/runs.go
@@ -16,8 +16,14 @@
 	// runRetryDelay is the wait of an item after a backend server answered that its run
 	// failed.
 	runRetryDelay = 20 * time.Millisecond
-	// scoreRetryDelay is the wait after a failed scoring request.
+	// scoreRetryDelay is the wait after the first failed scoring request.
 	scoreRetryDelay = 100 * time.Millisecond
+	// maxDelayDoublings bounds the doublings of runRetryDelay and scoreRetryDelay, one for each
+	// further failure of an item.
+	maxDelayDoublings = 3
+	// minScoreTimeout is the time that a scoring request gets at least. The timeout of its route
+	// is meant for callers and may be shorter than the scorer takes.
+	minScoreTimeout = 2 * time.Second
 	// defaultMaxAttempts applies when the route no longer exists or states no MaxAttempts.
 	defaultMaxAttempts = 3
 )
@@ -136,8 +142,8 @@
 	case verdict.ReasonBackendLeaving: // until the report that says so has been applied
 		s.BusyUntil = max(s.BusyUntil, now+minBusyPause)
 	case verdict.ReasonCanceled, verdict.ReasonTerminated, verdict.ReasonTooOld:
-	case verdict.ReasonBackendFailed:
-		recordSuccess(r, s) // the server answers; the failure is the item's
+	case verdict.ReasonBackendFailed, verdict.ReasonUnexpectedStatus:
+		recordSuccess(r, s) // the server answers
 	default:
 		recordFailure(now, r, s, out)
 		if s.Failures >= suspectThreshold {
@@ -168,6 +174,9 @@
 	case verdict.ReasonBackendFailed:
 		item.Failures++
 		item.NotBefore = now + runRetryDelay
+	case verdict.ReasonUnexpectedStatus:
+		item.NotBefore = now + runRetryDelay<<min(item.UnexpectedAnswers, maxDelayDoublings)
+		item.UnexpectedAnswers++
 	case verdict.ReasonTerminated:
 		item.UnprocessableAnswers++
 	case verdict.ReasonStalled:
@@ -224,7 +233,7 @@
 		return
 	}
 	item.Stage, item.NotBefore = table.ItemScoring, 0
-	startScoring(&t.Rollout, item, out)
+	startScoring(now, t, item, out)
 }
 
 func result(item *table.Item, score string) lot.Result {
@@ -248,10 +257,28 @@
 	return string(text)
 }
 
-func startScoring(r *table.Rollout, item *table.Item, out *command.Outbox) {
-	r.RunCount++
-	item.Run = r.RunCount
-	out.Add(command.ScoreItem{Key: table.ItemKey(item.Lot, item.Spec.ID), Run: item.Run, Scorer: item.Spec.Scorer})
+func startScoring(now time.Duration, t *table.Tables, item *table.Item, out *command.Outbox) {
+	t.Rollout.RunCount++
+	item.Run = t.Rollout.RunCount
+	out.Add(command.ScoreItem{
+		Key: table.ItemKey(item.Lot, item.Spec.ID), Run: item.Run, Scorer: item.Spec.Scorer, Timeout: scoreTimeout(now, t, item),
+	})
+}
+
+// scoreTimeout returns the timeout of the next scoring request of an item. It grows with the
+// number of failed requests, because a scorer may take long at the moment, and is bounded by the
+// time left to the item.
+func scoreTimeout(now time.Duration, t *table.Tables, item *table.Item) time.Duration {
+	timeout := minScoreTimeout
+	if route := scorerRoute(t, item); route != nil {
+		timeout = max(timeout, route.Timeout)
+	}
+	timeout <<= min(item.ScoreRetries, maxTimeoutDoublings)
+	l, route := t.Rollout.Lots.Find(item.Lot), itemRoute(t, item)
+	if l == nil || route == nil {
+		return timeout
+	}
+	return min(timeout, max(time.Second, itemTimeout(route)-(now-l.AcceptedAt)))
 }
 
 // stopItem stops the run or the scoring request of an item that is about to be deleted.
@@ -308,7 +335,8 @@
 		case item.ScoreFailures >= maxScorerAttempts(t, item):
 			finishItem(now, t, item, lot.Result{Item: item.Spec.ID, State: lot.StateTerminated}, out)
 		default:
-			item.NotBefore = now + scoreRetryDelay
+			item.NotBefore = now + scoreRetryDelay<<min(item.ScoreRetries, maxDelayDoublings)
+			item.ScoreRetries++
 			out.Add(command.Count{Counter: "scoring_failed", Tags: map[string]string{"reason": string(s.Failure.Reason)}, Delta: 1})
 		}
 	}
@@ -316,15 +344,20 @@
 }
 
 func maxScorerAttempts(t *table.Tables, item *table.Item) int {
-	if t.Rollout.Desired != nil {
-		route := t.Rollout.Desired.Match(item.Spec.Scorer.Host, item.Spec.Scorer.Path)
-		if route != nil && route.MaxAttempts > 0 {
-			return route.MaxAttempts
-		}
+	if route := scorerRoute(t, item); route != nil && route.MaxAttempts > 0 {
+		return route.MaxAttempts
 	}
 	return defaultMaxAttempts
 }
 
+// scorerRoute returns the route of the scoring requests of an item, nil if there is none.
+func scorerRoute(t *table.Tables, item *table.Item) *desired.Route {
+	if t.Rollout.Desired == nil {
+		return nil
+	}
+	return t.Rollout.Desired.Match(item.Spec.Scorer.Host, item.Spec.Scorer.Path)
+}
+
 func retryScores(now time.Duration, t *table.Tables, out *command.Outbox) {
 	for _, item := range t.Rollout.Items.All() {
 		if item.Stage != table.ItemScoring || item.NotBefore == 0 {
@@ -335,6 +368,6 @@
 			continue
 		}
 		item.NotBefore = 0
-		startScoring(&t.Rollout, item, out)
+		startScoring(now, t, item, out)
 	}
 }
--- a/table/rollout.go
+++ b/table/rollout.go
@@ -387,7 +387,9 @@
 	Failures             int // number of answers that reported a failure of the run
 	UnprocessableAnswers int // number of answers that reported that the item can never be processed
 	OversizedOutputs     int // number of runs whose output exceeded what can be stored
+	UnexpectedAnswers    int // number of answers whose status says nothing about the item
 	ScoreFailures        int // number of answers of the scorer that reported a failure
+	ScoreRetries         int // number of scoring requests without a score
 }
 
 // ItemKey returns the key of an item. It contains the lot because the same item may be
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -37,6 +37,7 @@
 	ReasonBackendLeaving    Reason = "backend_leaving"
 	ReasonBackendFailed     Reason = "backend_failed"
 	ReasonBadAnswer         Reason = "bad_answer"
+	ReasonUnexpectedStatus  Reason = "unexpected_status" // the status of an answer says nothing about the request
 	ReasonTruncatedAnswer   Reason = "truncated_answer"
 	ReasonForeignAnswer     Reason = "foreign_answer"
 	ReasonVersionChanged    Reason = "version_changed"
