forward: a planned stop refuses requests that wait for a server

Cause: a planned stop bounded only requests that arrived after its begin, live streams not at all. Earlier ones kept their own deadline, and nothing told them of the stop.

Change: each request watches the two times of a planned stop. Once the load balancer sends no more connections, a request that no server may have run is refused as not run if it could outlast the stop, also while it waits for a permit or for its turn among organisations. All others, but streams that have begun, have an answer 0.2 s before the end.

TestPlannedStopCutsNothing, extended by such requests, fails on the code before (8 of 8 cut) and passes.

--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -114,6 +114,9 @@
 	defer cancel()
 	<-ctx.Done()
 	c := &call{f: f, r: &Request{ID: "q"}, service: "s", tried: map[string]int{}, refusals: 1}
+	var release func()
+	c.stop, release = f.boundByStop(ctx, c.r, time.Now())
+	defer release()
 	_, ended := c.contextEnded(ctx)
 	_, tooClose := c.startAttempt(ctx)
 	for _, err := range []error{ended, tooClose} {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -60,7 +59,7 @@
 	// FirstCome is the baseline of the order among organisations: first come, first served.
 	FirstCome bool
 
-	stopping atomic.Pointer[stopTimes] // nil unless a graceful shutdown has begun
+	stopping stopState
 	sharing  sharing
 }
 
@@ -101,7 +100,10 @@
 	ctx, cancel := context.WithDeadline(ctx, f.beforeStop(end))
 	defer cancel()
 	c := newCall(f, r, route)
-	answer, err := c.run(ctx)
+	var release func()
+	c.stop, release = f.boundByStop(ctx, r, end)
+	defer release()
+	answer, err := c.run(c.stop.ctx)
 	c.log(answer, err)
 	return answer, err
 }
@@ -147,6 +149,7 @@
 	lastErr      error
 	beginning    *beginning
 	seat         seat
+	stop         stopBounds
 }
 
 type result struct {
@@ -171,7 +174,7 @@
 	for {
 		wait, err := c.startAttempts(ctx)
 		if err != nil && c.inFlight == 0 {
-			if c.lastErr == nil || verdict.ReasonOf(err) == verdict.ReasonOverload {
+			if reason := verdict.ReasonOf(err); c.lastErr == nil || reason == verdict.ReasonOverload || reason == verdict.ReasonDraining {
 				c.lastErr = err
 			}
 			return c.giveUp()
@@ -181,6 +184,11 @@
 		select {
 		case <-ctx.Done():
 			return c.contextEnded(ctx)
+		case <-c.waiting(ctx).Done():
+			if ctx.Err() != nil {
+				return c.contextEnded(ctx)
+			}
+			return nil, c.stop.refusal()
 		case <-room.C:
 		case <-hedge.C:
 			if c.inFlight > 0 && c.mayRepeat() {
@@ -238,6 +246,15 @@
 
 func (c *call) maxAttempts() int { return max(1, c.route.MaxAttempts) }
 
+// waiting returns the context of a wait for a server. A shutdown that could cut off the request
+// ends the wait, unless an attempt may have run: callers do not repeat all of those elsewhere.
+func (c *call) waiting(ctx context.Context) context.Context {
+	if c.mayHaveRun == 0 {
+		return c.stop.waiting
+	}
+	return ctx
+}
+
 func (c *call) mayRepeat() bool { return c.idempotent && c.mayHaveRun < c.maxAttempts() }
 
 // startAttempt starts an attempt at the best server of the current plan. If all servers are
@@ -246,6 +263,10 @@
 	if err := c.f.checkQuarantine(c.r); err != nil {
 		return 0, err
 	}
+	waiting := c.waiting(ctx)
+	if err := c.stop.refusal(); err != nil && c.mayHaveRun == 0 {
+		return 0, err
+	}
 	avoid := ""
 	if c.inFlight > 0 {
 		avoid = c.lastServer // do not hedge at the server that has not responded
@@ -256,7 +277,7 @@
 		if c.inFlight > 0 {
 			return 0, verdict.New(verdict.NotRun, verdict.ReasonOverload, "no attempt is added during a shortage")
 		}
-		release, err := c.f.awaitTurn(ctx, &c.seat, c.service, plan.class(c.r, c.route), c.r.Organisation, best)
+		release, err := c.f.awaitTurn(waiting, &c.seat, c.service, plan.class(c.r, c.route), c.r.Organisation, best)
 		if err != nil {
 			return 0, err
 		}
@@ -282,7 +303,7 @@
 	target.Load.InFlight.Add(1)
 	target.Load.suspects.Add(suspects)
 	go func() {
-		res := c.f.attempt(ctx, best, c.r, end, c.beginning)
+		res := c.f.attempt(ctx, waiting, best, c.r, end, c.beginning)
 		target.Load.InFlight.Add(-1)
 		target.Load.suspects.Add(-suspects)
 		c.f.ended(c.service)
@@ -297,10 +318,11 @@
 	return 0, nil
 }
 
-// attempt sends a request to the chosen server, after a wait if the server names a limit.
-func (f *Forwarder) attempt(ctx context.Context, to choice, r *Request, end time.Time, b *beginning) result {
+// attempt sends a request to the chosen server, after a wait if the server names a limit. waiting
+// is the context of the wait.
+func (f *Forwarder) attempt(ctx, waiting context.Context, to choice, r *Request, end time.Time, b *beginning) result {
 	maxWait := time.Until(end) - (to.expected - to.permitWait)
-	if err := AwaitPermit(ctx, f.Permits, to.target, r.Background, maxWait); err != nil {
+	if err := AwaitPermit(waiting, f.Permits, to.target, r.Background, maxWait); err != nil {
 		return result{target: to.target, err: err}
 	}
 	start, begunAt := time.Now(), b.sent()
--- a/forward/share.go
+++ b/forward/share.go
@@ -114,7 +114,11 @@
 		return t.release, nil
 	case <-ctx.Done():
 		q.leave(s.place)
-		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		cause := context.Cause(ctx)
+		if verdict.ReasonOf(cause) == verdict.ReasonDraining {
+			return nil, cause
+		}
+		if errors.Is(cause, context.DeadlineExceeded) {
 			return nil, f.overload(best.response, "the servers had no room for the request until the deadline")
 		}
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonCanceled, "the caller disconnected while the request waited")
--- a/forward/stopping.go
+++ b/forward/stopping.go
@@ -1,6 +1,10 @@
 package forward
 
 import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,6 +16,28 @@
 // its answer, so that it is written before the connections are closed.
 const stopAnswerMargin = 200 * time.Millisecond
 
+// errStopEnded is the cause of the end of a request at the end of a graceful shutdown.
+var errStopEnded = fmt.Errorf("the host stops: %w", context.DeadlineExceeded)
+
+// stopState is the state of a graceful shutdown. The zero value is that before its begin.
+type stopState struct {
+	times atomic.Pointer[stopTimes] // nil before the begin
+
+	once sync.Once // creates the contexts
+	// late and end end at the times of the same names. Requests watch them, so that a shutdown
+	// also ends those that arrived before its begin.
+	late, end             context.Context
+	cancelLate, cancelEnd context.CancelFunc
+}
+
+func (s *stopState) contexts() (late, end context.Context) {
+	s.once.Do(func() {
+		s.late, s.cancelLate = context.WithCancel(context.Background())
+		s.end, s.cancelEnd = context.WithCancel(context.Background())
+	})
+	return s.late, s.end
+}
+
 // stopTimes are the times of a graceful shutdown.
 type stopTimes struct {
 	lateFrom time.Time // from then on, a request is accepted only if it ends before end
@@ -19,19 +45,25 @@
 }
 
 // BeginStop begins a graceful shutdown, after which the process ends. Requests that arrive
-// before lateFrom are accepted; callers do not know yet that the host stops. Later ones are
-// refused unless they end before end at the latest.
+// before lateFrom are accepted; callers do not know yet that the host stops. Later ones, and
+// those that still wait for a server then, are refused unless they end before end at the
+// latest. All others have their answer by then.
 func (f *Forwarder) BeginStop(lateFrom, end time.Time) {
-	f.stopping.Store(&stopTimes{lateFrom: lateFrom, end: end.Add(-stopAnswerMargin)})
+	s := &f.stopping
+	s.contexts()
+	times := &stopTimes{lateFrom: lateFrom, end: end.Add(-stopAnswerMargin)}
+	s.times.Store(times)
+	time.AfterFunc(time.Until(times.lateFrom), s.cancelLate)
+	time.AfterFunc(time.Until(times.end), s.cancelEnd)
 }
 
 // Stopping reports whether a graceful shutdown has begun.
-func (f *Forwarder) Stopping() bool { return f.stopping.Load() != nil }
+func (f *Forwarder) Stopping() bool { return f.stopping.times.Load() != nil }
 
 // CheckStop returns an error with the verdict not run if a graceful shutdown could cut off a
 // request that arrives now and lasts until end at the latest.
 func (f *Forwarder) CheckStop(end time.Time) error {
-	s := f.stopping.Load()
+	s := f.stopping.times.Load()
 	if s == nil || time.Now().Before(s.lateFrom) || !end.After(s.end) {
 		return nil
 	}
@@ -47,8 +79,48 @@
 
 // beforeStop returns the earlier of a deadline and the end of a graceful shutdown.
 func (f *Forwarder) beforeStop(end time.Time) time.Time {
-	if s := f.stopping.Load(); s != nil && s.end.Before(end) {
+	if s := f.stopping.times.Load(); s != nil && s.end.Before(end) {
 		return s.end
 	}
 	return end
 }
+
+// stopBounds bounds a request by a graceful shutdown that has begun or begins while it lasts.
+type stopBounds struct {
+	// ctx is that of the request. It ends when all requests must have their answer.
+	ctx context.Context
+	// waiting is used until the request is first sent to a server. It also ends when the
+	// shutdown could cut off the request, with the refusal as its cause.
+	waiting context.Context
+	// keep lets ctx go on after the shutdown, for a response that has begun.
+	keep func() bool
+}
+
+// boundByStop returns the bounds of a request that lasts until end at the latest. release must
+// be called at its end.
+func (f *Forwarder) boundByStop(ctx context.Context, r *Request, end time.Time) (b stopBounds, release func()) {
+	late, ended := f.stopping.contexts()
+	ctx, cancel := context.WithCancelCause(ctx)
+	waiting, refuse := context.WithCancelCause(ctx)
+	keep := context.AfterFunc(ended, func() { cancel(errStopEnded) })
+	wait := context.AfterFunc(late, func() {
+		if err := f.CheckStop(end); err != nil && !r.Background {
+			refuse(err)
+		}
+	})
+	return stopBounds{ctx: ctx, waiting: waiting, keep: keep}, func() {
+		keep()
+		wait()
+		refuse(nil)
+		cancel(nil)
+	}
+}
+
+// refusal returns the error of a request that a shutdown refuses before it is sent to a server,
+// nil if it may be sent.
+func (b *stopBounds) refusal() error {
+	if cause := context.Cause(b.waiting); cause != nil && verdict.ReasonOf(cause) == verdict.ReasonDraining {
+		return cause
+	}
+	return nil
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -49,8 +49,11 @@
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	s := &streamCall{f: f, r: r, route: route, w: w, tried: make(map[string]int), lastEventID: r.ResumeAfter, beginning: newBeginning(f, r)}
-	if err = s.findOrigin(ctx); err == nil {
-		err = s.run(ctx)
+	var release func()
+	s.stop, release = f.boundByStop(ctx, r, end)
+	defer release()
+	if err = s.findOrigin(s.stop.ctx); err == nil {
+		err = s.run(s.stop.ctx)
 	}
 	s.log(err)
 	return err
@@ -74,6 +77,7 @@
 	seat        seat
 	rejected    bool                 // the stream cannot be served before its deadline
 	work        capacity.Observation // of the newest part
+	stop        stopBounds
 }
 
 // streamPart is the part of a stream that one server sent.
@@ -105,8 +109,19 @@
 	return err
 }
 
+// waiting returns the context of a wait for a server, like that of call.
+func (s *streamCall) waiting(ctx context.Context) context.Context {
+	if s.mayHaveRun == 0 {
+		return s.stop.waiting
+	}
+	return ctx
+}
+
 func (s *streamCall) run(ctx context.Context) error {
 	for {
+		if err := s.stop.refusal(); err != nil && s.mayHaveRun == 0 {
+			return err
+		}
 		err := s.attempt(ctx)
 		if err == nil {
 			s.f.Report(Outcome{
@@ -128,7 +143,7 @@
 			return err
 		}
 		s.f.Count("retried", verdict.ReasonOf(err))
-		if !sleep(ctx, streamRetryDelay) {
+		if !sleep(s.waiting(ctx), streamRetryDelay) && ctx.Err() != nil {
 			return s.finalError(err)
 		}
 	}
@@ -162,7 +177,7 @@
 	best := s.choose(plan)
 	service := s.id().Service
 	if !s.begun && s.f.mustWait(plan, service, false, best) {
-		release, err := s.f.awaitTurn(ctx, &s.seat, service, plan.class(s.r, s.route), s.r.Organisation, best)
+		release, err := s.f.awaitTurn(s.waiting(ctx), &s.seat, service, plan.class(s.r, s.route), s.r.Organisation, best)
 		if err != nil {
 			s.rejected = true
 			return err
@@ -175,7 +190,7 @@
 	}
 	target := best.target
 	end, _ := ctx.Deadline()
-	if err := AwaitPermit(ctx, s.f.Permits, target, false, time.Until(end)-(best.expected-best.permitWait)); err != nil {
+	if err := AwaitPermit(s.waiting(ctx), s.f.Permits, target, false, time.Until(end)-(best.expected-best.permitWait)); err != nil {
 		return err
 	}
 	s.tried[target.ID]++
@@ -198,6 +213,7 @@
 	defer stream.Close()
 	s.mayHaveRun++
 	if !s.headerSent {
+		s.stop.keep()
 		s.w.Begin(stream.Header())
 		s.headerSent = true
 	}
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -246,9 +246,9 @@
 			"targetLatencyMs": 200, "attempts": 3, "runAimMs": 7500, "maxAgeS": 60,
 		}
 	}
-	slow := func(name, prefix, kind string) map[string]any {
+	slow := func(name, prefix, kind string, timeoutMS int) map[string]any {
 		r := route(name, prefix, kind, "slow")
-		r["timeoutMs"] = 6000
+		r["timeoutMs"] = timeoutMS
 		return r
 	}
 	streams := route("streams", "/streams/", "streaming", "engines")
@@ -259,7 +259,8 @@
 			route("lots", "/lots/", "rollout", "engines"), route("scores", "/scores/", "safe", "app"),
 			route("calls", "/calls/", "safe", "app"), route("once", "/once/", "unsafe", "app"),
 			route("endless", "/endless/", "safe", "endless"), route("endless-streams", "/endless-streams/", "streaming", "endless"),
-			slow("slow", "/slow/", "safe"), slow("slow-once", "/slow-once/", "unsafe"),
+			slow("slow", "/slow/", "safe", 6000), slow("slow-once", "/slow-once/", "unsafe", 6000),
+			slow("full", "/full/", "safe", 10_000), slow("full-once", "/full-once/", "unsafe", 10_000),
 			streams,
 		},
 		"services": []map[string]any{
--- a/soak/planned_stop_test.go
+++ b/soak/planned_stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -31,7 +32,8 @@
 )
 
 // slowServers serves requests that take the number of milliseconds in the last element of
-// their path, and records the ids of those that it got.
+// their path, and records the ids of those that it got. It refuses those whose path ends with
+// "full".
 type slowServers struct {
 	mu       sync.Mutex
 	arrived  map[string]time.Time
@@ -52,6 +54,12 @@
 func (s *slowServers) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Attempt-Id")
 	_, _ = io.Copy(io.Discard, r.Body)
+	if path.Base(r.URL.Path) == "full" {
+		w.Header().Set("Attempt-Id", id)
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	s.mu.Lock()
 	s.arrived[id] = time.Now()
 	s.mu.Unlock()
@@ -73,10 +81,11 @@
 	id, path              string
 	opened, first, second time.Duration // of the connection, of the two parts
 	cut                   int           // length of the first part
+	deadlineMS            int           // 0 for 6000
 }
 
 func (r *lateRequest) text() string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nDeadline-Milliseconds: 6000\r\nContent-Length: 4\r\n\r\nbody", r.path, r.id)
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nDeadline-Milliseconds: %d\r\nContent-Length: 4\r\n\r\nbody", r.path, r.id, cmp.Or(r.deadlineMS, 6000))
 }
 
 // sent is the outcome of a request that was sent whole.
@@ -157,7 +166,8 @@
 }
 
 // TestPlannedStopCutsNothing guards against requests that arrive late in the grace period of
-// a planned stop, are passed on to a server and cut at its end.
+// a planned stop, are passed on to a server and cut at its end, and against requests that arrived
+// before the stop, wait for a server and are cut.
 func TestPlannedStopCutsNothing(t *testing.T) {
 	for name, storeAway := range map[string]bool{"calm": false, "handover waits for the store": true} {
 		t.Run(name, func(t *testing.T) { t.Parallel(); testPlannedStop(t, storeAway) })
@@ -188,6 +198,11 @@
 			wg.Go(func() { s.send(r) })
 		}
 	}
+	for i := range 8 {
+		r := lateRequest{id: fmt.Sprintf("full-%d", i), path: []string{"/full/full", "/full-once/full"}[i%2], deadlineMS: 10_000}
+		r.opened, r.first, r.second = -time.Second, -time.Second, -time.Second
+		wg.Go(func() { s.send(r) })
+	}
 	if storeAway {
 		tr := &trainer{cluster: c, name: "t"}
 		wg.Go(func() { tr.train(s.stopped, 12) })
