transport, platform: a status that HTTP does not have is a bad answer

Callers saw: a server answered with status 000, and the caller's connection ended without an answer, although another server could have served it.

Cause: net/http returns statuses such as 000, 101 and 999 like others. 000 is below 300 and counted as a success; writing it to the caller panicked. With Not-Executed it was believed to say that the request did not run.

Change: the clients of package transport return an error for a status outside 200 to 599, on every path that reads one. The request may have run, its connection is closed, and it is repeated elsewhere if it may be.

--- a/transport/transport.go
+++ b/transport/transport.go
@@ -35,7 +35,8 @@
 func NewClient() *http.Client { return NewClientWith(Options{}) }
 
 // NewClientWith returns a client whose connections count their writes. The client does
-// not follow redirects, because following a redirect sends a second request.
+// not follow redirects, because following a redirect sends a second request. A response whose
+// status is no final one is an error, see StatusError.
 func NewClientWith(o Options) *http.Client {
 	if o.DialTimeout == 0 {
 		o.DialTimeout = dialTimeout
@@ -44,7 +45,7 @@
 		o.IdleTimeout = idleConnTimeout
 	}
 	return &http.Client{
-		Transport:     newTransport(o),
+		Transport:     statusChecker{newTransport(o)},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
