--- a/forward/stream.go
+++ b/forward/stream.go
@@ -19,7 +19,7 @@
 
 // StreamWriter writes a stream to a caller.
 type StreamWriter interface {
-	Begin(h http.Header) // starts the response; called once, before the first event
+	Begin(h http.Header) // starts the response; called once, before the first event or the end
 	Event(e Event) error // writes an event
 }
 
@@ -212,14 +212,20 @@
 	}
 	defer stream.Close()
 	s.mayHaveRun++
-	if !s.headerSent {
-		s.stop.keep()
-		s.w.Begin(stream.Header())
-		s.headerSent = true
-	}
 	return s.copyEvents(ctx, stream, target)
 }
 
+// begin starts the response with the header of the server that sent the first event. One that
+// sent none has no part in the response.
+func (s *streamCall) begin(stream Stream) {
+	if s.headerSent {
+		return
+	}
+	s.stop.keep()
+	s.w.Begin(stream.Header())
+	s.headerSent = true
+}
+
 // checkAttempt returns an error if no server was chosen.
 func (s *streamCall) checkAttempt(best choice) error {
 	switch {
@@ -296,6 +302,7 @@
 	for first := true; ; first = false {
 		e, err := stream.Next()
 		if errors.Is(err, ErrStreamEnd) {
+			s.begin(stream)
 			return nil
 		}
 		if err != nil {
@@ -308,6 +315,7 @@
 			s.parts = append(s.parts, streamPart{server: from.ID, software: from.Software, after: s.lastEventID})
 			s.recordOrigin(from.Software)
 			begun.Store(true)
+			s.begin(stream)
 		}
 		if err := s.w.Event(e); err != nil {
 			return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonCanceled, "the caller disconnected")
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -162,3 +162,16 @@
 		require.InDelta(t, 1500, time.Since(start).Milliseconds(), 300, "the stream ends at its deadline")
 	}
 }
+
+// TestStreamBeginsWithItsFirstEvent guards against a response that has begun, and therefore can
+// only be cut off, although no server has sent an event, and against one whose header belongs to
+// a server that sent none of its events.
+func TestStreamBeginsWithItsFirstEvent(t *testing.T) {
+	w, _, err := forwardStream(false, 1)
+	require.Error(t, err)
+	require.Zero(t, w.beginCalls)
+	w, _, err = forwardStream(true, 1, 0)
+	require.NoError(t, err)
+	require.Equal(t, 1, w.beginCalls)
+	require.Equal(t, "12345", w.events)
+}
