lot: each attempt to read a part of a lot has twice the time

Cause: each read of an adoption had three attempts of 2 s. All hosts share the rate of the store, so an object of 8 MB could take longer while all of them load lots after a restart, and no attempt would succeed.

Change: the attempts have 2, 4 and 8 s.

Result: TestLargeLotIsAdopted, with one object that takes 5 s, fails with equal times and passes now.

--- a/executor/store_test.go
+++ b/executor/store_test.go
@@ -21,25 +21,35 @@
 )
 
 // slowObjects is a store that takes objectTime for each call for an object. It refuses the first
-// read of each object, and never answers that of one object.
+// read of each object, never answers that of one object, and takes slowTime for each of another.
 type slowObjects struct {
 	*pamoja.Store
 	mu    sync.Mutex
 	reads map[string]int
 }
 
-const objectTime = 100 * time.Millisecond
+const (
+	objectTime = 100 * time.Millisecond
+	slowTime   = 5 * time.Second
+)
 
 func (s *slowObjects) GetObject(ctx context.Context, name string) ([]byte, error) {
 	s.mu.Lock()
 	s.reads[name]++
 	first := s.reads[name] == 1
 	s.mu.Unlock()
-	if first && strings.HasSuffix(name, "bucket-7-0") {
-		<-ctx.Done()
+	took := objectTime
+	switch {
+	case strings.HasSuffix(name, "bucket-7-0") && first:
+		took = time.Hour
+	case strings.HasSuffix(name, "bucket-8-0"):
+		took, first = slowTime, false
+	}
+	select {
+	case <-time.After(took):
+	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	time.Sleep(objectTime)
 	if first {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonStoreUnavailable, "refused")
 	}
--- a/lot/read.go
+++ b/lot/read.go
@@ -19,17 +19,18 @@
 	// memory.
 	maxPageRows = 128
 	// maxReadAttempts and readTimeout bound each read of what a new owner loads. A call that
-	// gets no answer is repeated on another connection. The largest object takes 0.1 s at the
-	// rate of the store, which all hosts share.
+	// gets no answer is repeated on another connection. Each attempt has twice the time of the
+	// one before: a large object may take seconds while all hosts load lots, since they share
+	// the rate of the store.
 	maxReadAttempts = 3
 	readTimeout     = 2 * time.Second
 )
 
 // retryRead repeats a read that fails. What the store does not hold is not read again.
 func (repo *Repository) retryRead(ctx context.Context, read func(context.Context) error) (err error) {
-	for range maxReadAttempts {
-		attempt, cancel := context.WithTimeout(ctx, readTimeout)
-		err = read(attempt)
+	for attempt := range maxReadAttempts {
+		readCtx, cancel := context.WithTimeout(ctx, readTimeout<<attempt)
+		err = read(readCtx)
 		cancel()
 		if err == nil || errors.Is(err, store.ErrObjectNotFound) || !sleep(ctx, cmp.Or(repo.RetryInterval, defaultRetryInterval)) {
 			return err
