--- a/forward/forward.go
+++ b/forward/forward.go
@@ -247,7 +247,8 @@
 func (c *call) maxAttempts() int { return max(1, c.route.MaxAttempts) }
 
 // waiting returns the context of a wait for a server. A shutdown that could cut off the request
-// ends the wait, unless an attempt may have run: callers do not repeat all of those elsewhere.
+// cancels it, unless an attempt may have run: the caller may not repeat such a request at another
+// host.
 func (c *call) waiting(ctx context.Context) context.Context {
 	if c.mayHaveRun == 0 {
 		return c.stop.waiting
--- a/forward/stopping.go
+++ b/forward/stopping.go
@@ -19,13 +19,13 @@
 // errStopEnded is the cause of the end of a request at the end of a graceful shutdown.
 var errStopEnded = fmt.Errorf("the host stops: %w", context.DeadlineExceeded)
 
-// stopState is the state of a graceful shutdown. The zero value is that before its begin.
+// stopState is the state of a graceful shutdown. The zero value means that none has begun.
 type stopState struct {
 	times atomic.Pointer[stopTimes] // nil before the begin
 
 	once sync.Once // creates the contexts
-	// late and end end at the times of the same names. Requests watch them, so that a shutdown
-	// also ends those that arrived before its begin.
+	// late is canceled at lateFrom and end at the end of the shutdown. Requests watch them, so
+	// that a shutdown also bounds those that arrived before it began.
 	late, end             context.Context
 	cancelLate, cancelEnd context.CancelFunc
 }
@@ -87,30 +87,31 @@
 
 // stopBounds bounds a request by a graceful shutdown that has begun or begins while it lasts.
 type stopBounds struct {
-	// ctx is that of the request. It ends when all requests must have their answer.
+	// ctx is that of the whole request. It is canceled when all requests must have their answer.
 	ctx context.Context
-	// waiting is used until the request is first sent to a server. It also ends when the
-	// shutdown could cut off the request, with the refusal as its cause.
+	// waiting is that of waits before the request is first sent to a server. It is also canceled
+	// once a request that the shutdown could cut off must not be sent any more, with the
+	// refusal as its cause.
 	waiting context.Context
-	// keep lets ctx go on after the shutdown, for a response that has begun.
+	// keep prevents that the shutdown cancels ctx. It is called once the response has begun.
 	keep func() bool
 }
 
-// boundByStop returns the bounds of a request that lasts until end at the latest. release must
-// be called at its end.
+// boundByStop returns the bounds of a request that lasts until end at the latest. The caller
+// calls release when the request has ended.
 func (f *Forwarder) boundByStop(ctx context.Context, r *Request, end time.Time) (b stopBounds, release func()) {
 	late, ended := f.stopping.contexts()
 	ctx, cancel := context.WithCancelCause(ctx)
 	waiting, refuse := context.WithCancelCause(ctx)
 	keep := context.AfterFunc(ended, func() { cancel(errStopEnded) })
-	wait := context.AfterFunc(late, func() {
+	unwatchLate := context.AfterFunc(late, func() {
 		if err := f.CheckStop(end); err != nil && !r.Background {
 			refuse(err)
 		}
 	})
 	return stopBounds{ctx: ctx, waiting: waiting, keep: keep}, func() {
 		keep()
-		wait()
+		unwatchLate()
 		refuse(nil)
 		cancel(nil)
 	}
