--- a/system/rollout/lots_test.go
+++ b/system/rollout/lots_test.go
@@ -89,42 +89,6 @@
 	require.Equal(t, lot.StateTerminated, writes[0].Results[0].State)
 }
 
-// TestOnlyFailuresTerminateItems guards against items that are terminated although no server
-// stated that they failed, and against their repetition without a pause. Reward calls of 20
-// items once got only answers of 504, because the timeout of their route was too short.
-func TestOnlyFailuresTerminateItems(t *testing.T) {
-	const repetitions = 12
-	w := newWorld(t)
-	w.step(w.server("s1", nil))
-	s := submission(1)
-	s.Items[0].Scorer = &lot.Scorer{ID: "q", Host: "h", Path: "/s/x"}
-	commands := w.accept(s)
-	var last command.StartRun
-	start := w.now
-	for n := range repetitions {
-		runs := commandsOf[command.StartRun](append(commands, w.advance(200*time.Millisecond)...))
-		require.Len(t, runs, 1, "run %d", n)
-		last = runs[0]
-		e := endedRun(last)
-		e.Failure = &event.Failure{Verdict: verdict.Ran, Reason: verdict.ReasonUnexpectedStatus}
-		commands = w.step(e)
-	}
-	require.Equal(t, repetitions, w.tables.Rollout.Items.Find(last.Key).UnexpectedAnswers)
-
-	last = commandsOf[command.StartRun](append(commands, w.advance(200*time.Millisecond)...))[0]
-	commands = w.step(endedRun(last, "x"))
-	scored := 0
-	for ; scored < repetitions; scored++ {
-		scores := commandsOf[command.ScoreItem](append(commands, w.advance(900*time.Millisecond)...))
-		require.Len(t, scores, 1, "scoring request %d", scored)
-		remaining := 40*time.Second - (w.now - start)
-		require.GreaterOrEqual(t, scores[0].Timeout, minScoreTimeout)
-		require.LessOrEqual(t, scores[0].Timeout, min(minScoreTimeout<<min(scored, maxTimeoutDoublings), remaining+time.Second))
-		commands = w.step(event.ScoreEnded{Key: scores[0].Key, Run: scores[0].Run, Failure: &event.Failure{Verdict: verdict.Ran, Reason: verdict.ReasonBackendFailed}})
-	}
-	require.NotNil(t, w.tables.Rollout.Items.Find(last.Key))
-}
-
 // TestSilentOwnerIsReplaced guards against a lot that is not adopted after its owner
 // died, and against one that is adopted although its owner is alive.
 func TestSilentOwnerIsReplaced(t *testing.T) {
@@ -150,57 +114,6 @@
 	require.Nil(t, w.tables.Rollout.Items.Find(table.ItemKey("l", "i0")), "a listed item does not run again")
 }
 
-// TestLotThatCannotBeLoadedIsGivenUp guards against a host that adopts a lot again and again,
-// cannot load it and thereby keeps all other hosts from it.
-func TestLotThatCannotBeLoadedIsGivenUp(t *testing.T) {
-	w := newWorld(t)
-	h := w.head("l", lot.Process{Host: "a", BootID: "0"}, 0, 2)
-	adopt := commandsOf[command.AdoptLot](w.step(headsRead(h)))
-	require.Len(t, adopt, 1)
-	taken := w.rewritten(adopt[0].Head, h.Version, adopt[0].Head.WriteID)
-	failed := event.LotAdopted{ID: "l", Head: taken.Head, Version: taken.Version, Failure: &event.Failure{Verdict: verdict.NotRun, Reason: verdict.ReasonStoreUnavailable}}
-	handover := commandsOf[command.WriteLot](w.step(headsRead(taken), failed))
-	require.Len(t, handover, 1)
-	require.Zero(t, handover[0].Head.Owner)
-	require.Equal(t, taken.Version, handover[0].Version)
-	require.Empty(t, commandsOf[command.AdoptLot](w.advance(adoptTimeout+maxAdoptCPUDelay)), "the handover may not have been written")
-	require.Len(t, commandsOf[command.AdoptLot](w.advance(loadRetryDelay)), 1, "there may be no other host")
-
-	w = newWorld(t)
-	adopt = commandsOf[command.AdoptLot](w.step(headsRead(w.head("l", lot.Process{Host: "a", BootID: "0"}, 0, 2))))
-	taken = w.rewritten(adopt[0].Head, adopt[0].Version, adopt[0].Head.WriteID)
-	ended := w.rewritten(taken.Head, taken.Version, "end")
-	ended.Head.Ended = true
-	failed.Head, failed.Version = taken.Head, taken.Version
-	require.Empty(t, commandsOf[command.WriteLot](w.step(headsRead(taken), headsRead(ended), failed)), "the lot ended meanwhile")
-}
-
-// TestLoadingLotIsKept guards against a lot that another host adopts while its new owner is
-// still loading it.
-func TestLoadingLotIsKept(t *testing.T) {
-	w := newWorld(t)
-	w.tables.Rollout.Presence.Address = "x:1"
-	w.step(event.PresenceRead{Rows: []event.PresenceRow{{Host: "a", Address: "x:1", BootID: "1", Version: w.version()}}})
-	w.advance(headRenewInterval)
-	h := w.head("l", lot.Process{Host: "a", BootID: "0"}, 0, 2)
-	adopt := commandsOf[command.AdoptLot](w.step(headsRead(h)))
-	require.Len(t, adopt, 1)
-	commands := w.step(headsRead(w.rewritten(adopt[0].Head, h.Version, adopt[0].Head.WriteID)))
-	require.Empty(t, commandsOf[command.WritePresence](commands), "a short adoption needs no heartbeat")
-	beats, last := 0, w.now
-	for w.now < last+adoptTimeout {
-		for range commandsOf[command.WritePresence](w.advance(50 * time.Millisecond)) {
-			beats++
-			last = w.now
-			w.step(event.PresenceWritten{}, event.PresenceRead{Rows: []event.PresenceRow{{Host: "a", Address: "x:1", BootID: "1", Version: w.version()}}})
-		}
-		if beats == 5 {
-			return
-		}
-	}
-	t.Fatalf("no heartbeat for %s after %d", adoptTimeout, beats)
-}
-
 // TestAcceptedLotOfADeadHost guards against a lot that waits for the whole adoptTimeout
 // because the process chosen to run it died shortly before. This once delayed a step by
 // 2.5 s.
@@ -285,45 +198,6 @@
 	}
 }
 
-// TestEndStopsScoring guards against scoring requests that reach servers after their lot ended,
-// expired or was taken over by another owner, and against their outcomes being applied to a
-// later request of the same item.
-func TestEndStopsScoring(t *testing.T) {
-	for name, end := range map[string]func(w *world, l *table.Lot) []command.Command{
-		"ended": func(w *world, l *table.Lot) []command.Command {
-			h := w.rewritten(l.Head, l.Version, "x")
-			h.Head.Ended = true
-			return w.step(headsRead(h))
-		},
-		"another owner": func(w *world, l *table.Lot) []command.Command {
-			h := w.rewritten(l.Head, l.Version, "x")
-			h.Head.Owner = otherProcess
-			return w.step(headsRead(h))
-		},
-		"expired": func(w *world, _ *table.Lot) []command.Command { return w.advance(defaultItemTimeout) },
-	} {
-		w := newWorld(t)
-		w.step(w.server("s1", nil))
-		s := submission(1)
-		s.Items[0].Scorer = &lot.Scorer{ID: "q", Host: "h", Path: "/s/x"}
-		run := commandsOf[command.StartRun](w.accept(s))[0]
-		score := commandsOf[command.ScoreItem](w.step(endedRun(run, "x")))[0]
-		l := w.tables.Rollout.Lots.Find("l")
-		require.Equal(t, []command.StopScore{{Key: score.Key, Run: score.Run}}, commandsOf[command.StopScore](end(w, l)), name)
-
-		h := w.rewritten(l.Head, l.Version, "y")
-		h.Head.Owner, h.Head.Ended = w.tables.Rollout.Self, false
-		w.step(headsRead(h))
-		l.Stage = table.LotAdopting
-		again := commandsOf[command.ScoreItem](w.step(event.LotAdopted{
-			ID: "l", Submission: s, Head: h.Head, Version: h.Version, Progress: []lot.Progress{{Item: "i0", Events: []string{"x"}, Complete: true}},
-		}))
-		require.Len(t, again, 1, name)
-		w.step(event.ScoreEnded{Key: score.Key, Run: score.Run, Failures: 9, Failure: &event.Failure{Verdict: verdict.Ran}})
-		require.NotNil(t, w.tables.Rollout.Items.Find(score.Key), "%s: the outcome of the first request terminated the item", name)
-	}
-}
-
 // TestConflictKeepsResults guards against results that are lost when another write of
 // the lot was committed first.
 func TestConflictKeepsResults(t *testing.T) {
