--- a/forward/stop_waiting_test.go
+++ b/forward/stop_waiting_test.go
@@ -47,8 +47,8 @@
 )
 
 // duringStop sends a request that may last until 10 s after its arrival to a host that stops
-// meanwhile. It returns the error and the time after which it came.
-func duringStop(t *testing.T, f *Forwarder, r *Request, kind desired.RouteKind) (err error, after time.Duration) {
+// meanwhile. It returns the time after which the request failed, and the error.
+func duringStop(t *testing.T, f *Forwarder, r *Request, kind desired.RouteKind) (after time.Duration, err error) {
 	t.Helper()
 	route := &f.Plans.Load().Desired.Routes[0]
 	route.Kind, route.Timeout = kind, 10*time.Second
@@ -61,7 +61,7 @@
 		_, err = f.Forward(t.Context(), r)
 	}
 	require.Error(t, err)
-	return err, time.Since(start)
+	return time.Since(start), err
 }
 
 // TestWaitingRequestIsRefusedDuringStop guards against requests that arrived before a graceful
@@ -86,7 +86,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					f := testForwarder(busyServer{full: true}, testPlan(1, 4))
 					prepare(f)
-					err, after := duringStop(t, f, new(Request), kind)
+					after, err := duringStop(t, f, new(Request), kind)
 					require.Equal(t, verdict.NotRun, verdict.Of(err))
 					require.Equal(t, verdict.ReasonDraining, verdict.ReasonOf(err))
 					require.InDelta(t, lateAfter, after, float64(100*time.Millisecond))
@@ -101,7 +101,7 @@
 func TestRequestThatRunsIsAnsweredDuringStop(t *testing.T) {
 	for _, kind := range []desired.RouteKind{desired.KindIdempotent, desired.KindNonIdempotent, desired.KindStream} {
 		synctest.Test(t, func(t *testing.T) {
-			err, after := duringStop(t, testForwarder(busyServer{}, testPlan(1, 4)), new(Request), kind)
+			after, err := duringStop(t, testForwarder(busyServer{}, testPlan(1, 4)), new(Request), kind)
 			require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
 			require.InDelta(t, stopsAt-stopAnswerMargin, after, float64(time.Millisecond))
 		})
@@ -113,12 +113,12 @@
 func TestShortRequestWaitsDuringStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const deadline = 7 * time.Second
-		err, after := duringStop(t, testForwarder(busyServer{full: true}, testPlan(1, 4)), &Request{Deadline: time.Now().Add(deadline)}, desired.KindIdempotent)
+		after, err := duringStop(t, testForwarder(busyServer{full: true}, testPlan(1, 4)), &Request{Deadline: time.Now().Add(deadline)}, desired.KindIdempotent)
 		require.Equal(t, verdict.ReasonOverload, verdict.ReasonOf(err))
 		require.InDelta(t, deadline, after, float64(100*time.Millisecond))
 	})
 	synctest.Test(t, func(t *testing.T) {
-		_, after := duringStop(t, testForwarder(busyServer{full: true}, testPlan(1, 4)), &Request{Background: true}, desired.KindIdempotent)
+		after, _ := duringStop(t, testForwarder(busyServer{full: true}, testPlan(1, 4)), &Request{Background: true}, desired.KindIdempotent)
 		require.InDelta(t, stopsAt-stopAnswerMargin, after, float64(time.Millisecond))
 	})
 }
