executor, lot: stand-ins of tests are used by several goroutines

Cause: the race detector found unguarded maps and counters of two tests: one is new, the other counts objects that are now read at the same time. Change: they are guarded by a mutex; what the tests check is unchanged.

--- a/executor/score_test.go
+++ b/executor/score_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,14 +22,24 @@
 // refusingServer refuses all requests and records their ids.
 type refusingServer struct {
 	forward.Sender
+	mu  sync.Mutex
 	got map[string]int
 }
 
 func (s *refusingServer) Send(_ context.Context, _ *forward.Target, r *forward.Request, _ time.Duration) (*forward.Answer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.got[r.ID]++
 	return nil, verdict.New(verdict.NotRun, verdict.ReasonBackendRefused, "full")
 }
 
+// requests returns the number of requests with an id.
+func (s *refusingServer) requests(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got[id]
+}
+
 // TestStoppedScoringReachesNoServer guards against scoring requests of an ended lot that go on
 // waiting for a server until the timeout of their route, and against those that wait for
 // another scoring request and begin after the end of their lot.
@@ -56,16 +67,16 @@
 			time.Sleep(time.Second)
 		}
 		scores.Stop(command.StopScore{Key: "first", Run: 7})
-		before := server.got["first"]
+		before := server.requests("first")
 		time.Sleep(time.Second)
-		require.Greater(t, server.got["first"], before, "another run of the item was stopped")
+		require.Greater(t, server.requests("first"), before, "another run of the item was stopped")
 		scores.Stop(command.StopScore{Key: "second", Run: 2})
 		scores.Stop(command.StopScore{Key: "first", Run: 1})
 		synctest.Wait()
-		before = server.got["first"]
+		before = server.requests("first")
 		time.Sleep(10 * time.Second)
-		require.Equal(t, before, server.got["first"])
-		require.Zero(t, server.got["second"])
+		require.Equal(t, before, server.requests("first"))
+		require.Zero(t, server.requests("second"))
 		for range 2 {
 			require.Equal(t, verdict.ReasonCanceled, (<-ended).Failure.Reason)
 		}
--- a/lot/bodies_test.go
+++ b/lot/bodies_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -18,11 +19,14 @@
 // objectCounter counts the objects that are read.
 type objectCounter struct {
 	*pamoja.Store
+	mu            sync.Mutex
 	read, largest int
 }
 
 func (c *objectCounter) GetObject(ctx context.Context, name string) ([]byte, error) {
 	data, err := c.Store.GetObject(ctx, name)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.read++
 	c.largest = max(c.largest, len(data))
 	return data, err
