--- a/system/rollout/scores_test.go
+++ b/system/rollout/scores_test.go
@@ -53,7 +53,7 @@
 }
 
 // TestOnlyFailuresTerminateItems guards against items that are terminated although no server
-// stated that they failed, and against their repetition without a pause. Reward calls of 20
+// stated that they failed, and against their repetition without a pause. Scoring requests of 20
 // items once got only answers of 504, because the timeout of their route was too short.
 func TestOnlyFailuresTerminateItems(t *testing.T) {
 	const repetitions = 12
