transport: a reset that a write reports ends the response with an error

Callers got a part of an answer as a complete one: a server read the beginning of an upload, sent a head without a length and a part of the body, and reset the connection while the upload was still being written.

Cause: a socket reports a reset once, to whichever call asks first. If that was the write of the upload, the read of the body returned an ordinary end, which completes a body without a length. All clients of package transport were affected: plain requests, streams, and writes of objects to the store.

The connection now remembers the error of a write, and a read returns that error in place of an ordinary end. The read can see the end before the write has returned, so it waits for a write in progress. It aborts that write: one that got no error would last until the server reads on. Nothing is lost by it, because no answer can follow the end and net/http closes the connection after the body. EPIPE is no loss, since the kernel reports it for a reset that follows an end in order.

--- a/transport/conn.go
+++ b/transport/conn.go
@@ -2,9 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"net"
+	"os"
 	"slices"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -18,9 +23,12 @@
 const maxCarried = 128
 
 // countingConn counts its writes and can block further ones. It remembers the requests that
-// it carried.
+// it carried. Its reads report a reset also if a write got the error.
 type countingConn struct {
 	net.Conn
+	writing  sync.Mutex // held during a write
+	writeErr error      // set by a write that found the connection lost; guarded by writing
+
 	mu            sync.Mutex
 	writes        uint64
 	writesBlocked bool
@@ -51,13 +59,52 @@
 	if !c.countWrite() {
 		return 0, errWritesBlocked
 	}
+	c.writing.Lock()
 	n, err := c.Conn.Write(p)
+	if meansLost(err) {
+		c.writeErr = err
+	}
+	c.writing.Unlock()
 	if n == 0 && err != nil {
 		c.uncountWrite()
 	}
 	return n, err
 }
 
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = c.endError()
+	}
+	return n, err
+}
+
+// endError returns io.EOF if the server ended its side of the connection in order, otherwise
+// the error with which the connection was lost. A socket reports such an error once. If a write
+// gets it, reads return an ordinary end, possibly before the write has returned.
+//
+// A write in progress is therefore awaited. It is aborted, because one that got no error lasts
+// until the server reads on; no response can follow the end, so the request is abandoned anyway.
+func (c *countingConn) endError() error {
+	if err := c.SetWriteDeadline(time.Unix(0, 1)); err != nil {
+		return err
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr != nil {
+		return fmt.Errorf("connection lost during a write: %w", c.writeErr)
+	}
+	return io.EOF
+}
+
+// meansLost reports whether the error of a write means that the connection was lost before the
+// server ended its side. EPIPE follows an end in order or an error that was reported before, and
+// only endError sets a deadline.
+func meansLost(err error) bool {
+	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // countWrite counts a write before it starts, because a write that fails may have sent
 // some bytes. It returns false if writes are blocked.
 func (c *countingConn) countWrite() bool {
