transport: a response with a blank in the name of a field is an error

Callers got answers with bytes that are not of the server's body: an answer with "Transfer-Encoding : chunked" arrived with the sizes of its chunks in the body, one with "Content-Length : 15" with whatever followed the body. "Not-Executed : 1" and a foreign "Attempt-Id : q0" were not noticed.

Cause: net/http accepts a blank within and after the name of a field, and the field then has no meaning. Nothing checked the names.

The check of the status becomes a check of the head: a name that is no token (RFC 9110, section 5.1) is a ResponseError, as an impossible status was before. RFC 9112, section 5.1, has a proxy remove the blank; the body of a server that sends one can't be trusted, and the request counts as one that may have run.

--- a/transport/transport.go
+++ b/transport/transport.go
@@ -35,8 +35,8 @@
 func NewClient() *http.Client { return NewClientWith(Options{}) }
 
 // NewClientWith returns a client whose connections count their writes. The client does
-// not follow redirects, because following a redirect sends a second request. A response whose
-// status is no final one is an error, see StatusError.
+// not follow redirects, because following a redirect sends a second request. A malformed response
+// is an error, see ResponseError.
 func NewClientWith(o Options) *http.Client {
 	if o.DialTimeout == 0 {
 		o.DialTimeout = dialTimeout
@@ -45,7 +45,7 @@
 		o.IdleTimeout = idleConnTimeout
 	}
 	return &http.Client{
-		Transport:     statusChecker{newTransport(o)},
+		Transport:     responseChecker{newTransport(o)},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
