transport: a response with a folded field line is an error

Callers got a line that begins with a blank as a part of the field before it ("Response-Stamp: s X: 1"). If that line named the coding or the length of the body, they got bytes that are not of the server's body; a refusal in it was not noticed.

Cause: net/http joins such a line to the field before it, after which it can't be told from a value with a blank. RFC 9112, section 5.2, lets a proxy do so or refuse the response. No sound server sends such lines, so it is refused now.

A connection follows the heads of its responses in the bytes as they arrive. The check of a response asks the connections of the request, which it finds by the request's Trace; a request without one gets its own, with which net/http may repeat it as before. The check closes the connection of a malformed response for all clients.

--- a/transport/conn.go
+++ b/transport/conn.go
@@ -34,6 +34,7 @@
 	writesBlocked bool
 	carried       []uint64 // hashes of the ids of the newest requests
 	next          int      // index in carried of the oldest one, once there are maxCarried
+	head          headScanner
 }
 
 // carry records that the connection is to carry a request, and reports whether it has not
@@ -74,12 +75,29 @@
 // Read implements net.Conn.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	c.head.scan(p[:n])
+	c.mu.Unlock()
 	if errors.Is(err, io.EOF) {
 		err = c.endError()
 	}
 	return n, err
 }
 
+// awaitHead records that the next byte is the first one of a response.
+func (c *countingConn) awaitHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.next()
+}
+
+// foldedHead reports whether a response on the connection had a folded field line.
+func (c *countingConn) foldedHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.folded
+}
+
 // endError returns io.EOF if the server ended its side of the connection in order, otherwise
 // the error with which the connection was lost. A socket reports such an error once. If a write
 // gets it, reads return an ordinary end, possibly before the write has returned.
--- a/transport/response.go
+++ b/transport/response.go
@@ -23,14 +23,22 @@
 // responseChecker rejects malformed responses that net/http returns like others.
 type responseChecker struct{ *http.Transport }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. It closes the connection of a malformed response, which
+// net/http may have put back already.
 func (c responseChecker) RoundTrip(r *http.Request) (*http.Response, error) {
+	trace, r := traceOf(r)
 	resp, err := c.Transport.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(resp); err != nil {
+	err = checkHead(resp)
+	if err == nil && trace.foldedHead() {
+		// RFC 9112, section 5.2, leaves the choice to refuse it.
+		err = &ResponseError{"a field line begins with a blank"}
+	}
+	if err != nil {
 		_ = resp.Body.Close()
+		trace.Close()
 		return nil, err
 	}
 	return resp, nil
--- a/transport/trace.go
+++ b/transport/trace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"slices"
 	"sync"
@@ -16,10 +17,15 @@
 	// told from the second one.
 	RequestID string
 
+	mayRepeat bool // net/http may repeat the request on another connection
+
 	mu   sync.Mutex
 	used []usedConn
 }
 
+// traceKey is the key of the Trace in the context of a request.
+type traceKey struct{}
+
 // usedConn is a connection that net/http obtained for the attempt.
 type usedConn struct {
 	conn         net.Conn
@@ -28,7 +34,18 @@
 
 // Attach returns a context with which the request of the attempt must be sent.
 func (t *Trace) Attach(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
+	ctx = context.WithValue(ctx, traceKey{}, t)
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn, PutIdleConn: t.putIdleConn})
+}
+
+// traceOf returns the trace of a request, and the request, to which it attaches a trace if it has
+// none.
+func traceOf(r *http.Request) (*Trace, *http.Request) {
+	if t, ok := r.Context().Value(traceKey{}).(*Trace); ok {
+		return t, r
+	}
+	t := &Trace{mayRepeat: true}
+	return t, r.WithContext(t.Attach(r.Context()))
 }
 
 // gotConn records a connection. net/http obtains a further one for the same request if the
@@ -40,7 +57,7 @@
 	used := usedConn{conn: info.Conn}
 	if c, ok := info.Conn.(*countingConn); ok {
 		used.writesBefore = c.count()
-		if t.written() {
+		if !t.mayRepeat && t.written() {
 			c.blockWrites()
 		} else if t.RequestID != "" && !c.carry(t.RequestID) {
 			c.blockWrites()
@@ -50,6 +67,30 @@
 	t.used = append(t.used, used)
 }
 
+// putIdleConn is called when the response has been read and its connection may carry the next
+// request.
+func (t *Trace) putIdleConn(err error) {
+	if err != nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c, ok := t.used[len(t.used)-1].conn.(*countingConn); ok {
+		c.awaitHead()
+	}
+}
+
+// foldedHead reports whether a connection of the attempt has carried a response with a folded
+// field line.
+func (t *Trace) foldedHead() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.used, func(u usedConn) bool {
+		c, ok := u.conn.(*countingConn)
+		return ok && c.foldedHead()
+	})
+}
+
 // written reports whether a byte may have been written to a connection of the attempt.
 func (t *Trace) written() bool {
 	for _, used := range t.used {
