tablestore, daemon: malformed answers of the platform are errors

lavender-entry and lavender-controller took answers of the table service, the object store and the host list with a blank in the name of a field or with a folded line, and then other bytes than the service sent for a body. A reset that a write reports was lost to them as well.

Cause: they used http.DefaultTransport, which package transport does not check. Their client comes from transport now; it follows no redirect and asks for no compression, neither of which the platform uses.

Before the change: TestMalformedAnswerIsRefused/blank_in_name: broken_answer_test.go:65: An error is expected but got nil.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -94,7 +93,7 @@
 	if err != nil {
 		return err
 	}
-	client := &http.Client{Timeout: platformTimeout, Transport: &tablestore.BearerTransport{Token: token}}
+	client := tablestore.NewHTTPClient(token, platformTimeout)
 	b.Tables = tablestore.NewTablesClient(p.Tables, client)
 	b.Objects = tablestore.NewObjectsClient(p.Objects, client)
 	b.Hosts = tablestore.NewHostListClient(p.Hosts, client)
--- a/tablestore/transport.go
+++ b/tablestore/transport.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
+	"github.com/lavenderstand/lavenderstand/transport"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -24,6 +26,15 @@
 	Verdict *verdict.Verdict `json:"verdict,omitempty"`
 }
 
+// NewHTTPClient returns an HTTP client for the clients of this package. It adds a bearer token to
+// each request, ends a call after timeout and rejects malformed responses.
+func NewHTTPClient(token string, timeout time.Duration) *http.Client {
+	client := transport.NewClient()
+	client.Transport = &BearerTransport{Token: token, Base: client.Transport}
+	client.Timeout = timeout
+	return client
+}
+
 // BearerTransport adds a bearer token to each request.
 type BearerTransport struct {
 	Token string
