tablestore: an object counts as written once the answer has been read

An object counted as written although the store reset the connection while the object was still being sent, if a head with status 200 came before.

Cause: Put looked at the status and not at the body of the answer. A head without a length is a complete answer only if its connection ends in order.

--- a/tablestore/broken_answer_test.go
+++ b/tablestore/broken_answer_test.go
@@ -40,6 +40,17 @@
 	return "http://" + l.Addr().String()
 }
 
+// TestResetDuringPutIsUnknown guards against an object that counts as written because the store
+// sent a head before it reset the connection, while the object was still being sent.
+func TestResetDuringPutIsUnknown(t *testing.T) {
+	objects := tablestore.NewObjectsClient(serveBytes(t, "HTTP/1.1 200 OK\r\n\r\n"), tablestore.NewHTTPClient("token", 10*time.Second))
+	for range 15 {
+		err := objects.Put(context.Background(), "k", make([]byte, 6<<20))
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(err), "%v", err)
+		require.Error(t, err)
+	}
+}
+
 // TestMalformedAnswerIsRefused guards against an answer of the platform that is taken although its
 // head is malformed, with other bytes than the service sent for a body.
 func TestMalformedAnswerIsRefused(t *testing.T) {
--- a/tablestore/objects.go
+++ b/tablestore/objects.go
@@ -40,7 +40,7 @@
 	defer closeBody(resp)
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return nil
+		return readToEnd(resp, "put object "+key)
 	case http.StatusConflict:
 		return verdict.New(verdict.NotRun, verdict.ReasonConflict, "object %s exists with other bytes", key)
 	}
--- a/tablestore/transport.go
+++ b/tablestore/transport.go
@@ -131,4 +131,13 @@
 	return json.Unmarshal(raw, into)
 }
 
+// readToEnd reads the body of an answer whose status is all that it tells. An answer delimited by
+// the end of its connection is complete only if the connection was not reset.
+func readToEnd(resp *http.Response, what string) error {
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRejectionBytes)); err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonTruncatedAnswer, "%s", what)
+	}
+	return nil
+}
+
 func closeBody(resp *http.Response) { _ = resp.Body.Close() }
