cmd/lavenderctl: malformed answers of a server are errors

lavenderctl took an answer with a blank in the name of a field. If it stated that a change had not run, the change was sent to the next server; its request may have run at the first.

Cause: its clients did not come from package transport, which checks responses.

Before the change: TestExitCodes/malformed_head: ctl_test.go:166: expected: 4, actual: 0 (the change was sent to the second server)

--- a/cmd/lavenderctl/client.go
+++ b/cmd/lavenderctl/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/lavenderstand/lavenderstand/api"
 	"github.com/lavenderstand/lavenderstand/identity"
+	"github.com/lavenderstand/lavenderstand/transport"
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
@@ -83,8 +84,7 @@
 	r.Header.Set("Content-Type", "application/json")
 	// Each call uses a new connection, because the HTTP client may repeat a request that
 	// failed on a stale one.
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Do(r)
+	response, err := transport.NewClientWith(transport.Options{SingleUse: true}).Do(r)
 	if err != nil {
 		return answer{}, err
 	}
--- a/cmd/lavenderctl/ctl_test.go
+++ b/cmd/lavenderctl/ctl_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -66,6 +67,18 @@
 	}
 }
 
+// malformedHead sends an answer that states that the change did not run, with a blank in the name
+// of a field.
+func malformedHead(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	body, _ := json.Marshal(refused(verdict.NotRun, verdict.ReasonNoMajority))
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 x\r\nX Y: 1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	_ = conn.Close()
+}
+
 func refused(v verdict.Verdict, reason verdict.Reason) api.ErrorBody {
 	return api.ErrorBody{Error: api.ErrorDetail{Message: "refused", Reason: reason, Verdict: v}}
 }
@@ -137,6 +150,7 @@
 		"connection lost":       {closeConnection, set, exitUnknown, 0},
 		"may have run":          {reject(504, refused(verdict.MayHaveRun, verdict.ReasonDeadline)), set, exitUnknown, 0},
 		"answer of a proxy":     {reject(502, "bad gateway"), set, exitUnknown, 0},
+		"malformed head":        {malformedHead, set, exitUnknown, 0},
 		"forbidden":             {reject(403, refused(verdict.NotRun, verdict.ReasonForbidden)), set, exitError, 0},
 		"no majority, not run":  {reject(503, refused(verdict.NotRun, verdict.ReasonNoMajority)), set, exitOK, 1},
 		"no flag":               {accept, []string{"class", "set", "live"}, exitUsage, 0},
--- a/cmd/lavenderctl/explain.go
+++ b/cmd/lavenderctl/explain.go
@@ -104,8 +104,7 @@
 	if err != nil {
 		return failf(exitError, "encode question: %w", err)
 	}
-	client := &http.Client{Timeout: hostViewTimeout}
-	resp, err := client.Post("http://"+address+"/explain", "application/json", bytes.NewReader(body))
+	resp, err := newHostClient().Post("http://"+address+"/explain", "application/json", bytes.NewReader(body))
 	if err != nil {
 		return failf(exitUnknown, "%w", err)
 	}
--- a/cmd/lavenderctl/host.go
+++ b/cmd/lavenderctl/host.go
@@ -13,6 +13,7 @@
 
 	"github.com/lavenderstand/lavenderstand/platform"
 	"github.com/lavenderstand/lavenderstand/status"
+	"github.com/lavenderstand/lavenderstand/transport"
 )
 
 // hostViewTimeout bounds the wait for the answer of a host's control loop.
@@ -37,9 +38,15 @@
 	}
 }
 
+// newHostClient returns a client of the internal address of a host.
+func newHostClient() *http.Client {
+	client := transport.NewClient()
+	client.Timeout = hostViewTimeout
+	return client
+}
+
 func readHostView(address string) (v status.HostView, err error) {
-	client := &http.Client{Timeout: hostViewTimeout}
-	resp, err := client.Get("http://" + address + "/view")
+	resp, err := newHostClient().Get("http://" + address + "/view")
 	if err != nil {
 		return v, err
 	}
