--- a/transport/conn.go
+++ b/transport/conn.go
@@ -23,7 +23,8 @@
 const maxCarried = 128
 
 // countingConn counts its writes and can block further ones. It remembers the requests that
-// it carried. Its reads report a reset also if a write got the error.
+// it carried, and follows the heads of their responses. Its reads report a reset also if a write
+// got the error.
 type countingConn struct {
 	net.Conn
 	writing  sync.Mutex // held during a write
@@ -32,9 +33,9 @@
 	mu            sync.Mutex
 	writes        uint64
 	writesBlocked bool
-	carried       []uint64 // hashes of the ids of the newest requests
-	next          int      // index in carried of the oldest one, once there are maxCarried
-	head          headScanner
+	carried       []uint64    // hashes of the ids of the newest requests
+	next          int         // index in carried of the oldest one, once there are maxCarried
+	head          headScanner // of the bytes that were read
 }
 
 // carry records that the connection is to carry a request, and reports whether it has not
