tablestore: the service of a test resets its connection in each case

Cause, in the test: its service closed the connection without SO_LINGER, which is a reset only if bytes are left unread. Beside load, the client had not sent more than the service had read, so the kernel ended the connection in order, and an answer that is ended in order is whole.

--- a/tablestore/broken_answer_test.go
+++ b/tablestore/broken_answer_test.go
@@ -15,8 +15,11 @@
 	"github.com/lavenderstand/lavenderstand/verdict"
 )
 
+// readBytes is the part of a body that the services of these tests read.
+const readBytes = 3000
+
 // serveBytes starts a service that reads the head of a request and the beginning of its body,
-// sends answer and resets the connection if the request has more.
+// sends answer and closes the connection. If the request has more, it resets the connection.
 func serveBytes(t *testing.T, answer string) string {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -29,10 +32,15 @@
 			}
 			go func() {
 				defer func() { _ = conn.Close() }()
-				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.ReadFull(r.Body, make([]byte, min(r.ContentLength, 3000)))
-					_, _ = io.WriteString(conn, answer)
-					time.Sleep(time.Millisecond) // a large body fills the buffers
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.ReadFull(r.Body, make([]byte, min(r.ContentLength, readBytes)))
+				_, _ = io.WriteString(conn, answer)
+				if r.ContentLength > readBytes {
+					time.Sleep(time.Millisecond)         // a large body fills the buffers
+					_ = conn.(*net.TCPConn).SetLinger(0) // a close is a reset even if all that arrived has been read
 				}
 			}()
 		}
