--- /dev/null
+++ b/review/_rig3/adopt.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// adopt has each of three nodes run open batch submissions of one trainer. With trouble, the
+// processes of two nodes are killed, one second apart, and started again 3.5 s later.
+func adopt(c *cluster, trouble bool) bool {
+	c.memoryMB = envInt("MEMORY_MB", 184)
+	lots := envInt("LOTS", 3) // of each trainer
+	items := envInt("ITEMS", 4000)
+	itemBytes := envInt("BODY", 3000)
+	c.setState([]map[string]any{lotRoute(), appRoute()}, lotServices())
+	apps := c.addApps(2, 40*time.Millisecond)
+	for i := range 3 {
+		c.addSampler(&sampler{id: fmt.Sprintf("sampler-%d", i), service: "models", events: 900, eventSize: 200, gap: 120 * time.Millisecond, slots: 8, queue: 24})
+	}
+	c.addHosts(3)
+	time.Sleep(3 * time.Second)
+	for n := range lots {
+		for i, h := range c.hosts {
+			c.submit(fmt.Sprintf("lot%d-%d", i, n), fmt.Sprintf("m%d", i), items, itemBytes, h)
+			time.Sleep(time.Second)
+		}
+	}
+	time.Sleep(3 * time.Second)
+	c.logHosts()
+	kept := &callers{c: c, apps: apps, end: time.Now().Add(time.Duration(envInt("FOR_S", 45)) * time.Second)}
+	for _, h := range c.hosts {
+		kept.run(h, 4)
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		for _, h := range c.hosts[:2] {
+			h.kill()
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Duration(envInt("DOWN_MS", 2500)) * time.Millisecond)
+		for _, h := range c.hosts[:2] {
+			h.startAgain()
+		}
+	}
+	for time.Now().Before(kept.end) {
+		time.Sleep(3 * time.Second)
+		c.logHosts()
+		kept.log()
+	}
+	return c.judge(kept)
+}
+
+func (c *cluster) logHosts() {
+	for _, h := range c.hosts {
+		h.mu.Lock()
+		c.rec.log("%s: peak %d MB, over its limit of %d MB %d times, ended by itself %d times", h.name, h.peakMB, c.memoryMB, h.overMemory, h.ownEnds)
+		h.mu.Unlock()
+	}
+}
+
+// judge applies the rules Fault and LOST (kept channels). A request that was cut off by a kill
+// of the case does not count.
+func (c *cluster) judge(kept *callers) bool {
+	kept.wg.Wait()
+	kept.log()
+	machines := 0
+	for _, h := range c.hosts {
+		h.mu.Lock()
+		if h.ownEnds >= 3 {
+			machines++
+		}
+		h.mu.Unlock()
+	}
+	counted := 0
+	for _, l := range kept.lost {
+		if l.counts {
+			counted++
+		}
+	}
+	c.rec.log("Fault: processes ended by themselves three times or more, with no disruption there, on %d machines (the rule allows 1)", machines)
+	c.rec.log("LOST: %d requests from kept channels of machines in touch were passed on to a sound sampler and not answered (the rule allows 3)", counted)
+	return machines >= 2 || counted > 3
+}
