--- a/review/_rig3/adopt.go
+++ b/review/_rig3/adopt.go
@@ -6,16 +6,19 @@
 )
 
 // adopt has each of three nodes run open batch submissions of one trainer. With trouble, the
-// processes of two nodes are killed, one second apart, and started again 3.5 s later.
+// processes of two nodes are killed once and started again 3.5 s later.
 func adopt(c *cluster, trouble bool) bool {
 	c.memoryMB = envInt("MEMORY_MB", 184)
-	lots := envInt("LOTS", 3) // of each trainer
+	lots := envInt("LOTS", 4) // of each trainer
 	items := envInt("ITEMS", 4000)
 	itemBytes := envInt("BODY", 3000)
 	c.setState([]map[string]any{lotRoute(), appRoute()}, lotServices())
 	apps := c.addApps(2, 40*time.Millisecond)
+	var samplers []*sampler
 	for i := range 3 {
-		c.addSampler(&sampler{id: fmt.Sprintf("sampler-%d", i), service: "models", events: 900, eventSize: 200, gap: 120 * time.Millisecond, slots: 8, queue: 24})
+		s := &sampler{id: fmt.Sprintf("sampler-%d", i), service: "models", events: 12, eventSize: 200, gap: 120 * time.Millisecond, slots: 8, queue: 24}
+		c.addSampler(s)
+		samplers = append(samplers, s)
 	}
 	c.addHosts(3)
 	time.Sleep(3 * time.Second)
@@ -35,9 +38,8 @@
 	if trouble {
 		for _, h := range c.hosts[:2] {
 			h.kill()
-			time.Sleep(time.Second)
 		}
-		time.Sleep(time.Duration(envInt("DOWN_MS", 2500)) * time.Millisecond)
+		time.Sleep(time.Duration(envInt("DOWN_MS", 3500)) * time.Millisecond)
 		for _, h := range c.hosts[:2] {
 			h.startAgain()
 		}
@@ -46,6 +48,11 @@
 		time.Sleep(3 * time.Second)
 		c.logHosts()
 		kept.log()
+		completed := int64(0)
+		for _, s := range samplers {
+			completed += s.completed.Swap(0)
+		}
+		c.rec.log("items completed by samplers in these 3 s: %d", completed)
 	}
 	return c.judge(kept)
 }
--- a/review/_rig3/sampler.go
+++ b/review/_rig3/sampler.go
@@ -20,7 +20,7 @@
 	slots, queue      int64
 	running           atomic.Int64
 	busy              chan struct{}
-	onRun             func(id string, after int)
+	completed         atomic.Int64 // streams that were sent to their end
 }
 
 // addSampler starts a sampler and keeps its record in the store.
@@ -92,9 +92,6 @@
 		return
 	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	if s.onRun != nil {
-		s.onRun(id, after)
-	}
 	w.Header().Set("Response-Stamp", "stamp-"+s.id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Weight-Versions", "1")
@@ -112,4 +109,5 @@
 			return
 		}
 	}
+	s.completed.Add(1)
 }
