--- a/review/_rig3/adopt.go
+++ b/review/_rig3/adopt.go
@@ -8,10 +8,10 @@
 // adopt has each of three nodes run open batch submissions of one trainer. With trouble, the
 // processes of two nodes are killed once and started again 3.5 s later.
 func adopt(c *cluster, trouble bool) bool {
-	c.memoryMB = envInt("MEMORY_MB", 184)
-	lots := envInt("LOTS", 4) // of each trainer
-	items := envInt("ITEMS", 4000)
-	itemBytes := envInt("BODY", 3000)
+	c.memoryMB = envInt("REVIEW3_MEMORY_MB", 184)
+	lots := envInt("REVIEW3_LOTS", 4) // of each trainer
+	items := envInt("REVIEW3_ITEMS", 4000)
+	itemBytes := envInt("REVIEW3_BODY", 3000)
 	c.setState([]map[string]any{lotRoute(), appRoute()}, lotServices())
 	apps := c.addApps(2, 40*time.Millisecond)
 	var samplers []*sampler
@@ -30,7 +30,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	c.logHosts()
-	kept := &callers{c: c, apps: apps, end: time.Now().Add(time.Duration(envInt("FOR_S", 45)) * time.Second)}
+	kept := &callers{c: c, apps: apps, end: time.Now().Add(time.Duration(envInt("REVIEW3_FOR_S", 45)) * time.Second)}
 	for _, h := range c.hosts {
 		kept.run(h, 4)
 	}
@@ -39,7 +39,7 @@
 		for _, h := range c.hosts[:2] {
 			h.kill()
 		}
-		time.Sleep(time.Duration(envInt("DOWN_MS", 3500)) * time.Millisecond)
+		time.Sleep(time.Duration(envInt("REVIEW3_DOWN_MS", 3500)) * time.Millisecond)
 		for _, h := range c.hosts[:2] {
 			h.startAgain()
 		}
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -41,6 +41,8 @@
 	switch os.Args[1] {
 	case "readers":
 		broken = readers(c, trouble)
+	case "texts":
+		broken = texts(c, trouble)
 	case "grey":
 		broken = grey(c, trouble)
 	case "slashes":
--- a/review/_rig3/readers.go
+++ b/review/_rig3/readers.go
@@ -24,10 +24,10 @@
 // submission, each requester on one channel at a time, again and again. With trouble they read
 // slowly, without it at once; they ask equally often.
 func readers(c *cluster, trouble bool) bool {
-	c.memoryMB = envInt("MEMORY_MB", 184)
-	perHost := envInt("READERS", 52)
-	itemBytes := envInt("BODY", 4_000_000)
-	rate := envInt("RATE", 250_000) // bytes per second of a slow requester
+	c.memoryMB = envInt("REVIEW3_MEMORY_MB", 184)
+	perHost := envInt("REVIEW3_READERS", 52)
+	itemBytes := envInt("REVIEW3_BODY", 4_000_000)
+	rate := envInt("REVIEW3_RATE", 250_000) // bytes per second of a slow requester
 	const items = 3
 	c.setState([]map[string]any{lotRoute(), appRoute()}, lotServices())
 	apps := c.addApps(2, 40*time.Millisecond)
