forward: an unconfirmed refusal of a server promises nothing to callers

Callers of non-idempotent routes got a 503, 429 or 408 for requests that had run.

Cause: of servers only Not-Executed or 421 says that a request has not run, and checkResponse turns these into errors with the verdict not run. Any other answer to a request that may not be repeated was returned unchanged, whatever its status means to a caller.

Answers to requests that may be repeated are unchanged.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -363,6 +363,9 @@
 	if res.ended && tooManyEnded(c.r, len(c.ended)) {
 		return nil, true, errTooManyEnded(res.err, len(c.ended))
 	}
+	if res.err == nil && res.answer.UnconfirmedRefusal && !c.idempotent {
+		return nil, true, errUnconfirmedRefusal(res)
+	}
 	if res.err == nil && res.answer.serverFailed() {
 		if res.answer.requestFailed() {
 			c.failureCount++
@@ -400,13 +403,6 @@
 	return nil, false, nil
 }
 
-func reasonOf(res result) verdict.Reason {
-	if res.err == nil {
-		return verdict.ReasonBackendFailed
-	}
-	return verdict.ReasonOf(res.err)
-}
-
 // giveUp returns the last failure response of a server if there is one, else the last error.
 // The verdict of the error is not run only if no attempt may have run.
 func (c *call) giveUp() (*Answer, error) {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -157,6 +157,24 @@
 	require.Len(t, s.servers(), 3)
 }
 
+// TestUnconfirmedRefusalMayHaveRun guards against an answer of which a caller would conclude that a
+// request that may not be repeated has not run, and against a server that counts as sound after it.
+func TestUnconfirmedRefusalMayHaveRun(t *testing.T) {
+	s := &sender{reply: func(context.Context, string, int) (*forward.Answer, error) {
+		return &forward.Answer{Status: http.StatusServiceUnavailable, Stamp: "s", UnconfirmedRefusal: true}, nil
+	}}
+	f, outcomes := newForwarder(s, desired.KindNonIdempotent)
+	counted := make(map[string]verdict.Reason)
+	f.Count = func(name string, reason verdict.Reason) { counted[name] = reason }
+	answer, err := f.Forward(context.Background(), request())
+	require.Nil(t, answer)
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+	require.Equal(t, map[string]verdict.Reason{"refused": verdict.ReasonUnconfirmedRefusal}, counted)
+	require.Len(t, s.servers(), 1)
+	require.True(t, (*outcomes)[0].Failed)
+	require.True(t, (*outcomes)[0].Answered)
+}
+
 // TestRefusedEverywhereIsNotRun guards against the verdict "may have run" for a request that
 // every server refused, which would keep the caller from repeating it, and against full
 // servers that are reported as failed.
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -47,6 +47,25 @@
 	f.Report(Outcome{Request: r.ID, Server: res.target.ID, Limit: load.Limit(), Work: work})
 }
 
+// errUnconfirmedRefusal returns the error that replaces an answer whose status a caller would take
+// for permission to send the request again, although it may have run.
+func errUnconfirmedRefusal(res result) error {
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonUnconfirmedRefusal, "server %s answered with status %d without confirming that the request has not run",
+		res.target.ID, res.answer.Status)
+}
+
+// reasonOf returns why an attempt failed.
+func reasonOf(res result) verdict.Reason {
+	switch {
+	case res.err != nil:
+		return verdict.ReasonOf(res.err)
+	case res.answer.UnconfirmedRefusal:
+		return verdict.ReasonUnconfirmedRefusal
+	default:
+		return verdict.ReasonBackendFailed
+	}
+}
+
 // blameless reports whether the failure of an attempt for a reason says nothing about the
 // health of the server.
 func blameless(reason verdict.Reason) bool {
--- a/forward/types.go
+++ b/forward/types.go
@@ -57,6 +57,9 @@
 	Header http.Header
 	Body   []byte
 	Stamp  string // proof of origin that the server adds to its response
+	// UnconfirmedRefusal is set if the status guarantees to callers that the request has not run,
+	// but the server did not confirm this, so that the request may have run.
+	UnconfirmedRefusal bool
 	// Failures is the number of responses, including this one, that state that the request
 	// itself failed. It is set only in failure responses.
 	Failures int
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -233,7 +233,7 @@
 	if !c.faulty[id] {
 		return pamoja.BackendFault{}
 	}
-	faults := []pamoja.BackendFault{{Refuse: true}, {BreakAfterEvents: 3}, {LoseAnswer: true}, {Stall: true}, {}}
+	faults := []pamoja.BackendFault{{Refuse: true}, {BreakAfterEvents: 3}, {LoseAnswer: true}, {FailAfterRun: true}, {Stall: true}, {}}
 	return faults[rand.IntN(len(faults))]
 }
 
--- a/standin/pamoja/http.go
+++ b/standin/pamoja/http.go
@@ -165,6 +165,7 @@
 	Refuse           bool // answer that the request was not executed
 	BreakAfterEvents int  // abort the connection after this many events; 0 means never
 	LoseAnswer       bool // execute the request, then abort the connection without a response
+	FailAfterRun     bool // execute the request, then answer with 503 without saying that it was not executed
 	Stall            bool // send nothing until the client disconnects
 }
 
@@ -245,6 +246,10 @@
 	if fault.LoseAnswer {
 		panic(http.ErrAbortHandler)
 	}
+	if fault.FailAfterRun {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	_, _ = io.WriteString(w, "answer to "+id) // fails only if the client has disconnected
 }
 
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -65,8 +65,11 @@
 	ReasonCallerTooSlow     Reason = "caller_too_slow"  // a caller sends a head or body, or reads an answer, too slowly
 	// ReasonPlatformUnavailable means that the platform's API does not carry out calls.
 	ReasonPlatformUnavailable Reason = "platform_unavailable"
-	ReasonFirstAttempt        Reason = "first_attempt"
-	ReasonUnknown             Reason = "unknown"
+	// ReasonUnconfirmedRefusal means that the status of an answer says that the request has not
+	// run, but the server did not confirm it.
+	ReasonUnconfirmedRefusal Reason = "unconfirmed_refusal"
+	ReasonFirstAttempt       Reason = "first_attempt"
+	ReasonUnknown            Reason = "unknown"
 )
 
 // Errors is the errorx namespace of all errors that carry a verdict and a reason.
