forward: a server that answers with 408 or 429 has failed the request

Callers of requests that may be repeated got the 408 or 429 of one server although others would have served them, and that server got all requests.

Cause: only statuses from 500 on counted as failures. With 408 and 429 no other server was tried, the server was reported as sound, and the time of the failure was recorded as its response time. It fails at once, so it seemed to be the fastest.

An unconfirmed refusal now counts as a failure whatever its status: the request is tried elsewhere within the attempts of its route, and the last answer is returned unchanged if all fail.

Measured with TestUnconfirmedRefusalIsTriedElsewhere, one of two servers failing at once: before, 0 of 40 requests answered with 408 and with 429 (40 of 40 with 503), at server_failure_test.go:118 "expected: 40, actual: 0"; after, 40 of 40 with each.

--- a/forward/types.go
+++ b/forward/types.go
@@ -65,9 +65,12 @@
 	Failures int
 }
 
-// serverFailed reports whether the request ran on the server without success, and another server
-// may succeed.
-func (a *Answer) serverFailed() bool { return a.Status >= http.StatusInternalServerError }
+// serverFailed reports whether the server failed, so that another server may succeed. It may have
+// run the request. An unconfirmed refusal comes sooner than the answer of a sound server, so it
+// must not count as a measurement of the server either.
+func (a *Answer) serverFailed() bool {
+	return a.UnconfirmedRefusal || a.Status >= http.StatusInternalServerError
+}
 
 // requestFailed reports whether the server states that the request failed. Other statuses from
 // 500 on say nothing about the request: with 504, for example, a server stops at the deadline
