frontend: a refused head makes room for others at once

Cause: a head that is refused kept its reservation until its answer was written and its connection closed, and the sum was raised before it was compared. Heads that asked in between were refused although there was room.

A reservation that cannot grow is now released in the same atomic step. The other use of the sum, by connections of other hosts, reserves from 0 and is as before.

TestByteSum, extended, failed before at conn_limits_test.go:168: "the reservation of a refused head makes room for others at once".

--- a/frontend/conn_limits.go
+++ b/frontend/conn_limits.go
@@ -77,14 +77,20 @@
 	held  atomic.Int64
 }
 
-// resize changes a reservation from old to n bytes. It reports whether the bound allows it
-// and changes nothing otherwise. A decrease is always allowed.
+// resize changes a reservation from old to n bytes and reports whether the bound allows it. If it
+// does not, the reservation is released in the same step: bytes of a head that is refused must not
+// lead to the refusal of others. A decrease is always allowed.
 func (s *byteSum) resize(old, n int64) bool {
-	if held := s.held.Add(n - old); n > old && s.bound > 0 && held > s.bound {
-		s.held.Add(old - n)
-		return false
+	for {
+		held := s.held.Load()
+		next, allowed := held-old+n, true
+		if n > old && s.bound > 0 && next > s.bound {
+			next, allowed = held-old, false
+		}
+		if s.held.CompareAndSwap(held, next) {
+			return allowed
+		}
 	}
-	return true
 }
 
 // unknownFirst stands for the first byte of a request that was read before the head was
--- a/frontend/conn_limits_test.go
+++ b/frontend/conn_limits_test.go
@@ -161,4 +161,11 @@
 	require.True(t, s.resize(60, 100))
 	require.True(t, s.resize(100, 0))
 	require.Zero(t, s.held.Load())
+
+	require.True(t, s.resize(0, 40))
+	require.True(t, s.resize(0, 40))
+	require.False(t, s.resize(40, 70))
+	require.True(t, s.resize(40, 100), "the reservation of a refused head makes room for others at once")
+	require.True(t, s.resize(100, 0))
+	require.Zero(t, s.held.Load())
 }
