--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -161,7 +161,7 @@
 // request that may not be repeated has not run, and against a server that counts as sound after it.
 func TestUnconfirmedRefusalMayHaveRun(t *testing.T) {
 	s := &sender{reply: func(context.Context, string, int) (*forward.Answer, error) {
-		return &forward.Answer{Status: http.StatusServiceUnavailable, Stamp: "s", UnconfirmedRefusal: true}, nil
+		return &forward.Answer{Status: http.StatusTooManyRequests, Stamp: "s", UnconfirmedRefusal: true}, nil
 	}}
 	f, outcomes := newForwarder(s, desired.KindNonIdempotent)
 	counted := make(map[string]verdict.Reason)
--- a/forward/types.go
+++ b/forward/types.go
@@ -66,8 +66,8 @@
 }
 
 // serverFailed reports whether the server failed, so that another server may succeed. It may have
-// run the request. An unconfirmed refusal comes sooner than the answer of a sound server, so it
-// must not count as a measurement of the server either.
+// run the request. An unconfirmed refusal may come sooner than the answer of a sound server, so it
+// must not count as a response time.
 func (a *Answer) serverFailed() bool {
 	return a.UnconfirmedRefusal || a.Status >= http.StatusInternalServerError
 }
--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -123,7 +123,7 @@
 	c.meter.add(p[:n])
 	if size := c.meter.memory(); size > c.reserved {
 		if !c.conns.heads.resize(c.reserved, size) {
-			c.reserved = 0
+			c.reserved = 0 // resize has released it
 			return 0, c.refuse(verdict.ReasonMemory)
 		}
 		c.reserved = size
